--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -15,8 +15,8 @@
     version::ObjectKey,
 };
 use switchfold_kernel::{clock::epoch_millis, registry::ServiceName};
-use switchfold_platform::{StoreClient, StoreError};
 use switchfold_proto::peer::{ClaimAnswer, ClaimRequest};
+use switchfold_store::{StoreClient, StoreError};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, sleep, timeout},
--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use switchfold_core::version::ObjectKey;
 use switchfold_lang::{Command, LangError, parse};
-use switchfold_platform::{StoreClient, StoreError};
+use switchfold_store::{StoreClient, StoreError};
 use tokio::sync::watch;
 use xtra::Address;
 
--- a/crates/entry/src/commands/change.rs
+++ b/crates/entry/src/commands/change.rs
@@ -11,7 +11,7 @@
     version::{ObjectCopy, ObjectKey},
 };
 use switchfold_lang::{ClassSetting, Command, EventSetting, NewState, OrganisationSetting};
-use switchfold_platform::{StoreError, StoredObject};
+use switchfold_store::{StoreError, StoredObject};
 
 use super::{CHANGE_PATIENCE, CommandContext, CommandError};
 use crate::config::{Merge, MergeOrigin, NamedCopy};
--- a/crates/entry/src/commands/tables.rs
+++ b/crates/entry/src/commands/tables.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use switchfold_core::config::{ClassConfig, EventConfig};
 use switchfold_lang::{Query, Table};
-use switchfold_platform::VmRole;
+use switchfold_store::VmRole;
 
 use super::{CommandContext, CommandError};
 use crate::{
--- a/crates/entry/src/config/gossip.rs
+++ b/crates/entry/src/config/gossip.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, RngExt};
 use switchfold_core::subset::tree_children;
 use switchfold_link::{PeerChannel, peer_channel};
-use switchfold_platform::VmRole;
 use switchfold_proto::peer::{ObjectPush, peer_client::PeerClient};
+use switchfold_store::VmRole;
 use tokio::{
     sync::{mpsc, watch},
     time::{interval, timeout},
--- a/crates/entry/src/config/view.rs
+++ b/crates/entry/src/config/view.rs
@@ -10,7 +10,7 @@
     placement::PlacementPlan,
     version::VersionedObjects,
 };
-use switchfold_platform::VmList;
+use switchfold_store::VmList;
 
 /// Kind under which the platform's list of VMs travels between entries.
 pub const VM_LIST_KIND: &str = "vm-list";
--- a/crates/entry/src/config/watch.rs
+++ b/crates/entry/src/config/watch.rs
@@ -11,7 +11,7 @@
     subset::rendezvous_subset,
     version::{ObjectCopy, ObjectKey},
 };
-use switchfold_platform::{ChangeBatch, StoreClient, StoreError, StoredChange, VmRole};
+use switchfold_store::{ChangeBatch, StoreClient, StoreError, StoredChange, VmRole};
 use tokio::{sync::watch, time::sleep};
 use xtra::Address;
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,8 +12,8 @@
     shutdown::ShutdownSignal,
 };
 use switchfold_link::bind_incoming;
-use switchfold_platform::{StoreClient, StoreConfig};
 use switchfold_proto::{link::Assignment, peer::peer_server::PeerServer as PeerGrpcServer};
+use switchfold_store::{StoreClient, StoreConfig};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -11,8 +11,8 @@
 use switchfold_core::{hash::hash_bytes, id::RequestId, subset::ring_subset};
 use switchfold_kernel::{clock::now_millis, registry::ServiceName, shutdown::WorkGuard};
 use switchfold_link::LinkSender;
-use switchfold_platform::{VmEntry, VmRole, VmState};
 use switchfold_proto::link::{self, Frame, message::Body};
+use switchfold_store::{VmEntry, VmRole, VmState};
 use tokio::sync::mpsc;
 use xtra::{Actor, Context, Handler, WeakAddress};
 
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -18,6 +18,8 @@
     Address,
     /// A whole number between two bounds, both included.
     Number(u64, u64),
+    /// A number between two bounds, both included, with or without a fraction.
+    Decimal(f64, f64),
     /// `true` or `false`.
     Flag,
     /// One of some words.
@@ -191,6 +193,9 @@
         (FieldKind::Number(least, most), Value::Number(number)) => {
             number.as_u64().is_some_and(|number| (least..=most).contains(&number))
         }
+        (FieldKind::Decimal(least, most), Value::Number(number)) => {
+            number.as_f64().is_some_and(|number| (least..=most).contains(&number))
+        }
         (FieldKind::Flag, Value::Bool(_)) => true,
         (FieldKind::Word(words), Value::String(text)) => words.contains(&text.as_str()),
         _ => false,
@@ -210,6 +215,7 @@
         FieldKind::Address => "an IP address with a port, such as 127.0.0.1:7000".to_owned(),
         FieldKind::Addresses => "a list of IP addresses with ports".to_owned(),
         FieldKind::Number(least, most) => format!("a whole number from {least} to {most}"),
+        FieldKind::Decimal(least, most) => format!("a number from {least} to {most}"),
         FieldKind::Flag => "true or false".to_owned(),
         FieldKind::Word(words) => format!("one of {}", words.join(", ")),
         FieldKind::Object(_) => "an object".to_owned(),
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -19,12 +19,12 @@
     http::{CallError, HttpClient},
     shutdown::ShutdownSignal,
 };
-use switchfold_platform::{VmEntry, VmRole, VmState};
 use switchfold_standin::{
     engine::{EngineStandin, RunLog},
     platform::PlatformStandin,
     service::ServiceStandin,
 };
+use switchfold_store::{VmEntry, VmRole, VmState};
 use tokio::{net::TcpListener, time::sleep};
 
 use crate::{
--- a/crates/local/src/measure.rs
+++ b/crates/local/src/measure.rs
@@ -13,8 +13,8 @@
 };
 use switchfold_entry::claims::{ClaimService, ClaimState, MakeClaim, claim_here};
 use switchfold_kernel::{http::HttpClient, shutdown::ShutdownSignal};
-use switchfold_platform::{StoreClient, StoreConfig};
 use switchfold_standin::platform::PlatformStandin;
+use switchfold_store::{StoreClient, StoreConfig};
 use tokio::{
     net::TcpListener,
     task::JoinSet,
--- /dev/null
+++ b/crates/relay/src/answers.rs
@@ -0,0 +1,96 @@
+//! Answers that a relay gives itself.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
+use switchfold_router::Millis;
+
+/// A body broke off: the caller's connection is closed without its end.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("answer broke off")]
+pub struct BodyBroken;
+
+/// Body of every answer.
+pub type RelayBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyBroken>>>;
+
+/// An answer to a caller.
+pub type RelayAnswer = Response<RelayBody>;
+
+/// Body of whole bytes.
+pub fn whole(bytes: Bytes) -> RelayBody {
+    Box::pin(Full::new(bytes).map_err(|never| match never {}))
+}
+
+/// Why a request got an answer that no replica made.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[display("no-configuration")]
+    NoConfiguration,
+    /// The configuration is too old to let keys in or to deny a route.
+    #[display("stale-configuration")]
+    StaleConfiguration,
+    /// No route has this host and path.
+    #[display("no-route")]
+    NoRoute,
+    /// No organisation holds the key.
+    #[display("unknown-key")]
+    UnknownKey,
+    /// The body is larger than allowed.
+    #[display("body-too-large")]
+    BodyTooLarge,
+    /// The body did not arrive whole.
+    #[display("body-broken")]
+    BodyBroken,
+    /// No replica can run it now.
+    #[display("no-replica")]
+    NoReplica,
+    /// It did not run, and its attempts are used up.
+    #[display("not-run")]
+    NotRun,
+    /// It may have run, and there is no answer.
+    #[display("outcome-unknown")]
+    Unknown,
+    /// Its time is up, and it may have run.
+    #[display("timed-out")]
+    TimedOut,
+    /// Its time is up, and it did not run.
+    #[display("timed-out-unsent")]
+    TimedOutUnsent,
+}
+
+impl Refusal {
+    /// Status that the caller gets.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration
+            | Self::StaleConfiguration
+            | Self::NoReplica
+            | Self::NotRun
+            | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Builds the answer; `retry_after` tells when to come back.
+    pub fn answer(self, retry_after: Option<Millis>) -> RelayAnswer {
+        let mut answer = Response::new(whole(Bytes::new()));
+        *answer.status_mut() = self.status();
+        let promised = self.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(wait) = retry_after.filter(|_| promised) {
+            let seconds = format!("{:.2}", wait as f64 / 1_000.0);
+            let value = HeaderValue::from_str(&seconds).expect("numbers are valid header values");
+            answer.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/relay/src/counts.rs
@@ -0,0 +1,29 @@
+//! Counters of a relay.
+
+use std::cell::Cell;
+
+/// Counts since the process began.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests of callers.
+    pub requests: Cell<u64>,
+    /// Requests that ended with a replica's answer.
+    pub answered: Cell<u64>,
+    /// Requests refused before they ran.
+    pub refused: Cell<u64>,
+    /// Requests that ended without an answer of a replica.
+    pub failed: Cell<u64>,
+    /// Sends to a second replica.
+    pub repeats: Cell<u64>,
+    /// Streams moved to another path while they ran.
+    pub repaths: Cell<u64>,
+    /// Streams taken up at another replica.
+    pub resumes: Cell<u64>,
+    /// Orders to hold other layers.
+    pub orders: Cell<u64>,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- /dev/null
+++ b/crates/relay/src/flow.rs
@@ -0,0 +1,282 @@
+//! A stream that runs: events are passed on as they come, and go on elsewhere when a replica is lost.
+//!
+//! The body is pulled by the caller's connection itself, so an event costs one wake-up, and a caller
+//! that leaves drops the body and with it the connection to the replica.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::{
+    events::EventFramer,
+    headers::{AnswerMarks, read_answer},
+};
+use switchfold_router::{Millis, chain::PathPart};
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    admit::{Permit, admit},
+    answers::{BodyBroken, RelayBody},
+    counts::count,
+    engines::{OrderEnd, order_repath},
+    paths::{PathWish, RoomGuard, find_path},
+    pool::BusyLink,
+    request::CallerRequest,
+    state::Relay,
+    stop::FlightGuard,
+    stream::{OpenEnd, OpenStream, TriedReplicas, find_stall, may_repeat, note_fault, open_stream},
+};
+
+/// Pause between events after which a stream is looked into where the route names none: events usually
+/// come every 30 to 80 ms.
+const DEFAULT_QUIET: Millis = 200;
+
+/// Time between two looks into a stream that stands still.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Pause after which a stream whose replicas all seem well is taken up elsewhere. Callers give up
+/// after two seconds without an event.
+const LONGEST_QUIET: Millis = 1_200;
+
+struct StreamFlow {
+    relay: Rc<Relay>,
+    request: Rc<CallerRequest>,
+    permit: Permit,
+    tried: TriedReplicas,
+    body: Incoming,
+    link: Option<BusyLink>,
+    marks: AnswerMarks,
+    path: Vec<PathPart>,
+    room: RoomGuard,
+    framer: EventFramer,
+    last_progress: Millis,
+    alarms_seen: u64,
+    ended: bool,
+    _in_flight: FlightGuard,
+}
+
+/// Body that passes a stream on.
+pub fn stream_body(
+    relay: Rc<Relay>,
+    request: Rc<CallerRequest>,
+    permit: Permit,
+    tried: TriedReplicas,
+    opened: OpenStream,
+    in_flight: FlightGuard,
+) -> RelayBody {
+    let flow = StreamFlow {
+        alarms_seen: relay.alarms.get(),
+        framer: EventFramer::after(request.marks.last_event),
+        marks: read_answer(&opened.head.headers),
+        body: opened.body,
+        link: Some(opened.link),
+        path: opened.path,
+        room: opened.room,
+        last_progress: now_millis(),
+        ended: false,
+        relay,
+        request,
+        permit,
+        tried,
+        _in_flight: in_flight,
+    };
+    let frames = stream::unfold(flow, async |mut flow| {
+        let frame = flow.next_frame().await?;
+        Some((frame, flow))
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
+/// What came of waiting for a stream's next bytes.
+enum Waited {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+    Quiet,
+    TimeUp,
+}
+
+impl StreamFlow {
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyBroken>> {
+        while !self.ended {
+            match self.wait().await {
+                Waited::Bytes(chunk) => {
+                    self.last_progress = now_millis();
+                    if let Some(events) = self.framer.push(chunk) {
+                        self.heed_alarms().await;
+                        return Some(Ok(Frame::data(events)));
+                    }
+                }
+                Waited::End if !self.framer.has_partial() => {
+                    self.finish();
+                    return None;
+                }
+                Waited::End => self.recover("ended within an event").await,
+                Waited::Broken(detail) => self.recover(&detail).await,
+                Waited::Quiet => self.look_into().await,
+                Waited::TimeUp => self.give_up("time is up"),
+            }
+        }
+        Some(Err(BodyBroken))
+    }
+
+    async fn wait(&mut self) -> Waited {
+        let now = now_millis();
+        let quiet_for = now - self.last_progress;
+        let quiet_after = match self.permit.route.event_gap {
+            0 => DEFAULT_QUIET,
+            gap => gap,
+        };
+        let look_in = match quiet_for < quiet_after {
+            true => Duration::from_millis(quiet_after - quiet_for),
+            false => LOOK_EVERY,
+        };
+        let left = self.request.time_left(now);
+        if left == 0 {
+            return Waited::TimeUp;
+        }
+        let until = Instant::now() + look_in.min(Duration::from_millis(left));
+        tokio::select! {
+            biased;
+            frame = self.body.frame() => match frame {
+                Some(Ok(frame)) => Waited::Bytes(frame.into_data().unwrap_or_default()),
+                Some(Err(error)) => Waited::Broken(error.to_string()),
+                None => Waited::End,
+            },
+            () = sleep_until(until) => Waited::Quiet,
+        }
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(link) = self.link.take().filter(|_| !self.marks.closes) {
+            link.give_back(&self.relay.pool, self.marks.keep_alive);
+        }
+    }
+
+    fn give_up(&mut self, why: &str) {
+        self.ended = true;
+        self.link = None;
+        count(&self.relay.counts.failed);
+        let quiet_ms = now_millis() - self.last_progress;
+        tracing::warn!(
+            event = "stream-broken",
+            request = self.request.marks.attempt_id,
+            why,
+            quiet_ms,
+            last_event = self.framer.last_id(),
+        );
+    }
+
+    /// Looks at the path after something happened to a replica.
+    async fn heed_alarms(&mut self) {
+        let alarms = self.relay.alarms.get();
+        if alarms == self.alarms_seen {
+            return;
+        }
+        self.alarms_seen = alarms;
+        if self.lost_part().is_some() {
+            self.repath().await;
+        }
+    }
+
+    /// Position of a part after the first whose replica should not be used any more.
+    fn lost_part(&self) -> Option<usize> {
+        let lost = |part: &PathPart| !self.relay.is_usable(&part.id);
+        self.path.iter().skip(1).position(lost).map(|position| position + 1)
+    }
+
+    /// Finds out why a stream stands still, and mends it.
+    async fn look_into(&mut self) {
+        let first = self.path[0].clone();
+        let first_gone = self.relay.beliefs.borrow().fleet.get(&first.id).is_none();
+        if first_gone {
+            return self.recover("first replica is gone").await;
+        }
+        if self.lost_part().is_none() {
+            let id = &self.request.marks.attempt_id;
+            if let Some(at_fault) = find_stall(&self.relay, first.address, id).await {
+                note_fault(&self.relay, at_fault, "stalled");
+            }
+        }
+        if self.lost_part().is_some() && self.repath().await {
+            return;
+        }
+        if now_millis() - self.last_progress > LONGEST_QUIET {
+            self.recover("no event for long").await;
+        }
+    }
+
+    /// Moves the request to a path without the lost replicas; the others keep its memory.
+    async fn repath(&mut self) -> bool {
+        let service = self.permit.config.services.get(&self.permit.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return false;
+        };
+        let tokens = self.request.tokens((engine.usual_prompt, engine.usual_answer));
+        let first = self.path[0].clone();
+        let wish = PathWish {
+            service: &self.permit.service,
+            engine,
+            tokens,
+            avoid: &[],
+            first: Some((&first.id, first.range)),
+        };
+        let Some(path) = find_path(&self.relay, &wish) else { return false };
+        let id = &self.request.marks.attempt_id;
+        let end = order_repath(&self.relay, id, &path).await;
+        let quiet_ms = now_millis() - self.last_progress;
+        tracing::info!(event = "repath", request = id, ?end, quiet_ms, parts = path.len());
+        if end == OrderEnd::Taken {
+            self.room = RoomGuard::new(&self.relay, &path, tokens);
+            self.path = path;
+        }
+        end == OrderEnd::Taken
+    }
+
+    /// Takes a broken stream up at another replica, where its route allows that.
+    async fn recover(&mut self, why: &str) {
+        self.link = None;
+        self.framer.drop_partial();
+        let repeatable = self.permit.route.is_repeatable();
+        tracing::info!(
+            event = "stream-lost",
+            request = self.request.marks.attempt_id,
+            why,
+            repeatable,
+            first = self.path[0].id,
+            last_event = self.framer.last_id(),
+        );
+        while repeatable && may_repeat(&self.relay, &self.permit, &self.tried) {
+            let Ok(permit) = admit(&self.relay, &self.request.asked) else { break };
+            self.permit = permit;
+            let last_event = self.framer.last_id();
+            let opened =
+                open_stream(&self.relay, &self.request, &self.permit, &mut self.tried, last_event);
+            match opened.await {
+                Some(OpenEnd::Open(stream)) => return self.take_over(*stream),
+                Some(OpenEnd::Failed(end, detail)) => {
+                    let id = &self.request.marks.attempt_id;
+                    tracing::info!(event = "resume-failed", request = id, ?end, detail);
+                }
+                Some(OpenEnd::Answered(_)) | None => break,
+            }
+        }
+        self.give_up(why);
+    }
+
+    fn take_over(&mut self, stream: OpenStream) {
+        count(&self.relay.counts.resumes);
+        let quiet_ms = now_millis() - self.last_progress;
+        tracing::info!(event = "stream-resumed", request = self.request.marks.attempt_id, quiet_ms);
+        self.marks = read_answer(&stream.head.headers);
+        self.body = stream.body;
+        self.link = Some(stream.link);
+        self.path = stream.path;
+        self.room = stream.room;
+        self.last_progress = now_millis();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,37 @@
+//! The relay: the entry of platforms whose engines chain pipelines themselves.
+//!
+//! It takes callers' requests, chooses the whole path of each over the engines that hold the model's
+//! layers, hands the request to the first of them and passes the answer on. Every choice is made by
+//! `switchfold-router`; every name of the platform stands in `switchfold-platform`; this crate moves
+//! bytes between them. It runs on one thread: at the size of an entry VM, a second one costs more than
+//! it brings, and what the relay knows needs no lock.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`serve`], [`request`], [`admit`] | callers, and what the configuration lets them do |
+//! | [`plain`] | requests to plain services |
+//! | [`stream`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
+//! | [`pool`], [`engines`] | connections and calls to replicas |
+//! | [`watch`], [`peers`] | what the relay knows, from the store and from other relays |
+//! | [`placer`] | orders to engines to hold layers |
+//! | [`stop`], [`run`], [`settings`], [`logs`], [`counts`] | the process |
+
+pub mod admit;
+pub mod answers;
+pub mod counts;
+pub mod engines;
+pub mod flow;
+pub mod logs;
+pub mod paths;
+pub mod peers;
+pub mod placer;
+pub mod plain;
+pub mod pool;
+pub mod request;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod state;
+pub mod stop;
+pub mod stream;
+pub mod watch;
--- /dev/null
+++ b/crates/relay/src/paths.rs
@@ -0,0 +1,142 @@
+//! Paths over engines, by what the relay knows.
+
+use std::{collections::HashMap, rc::Rc};
+
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::{
+    access::EngineSpec,
+    chain::{ChainCosts, PartOffer, PathPart, PathRequest, choose_path},
+    fleet::{LayerRange, ReplicaEntry},
+};
+
+use crate::state::{Beliefs, Relay};
+
+/// What a path is wanted for.
+#[derive(Clone, Debug)]
+pub struct PathWish<'a> {
+    /// Service whose engines may be used.
+    pub service: &'a str,
+    /// The model.
+    pub engine: &'a EngineSpec,
+    /// Tokens that the request may hold.
+    pub tokens: f64,
+    /// Replicas not to use.
+    pub avoid: &'a [String],
+    /// First part to keep, for a request that runs.
+    pub first: Option<(&'a str, LayerRange)>,
+}
+
+/// Cost of a layer at a replica that is half full, against one more hop at 0.5: trial figures show
+/// memory binding long before speed.
+const ROOM_COST: f64 = 1.0;
+
+/// Part of a replica's room that paths are planned to fill; the rest absorbs what other relays promised
+/// meanwhile and answers longer than expected.
+const PLANNED_FILL: f64 = 0.95;
+
+/// Chooses a path. Where no path has room, one is chosen as if there were: an engine that is short of
+/// memory makes its newest requests wait, which serves more callers than refusing them does.
+pub fn find_path(relay: &Relay, wish: &PathWish<'_>) -> Option<Vec<PathPart>> {
+    let beliefs = relay.beliefs.borrow();
+    let mut data_centres = DataCentres::default();
+    let home = data_centres.number(&relay.settings.data_centre);
+    let mut offers = offers(&beliefs, wish, &mut data_centres);
+    let request = PathRequest {
+        layers: wish.engine.layers,
+        tokens: wish.tokens,
+        home,
+        data_centres: data_centres.count(),
+        first: wish.first,
+    };
+    let costs = ChainCosts::default();
+    choose_path(&request, &offers, &costs).or_else(|| {
+        offers.iter_mut().for_each(|offer| offer.room = f64::INFINITY);
+        choose_path(&request, &offers, &costs)
+    })
+}
+
+/// Numbers data centres as they are met.
+#[derive(Default)]
+struct DataCentres {
+    numbers: HashMap<String, usize>,
+}
+
+impl DataCentres {
+    fn number(&mut self, name: &str) -> usize {
+        let next = self.numbers.len();
+        *self.numbers.entry(name.to_owned()).or_insert(next)
+    }
+
+    fn count(&self) -> usize {
+        self.numbers.len()
+    }
+}
+
+fn offers(
+    beliefs: &Beliefs,
+    wish: &PathWish<'_>,
+    data_centres: &mut DataCentres,
+) -> Vec<PartOffer> {
+    let now = now_millis();
+    let usable = |replica: &&ReplicaEntry| {
+        !replica.draining
+            && !beliefs.suspects.is_suspect(&replica.id, now)
+            && !wish.avoid.contains(&replica.id)
+    };
+    let replicas = beliefs.fleet.of_service(wish.service).filter(usable);
+    let mut offers = Vec::new();
+    for replica in replicas {
+        let held: u32 = replica.layers.iter().map(LayerRange::len).sum();
+        let kind = wish.engine.kind(&replica.kind);
+        let total = kind.map_or(0.0, |kind| wish.engine.room(kind.memory_mb, held));
+        let promised = beliefs.room.promised(&replica.id);
+        let layer_cost =
+            layer_cost(wish.engine, kind.map_or(1.0, |kind| kind.pace), promised, total);
+        let data_centre = data_centres.number(&replica.data_centre);
+        for range in &replica.layers {
+            offers.push(PartOffer {
+                id: replica.id.clone(),
+                address: replica.address,
+                data_centre,
+                range: *range,
+                layer_cost,
+                room: (total * PLANNED_FILL - promised).max(0.0),
+            });
+        }
+    }
+    offers
+}
+
+/// Cost of one layer: the time of a step, and a term that grows steeply as memory fills up.
+fn layer_cost(engine: &EngineSpec, pace: f64, promised: f64, total: f64) -> f64 {
+    const FULLEST: f64 = 0.98;
+    let step = engine.step_ms * pace / f64::from(engine.layers.max(1));
+    let used = (promised / total.max(1.0)).min(FULLEST);
+    step + ROOM_COST * used * used / (1.0 - used)
+}
+
+/// Room promised along a path; dropping it releases.
+#[derive(Debug)]
+pub struct RoomGuard {
+    relay: Rc<Relay>,
+    parts: Vec<(String, f64)>,
+}
+
+impl RoomGuard {
+    /// Promises room for `tokens` along a path.
+    pub fn new(relay: &Rc<Relay>, path: &[PathPart], tokens: f64) -> Self {
+        let amount = |part: &PathPart| tokens * f64::from(part.range.len());
+        let parts: Vec<(String, f64)> =
+            path.iter().map(|part| (part.id.clone(), amount(part))).collect();
+        let mut beliefs = relay.beliefs.borrow_mut();
+        parts.iter().for_each(|(id, amount)| beliefs.room.promise(id, *amount));
+        Self { relay: relay.clone(), parts }
+    }
+}
+
+impl Drop for RoomGuard {
+    fn drop(&mut self) {
+        let mut beliefs = self.relay.beliefs.borrow_mut();
+        self.parts.iter().for_each(|(id, amount)| beliefs.room.release(id, *amount));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/placer.rs
@@ -0,0 +1,191 @@
+//! Orders to engines to hold layers.
+//!
+//! One relay gives the orders at a time: the first by name among those that are well. It keeps no plan:
+//! each round computes the orders from the list of replicas and from its own orders under way. Two
+//! relays that both take themselves for the first order the same, and an order names how many orders
+//! the engine took before, so a late one is refused.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::{
+    Millis,
+    access::EngineSpec,
+    cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, plan_group},
+    fleet::{LayerRange, ReplicaEntry},
+};
+use tokio::{task::spawn_local, time::sleep};
+
+use crate::{
+    engines::{OrderEnd, ask_report, order_layers},
+    peers::FRESH_FLEET,
+    state::Relay,
+};
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Time after the start before the first orders, in milliseconds: peers are heard by then.
+const FIRST_ROUND: Millis = 900;
+
+/// Time without a new replica after which the first layout is made, in milliseconds.
+const SETTLED: Millis = 900;
+
+/// Time after the start after which the layout is made whatever still comes, in milliseconds.
+const LATEST_START: Millis = 4_000;
+
+/// Time beyond the load itself until an order's effect must be listed, in milliseconds: the list lags by
+/// a heartbeat and its delay.
+const LIST_LAG: Millis = 3_000;
+
+/// An order under way.
+#[derive(Clone, Copy, Debug)]
+struct PendingOrder {
+    range: LayerRange,
+    until: Millis,
+}
+
+/// Orders under way, by replica.
+#[derive(Debug, Default)]
+struct Placer {
+    pending: HashMap<String, PendingOrder>,
+    fleet_seen: u64,
+    fleet_changed: Millis,
+}
+
+/// Places layers for good.
+pub async fn place_layers(relay: Rc<Relay>) {
+    let begun = now_millis();
+    let mut placer = Placer::default();
+    loop {
+        sleep(ROUND).await;
+        let now = now_millis();
+        placer.observe(&relay, now);
+        let age = now - begun;
+        if age < FIRST_ROUND || !is_first(&relay, now) {
+            continue;
+        }
+        let settled = now - placer.fleet_changed > SETTLED;
+        if age < LATEST_START && !settled {
+            continue;
+        }
+        placer.round(&relay, now).await;
+    }
+}
+
+fn is_first(relay: &Relay, now: Millis) -> bool {
+    let beliefs = relay.beliefs.borrow();
+    let fresh = beliefs.fleet_lease.age(now).is_some_and(|age| age < FRESH_FLEET);
+    beliefs.peers.is_first(&relay.settings.name, fresh, now)
+}
+
+impl Placer {
+    /// Notes joined and left replicas, and orders that took effect.
+    fn observe(&mut self, relay: &Relay, now: Millis) {
+        let beliefs = relay.beliefs.borrow();
+        let count = beliefs.fleet.len() as u64;
+        if count != self.fleet_seen {
+            self.fleet_seen = count;
+            self.fleet_changed = now;
+        }
+        self.pending.retain(|id, order| {
+            let Some(replica) = beliefs.fleet.get(id) else { return false };
+            let done = replica.range() == Some(order.range);
+            !done && now < order.until
+        });
+    }
+
+    async fn round(&mut self, relay: &Rc<Relay>, now: Millis) {
+        let Some(config) = relay.config() else { return };
+        for (service, engine) in config.engines() {
+            let orders = self.plan(relay, service, engine, now);
+            let limit = (engine.loads_at_once as usize).max(1);
+            // Before the first request, loads are quick and all may run at once.
+            let untouched = relay.counts.requests.get() == 0;
+            let free = limit.saturating_sub(self.pending.len());
+            let now_possible = if untouched { orders.len() } else { free };
+            for order in orders.into_iter().take(now_possible) {
+                self.give(relay, engine, order, now).await;
+            }
+        }
+    }
+
+    fn plan(
+        &self,
+        relay: &Relay,
+        service: &str,
+        engine: &EngineSpec,
+        now: Millis,
+    ) -> Vec<PlaceOrder> {
+        let beliefs = relay.beliefs.borrow();
+        let mut groups: HashMap<&str, Vec<LayerHolder>> = HashMap::new();
+        for replica in beliefs.fleet.of_service(service).filter(|replica| !replica.draining) {
+            let suspect = beliefs.suspects.is_suspect(&replica.id, now);
+            let Some(holder) = self.holder(replica, engine, suspect) else { continue };
+            groups.entry(&replica.data_centre).or_default().push(holder);
+        }
+        let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
+        let config = CoverConfig::default();
+        let mut names: Vec<&str> = groups.keys().copied().collect();
+        names.sort_unstable();
+        names.into_iter().flat_map(|name| plan_group(&groups[name], model, &config)).collect()
+    }
+
+    fn holder(
+        &self,
+        replica: &ReplicaEntry,
+        engine: &EngineSpec,
+        suspect: bool,
+    ) -> Option<LayerHolder> {
+        let kind = engine.kind(&replica.kind)?;
+        let pending = self.pending.get(&replica.id);
+        // What a suspect holds is not counted: it may be lost.
+        let held = replica.range().filter(|_| !suspect);
+        Some(LayerHolder {
+            id: replica.id.clone(),
+            memory_mb: kind.memory_mb,
+            range: pending.map(|order| order.range).or(held),
+            can_order: pending.is_none() && !suspect,
+        })
+    }
+
+    async fn give(
+        &mut self,
+        relay: &Rc<Relay>,
+        engine: &EngineSpec,
+        order: PlaceOrder,
+        now: Millis,
+    ) {
+        let replica = relay.beliefs.borrow().fleet.get(&order.id).cloned();
+        let Some(replica) = replica else { return };
+        let share = u64::from(order.range.len()) * engine.load / u64::from(engine.layers.max(1));
+        let until = now + share * 2 + LIST_LAG;
+        self.pending.insert(order.id.clone(), PendingOrder { range: order.range, until });
+        let relay = relay.clone();
+        spawn_local(async move { carry_out(&relay, &replica, order).await });
+    }
+}
+
+async fn carry_out(relay: &Relay, replica: &ReplicaEntry, order: PlaceOrder) {
+    let range = order.range;
+    let (from, to) = (range.from, range.to);
+    let Some(report) = ask_report(relay, replica.address).await else {
+        tracing::warn!(event = "order-unsent", replica = replica.id, from, to, why = "no report");
+        return;
+    };
+    let end = order_layers(relay, replica.address, range, report.orders_taken).await;
+    tracing::info!(
+        event = "order",
+        replica = replica.id,
+        kind = replica.kind,
+        data_centre = replica.data_centre,
+        from,
+        to,
+        reason = ?order.reason,
+        orders_taken = report.orders_taken,
+        ?end,
+    );
+    if end == OrderEnd::NotSent {
+        relay.suspect(&replica.id, "order not sent");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/plain.rs
@@ -0,0 +1,348 @@
+//! Requests to plain services.
+//!
+//! Each goes to the replica with the least expected wait. What the relay knows of a replica decays
+//! within seconds, so one that did badly is tried again by itself.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::headers::{AnswerMarks, ReplicaLoad, read_answer, strip_hop_headers};
+use switchfold_router::{
+    Millis,
+    attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
+    fleet::ReplicaEntry,
+};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    admit::{Permit, admit},
+    answers::{Refusal, RelayAnswer, whole},
+    counts::count,
+    pool::{BusyLink, SendError},
+    request::{CallerRequest, ReplicaTarget},
+    state::Relay,
+};
+
+/// Largest answer of a plain service that is read before it is passed on, in bytes.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// Weight of the newest observation.
+const NEWEST: f64 = 0.2;
+
+/// Time in which what is known of a replica loses half its weight, in milliseconds: long enough to
+/// keep away from a failing replica, short enough to notice that it is well again.
+const HALF_LIFE: f64 = 4_000.0;
+
+/// Cost of a failure against one more request at the replica.
+const FAILURE_COST: f64 = 6.0;
+
+/// Sends of one request that reached no replica: the list may be a few entries behind.
+const MOST_UNSENT: u32 = 4;
+
+#[derive(Clone, Debug, Default)]
+struct ServiceLoad {
+    in_flight: u32,
+    failures: f64,
+    slowness: f64,
+    seen: Millis,
+    told: Option<ReplicaLoad>,
+}
+
+impl ServiceLoad {
+    fn decay(&mut self, now: Millis) {
+        let age = now.saturating_sub(self.seen) as f64;
+        let left = 0.5_f64.powf(age / HALF_LIFE);
+        self.failures *= left;
+        self.slowness *= left;
+        self.seen = now;
+    }
+
+    /// Expected wait, relative to that of an idle, well replica.
+    fn cost(&self, replica: &ReplicaEntry, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.seen) as f64;
+        let left = 0.5_f64.powf(age / HALF_LIFE);
+        let slots = f64::from(replica.slots.max(1));
+        let told = self.told.map_or(0.0, |load| f64::from(load.running + load.waiting)) * left;
+        let busy = f64::from(self.in_flight).max(told) / slots;
+        (1.0 + busy * busy) * (1.0 + (self.slowness + self.failures * FAILURE_COST) * left)
+    }
+}
+
+/// What a relay knows of the replicas of plain services.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceLoads {
+    loads: HashMap<String, ServiceLoad>,
+}
+
+impl ServiceLoads {
+    /// Drops a replica.
+    pub fn forget(&mut self, id: &str) {
+        self.loads.remove(id);
+    }
+
+    /// Notes the end of an attempt: whether the replica failed, and how long it took against what was
+    /// wanted.
+    fn note_end(&mut self, id: &str, failed: bool, slowness: f64, told: Option<ReplicaLoad>) {
+        let now = now_millis();
+        let load = self.loads.entry(id.to_owned()).or_default();
+        load.decay(now);
+        load.failures += (f64::from(u8::from(failed)) - load.failures) * NEWEST;
+        load.slowness += (slowness - load.slowness) * NEWEST;
+        load.told = told.or(load.told);
+    }
+
+    fn cost(&self, replica: &ReplicaEntry, now: Millis) -> f64 {
+        self.loads.get(&replica.id).map_or(1.0, |load| load.cost(replica, now))
+    }
+}
+
+/// A request in flight at a replica; dropping it ends it.
+struct LoadGuard {
+    relay: Rc<Relay>,
+    id: String,
+}
+
+impl LoadGuard {
+    fn new(relay: &Rc<Relay>, id: &str) -> Self {
+        let mut beliefs = relay.beliefs.borrow_mut();
+        beliefs.loads.loads.entry(id.to_owned()).or_default().in_flight += 1;
+        Self { relay: relay.clone(), id: id.to_owned() }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        if let Some(load) = self.relay.beliefs.borrow_mut().loads.loads.get_mut(&self.id) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// Cost of leaving the data centre: less than one more request at a replica.
+const REMOTE_COST: f64 = 0.02;
+
+/// The replica with the least expected wait, of those that were not tried.
+pub fn choose_replica(relay: &Relay, service: &str, tried: &[String]) -> Option<ReplicaEntry> {
+    let now = now_millis();
+    let beliefs = relay.beliefs.borrow();
+    let usable = |replica: &&ReplicaEntry| !replica.draining && !tried.contains(&replica.id);
+    let cost = |replica: &ReplicaEntry| {
+        let remote = replica.data_centre != relay.settings.data_centre;
+        let suspect = beliefs.suspects.is_suspect(&replica.id, now);
+        let extra = if suspect { 100.0 } else { 0.0 } + if remote { REMOTE_COST } else { 0.0 };
+        beliefs.loads.cost(replica, now) + extra
+    };
+    let replicas = beliefs.fleet.of_service(service).filter(usable);
+    replicas.min_by(|left, right| cost(left).total_cmp(&cost(right))).cloned()
+}
+
+/// A whole answer of a replica.
+struct WholeReply {
+    head: Response<()>,
+    body: Bytes,
+}
+
+/// How an attempt ended, with the answer where there is one.
+struct AttemptReport {
+    end: AttemptEnd,
+    reply: Option<WholeReply>,
+    detail: String,
+}
+
+/// Runs a request at replicas of a plain service, until there is an answer for the caller.
+pub async fn run_plain(
+    relay: &Rc<Relay>,
+    request: &CallerRequest,
+    permit: Permit,
+) -> Result<RelayAnswer, Refusal> {
+    let mut permit = permit;
+    let mut tried = Vec::new();
+    let (mut sends, mut unsent, mut may_have_run) = (0, 0, false);
+    loop {
+        let replica = choose_replica(relay, &permit.service, &tried);
+        let Some(replica) = replica else {
+            return Err(if may_have_run { Refusal::Unknown } else { Refusal::NoReplica });
+        };
+        let report = attempt(relay, request, &permit, &replica).await;
+        tried.push(replica.id.clone());
+        match report.end {
+            AttemptEnd::NotSent => unsent += 1,
+            _ => sends += 1,
+        }
+        may_have_run |= matches!(report.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
+        let now = now_millis();
+        let repeatable = permit.route.is_repeatable();
+        let time_left = request.time_left(now) > MIN_TIME_LEFT;
+        let within = sends < permit.route.max_attempts.max(1) && unsent < MOST_UNSENT;
+        let others = choose_replica(relay, &permit.service, &tried).is_some();
+        let paid = |sends| sends == 0 || relay.spend_repeat(&permit.service, now);
+        let state = AttemptState {
+            repeatable,
+            may_have_run: may_have_run && !matches!(report.end, AttemptEnd::Answered(_)),
+            can_repeat: within
+                && time_left
+                && others
+                && needs_repeat(&report, repeatable)
+                && paid(sends),
+        };
+        let next = decide_next(state, report.end);
+        request.log_attempt(&replica.id, &permit, report.end, next, &report.detail);
+        match (next, report.reply) {
+            (NextStep::PassOn, Some(reply)) => return Ok(pass_on(reply)),
+            (NextStep::TryElsewhere, _) => {
+                if sends > 0 {
+                    count(&relay.counts.repeats);
+                }
+                permit = admit(relay, &request.asked)?;
+            }
+            (NextStep::AnswerNotRun, _) => return Err(Refusal::NotRun),
+            _ if request.time_left(now) == 0 => return Err(Refusal::TimedOut),
+            _ => return Err(Refusal::Unknown),
+        }
+    }
+}
+
+/// Time below which a second attempt is not worth its price, in milliseconds.
+const MIN_TIME_LEFT: Millis = 50;
+
+/// Whether the end of an attempt asks for another one at all, so that the budget is spent only then.
+fn needs_repeat(report: &AttemptReport, repeatable: bool) -> bool {
+    match report.end {
+        AttemptEnd::NotSent | AttemptEnd::Rejected => true,
+        AttemptEnd::Broken => repeatable,
+        AttemptEnd::Answered(status) => repeatable && status >= 500,
+    }
+}
+
+async fn attempt(
+    relay: &Rc<Relay>,
+    request: &CallerRequest,
+    permit: &Permit,
+    replica: &ReplicaEntry,
+) -> AttemptReport {
+    let begun = now_millis();
+    let _in_flight = LoadGuard::new(relay, &replica.id);
+    let target = ReplicaTarget { replica, path: None, last_event: None };
+    let patience = attempt_patience(request, permit, begun);
+    // A request that must not run twice gets a connection of its own: nothing that an earlier answer
+    // left on it can be taken for this one's.
+    let fresh = !permit.route.is_repeatable();
+    let call = exchange(relay, request, permit, &target, fresh);
+    let outcome = timeout(Duration::from_millis(patience), call).await;
+    let report = outcome.unwrap_or_else(|_| AttemptReport {
+        end: AttemptEnd::Broken,
+        reply: None,
+        detail: format!("no answer in {patience} ms"),
+    });
+    let took = now_millis() - begun;
+    let failed = !matches!(report.end, AttemptEnd::Answered(status) if status < 500);
+    let wanted = permit.route.objective.max(1) as f64;
+    let slowness = (took as f64 / wanted).min(SLOWEST);
+    let told = report.reply.as_ref().and_then(|reply| read_answer(reply.head.headers()).load);
+    relay.beliefs.borrow_mut().loads.note_end(&replica.id, failed, slowness, told);
+    if matches!(report.end, AttemptEnd::NotSent) {
+        relay.suspect(&replica.id, &report.detail);
+    }
+    report
+}
+
+/// Bound on how slow one attempt counts, against the objective.
+const SLOWEST: f64 = 4.0;
+
+/// How long to wait for one attempt. A request that may run again leaves a replica that has not
+/// answered within the objective while another try can still be in time for the caller.
+fn attempt_patience(request: &CallerRequest, permit: &Permit, now: Millis) -> Millis {
+    let left = request.time_left(now);
+    match permit.route.is_repeatable() && permit.route.max_attempts > 1 {
+        true if request.attempt_count.get() == 0 => permit.route.objective.clamp(1, left.max(1)),
+        _ => left,
+    }
+}
+
+async fn exchange(
+    relay: &Rc<Relay>,
+    request: &CallerRequest,
+    permit: &Permit,
+    target: &ReplicaTarget<'_>,
+    fresh: bool,
+) -> AttemptReport {
+    let outgoing = request.to_replica(permit, target);
+    request.attempt_count.set(request.attempt_count.get() + 1);
+    let sent = relay.pool.send(target.replica.address, outgoing, fresh).await;
+    let (response, link) = match sent {
+        Ok(sent) => sent,
+        Err(SendError::NotSent { detail }) => {
+            return AttemptReport { end: AttemptEnd::NotSent, reply: None, detail };
+        }
+        Err(SendError::Broken { detail }) => {
+            return AttemptReport { end: AttemptEnd::Broken, reply: None, detail };
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let marks = read_answer(&parts.headers);
+    if let Some(end) = early_end(request, &marks, parts.status) {
+        finish_quietly(relay, link, body, &marks).await;
+        return AttemptReport { end, reply: None, detail: format!("status {}", parts.status) };
+    }
+    match Limited::new(body, MOST_ANSWER).collect().await {
+        Ok(whole) => {
+            if !marks.closes {
+                link.give_back(&relay.pool, marks.keep_alive);
+            }
+            let end = AttemptEnd::Answered(parts.status.as_u16());
+            let reply =
+                WholeReply { head: Response::from_parts(parts, ()), body: whole.to_bytes() };
+            AttemptReport { end, reply: Some(reply), detail: String::new() }
+        }
+        Err(error) => {
+            let detail = format!("answer broke off: {error}");
+            AttemptReport { end: AttemptEnd::Broken, reply: None, detail }
+        }
+    }
+}
+
+/// End of an attempt that its head alone decides: an answer to another request, or a rejection.
+pub fn early_end(
+    request: &CallerRequest,
+    marks: &AnswerMarks,
+    status: StatusCode,
+) -> Option<AttemptEnd> {
+    let other = marks.attempt_id.as_ref().is_some_and(|id| *id != request.marks.attempt_id);
+    if other {
+        return Some(AttemptEnd::Broken);
+    }
+    let rejected = marks.not_executed || status == StatusCode::MISDIRECTED_REQUEST;
+    if rejected {
+        return Some(AttemptEnd::Rejected);
+    }
+    // A success without a signature is not the replica's.
+    (status.is_success() && !marks.sealed).then_some(AttemptEnd::Broken)
+}
+
+/// Longest time spent on the body of a rejection, so that its connection can be kept.
+const REJECTION_TIME: Duration = Duration::from_millis(20);
+
+/// Reads a rejection's body to its end, so that the connection can be kept.
+pub async fn finish_quietly(relay: &Relay, link: BusyLink, body: Incoming, marks: &AnswerMarks) {
+    if marks.closes {
+        return;
+    }
+    let read = tokio::select! {
+        read = Limited::new(body, 4_096).collect() => read.is_ok(),
+        () = sleep(REJECTION_TIME) => false,
+    };
+    if read {
+        link.give_back(&relay.pool, marks.keep_alive);
+    }
+}
+
+fn pass_on(reply: WholeReply) -> RelayAnswer {
+    let (mut parts, ()) = reply.head.into_parts();
+    strip_hop_headers(&mut parts.headers);
+    parts.headers.remove(http::header::CONTENT_LENGTH);
+    Response::from_parts(parts, whole(reply.body))
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,215 @@
+//! Connections to replicas.
+//!
+//! One request at a time runs on a connection. The pool tells apart, for each request, whether any
+//! byte of it left: only a request that stayed here may be sent again without thought. A connection
+//! whose request is given up is closed at once, so that the replica stops its work.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::Millis;
+use tokio::{
+    net::TcpStream,
+    task::{AbortHandle, spawn_local},
+    time::timeout,
+};
+
+/// Time for a connection to open. Links take under a millisecond; a lost packet is sent again only
+/// after a second, so a later answer is not worth waiting for.
+pub const CONNECT_TIME: Duration = Duration::from_millis(250);
+
+/// Time after which the kernel gives up on bytes that the other side does not acknowledge.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
+
+/// Time that an idle connection is kept where the replica names none, in milliseconds.
+const DEFAULT_IDLE: Millis = 3_000;
+
+/// Part of the time that a replica names during which its idle connection is used, in percent: the
+/// rest covers requests that cross the replica's close.
+const IDLE_PERCENT: Millis = 60;
+
+/// Idle connections kept to one replica.
+const MOST_IDLE: usize = 16;
+
+/// Why a request was not answered.
+#[derive(Clone, Debug, Display, Error)]
+pub enum SendError {
+    /// No byte of it left.
+    #[display("not sent: {detail}")]
+    NotSent {
+        /// What happened.
+        detail: String,
+    },
+    /// It was sent, at least in part.
+    #[display("no valid answer: {detail}")]
+    Broken {
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// A connection in use. Dropping it closes it; [`BusyLink::give_back`] keeps it.
+#[derive(Debug)]
+pub struct BusyLink {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+}
+
+impl BusyLink {
+    /// Keeps the connection for another request, once the answer was read to its end.
+    pub fn give_back(mut self, pool: &EndpointPool, keep_alive: Option<Millis>) {
+        let Some(sender) = self.sender.take() else { return };
+        let idle = keep_alive.unwrap_or(DEFAULT_IDLE) * IDLE_PERCENT / 100;
+        let link = IdleLink { sender, task: self.task.clone(), until: now_millis() + idle };
+        pool.keep(self.address, link);
+    }
+}
+
+impl Drop for BusyLink {
+    fn drop(&mut self) {
+        if self.sender.is_some() {
+            self.task.abort();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct IdleLink {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    until: Millis,
+}
+
+/// Connections to replicas, by address.
+#[derive(Debug, Default)]
+pub struct EndpointPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleLink>>>,
+}
+
+impl EndpointPool {
+    /// Sends a request and waits for the head of its answer. `fresh` asks for a new connection: what
+    /// is left over on a kept one cannot be taken for this request's answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether anything can have reached the replica.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<(Response<Incoming>, BusyLink), SendError> {
+        let mut request = request;
+        while !fresh {
+            let Some(link) = self.take(address) else { break };
+            match send_on(link, request).await {
+                Ok(answered) => return Ok(answered),
+                Err((SendError::NotSent { .. }, Some(unsent))) => request = unsent,
+                Err((error, _)) => return Err(error),
+            }
+        }
+        let link = connect(address).await?;
+        send_on(link, request).await.map_err(|(error, _)| error)
+    }
+
+    /// Closes the idle connections to a replica.
+    pub fn forget(&self, address: SocketAddr) {
+        let links = self.idle.borrow_mut().remove(&address);
+        links.into_iter().flatten().for_each(|link| link.task.abort());
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let now = now_millis();
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|link| {
+                let keep = link.until > now && !link.sender.is_closed();
+                if !keep {
+                    link.task.abort();
+                }
+                keep
+            });
+            !links.is_empty()
+        });
+    }
+
+    /// Count of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<BusyLink> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&address)?;
+        while let Some(link) = links.pop() {
+            if link.until > now_millis() && link.sender.is_ready() {
+                return Some(BusyLink { address, sender: Some(link.sender), task: link.task });
+            }
+            link.task.abort();
+        }
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, link: IdleLink) {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(address).or_default();
+        match links.len() < MOST_IDLE {
+            true => links.push(link),
+            false => link.task.abort(),
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<BusyLink, SendError> {
+    let not_sent = |detail: String| SendError::NotSent { detail };
+    let stream = match timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(not_sent(error.to_string())),
+        Err(_) => return Err(not_sent("connection did not open in time".to_owned())),
+    };
+    set_options(&stream).map_err(|error| not_sent(error.to_string()))?;
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+    let task = spawn_local(async move {
+        // How the connection ended is told to the request that was on it.
+        let _ended = connection.await;
+    });
+    Ok(BusyLink { address, sender: Some(sender), task: task.abort_handle() })
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME))
+}
+
+type Unsent = Option<Request<Full<Bytes>>>;
+
+async fn send_on(
+    mut link: BusyLink,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, BusyLink), (SendError, Unsent)> {
+    let sender = link.sender.as_mut().expect("a busy link has its sender");
+    match sender.try_send_request(request).await {
+        Ok(answer) => Ok((answer, link)),
+        Err(mut failure) => {
+            let unsent = failure.take_message();
+            let detail = failure.into_error().to_string();
+            let error = match unsent {
+                Some(_) => SendError::NotSent { detail },
+                None => SendError::Broken { detail },
+            };
+            Err((error, unsent))
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/request.rs
@@ -0,0 +1,221 @@
+//! A caller's request, from its first byte to its answer.
+
+use std::{cell::Cell, rc::Rc};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri, Version, header, request::Parts};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::headers::{ReplicaMarks, RequestMarks, mark_for_replica, read_marks};
+use switchfold_router::{
+    Millis,
+    attempt::{AttemptEnd, NextStep},
+    chain::PathPart,
+    fleet::ReplicaEntry,
+};
+
+use crate::{
+    admit::{Asked, Permit, admit},
+    answers::{Refusal, RelayAnswer},
+    counts::count,
+    plain::run_plain,
+    state::Relay,
+    stop::FlightGuard,
+    stream::run_stream,
+};
+
+/// Time that a request is held where neither its route nor its caller bounds it, in milliseconds.
+const DEFAULT_TIMEOUT: Millis = 30_000;
+
+/// Largest body where the configuration names no bound, in bytes.
+const DEFAULT_BODY: usize = 4 << 20;
+
+/// A request of a caller.
+#[derive(Debug)]
+pub struct CallerRequest {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// What its headers ask for.
+    pub marks: RequestMarks,
+    /// Host, path and key.
+    pub asked: Asked,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// When it must have its answer.
+    pub deadline: Millis,
+    /// Attempts so far.
+    pub attempt_count: Cell<u32>,
+}
+
+/// Where one attempt of a request goes.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaTarget<'a> {
+    /// Replica that takes it.
+    pub replica: &'a ReplicaEntry,
+    /// Path over several replicas, the first of them this one.
+    pub path: Option<&'a [PathPart]>,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+impl CallerRequest {
+    /// Time that is left, in milliseconds.
+    pub fn time_left(&self, now: Millis) -> Millis {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// Tokens that it may hold: those of its prompt, and of its answer as far as they can be told.
+    pub fn tokens(&self, usual: (u32, u32)) -> f64 {
+        let (prompt, most) = self.marks.tokens.unwrap_or((usual.0, usual.1 * 2));
+        let answer = self.marks.expected_answer.unwrap_or(usual.1).min(most);
+        f64::from(prompt) + f64::from(answer)
+    }
+
+    /// Builds the request for a replica.
+    pub fn to_replica(&self, permit: &Permit, target: &ReplicaTarget<'_>) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let marks = ReplicaMarks {
+            replica: &target.replica.id,
+            time_left: self.time_left(now_millis()).max(1),
+            organisation: permit.organisation.as_deref(),
+            priority: target.path.is_some().then_some(permit.priority.min(9)),
+            path: target.path,
+            last_event: target.last_event,
+        };
+        mark_for_replica(&mut headers, &marks);
+        headers.remove(header::CONTENT_LENGTH);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Writes the line of an attempt.
+    pub fn log_attempt(
+        &self,
+        replica: &str,
+        permit: &Permit,
+        end: AttemptEnd,
+        next: NextStep,
+        detail: &str,
+    ) {
+        let plain = matches!((end, next), (AttemptEnd::Answered(_), NextStep::PassOn));
+        if plain {
+            return;
+        }
+        tracing::warn!(
+            event = "attempt-failed",
+            request = self.marks.attempt_id,
+            replica,
+            route = permit.route.name,
+            config = permit.config.version,
+            ?end,
+            ?next,
+            detail,
+        );
+    }
+}
+
+/// Answers a request; the answer always comes.
+pub async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> RelayAnswer {
+    let in_flight = FlightGuard::new(&relay);
+    count(&relay.counts.requests);
+    let arrived = now_millis();
+    let (parts, body) = request.into_parts();
+    let marks = read_marks(&parts.headers);
+    let id = marks.attempt_id.clone();
+    let outcome = serve(&relay, parts, body, marks, arrived, in_flight).await;
+    let mut answer = match outcome {
+        Ok(answer) => {
+            count(&relay.counts.answered);
+            tracing::debug!(event = "answered", request = id, status = answer.status().as_u16());
+            answer
+        }
+        Err(refusal) => refuse(&relay, &id, refusal, arrived),
+    };
+    if relay.stop.is_raised() {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+async fn serve(
+    relay: &Rc<Relay>,
+    parts: Parts,
+    body: Incoming,
+    marks: RequestMarks,
+    arrived: Millis,
+    in_flight: FlightGuard,
+) -> Result<RelayAnswer, Refusal> {
+    let asked = asked_for(&parts, &marks);
+    let permit = admit(relay, &asked)?;
+    let most = permit.config.limits.map_or(DEFAULT_BODY, |limits| limits.body_bytes);
+    let body = match Limited::new(body, most).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::BodyTooLarge);
+        }
+        Err(_) => return Err(Refusal::BodyBroken),
+    };
+    let timeout = match permit.route.timeout {
+        0 => DEFAULT_TIMEOUT,
+        timeout => timeout,
+    };
+    let patience = marks.deadline.unwrap_or(timeout).min(timeout);
+    let request = CallerRequest {
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        headers: parts.headers,
+        body,
+        marks,
+        asked,
+        arrived,
+        deadline: arrived + patience,
+        attempt_count: Cell::new(0),
+    };
+    relay.note_request(&permit.service, now_millis());
+    let has_engine = permit.config.services.get(&permit.service);
+    match has_engine.is_some_and(|service| service.engine.is_some()) {
+        true => run_stream(relay, Rc::new(request), permit, in_flight).await,
+        false => run_plain(relay, &request, permit).await,
+    }
+}
+
+fn asked_for(parts: &Parts, marks: &RequestMarks) -> Asked {
+    let header = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = parts.uri.host().or(header).unwrap_or_default();
+    Asked { host: host.to_owned(), path: parts.uri.path().to_owned(), key: marks.key.clone() }
+}
+
+/// Path and query alone, as replicas are asked.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
+}
+
+/// Time after which a refused caller should come back, in milliseconds: a new list of replicas or a
+/// short load is there by then.
+const RETRY_AFTER: Millis = 700;
+
+fn refuse(relay: &Relay, id: &str, refusal: Refusal, arrived: Millis) -> RelayAnswer {
+    let held_ms = now_millis() - arrived;
+    let status = refusal.status().as_u16();
+    match status {
+        503 => count(&relay.counts.refused),
+        _ => count(&relay.counts.failed),
+    }
+    let config = relay.config().map_or(0, |config| config.version);
+    let config_age = relay.beliefs.borrow().config_lease.age(now_millis());
+    tracing::warn!(
+        event = "refused", request = id, status, reason = %refusal, held_ms, config, config_age,
+    );
+    refusal.answer(Some(RETRY_AFTER))
+}
+
+/// HTTP version that is spoken with replicas.
+pub const REPLICA_HTTP: Version = Version::HTTP_11;
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,130 @@
+//! A relay's life: sockets, tasks, signals.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use derive_more::{Display, Error};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use switchfold_core::hash::hash_bytes;
+use switchfold_kernel::clock::epoch_micros;
+use switchfold_platform::objects::ObjectStore;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{
+    counts::Counts,
+    peers::talk,
+    placer::place_layers,
+    pool::EndpointPool,
+    serve::{serve_callers, serve_readiness},
+    settings::RelaySettings,
+    state::{Beliefs, Relay},
+    stop::StopState,
+    watch::{STORE_PATIENCE, follow_config, follow_replicas},
+};
+
+/// Why a relay could not start.
+#[derive(Debug, Display, Error)]
+pub enum RunError {
+    /// An address is not to be had.
+    #[display("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[display("cannot receive signals: {source}")]
+    Signals {
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Time between two sweeps of idle connections.
+const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Runs a relay until a planned stop ends; must be called within a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails where an address or the signals are not to be had.
+pub async fn run_relay(settings: RelaySettings) -> Result<(), RunError> {
+    let callers = listen(settings.listen).await?;
+    let readiness = listen(settings.ready_listen).await?;
+    let peers = UdpSocket::bind(settings.peer_listen).await;
+    let peers =
+        peers.map_err(|source| RunError::Listen { address: settings.peer_listen, source })?;
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|source| RunError::Signals { source })?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|source| RunError::Signals { source })?;
+    tracing::info!(
+        event = "started",
+        name = settings.name,
+        data_centre = settings.data_centre,
+        listen = %settings.listen,
+        platform = %settings.platform,
+        version = env!("CARGO_PKG_VERSION"),
+    );
+    let relay = Rc::new(new_relay(settings));
+    spawn_local(follow_config(relay.clone()));
+    spawn_local(follow_replicas(relay.clone()));
+    spawn_local(talk(relay.clone(), Rc::new(peers)));
+    spawn_local(place_layers(relay.clone()));
+    spawn_local(serve_readiness(relay.clone(), readiness));
+    spawn_local(sweep(relay.clone()));
+    let stopping = relay.clone();
+    spawn_local(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {
+                    tracing::info!(event = "stopping", in_flight = stopping.stop.in_flight());
+                    stopping.stop.raise();
+                }
+                _ = hangup.recv() => tracing::info!(event = "reload"),
+            }
+        }
+    });
+    serve_callers(relay.clone(), callers).await;
+    tracing::info!(
+        event = "stopped",
+        requests = relay.counts.requests.get(),
+        in_flight = relay.stop.in_flight(),
+    );
+    Ok(())
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })
+}
+
+fn new_relay(settings: RelaySettings) -> Relay {
+    let store = ObjectStore::new(&settings.platform.to_string(), STORE_PATIENCE);
+    let seed = hash_bytes(epoch_micros(), settings.name.as_bytes());
+    Relay {
+        store,
+        settings,
+        beliefs: RefCell::new(Beliefs::default()),
+        pool: EndpointPool::default(),
+        counts: Counts::default(),
+        stop: StopState::default(),
+        random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+        alarms: Cell::new(0),
+    }
+}
+
+async fn sweep(relay: Rc<Relay>) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        relay.pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serve.rs
@@ -0,0 +1,120 @@
+//! Serving callers and readiness.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use switchfold_kernel::clock::now_millis;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{
+    answers::{RelayAnswer, whole},
+    request::handle,
+    state::Relay,
+};
+
+/// Time that a kept connection may rest where the configuration is not known yet.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Bytes of headers where the configuration is not known yet.
+const DEFAULT_HEADER_BYTES: usize = 16_384;
+
+/// Time by which a stopping relay ends before it would be killed.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time that a stopping relay goes on at least: the balancer asks for readiness once a second, and
+/// takes a VM out after two misses.
+const LEAST_STOP: Duration = Duration::from_millis(3_000);
+
+/// Serves callers until the relay stops.
+pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&relay) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => drop(spawn_local(serve_connection(relay.clone(), stream))),
+            Err(error) => {
+                tracing::warn!(event = "accept-failed", %error);
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+/// Waits for the end of a planned stop: nothing is in flight and callers had time to leave, or the time
+/// is nearly up.
+async fn stopped(relay: &Relay) {
+    relay.stop.raised().await;
+    let grace = Duration::from_secs(relay.settings.bounds.grace_s);
+    let least = LEAST_STOP.min(grace.saturating_sub(STOP_MARGIN));
+    sleep(least).await;
+    let mut left = grace.saturating_sub(STOP_MARGIN + least);
+    const STEP: Duration = Duration::from_millis(50);
+    while relay.stop.in_flight() > 0 && !left.is_zero() {
+        sleep(STEP).await;
+        left = left.saturating_sub(STEP);
+    }
+}
+
+async fn serve_connection(relay: Rc<Relay>, stream: TcpStream) {
+    let _without_delay = stream.set_nodelay(true);
+    let limits = relay.config().and_then(|config| config.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| Duration::from_millis(limits.idle_time));
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let service = service_fn(|request: Request<Incoming>| {
+        let relay = relay.clone();
+        async move { Ok::<RelayAnswer, Infallible>(handle(relay, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        tracing::debug!(event = "connection-ended", %error);
+    }
+}
+
+/// Answers questions for readiness until the process ends.
+pub async fn serve_readiness(relay: Rc<Relay>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let relay = relay.clone();
+        spawn_local(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let ready = is_ready(&relay);
+                async move { Ok::<RelayAnswer, Infallible>(readiness(ready)) }
+            });
+            let _ended =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn readiness(ready: bool) -> RelayAnswer {
+    let mut answer = Response::new(whole(Bytes::new()));
+    if !ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    answer
+}
+
+/// A relay is ready while it can let requests in: it knows the configuration and the replicas, and is
+/// not stopping. One that lost the store stays ready as long as keys may be let in.
+pub fn is_ready(relay: &Relay) -> bool {
+    let beliefs = relay.beliefs.borrow();
+    let knows = beliefs.config.get().is_some() && !beliefs.fleet.is_empty();
+    let bound = relay.settings.bounds.revoke_ms;
+    knows && !relay.stop.is_raised() && beliefs.config_lease.holds(bound, now_millis())
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,90 @@
+//! Settings of a relay.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use switchfold_kernel::settings::{CheckedSettings, FieldKind, FieldRule, SettingsFault};
+
+/// Settings of a relay, as in its JSON file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Name of the VM.
+    pub name: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Region of the VM.
+    pub region: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where readiness is asked.
+    pub ready_listen: SocketAddr,
+    /// Where other relays send their figures, by UDP.
+    pub peer_listen: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_listen: SocketAddr,
+    /// Address of the platform's object store.
+    pub platform: SocketAddr,
+    /// Bounds that the platform sets.
+    pub bounds: BoundSettings,
+}
+
+/// Bounds that the platform sets, with their units in the names.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BoundSettings {
+    /// Time from a key's removal to the last request that may run with it.
+    pub revoke_ms: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace_s: u64,
+    /// Time after which engines cut what depends on a lost replica.
+    pub stall_ms: u64,
+    /// Repeats allowed for each request.
+    pub retry_ratio: f64,
+    /// Window of the repeats.
+    pub retry_window_s: u64,
+    /// Repeats allowed beside the ratio, over all entries.
+    pub retry_allowance: u64,
+}
+
+const BOUND_RULES: &[FieldRule] = &[
+    rule("revoke_ms", FieldKind::Number(0, 3_600_000), "time until a removed key is refused"),
+    rule("grace_s", FieldKind::Number(1, 3_600), "time from SIGTERM to SIGKILL"),
+    rule(
+        "stall_ms",
+        FieldKind::Number(1, 600_000),
+        "time after which engines cut stalled requests",
+    ),
+    rule("retry_ratio", FieldKind::Decimal(0.0, 10.0), "repeats for each request"),
+    rule("retry_window_s", FieldKind::Number(1, 3_600), "window of the repeats"),
+    rule("retry_allowance", FieldKind::Number(0, 1_000_000), "repeats beside the ratio"),
+];
+
+const fn rule(name: &'static str, kind: FieldKind, help: &'static str) -> FieldRule {
+    FieldRule { name, kind, required: true, help }
+}
+
+impl CheckedSettings for RelaySettings {
+    const RULES: &'static [FieldRule] = &[
+        rule("name", FieldKind::Text, "name of the VM"),
+        rule("data_centre", FieldKind::Text, "data centre of the VM"),
+        rule("region", FieldKind::Text, "region of the VM"),
+        rule("listen", FieldKind::Address, "where callers connect"),
+        rule("ready_listen", FieldKind::Address, "where readiness is asked"),
+        rule("peer_listen", FieldKind::Address, "where other relays send their figures"),
+        rule("metrics_listen", FieldKind::Address, "where metrics are served"),
+        rule("platform", FieldKind::Address, "the platform's object store"),
+        rule("bounds", FieldKind::Object(BOUND_RULES), "bounds that the platform sets"),
+    ];
+
+    fn cross_check(&self) -> Vec<SettingsFault> {
+        if self.listen != self.ready_listen {
+            return Vec::new();
+        }
+        vec![SettingsFault {
+            path: "ready_listen".to_owned(),
+            problem: "same address as listen".to_owned(),
+            expected: "an address of its own".to_owned(),
+        }]
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,126 @@
+//! What a relay knows, shared by its tasks.
+//!
+//! A relay runs on one thread, so what it knows stands in one [`RefCell`] that is borrowed for the
+//! length of a decision and never across an `await`.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
+
+use rand_chacha::ChaCha8Rng;
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::objects::ObjectStore;
+use switchfold_router::{
+    Millis,
+    access::{ConfigSlot, RoutingConfig},
+    budget::{BudgetConfig, RepeatBudget},
+    fleet::FleetView,
+    freshness::FreshnessLease,
+    room::RoomLedger,
+    suspect::SuspectList,
+};
+
+use crate::{
+    counts::Counts, peers::PeerTable, plain::ServiceLoads, pool::EndpointPool,
+    settings::RelaySettings, stop::StopState,
+};
+
+/// Beliefs of a relay: each came from somewhere, at some time.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    /// Configuration in force.
+    pub config: ConfigSlot<Rc<RoutingConfig>>,
+    /// When the configuration was last proved.
+    pub config_lease: FreshnessLease,
+    /// Replicas that are listed.
+    pub fleet: FleetView,
+    /// When the list of replicas was last proved.
+    pub fleet_lease: FreshnessLease,
+    /// Memory for requests promised at each replica.
+    pub room: RoomLedger,
+    /// Replicas to keep away from.
+    pub suspects: SuspectList,
+    /// Repeats, by service.
+    pub budgets: HashMap<String, RepeatBudget>,
+    /// Loads of plain services' replicas.
+    pub loads: ServiceLoads,
+    /// The other relays.
+    pub peers: PeerTable,
+}
+
+/// A relay.
+#[derive(Debug)]
+pub struct Relay {
+    /// Settings in force.
+    pub settings: RelaySettings,
+    /// What it knows.
+    pub beliefs: RefCell<Beliefs>,
+    /// Connections to replicas.
+    pub pool: EndpointPool,
+    /// The platform's object store.
+    pub store: ObjectStore,
+    /// Counters.
+    pub counts: Counts,
+    /// Whether it is stopping.
+    pub stop: StopState,
+    /// Draws for weights and jitter.
+    pub random: RefCell<ChaCha8Rng>,
+    /// Grows whenever a replica becomes one to keep away from; running streams then look at their path.
+    pub alarms: Cell<u64>,
+}
+
+impl Relay {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<RoutingConfig>> {
+        self.beliefs.borrow().config.get().cloned()
+    }
+
+    /// Bounds on repeats, as the platform sets them.
+    pub fn budget_config(&self) -> BudgetConfig {
+        let bounds = &self.settings.bounds;
+        BudgetConfig {
+            ratio: bounds.retry_ratio,
+            allowance: bounds.retry_allowance as f64,
+            window: bounds.retry_window_s * 1_000,
+        }
+    }
+
+    /// Takes a repeat of a service's budget.
+    pub fn spend_repeat(&self, service: &str, now: Millis) -> bool {
+        let config = self.budget_config();
+        let mut beliefs = self.beliefs.borrow_mut();
+        let entries = beliefs.peers.known() + 1;
+        let budget = beliefs.budgets.entry(service.to_owned()).or_default();
+        budget.spend(&config, entries, now)
+    }
+
+    /// Notes a request of a caller for a service.
+    pub fn note_request(&self, service: &str, now: Millis) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.budgets.entry(service.to_owned()).or_default().note_request(now);
+    }
+
+    /// Keeps away from a replica for a while.
+    pub fn suspect(&self, id: &str, why: &str) {
+        let now = now_millis();
+        let until = self.beliefs.borrow_mut().suspects.note_failure(id, now);
+        if let Some(until) = until {
+            self.raise_alarm();
+            tracing::warn!(event = "suspect", replica = id, why, for_ms = until - now);
+        }
+    }
+
+    /// Makes running streams look at their paths.
+    pub fn raise_alarm(&self) {
+        self.alarms.set(self.alarms.get() + 1);
+    }
+
+    /// Whether a replica may be sent work: it is listed, stays, and is not suspected.
+    pub fn is_usable(&self, id: &str) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let listed = beliefs.fleet.get(id).is_some_and(|replica| !replica.draining);
+        listed && !beliefs.suspects.is_suspect(id, now_millis())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,319 @@
+//! Requests to engines: opening a stream over a path.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use http::{Response, StatusCode, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::headers::{AnswerMarks, read_answer, strip_hop_headers};
+use switchfold_router::{
+    Millis,
+    attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
+    chain::PathPart,
+    fleet::ReplicaEntry,
+};
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    admit::{Permit, admit},
+    answers::{Refusal, RelayAnswer, whole},
+    counts::count,
+    engines::ask_report,
+    flow::stream_body,
+    paths::{PathWish, RoomGuard, find_path},
+    plain::{early_end, finish_quietly},
+    pool::{BusyLink, SendError},
+    request::{CallerRequest, ReplicaTarget},
+    state::Relay,
+    stop::FlightGuard,
+};
+
+/// Time without the head of an answer after which the first engine is asked what it waits for: well
+/// above the 50 ms that a first event takes, and early enough for a second try within the objective.
+const QUIET_HEAD: Duration = Duration::from_millis(200);
+
+/// Time between two such questions; an engine's report is some hundred milliseconds old.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Sends of one request that no engine ran.
+pub const MOST_REJECTED: u32 = 4;
+
+/// A stream that a replica began to answer.
+pub struct OpenStream {
+    /// Head of the answer.
+    pub head: response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// Connection that it comes on.
+    pub link: BusyLink,
+    /// Path that it runs over.
+    pub path: Vec<PathPart>,
+    /// Room promised along the path.
+    pub room: RoomGuard,
+}
+
+/// How an attempt to open a stream ended.
+pub enum OpenEnd {
+    /// It is open.
+    Open(Box<OpenStream>),
+    /// The replica answered, whole, with something else than a stream.
+    Answered(RelayAnswer),
+    /// It is not open.
+    Failed(AttemptEnd, String),
+}
+
+/// What was tried for one request.
+#[derive(Clone, Debug, Default)]
+pub struct TriedReplicas {
+    /// Replicas not to use again.
+    pub avoid: Vec<String>,
+    /// Sends that a replica may have run.
+    pub sends: u32,
+    /// Sends that none ran.
+    pub rejected: u32,
+}
+
+/// Runs a request over engines, until there is an answer for the caller.
+pub async fn run_stream(
+    relay: &Rc<Relay>,
+    request: Rc<CallerRequest>,
+    permit: Permit,
+    in_flight: FlightGuard,
+) -> Result<RelayAnswer, Refusal> {
+    let mut permit = permit;
+    let mut tried = TriedReplicas::default();
+    loop {
+        let last_event = request.marks.last_event;
+        let opened = open_stream(relay, &request, &permit, &mut tried, last_event).await;
+        let (end, detail) = match opened {
+            None if tried.sends > 0 => return Err(Refusal::Unknown),
+            None => return Err(Refusal::NoReplica),
+            Some(OpenEnd::Open(stream)) => {
+                return Ok(begin_answer(relay, request, permit, tried, *stream, in_flight));
+            }
+            Some(OpenEnd::Answered(answer)) => return Ok(answer),
+            Some(OpenEnd::Failed(end, detail)) => (end, detail),
+        };
+        let now = now_millis();
+        let can_repeat =
+            may_repeat(relay, &permit, &tried) && request.time_left(now) > MIN_TIME_LEFT;
+        let state = AttemptState {
+            repeatable: permit.route.is_repeatable(),
+            may_have_run: tried.sends > 0,
+            can_repeat,
+        };
+        let next = decide_next(state, end);
+        let first = tried.avoid.last().map_or("", String::as_str);
+        request.log_attempt(first, &permit, end, next, &detail);
+        match next {
+            NextStep::TryElsewhere => {
+                count(&relay.counts.repeats);
+                permit = admit(relay, &request.asked)?;
+            }
+            NextStep::AnswerNotRun => return Err(Refusal::NotRun),
+            _ if request.time_left(now) == 0 => return Err(Refusal::TimedOut),
+            _ => return Err(Refusal::Unknown),
+        }
+    }
+}
+
+/// Time below which a second attempt is not worth its price, in milliseconds.
+const MIN_TIME_LEFT: Millis = 100;
+
+/// Whether attempts and budget allow another send; takes it from the budget.
+pub fn may_repeat(relay: &Relay, permit: &Permit, tried: &TriedReplicas) -> bool {
+    let within = tried.sends < permit.route.max_attempts.max(1) && tried.rejected < MOST_REJECTED;
+    let first = tried.sends + tried.rejected == 0;
+    within && (first || relay.spend_repeat(&permit.service, now_millis()))
+}
+
+/// Opens a stream over the best path; nothing where there is none.
+pub async fn open_stream(
+    relay: &Rc<Relay>,
+    request: &CallerRequest,
+    permit: &Permit,
+    tried: &mut TriedReplicas,
+    last_event: Option<u64>,
+) -> Option<OpenEnd> {
+    let engine = permit.config.services.get(&permit.service)?.engine.as_ref()?;
+    let tokens = request.tokens((engine.usual_prompt, engine.usual_answer));
+    let wish =
+        PathWish { service: &permit.service, engine, tokens, avoid: &tried.avoid, first: None };
+    let path = find_path(relay, &wish)?;
+    let first = relay.beliefs.borrow().fleet.get(&path[0].id).cloned()?;
+    let room = RoomGuard::new(relay, &path, tokens);
+    let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
+    let outgoing = request.to_replica(permit, &target);
+    let fresh = !permit.route.is_repeatable();
+    let sent = {
+        let sending = relay.pool.send(first.address, outgoing, fresh);
+        await_head(relay, request, &first, sending).await
+    };
+    let (response, link) = match sent {
+        Ok(sent) => sent,
+        Err(AwaitError::Send(SendError::NotSent { detail })) => {
+            relay.suspect(&first.id, &detail);
+            tried.avoid.push(first.id);
+            return Some(OpenEnd::Failed(AttemptEnd::NotSent, detail));
+        }
+        Err(AwaitError::Send(SendError::Broken { detail })) => {
+            tried.sends += 1;
+            relay.suspect(&first.id, &detail);
+            tried.avoid.push(first.id);
+            return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
+        }
+        Err(AwaitError::Stalled(detail)) => {
+            tried.sends += 1;
+            return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
+        }
+        Err(AwaitError::TimeUp) => {
+            tried.sends += 1;
+            return Some(OpenEnd::Failed(AttemptEnd::Broken, "time is up".to_owned()));
+        }
+    };
+    Some(read_head(relay, request, tried, first, response, link, path, room).await)
+}
+
+enum AwaitError {
+    Send(SendError),
+    Stalled(String),
+    TimeUp,
+}
+
+type Sent = (Response<Incoming>, BusyLink);
+
+/// Waits for the head of an answer. Where it is late, the first engine is asked what it waits for; a
+/// request that waits for a lost replica is given up at once.
+async fn await_head(
+    relay: &Relay,
+    request: &CallerRequest,
+    first: &ReplicaEntry,
+    sending: impl Future<Output = Result<Sent, SendError>>,
+) -> Result<Sent, AwaitError> {
+    tokio::pin!(sending);
+    let mut ask_at = Instant::now() + QUIET_HEAD;
+    loop {
+        let left = Duration::from_millis(request.time_left(now_millis()));
+        let end = Instant::now() + left;
+        tokio::select! {
+            sent = sending.as_mut() => return sent.map_err(AwaitError::Send),
+            () = sleep_until(ask_at.min(end)) => {}
+        }
+        if request.time_left(now_millis()) == 0 {
+            return Err(AwaitError::TimeUp);
+        }
+        let stalled_at = tokio::select! {
+            sent = sending.as_mut() => return sent.map_err(AwaitError::Send),
+            stalled_at = find_stall(relay, first.address, &request.marks.attempt_id) => stalled_at,
+        };
+        if let Some(at_fault) = stalled_at {
+            let detail = note_fault(relay, at_fault, "stalled");
+            return Err(AwaitError::Stalled(detail));
+        }
+        ask_at = Instant::now() + ASK_EVERY;
+    }
+}
+
+/// Asks an engine which replica a request waits for.
+pub async fn find_stall(relay: &Relay, first: SocketAddr, attempt_id: &str) -> Option<SocketAddr> {
+    let report = ask_report(relay, first).await?;
+    let own = report.stalled.iter().find(|stalled| stalled.attempt_id == attempt_id);
+    own.and_then(|stalled| stalled.at_fault)
+}
+
+/// Keeps away from the replica at an address.
+pub fn note_fault(relay: &Relay, at_fault: SocketAddr, why: &str) -> String {
+    let id = relay.beliefs.borrow().fleet.at(at_fault).map(|replica| replica.id.clone());
+    if let Some(id) = &id {
+        relay.suspect(id, why);
+    }
+    format!("{why} at {at_fault} ({})", id.as_deref().unwrap_or("not listed"))
+}
+
+#[expect(clippy::too_many_arguments, reason = "takes over the whole attempt")]
+async fn read_head(
+    relay: &Relay,
+    request: &CallerRequest,
+    tried: &mut TriedReplicas,
+    first: ReplicaEntry,
+    response: Response<Incoming>,
+    link: BusyLink,
+    path: Vec<PathPart>,
+    room: RoomGuard,
+) -> OpenEnd {
+    let (head, body) = response.into_parts();
+    let marks = read_answer(&head.headers);
+    if let Some(end) = early_end(request, &marks, head.status) {
+        note_rejection(relay, tried, &marks, &first, head.status);
+        match end {
+            AttemptEnd::Rejected => tried.rejected += 1,
+            _ => tried.sends += 1,
+        }
+        finish_quietly(relay, link, body, &marks).await;
+        let detail = format!("status {} at {:?}", head.status, marks.at_fault);
+        return OpenEnd::Failed(end, detail);
+    }
+    tried.sends += 1;
+    tried.avoid.push(first.id);
+    if head.status == StatusCode::OK {
+        return OpenEnd::Open(Box::new(OpenStream { head, body, link, path, room }));
+    }
+    read_whole(relay, head, body, link, &marks).await
+}
+
+/// Learns from a rejection: the replica that it names is kept away from.
+fn note_rejection(
+    relay: &Relay,
+    tried: &mut TriedReplicas,
+    marks: &AnswerMarks,
+    first: &ReplicaEntry,
+    status: StatusCode,
+) {
+    let at_fault = marks.at_fault.unwrap_or(first.address);
+    let id = relay.beliefs.borrow().fleet.at(at_fault).map(|replica| replica.id.clone());
+    let Some(id) = id else { return };
+    if marks.at_fault.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
+        relay.suspect(&id, "rejected");
+    }
+    tried.avoid.push(id);
+}
+
+async fn read_whole(
+    relay: &Relay,
+    head: response::Parts,
+    body: Incoming,
+    link: BusyLink,
+    marks: &AnswerMarks,
+) -> OpenEnd {
+    /// Largest failure of an engine that is read, in bytes.
+    const MOST_FAILURE: usize = 1 << 20;
+    let status = head.status.as_u16();
+    match Limited::new(body, MOST_FAILURE).collect().await {
+        Ok(body) if status < 500 => {
+            if !marks.closes {
+                link.give_back(&relay.pool, marks.keep_alive);
+            }
+            let mut head = head;
+            strip_hop_headers(&mut head.headers);
+            head.headers.remove(http::header::CONTENT_LENGTH);
+            OpenEnd::Answered(Response::from_parts(head, whole(body.to_bytes())))
+        }
+        Ok(_) => OpenEnd::Failed(AttemptEnd::Answered(status), format!("status {status}")),
+        Err(error) => OpenEnd::Failed(AttemptEnd::Broken, error.to_string()),
+    }
+}
+
+fn begin_answer(
+    relay: &Rc<Relay>,
+    request: Rc<CallerRequest>,
+    permit: Permit,
+    tried: TriedReplicas,
+    stream: OpenStream,
+    in_flight: FlightGuard,
+) -> RelayAnswer {
+    let mut head = stream.head.clone();
+    strip_hop_headers(&mut head.headers);
+    let body = stream_body(relay.clone(), request, permit, tried, stream, in_flight);
+    Response::from_parts(head, body)
+}
--- /dev/null
+++ b/crates/relay/src/watch.rs
@@ -0,0 +1,221 @@
+//! Following the store: the operator's configuration and the list of replicas.
+//!
+//! Each is listed once, then watched from the revision that the list told. What renews a freshness
+//! lease is the time at which a read was sent, never when its answer came.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use switchfold_core::{hash::hash_bytes, retry::Backoff};
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::{
+    CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
+    config::{decode_config, decode_version},
+    objects::{ListedObject, ObjectChange, ObjectStore},
+    replicas::decode_replica,
+};
+use switchfold_router::{
+    Millis,
+    fleet::{FleetChange, ReplicaEntry},
+};
+use switchfold_store::StoreError;
+use tokio::time::sleep;
+
+use crate::state::Relay;
+
+/// Time that a watch of the configuration waits. Its lease is as old as two waits at most, which
+/// leaves half of the usual bound of 5 s on removed keys.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time that a watch of the replicas waits. A leaving replica must be left alone within the 2 s that it
+/// goes on serving.
+const REPLICA_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Time that the store has for an answer beyond the wait asked of it. It answers in 4 ms, and 60 times
+/// slower in a disruption.
+pub const STORE_PATIENCE: Duration = Duration::from_millis(800);
+
+/// Longest pause between tries: a lapsed store is used again within half a second.
+const LONGEST_PAUSE: Millis = 400;
+
+/// What is followed, and how its objects are taken over.
+struct Followed {
+    kind: &'static str,
+    wait: Duration,
+    take_list: fn(&Relay, Vec<ListedObject>),
+    take_change: fn(&Relay, ObjectChange),
+    prove: fn(&Relay, Millis),
+}
+
+/// Follows the configuration for good.
+pub async fn follow_config(relay: Rc<Relay>) {
+    let followed = Followed {
+        kind: CONFIG_KIND,
+        wait: CONFIG_WAIT,
+        take_list: |relay, items| items.iter().for_each(|item| take_config(relay, item)),
+        take_change: |relay, change| {
+            if !change.gone {
+                take_config(relay, &change.object);
+            }
+        },
+        prove: |relay, sent| relay.beliefs.borrow_mut().config_lease.prove(sent),
+    };
+    follow(relay, followed).await;
+}
+
+/// Follows the list of replicas for good.
+pub async fn follow_replicas(relay: Rc<Relay>) {
+    let followed = Followed {
+        kind: REPLICA_KIND,
+        wait: REPLICA_WAIT,
+        take_list: take_replica_list,
+        take_change: take_replica_change,
+        prove: |relay, sent| relay.beliefs.borrow_mut().fleet_lease.prove(sent),
+    };
+    follow(relay, followed).await;
+}
+
+async fn follow(relay: Rc<Relay>, followed: Followed) {
+    let patience = followed.wait + STORE_PATIENCE;
+    let store = ObjectStore::new(&relay.settings.platform.to_string(), patience);
+    let seed = hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.as_bytes());
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut revision = None;
+    let mut lost_at: Option<Millis> = None;
+    let mut backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
+    loop {
+        let sent = now_millis();
+        let outcome = match revision {
+            None => list_once(&relay, &store, &followed).await,
+            Some(after) => watch_once(&relay, &store, &followed, after).await,
+        };
+        match outcome {
+            Ok(at) => {
+                (followed.prove)(&relay, sent);
+                if let Some(lost) = lost_at.take() {
+                    let out_ms = now_millis() - lost;
+                    tracing::info!(event = "store-regained", kind = followed.kind, out_ms, at);
+                }
+                if revision.is_none() && at == 0 {
+                    sleep(Duration::from_millis(random.random_range(20..60))).await;
+                }
+                revision = Some(at);
+                backoff.reset();
+            }
+            Err(StoreError::Gap) => {
+                tracing::info!(event = "history-gone", kind = followed.kind, after = revision);
+                revision = None;
+            }
+            Err(error) => {
+                if lost_at.is_none() {
+                    lost_at = Some(sent);
+                    tracing::warn!(event = "store-lost", kind = followed.kind, %error);
+                }
+                let pause = backoff.next_wait().min(LONGEST_PAUSE);
+                sleep(Duration::from_millis(pause)).await;
+            }
+        }
+    }
+}
+
+async fn list_once(
+    relay: &Relay,
+    store: &ObjectStore,
+    followed: &Followed,
+) -> Result<u64, StoreError> {
+    let list = store.list(followed.kind, false).await?;
+    (followed.take_list)(relay, list.items);
+    Ok(list.at)
+}
+
+async fn watch_once(
+    relay: &Relay,
+    store: &ObjectStore,
+    followed: &Followed,
+    after: u64,
+) -> Result<u64, StoreError> {
+    let changes = store.watch(followed.kind, after, followed.wait).await?;
+    for change in changes.events {
+        (followed.take_change)(relay, change);
+    }
+    Ok(changes.at.max(after))
+}
+
+fn take_config(relay: &Relay, object: &ListedObject) {
+    if object.metadata.name != CONFIG_NAME {
+        return;
+    }
+    let current = relay.config().map_or(0, |config| config.version);
+    match decode_version(&object.spec) {
+        Ok(version) if version <= current => return,
+        Ok(_) => {}
+        Err(error) => {
+            tracing::error!(event = "config-unreadable", %error, revision = object.metadata.revision);
+            return;
+        }
+    }
+    let config = match decode_config(&object.spec) {
+        Ok(config) => Rc::new(config),
+        Err(error) => {
+            tracing::error!(event = "config-unreadable", %error, revision = object.metadata.revision);
+            return;
+        }
+    };
+    let (version, routes) = (config.version, config.route_count());
+    relay.beliefs.borrow_mut().config.merge(version, config);
+    tracing::info!(event = "config-taken", version, routes, revision = object.metadata.revision);
+}
+
+fn take_replica_list(relay: &Relay, items: Vec<ListedObject>) {
+    let listed: Vec<ReplicaEntry> = items.iter().filter_map(readable_replica).collect();
+    let missing = relay.beliefs.borrow().fleet.missing_from(&listed);
+    missing.iter().for_each(|id| drop_replica(relay, id));
+    listed.into_iter().for_each(|replica| keep_replica(relay, replica));
+}
+
+fn take_replica_change(relay: &Relay, change: ObjectChange) {
+    if change.gone {
+        drop_replica(relay, &change.object.metadata.name);
+    } else if let Some(replica) = readable_replica(&change.object) {
+        keep_replica(relay, replica);
+    }
+}
+
+fn readable_replica(object: &ListedObject) -> Option<ReplicaEntry> {
+    let decoded = decode_replica(&object.metadata.name, &object.spec);
+    if let Err(error) = &decoded {
+        tracing::error!(event = "replica-unreadable", replica = object.metadata.name, %error);
+    }
+    decoded.ok()
+}
+
+fn keep_replica(relay: &Relay, replica: ReplicaEntry) {
+    let (id, address) = (replica.id.clone(), replica.address);
+    let layers = format!("{:?}", replica.range().map(|range| (range.from, range.to)));
+    let change = relay.beliefs.borrow_mut().fleet.upsert(replica);
+    match change {
+        FleetChange::Unchanged => {}
+        FleetChange::Draining => {
+            relay.raise_alarm();
+            tracing::info!(event = "replica-draining", replica = id, %address);
+        }
+        change => {
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers);
+        }
+    }
+}
+
+fn drop_replica(relay: &Relay, id: &str) {
+    let address = relay.beliefs.borrow().fleet.get(id).map(|replica| replica.address);
+    let Some(address) = address else { return };
+    {
+        let mut beliefs = relay.beliefs.borrow_mut();
+        beliefs.fleet.remove(id);
+        beliefs.suspects.clear(id);
+        beliefs.loads.forget(id);
+    }
+    relay.pool.forget(address);
+    relay.raise_alarm();
+    tracing::info!(event = "replica-gone", replica = id, %address);
+}
--- /dev/null
+++ b/crates/router/src/budget.rs
@@ -0,0 +1,75 @@
+//! A budget of repeats over a sliding window, shared by all entries.
+//!
+//! The platform allows a service, in any window, `ratio` times its requests plus a fixed allowance of
+//! repeats over all entries. Each entry spends the ratio on its own requests and an even part of the
+//! allowance, so the sum stays below the bound whatever the entries hear of each other.
+
+use std::collections::VecDeque;
+
+use crate::Millis;
+
+/// Width of a bucket in milliseconds: a twentieth of the usual window, so that the rounding costs 5%.
+const BUCKET: Millis = 500;
+
+/// Part of the earned repeats that is spent; the rest absorbs requests that never arrived.
+const SPENT_PART: f64 = 0.8;
+
+/// Bounds of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetConfig {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed beside these, over all entries.
+    pub allowance: f64,
+    /// Window in milliseconds.
+    pub window: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    start: Millis,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Repeats and requests of one service at one entry.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatBudget {
+    buckets: VecDeque<Bucket>,
+}
+
+impl RepeatBudget {
+    /// Notes a request of a caller.
+    pub fn note_request(&mut self, now: Millis) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one repeat where the budget has one; `entries` share the allowance.
+    pub fn spend(&mut self, config: &BudgetConfig, entries: usize, now: Millis) -> bool {
+        self.forget(config.window, now);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let share = config.allowance / entries.max(1) as f64;
+        let most = (f64::from(requests) * config.ratio + share) * SPENT_PART;
+        let enough = f64::from(repeats) + 1.0 <= most;
+        if enough {
+            self.bucket(now).repeats += 1;
+        }
+        enough
+    }
+
+    fn bucket(&mut self, now: Millis) -> &mut Bucket {
+        let start = now / BUCKET * BUCKET;
+        if self.buckets.back().is_none_or(|bucket| bucket.start != start) {
+            self.buckets.push_back(Bucket { start, requests: 0, repeats: 0 });
+        }
+        self.buckets.back_mut().expect("a bucket was pushed")
+    }
+
+    fn forget(&mut self, window: Millis, now: Millis) {
+        let horizon = now.saturating_sub(window + BUCKET);
+        while self.buckets.front().is_some_and(|bucket| bucket.start < horizon) {
+            self.buckets.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/freshness.rs
@@ -0,0 +1,36 @@
+//! Whether what is known of the configuration is recent enough.
+//!
+//! A key that was taken away must not be let in after a bound, also at an entry that was cut off or
+//! paused without noticing. So each entry holds a lease: the time at which it *sent* the last read that
+//! the store answered in its present order. The lease is checked at the moment of dispatch; no timer is
+//! involved, so a pause of the process cannot make it late.
+
+use crate::Millis;
+
+/// Time by which the lease ends before the bound. Covers a store that tells watches of nothing for a
+/// second before it drops its history, and half a second for the request to reach the replica.
+pub const LEASE_MARGIN: Millis = 1_500;
+
+/// When the configuration was last proved to be in force.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FreshnessLease {
+    proved: Option<Millis>,
+}
+
+impl FreshnessLease {
+    /// Notes that a read sent at `sent` was answered.
+    pub fn prove(&mut self, sent: Millis) {
+        self.proved = self.proved.max(Some(sent));
+    }
+
+    /// Whether keys may be let in under a bound of `bound` milliseconds.
+    pub fn holds(&self, bound: Millis, now: Millis) -> bool {
+        let most = bound.saturating_sub(LEASE_MARGIN);
+        self.age(now).is_some_and(|age| age <= most)
+    }
+
+    /// Age of the lease in milliseconds.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.proved.map(|proved| now.saturating_sub(proved))
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decisions for pipelines that the engines chain themselves, and for plain services.
+//!
+//! On platforms whose engines pass activations to each other, an entry chooses the whole path of a
+//! request and hands it to the first engine. This crate holds every choice that this takes, as
+//! deterministic functions: time is a [`Millis`] argument, there is no I/O and no task. The processes
+//! around it move bytes and decide nothing, so that tests reach each decision without a socket.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`access`] | which route, service and organisation a request has, by the configuration in force |
+//! | [`attempt`] | what follows from the outcome of one attempt |
+//! | [`budget`] | how many repeats a service may still get |
+//! | [`chain`] | the path of a request over the layers |
+//! | [`cover`] | which layers each replica should hold |
+//! | [`freshness`] | whether the configuration is recent enough to let keys in |
+//! | [`room`] | how much memory for requests is promised at each replica |
+//! | [`suspect`] | which replicas to keep away from for a while |
+//!
+//! The trade-off: an entry chooses alone, from what it last heard. Two entries may choose the same
+//! replica at once; the reserve in [`room`] is what absorbs that.
+
+pub mod access;
+pub mod attempt;
+pub mod budget;
+pub mod chain;
+pub mod cover;
+pub mod fleet;
+pub mod freshness;
+pub mod room;
+pub mod suspect;
+
+pub use switchfold_core::Millis;
--- /dev/null
+++ b/crates/router/tests/paths.rs
@@ -0,0 +1,196 @@
+//! Paths tile the model; covers hold no more than memory allows.
+
+use proptest::prelude::*;
+use switchfold_router::{
+    chain::{ChainCosts, PartOffer, PathRequest, choose_path, tiles},
+    cover::{CoverConfig, LayerHolder, ModelShape, plan_group, widest_gap},
+    fleet::LayerRange,
+};
+
+const LAYERS: u32 = 80;
+
+fn offer(id: usize, from: u32, to: u32, data_centre: usize, layer_cost: f64) -> PartOffer {
+    PartOffer {
+        id: format!("r{id}"),
+        address: format!("10.0.0.{}:80", id + 1).parse().expect("address"),
+        data_centre,
+        range: LayerRange { from, to },
+        layer_cost,
+        room: 1e9,
+    }
+}
+
+fn request() -> PathRequest<'static> {
+    PathRequest { layers: LAYERS, tokens: 900.0, home: 0, data_centres: 3, first: None }
+}
+
+#[test]
+fn stays_inside_a_data_centre_where_it_can() {
+    let offers = [offer(0, 0, 40, 0, 1.0), offer(1, 40, 80, 0, 1.0), offer(2, 40, 80, 1, 0.5)];
+    let path = choose_path(&request(), &offers, &ChainCosts::default()).expect("a path");
+    let ids: Vec<&str> = path.iter().map(|part| part.id.as_str()).collect();
+    assert_eq!(ids, ["r0", "r1"]);
+}
+
+#[test]
+fn crosses_once_where_a_layer_is_missing() {
+    let offers = [offer(0, 0, 40, 0, 1.0), offer(1, 48, 80, 0, 1.0), offer(2, 30, 80, 1, 1.0)];
+    let path = choose_path(&request(), &offers, &ChainCosts::default()).expect("a path");
+    let ids: Vec<&str> = path.iter().map(|part| part.id.as_str()).collect();
+    assert_eq!(ids, ["r0", "r2"]);
+    assert!(tiles(&path, LAYERS));
+}
+
+#[test]
+fn keeps_the_first_part_of_a_running_request() {
+    let offers = [offer(0, 0, 40, 0, 9.0), offer(1, 0, 40, 0, 1.0), offer(2, 30, 80, 0, 1.0)];
+    let first = Some(("r0", LayerRange { from: 0, to: 35 }));
+    let request = PathRequest { first, ..request() };
+    let path = choose_path(&request, &offers, &ChainCosts::default()).expect("a path");
+    assert_eq!(path[0].id, "r0");
+    assert_eq!(path[0].range, LayerRange { from: 0, to: 35 });
+    assert!(tiles(&path, LAYERS));
+}
+
+#[test]
+fn full_replicas_are_passed_by() {
+    let mut full = offer(0, 0, 80, 0, 0.1);
+    full.room = 100.0;
+    let offers = [full, offer(1, 0, 80, 0, 5.0)];
+    let path = choose_path(&request(), &offers, &ChainCosts::default()).expect("a path");
+    assert_eq!(path[0].id, "r1");
+}
+
+#[test]
+fn a_gap_has_no_path() {
+    let offers = [offer(0, 0, 40, 0, 1.0), offer(1, 41, 80, 0, 1.0)];
+    assert_eq!(choose_path(&request(), &offers, &ChainCosts::default()), None);
+}
+
+prop_compose! {
+    fn offers()(
+        parts in prop::collection::vec((0u32..LAYERS, 1u32..40, 0usize..3, 0.1f64..5.0), 1..24)
+    ) -> Vec<PartOffer> {
+        parts
+            .into_iter()
+            .enumerate()
+            .map(|(id, (from, len, data_centre, cost))| {
+                offer(id, from, (from + len).min(LAYERS), data_centre, cost)
+            })
+            .collect()
+    }
+}
+
+proptest! {
+    /// Any path runs each layer once, in order, names no replica twice and stays within what each holds.
+    #[test]
+    fn paths_tile(offers in offers()) {
+        let Some(path) = choose_path(&request(), &offers, &ChainCosts::default()) else {
+            return Ok(());
+        };
+        prop_assert!(tiles(&path, LAYERS));
+        for (index, part) in path.iter().enumerate() {
+            let held = offers.iter().find(|offer| offer.id == part.id).expect("an offer").range;
+            prop_assert!(held.from <= part.range.from && part.range.to <= held.to);
+            prop_assert!(path[index + 1..].iter().all(|later| later.id != part.id));
+        }
+    }
+
+    /// A path is found wherever the offers of one data centre leave no gap.
+    #[test]
+    fn whole_cover_has_a_path(mut offers in offers()) {
+        offers.push(offer(30, 0, 27, 2, 3.0));
+        offers.push(offer(31, 27, 54, 2, 3.0));
+        offers.push(offer(32, 54, 80, 2, 3.0));
+        prop_assert!(choose_path(&request(), &offers, &ChainCosts::default()).is_some());
+    }
+}
+
+fn holder(id: usize, memory_mb: f64, range: Option<(u32, u32)>) -> LayerHolder {
+    let range = range.map(|(from, to)| LayerRange { from, to });
+    LayerHolder { id: format!("r{id:02}"), memory_mb, range, can_order: true }
+}
+
+const MODEL: ModelShape = ModelShape { layers: LAYERS, layer_mb: 1_750.0 };
+
+/// Ranges after the orders were carried out.
+fn after(holders: &[LayerHolder]) -> Vec<LayerHolder> {
+    let orders = plan_group(holders, MODEL, &CoverConfig::default());
+    let mut holders = holders.to_vec();
+    for order in orders {
+        let holder = holders.iter_mut().find(|holder| holder.id == order.id).expect("a holder");
+        holder.range = Some(order.range);
+    }
+    holders
+}
+
+fn counts(holders: &[LayerHolder]) -> Vec<u32> {
+    let mut counts = vec![0; LAYERS as usize];
+    for range in holders.iter().filter_map(|holder| holder.range) {
+        (range.from..range.to).for_each(|layer| counts[layer as usize] += 1);
+    }
+    counts
+}
+
+/// Two large, four middle and seven small accelerators.
+fn mixed_group() -> Vec<LayerHolder> {
+    let sizes = [36_000.0; 2].into_iter().chain([21_600.0; 4]).chain([14_400.0; 7]);
+    sizes.enumerate().map(|(id, memory)| holder(id, memory, None)).collect()
+}
+
+#[test]
+fn an_empty_group_is_covered() {
+    assert_eq!(widest_gap(&counts(&after(&mixed_group()))), None);
+}
+
+#[test]
+fn a_settled_group_is_left_alone() {
+    let settled = after(&mixed_group());
+    assert_eq!(plan_group(&settled, MODEL, &CoverConfig::default()), []);
+}
+
+#[test]
+fn any_one_loss_is_closed() {
+    let settled = after(&mixed_group());
+    for lost in 0..settled.len() {
+        let mut left = settled.clone();
+        left.remove(lost);
+        let repaired = after(&left);
+        assert_eq!(widest_gap(&counts(&repaired)), None, "lost {lost}: {repaired:?}");
+    }
+}
+
+proptest! {
+    /// No order asks for more layers than memory holds, and what is whole stays whole.
+    #[test]
+    fn covers_stay_within_memory(
+        parts in prop::collection::vec(
+            (prop_oneof![Just(14_400.0), Just(21_600.0), Just(36_000.0), Just(72_000.0)],
+             prop::option::of((0u32..70, 1u32..8)), any::<bool>()),
+            1..20,
+        )
+    ) {
+        let mut holders: Vec<LayerHolder> = parts
+            .into_iter()
+            .enumerate()
+            .map(|(id, (memory, range, can_order))| {
+                let range = range.map(|(from, len)| (from, from + len));
+                LayerHolder { can_order, ..holder(id, memory, range) }
+            })
+            .collect();
+        let mut gaps = counts(&holders).iter().filter(|count| **count == 0).count();
+        for _ in 0..4 {
+            let orders = plan_group(&holders, MODEL, &CoverConfig::default());
+            for order in &orders {
+                let holder = holders.iter_mut().find(|holder| holder.id == order.id).expect("one");
+                prop_assert!(holder.can_order);
+                prop_assert!(f64::from(order.range.len()) * MODEL.layer_mb <= holder.memory_mb);
+                prop_assert!(order.range.to <= LAYERS);
+                holder.range = Some(order.range);
+            }
+            let now = counts(&holders).iter().filter(|count| **count == 0).count();
+            prop_assert!(now <= gaps);
+            gaps = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/state.rs
@@ -0,0 +1,102 @@
+//! Budgets, freshness, room, suspicions and versions.
+
+use std::collections::HashMap;
+
+use proptest::prelude::*;
+use switchfold_router::{
+    access::ConfigSlot,
+    budget::{BudgetConfig, RepeatBudget},
+    freshness::{FreshnessLease, LEASE_MARGIN},
+    room::{PEER_AGE, RoomLedger},
+    suspect::{FIRST_TIME_OUT, SuspectList},
+};
+
+const BUDGET: BudgetConfig = BudgetConfig { ratio: 0.2, allowance: 200.0, window: 10_000 };
+
+proptest! {
+    /// However requests and repeats come, all entries together stay within the bound in any window.
+    #[test]
+    fn repeats_stay_within_the_window(
+        steps in prop::collection::vec((0usize..4, 0u64..400, 0u32..6, 0u32..30), 1..200)
+    ) {
+        let mut budgets: Vec<RepeatBudget> = vec![RepeatBudget::default(); 4];
+        let mut now = 0;
+        let mut requests: Vec<u64> = Vec::new();
+        let mut repeats: Vec<u64> = Vec::new();
+        for (entry, wait, arrivals, wanted) in steps {
+            now += wait;
+            for _ in 0..arrivals {
+                budgets[entry].note_request(now);
+                requests.push(now);
+            }
+            for _ in 0..wanted {
+                if budgets[entry].spend(&BUDGET, 4, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for start in &repeats {
+            let within = |time: &&u64| **time >= *start && **time < start + BUDGET.window;
+            let sent = repeats.iter().filter(within).count() as f64;
+            // Requests are counted in this window or the one before.
+            let before = |time: &&u64| **time + BUDGET.window >= *start && **time < start + BUDGET.window;
+            let asked = requests.iter().filter(before).count() as f64;
+            prop_assert!(sent <= asked * BUDGET.ratio + BUDGET.allowance);
+        }
+    }
+
+    /// A key is let in only where a read sent after its removal, less the margin, was not missed: the
+    /// lease never holds longer than the bound after the last proof, in any order of answers.
+    #[test]
+    fn lease_ends_in_time(
+        proofs in prop::collection::vec(0u64..20_000, 0..20),
+        now in 0u64..40_000,
+        bound in 0u64..10_000,
+    ) {
+        let mut lease = FreshnessLease::default();
+        proofs.iter().for_each(|sent| lease.prove(*sent));
+        let newest = proofs.iter().max().copied();
+        let expected = newest.is_some_and(|newest| {
+            now.saturating_sub(newest) <= bound.saturating_sub(LEASE_MARGIN)
+        });
+        prop_assert_eq!(lease.holds(bound, now), expected);
+    }
+
+    /// Versions never go back.
+    #[test]
+    fn versions_only_grow(versions in prop::collection::vec(0u64..100, 1..50)) {
+        let mut slot = ConfigSlot::new();
+        let mut highest = None;
+        for version in versions {
+            slot.merge(version, version);
+            highest = highest.max(Some(version));
+            prop_assert_eq!(slot.get().copied(), highest);
+        }
+    }
+}
+
+#[test]
+fn room_adds_up_over_entries_and_forgets_the_gone() {
+    let mut ledger = RoomLedger::default();
+    ledger.promise("a", 100.0);
+    ledger.hear("peer", HashMap::from([("a".to_owned(), 50.0)]), 1_000);
+    assert_eq!(ledger.promised("a"), 150.0);
+    ledger.forget(1_000 + PEER_AGE);
+    assert_eq!(ledger.promised("a"), 100.0);
+    ledger.release("a", 100.0);
+    assert_eq!(ledger.promised("a"), 0.0);
+    assert!(ledger.own().is_empty());
+}
+
+#[test]
+fn suspicion_ends_and_grows() {
+    let mut suspects = SuspectList::default();
+    assert_eq!(suspects.note_failure("a", 0), Some(FIRST_TIME_OUT));
+    assert_eq!(suspects.note_failure("a", 10), None);
+    assert!(suspects.is_suspect("a", FIRST_TIME_OUT - 1));
+    assert!(!suspects.is_suspect("a", FIRST_TIME_OUT));
+    let again = suspects.note_failure("a", FIRST_TIME_OUT);
+    assert_eq!(again, Some(FIRST_TIME_OUT + 2 * FIRST_TIME_OUT));
+    suspects.clear("a");
+    assert!(!suspects.is_suspect("a", FIRST_TIME_OUT));
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -23,7 +23,7 @@
     },
     shutdown::ShutdownSignal,
 };
-use switchfold_platform::{
+use switchfold_store::{
     ChangeBatch, IF_VERSION, MOST_VALUE_BYTES, OBJECT_VERSION, StoredChange, VmEntry, VmList,
     VmState,
 };
--- a/crates/standin/tests/store_contract.rs
+++ b/crates/standin/tests/store_contract.rs
@@ -5,10 +5,10 @@
 use assert_matches::assert_matches;
 use switchfold_core::version::ObjectKey;
 use switchfold_kernel::shutdown::ShutdownSignal;
-use switchfold_platform::{
+use switchfold_standin::platform::{PlatformStandin, StoreFaults, StoreRates};
+use switchfold_store::{
     MOST_VALUE_BYTES, StoreClient, StoreConfig, StoreError, VmEntry, VmRole, VmState,
 };
-use switchfold_standin::platform::{PlatformStandin, StoreFaults, StoreRates};
 use tokio::net::TcpListener;
 
 const PATIENCE: Duration = Duration::from_secs(20);
