--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -86,23 +86,21 @@
     let replicas = beliefs.fleet.of_service(wish.service).filter(usable);
     let mut offers = Vec::new();
     for replica in replicas {
-        let held: u32 = replica.layers.iter().map(LayerRange::len).sum();
+        let Some(range) = replica.layers else { continue };
         let kind = wish.engine.kind(&replica.kind);
-        let total = kind.map_or(0.0, |kind| wish.engine.room(kind.memory_mb, held));
+        let total = kind.map_or(0.0, |kind| wish.engine.room(kind.memory_mb, range.len()));
         let promised = beliefs.room.promised(&replica.id);
         let layer_cost =
             layer_cost(wish.engine, kind.map_or(1.0, |kind| kind.pace), promised, total);
         let data_centre = data_centres.number(&replica.data_centre);
-        for range in &replica.layers {
-            offers.push(PartOffer {
-                id: replica.id.clone(),
-                address: replica.address,
-                data_centre,
-                range: *range,
-                layer_cost,
-                room: (total * PLANNED_FILL - promised).max(0.0),
-            });
-        }
+        offers.push(PartOffer {
+            id: replica.id.clone(),
+            address: replica.address,
+            data_centre,
+            range,
+            layer_cost,
+            room: (total * PLANNED_FILL - promised).max(0.0),
+        });
     }
     offers
 }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -90,7 +90,7 @@
         }
         self.pending.retain(|id, order| {
             let Some(replica) = beliefs.fleet.get(id) else { return false };
-            let done = replica.range() == Some(order.range);
+            let done = replica.layers == Some(order.range);
             !done && now < order.until
         });
     }
@@ -140,7 +140,7 @@
         let kind = engine.kind(&replica.kind)?;
         let pending = self.pending.get(&replica.id);
         // What a suspect holds is not counted: it may be lost.
-        let held = replica.range().filter(|_| !suspect);
+        let held = replica.layers.filter(|_| !suspect);
         Some(LayerHolder {
             id: replica.id.clone(),
             memory_mb: kind.memory_mb,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::{hash::hash_bytes, retry::Backoff};
 use switchfold_kernel::clock::now_millis;
@@ -32,6 +32,9 @@
 /// goes on serving.
 const REPLICA_WAIT: Duration = Duration::from_millis(2_000);
 
+/// Pause after an answer that held changes, so that changes in series cost one call together.
+const GATHER: Duration = Duration::from_millis(150);
+
 /// Time that the store has for an answer beyond the wait asked of it. It answers in 4 ms, and 60 times
 /// slower in a disruption.
 pub const STORE_PATIENCE: Duration = Duration::from_millis(800);
@@ -43,6 +46,7 @@
 struct Followed {
     kind: &'static str,
     wait: Duration,
+    gather: Duration,
     take_list: fn(&Relay, Vec<ListedObject>),
     take_change: fn(&Relay, ObjectChange),
     prove: fn(&Relay, Millis),
@@ -53,6 +57,7 @@
     let followed = Followed {
         kind: CONFIG_KIND,
         wait: CONFIG_WAIT,
+        gather: Duration::ZERO,
         take_list: |relay, items| items.iter().for_each(|item| take_config(relay, item)),
         take_change: |relay, change| {
             if !change.gone {
@@ -69,6 +74,7 @@
     let followed = Followed {
         kind: REPLICA_KIND,
         wait: REPLICA_WAIT,
+        gather: GATHER,
         take_list: take_replica_list,
         take_change: take_replica_change,
         prove: |relay, sent| relay.beliefs.borrow_mut().fleet_lease.prove(sent),
@@ -80,7 +86,6 @@
     let patience = followed.wait + STORE_PATIENCE;
     let store = ObjectStore::new(&relay.settings.platform.to_string(), patience);
     let seed = hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.as_bytes());
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut revision = None;
     let mut lost_at: Option<Millis> = None;
     let mut backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
@@ -90,6 +95,7 @@
             None => list_once(&relay, &store, &followed).await,
             Some(after) => watch_once(&relay, &store, &followed, after).await,
         };
+        let moved = matches!((&outcome, revision), (Ok(at), Some(after)) if *at > after);
         match outcome {
             Ok(at) => {
                 (followed.prove)(&relay, sent);
@@ -97,11 +103,11 @@
                     let out_ms = now_millis() - lost;
                     tracing::info!(event = "store-regained", kind = followed.kind, out_ms, at);
                 }
-                if revision.is_none() && at == 0 {
-                    sleep(Duration::from_millis(random.random_range(20..60))).await;
-                }
                 revision = Some(at);
                 backoff.reset();
+                if moved {
+                    sleep(followed.gather).await;
+                }
             }
             Err(StoreError::Gap) => {
                 tracing::info!(event = "history-gone", kind = followed.kind, after = revision);
@@ -192,7 +198,7 @@
 
 fn keep_replica(relay: &Relay, replica: ReplicaEntry) {
     let (id, address) = (replica.id.clone(), replica.address);
-    let layers = format!("{:?}", replica.range().map(|range| (range.from, range.to)));
+    let layers = format!("{:?}", replica.layers.map(|range| (range.from, range.to)));
     let change = relay.beliefs.borrow_mut().fleet.upsert(replica);
     match change {
         FleetChange::Unchanged => {}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -45,17 +45,8 @@
     pub draining: bool,
     /// Kind of accelerator; empty for plain services.
     pub kind: String,
-    /// Layers that it holds.
-    pub layers: Vec<LayerRange>,
-}
-
-impl ReplicaEntry {
-    /// Layers that it holds, as one range from its first to its last layer.
-    pub fn range(&self) -> Option<LayerRange> {
-        let from = self.layers.iter().map(|range| range.from).min()?;
-        let to = self.layers.iter().map(|range| range.to).max()?;
-        Some(LayerRange { from, to })
-    }
+    /// Layers that it holds; nothing where it is empty or a plain service.
+    pub layers: Option<LayerRange>,
 }
 
 /// What an update of the list changed for one replica.
