--- a/crates/relay/src/answers.rs
+++ b/crates/relay/src/answers.rs
@@ -46,6 +46,9 @@
     /// The body did not arrive whole.
     #[display("body-broken")]
     BodyBroken,
+    /// The relay stops too soon for it to end here.
+    #[display("stopping")]
+    Stopping,
     /// No replica can run it now.
     #[display("no-replica")]
     NoReplica,
@@ -69,6 +72,7 @@
         match self {
             Self::NoConfiguration
             | Self::StaleConfiguration
+            | Self::Stopping
             | Self::NoReplica
             | Self::NotRun
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,13 +85,22 @@
         }
     }
 
-    /// Builds the answer; `retry_after` tells when to come back.
-    pub fn answer(self, retry_after: Option<Millis>) -> RelayAnswer {
+    /// Time after which a refused caller should come back: at once where another relay serves it, else
+    /// when a new list of replicas or a short load can be there.
+    pub fn retry_after(self) -> Millis {
+        match self {
+            Self::Stopping => 10,
+            _ => 700,
+        }
+    }
+
+    /// Builds the answer; one that promises that nothing ran tells when to come back.
+    pub fn answer(self) -> RelayAnswer {
         let mut answer = Response::new(whole(Bytes::new()));
         *answer.status_mut() = self.status();
         let promised = self.status() == StatusCode::SERVICE_UNAVAILABLE;
-        if let Some(wait) = retry_after.filter(|_| promised) {
-            let seconds = format!("{:.2}", wait as f64 / 1_000.0);
+        if promised {
+            let seconds = format!("{:.2}", self.retry_after() as f64 / 1_000.0);
             let value = HeaderValue::from_str(&seconds).expect("numbers are valid header values");
             answer.headers_mut().insert(header::RETRY_AFTER, value);
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, Version, header, request::Parts};
+use http::{HeaderMap, Method, Request, Uri, header, request::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
@@ -181,6 +181,7 @@
     relay.note_request(&permit.service, now_millis());
     let has_engine = permit.config.services.get(&permit.service);
     match has_engine.is_some_and(|service| service.engine.is_some()) {
+        true if relay.stop.is_late() => Err(Refusal::Stopping),
         true => run_stream(relay, Rc::new(request), permit, in_flight).await,
         false => run_plain(relay, &request, permit).await,
     }
@@ -198,10 +199,6 @@
     path.parse().unwrap_or_else(|_| Uri::from_static("/"))
 }
 
-/// Time after which a refused caller should come back, in milliseconds: a new list of replicas or a
-/// short load is there by then.
-const RETRY_AFTER: Millis = 700;
-
 fn refuse(relay: &Relay, id: &str, refusal: Refusal, arrived: Millis) -> RelayAnswer {
     let held_ms = now_millis() - arrived;
     let status = refusal.status().as_u16();
@@ -214,8 +211,5 @@
     tracing::warn!(
         event = "refused", request = id, status, reason = %refusal, held_ms, config, config_age,
     );
-    refusal.answer(Some(RETRY_AFTER))
+    refusal.answer()
 }
-
-/// HTTP version that is spoken with replicas.
-pub const REPLICA_HTTP: Version = Version::HTTP_11;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -17,6 +17,7 @@
     answers::{RelayAnswer, whole},
     request::handle,
     state::Relay,
+    stop::CLOSE_IDLE,
 };
 
 /// Time that a kept connection may rest where the configuration is not known yet.
@@ -78,11 +79,29 @@
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(8_192))
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = idle_closes(&relay) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         tracing::debug!(event = "connection-ended", %error);
     }
 }
 
+/// Waits until a stopping relay closes its idle connections.
+async fn idle_closes(relay: &Relay) {
+    relay.stop.raised().await;
+    sleep(Duration::from_millis(CLOSE_IDLE)).await;
+}
+
 /// Answers questions for readiness until the process ends.
 pub async fn serve_readiness(relay: Rc<Relay>, listener: TcpListener) {
     loop {
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -1,17 +1,29 @@
 //! A planned stop.
 //!
 //! From SIGTERM on, readiness is off and each answer closes its connection; requests are served as
-//! before. The process ends when the last request is answered and callers had time to see the
-//! readiness, or just before it would be killed.
+//! before. Once the balancer has seen the readiness, idle connections are closed and no new stream is
+//! begun, since it could not end in time. The process ends when the last request is answered, or just
+//! before it would be killed.
 
 use std::cell::Cell;
 
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::Millis;
+
 use tokio::sync::Notify;
 
+/// Time after SIGTERM at which idle connections are closed, in milliseconds: the balancer asks for
+/// readiness once a second and takes a VM out after two misses.
+pub const CLOSE_IDLE: Millis = 2_500;
+
+/// Time after SIGTERM up to which streams are begun, in milliseconds: callers are told to go elsewhere
+/// at once after it, rather than to lose their stream midway.
+const LAST_STREAM: Millis = 2_800;
+
 /// Whether a relay is stopping, and what is still in flight.
 #[derive(Debug, Default)]
 pub struct StopState {
-    stopping: Cell<bool>,
+    raised_at: Cell<Option<Millis>>,
     in_flight: Cell<usize>,
     raised: Notify,
 }
@@ -19,13 +31,18 @@
 impl StopState {
     /// Begins the stop.
     pub fn raise(&self) {
-        self.stopping.set(true);
+        self.raised_at.set(self.raised_at.get().or(Some(now_millis())));
         self.raised.notify_waiters();
     }
 
     /// Whether the relay is stopping.
     pub fn is_raised(&self) -> bool {
-        self.stopping.get()
+        self.raised_at.get().is_some()
+    }
+
+    /// Whether it is too late to begin a stream.
+    pub fn is_late(&self) -> bool {
+        self.raised_at.get().is_some_and(|raised| now_millis() - raised > LAST_STREAM)
     }
 
     /// Waits until the stop begins.
