--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -1,10 +1,11 @@
 //! Calls to the engines' own interface: reports and orders.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
     engine::{
         EngineReport, ORDER_PATH, REPORT_PATH, decode_report, engine_request, place_order,
@@ -12,7 +13,7 @@
     },
     headers::read_answer,
 };
-use switchfold_router::{chain::PathPart, fleet::LayerRange};
+use switchfold_router::{Millis, chain::PathPart, fleet::LayerRange};
 use tokio::time::timeout;
 
 use crate::{counts::count, pool::SendError, state::Relay};
@@ -36,6 +37,51 @@
     Unknown,
 }
 
+/// Time for which a report serves all who ask, in milliseconds: it is some hundred milliseconds old
+/// anyway, and each question has a price.
+const REPORT_AGE: Millis = 80;
+
+/// Latest reports, by address.
+#[derive(Debug, Default)]
+pub struct ReportCache {
+    reports: RefCell<HashMap<SocketAddr, CachedReport>>,
+}
+
+/// A report, or that one is being asked for.
+#[derive(Clone, Debug)]
+struct CachedReport {
+    asked: Millis,
+    report: Option<Rc<EngineReport>>,
+}
+
+/// Gives an engine's report, asked for lately by anyone; nothing where there is none yet.
+pub async fn recent_report(relay: &Relay, address: SocketAddr) -> Option<Rc<EngineReport>> {
+    let now = now_millis();
+    let cached = relay.reports.reports.borrow().get(&address).cloned();
+    if let Some(cached) = cached.filter(|cached| now.saturating_sub(cached.asked) < REPORT_AGE) {
+        return cached.report;
+    }
+    let old = cached_report(relay, address);
+    keep_report(relay, address, now, old);
+    let report = ask_report(relay, address).await.map(Rc::new);
+    keep_report(relay, address, now, report.clone());
+    report
+}
+
+fn cached_report(relay: &Relay, address: SocketAddr) -> Option<Rc<EngineReport>> {
+    let reports = relay.reports.reports.borrow();
+    reports.get(&address).and_then(|cached| cached.report.clone())
+}
+
+fn keep_report(
+    relay: &Relay,
+    address: SocketAddr,
+    asked: Millis,
+    report: Option<Rc<EngineReport>>,
+) {
+    relay.reports.reports.borrow_mut().insert(address, CachedReport { asked, report });
+}
+
 /// Asks an engine for its report; nothing where it does not answer as its interface says.
 pub async fn ask_report(relay: &Relay, address: SocketAddr) -> Option<EngineReport> {
     let (status, body) = call(relay, address, Method::GET, REPORT_PATH, Vec::new()).await.ok()?;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     Millis,
@@ -17,7 +18,7 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    engines::{OrderEnd, ask_report, order_layers},
+    engines::{OrderEnd, ask_report, order_layers, recent_report},
     peers::FRESH_FLEET,
     state::Relay,
 };
@@ -45,10 +46,21 @@
     until: Millis,
 }
 
-/// Orders under way, by replica.
+/// Time for which the answer of a suspected replica to a question counts, in milliseconds.
+const PROBE_AGE: Millis = 400;
+
+/// What asking a suspected replica told.
+#[derive(Clone, Copy, Debug)]
+struct ProbeEnd {
+    asked: Millis,
+    holds: bool,
+}
+
+/// Orders under way, by replica, and what suspected replicas answered.
 #[derive(Debug, Default)]
 struct Placer {
     pending: HashMap<String, PendingOrder>,
+    probes: HashMap<String, ProbeEnd>,
     fleet_seen: u64,
     fleet_changed: Millis,
 }
@@ -97,6 +109,7 @@
 
     async fn round(&mut self, relay: &Rc<Relay>, now: Millis) {
         let Some(config) = relay.config() else { return };
+        self.probe_suspects(relay, now).await;
         for (service, engine) in config.engines() {
             let orders = self.plan(relay, service, engine, now);
             let limit = (engine.loads_at_once as usize).max(1);
@@ -110,6 +123,34 @@
         }
     }
 
+    /// Asks suspected replicas whether they still hold their layers. A suspicion alone does not move
+    /// layers: it may come of one full memory, or of one bad link.
+    async fn probe_suspects(&mut self, relay: &Relay, now: Millis) {
+        let due: Vec<ReplicaEntry> = {
+            let beliefs = relay.beliefs.borrow();
+            let suspects =
+                beliefs.suspects.current(now).filter_map(|(id, _)| beliefs.fleet.get(id));
+            let is_due = |replica: &&ReplicaEntry| {
+                let probe = self.probes.get(&replica.id);
+                probe.is_none_or(|probe| now - probe.asked >= PROBE_AGE)
+            };
+            suspects.filter(is_due).filter(|replica| replica.layers.is_some()).cloned().collect()
+        };
+        let asked = due.iter().map(|replica| recent_report(relay, replica.address));
+        let reports = join_all(asked).await;
+        for (replica, report) in due.iter().zip(reports) {
+            let holds = report.is_some_and(|report| report.layers.is_some());
+            self.probes.insert(replica.id.clone(), ProbeEnd { asked: now, holds });
+            tracing::info!(event = "suspect-probed", replica = replica.id, holds);
+        }
+        let beliefs = relay.beliefs.borrow();
+        self.probes.retain(|id, _| beliefs.fleet.get(id).is_some());
+    }
+
+    fn is_lost(&self, id: &str) -> bool {
+        self.probes.get(id).is_some_and(|probe| !probe.holds)
+    }
+
     fn plan(
         &self,
         relay: &Relay,
@@ -121,7 +162,8 @@
         let mut groups: HashMap<&str, Vec<LayerHolder>> = HashMap::new();
         for replica in beliefs.fleet.of_service(service).filter(|replica| !replica.draining) {
             let suspect = beliefs.suspects.is_suspect(&replica.id, now);
-            let Some(holder) = self.holder(replica, engine, suspect) else { continue };
+            let lost = suspect && self.is_lost(&replica.id);
+            let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
             groups.entry(&replica.data_centre).or_default().push(holder);
         }
         let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
@@ -136,11 +178,11 @@
         replica: &ReplicaEntry,
         engine: &EngineSpec,
         suspect: bool,
+        lost: bool,
     ) -> Option<LayerHolder> {
         let kind = engine.kind(&replica.kind)?;
         let pending = self.pending.get(&replica.id);
-        // What a suspect holds is not counted: it may be lost.
-        let held = replica.layers.filter(|_| !suspect);
+        let held = replica.layers.filter(|_| !lost);
         Some(LayerHolder {
             id: replica.id.clone(),
             memory_mb: kind.memory_mb,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     counts::Counts,
+    engines::ReportCache,
     peers::talk,
     placer::place_layers,
     pool::EndpointPool,
@@ -115,6 +116,7 @@
         settings,
         beliefs: RefCell::new(Beliefs::default()),
         pool: EndpointPool::default(),
+        reports: ReportCache::default(),
         counts: Counts::default(),
         stop: StopState::default(),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -10,7 +10,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep, sleep_until},
 };
 
 use crate::{
@@ -27,7 +27,7 @@
 const DEFAULT_HEADER_BYTES: usize = 16_384;
 
 /// Time by which a stopping relay ends before it would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+const STOP_MARGIN: Duration = Duration::from_millis(900);
 
 /// Time that a stopping relay goes on at least: the balancer asks for readiness once a second, and
 /// takes a VM out after two misses.
@@ -54,14 +54,12 @@
 /// is nearly up.
 async fn stopped(relay: &Relay) {
     relay.stop.raised().await;
-    let grace = Duration::from_secs(relay.settings.bounds.grace_s);
-    let least = LEAST_STOP.min(grace.saturating_sub(STOP_MARGIN));
-    sleep(least).await;
-    let mut left = grace.saturating_sub(STOP_MARGIN + least);
+    let end = Instant::now()
+        + Duration::from_secs(relay.settings.bounds.grace_s).saturating_sub(STOP_MARGIN);
+    sleep_until(end.min(Instant::now() + LEAST_STOP)).await;
     const STEP: Duration = Duration::from_millis(50);
-    while relay.stop.in_flight() > 0 && !left.is_zero() {
+    while relay.stop.in_flight() > 0 && Instant::now() < end {
         sleep(STEP).await;
-        left = left.saturating_sub(STEP);
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -23,8 +23,8 @@
 };
 
 use crate::{
-    counts::Counts, peers::PeerTable, plain::ServiceLoads, pool::EndpointPool,
-    settings::RelaySettings, stop::StopState,
+    counts::Counts, engines::ReportCache, peers::PeerTable, plain::ServiceLoads,
+    pool::EndpointPool, settings::RelaySettings, stop::StopState,
 };
 
 /// Beliefs of a relay: each came from somewhere, at some time.
@@ -59,6 +59,8 @@
     pub beliefs: RefCell<Beliefs>,
     /// Connections to replicas.
     pub pool: EndpointPool,
+    /// Latest reports of engines.
+    pub reports: ReportCache,
     /// The platform's object store.
     pub store: ObjectStore,
     /// Counters.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,7 @@
     admit::{Permit, admit},
     answers::{Refusal, RelayAnswer, whole},
     counts::count,
-    engines::ask_report,
+    engines::recent_report,
     flow::stream_body,
     paths::{PathWish, RoomGuard, find_path},
     plain::{early_end, finish_quietly},
@@ -217,7 +217,7 @@
 
 /// Asks an engine which replica a request waits for.
 pub async fn find_stall(relay: &Relay, first: SocketAddr, attempt_id: &str) -> Option<SocketAddr> {
-    let report = ask_report(relay, first).await?;
+    let report = recent_report(relay, first).await?;
     let own = report.stalled.iter().find(|stalled| stalled.attempt_id == attempt_id);
     own.and_then(|stalled| stalled.at_fault)
 }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -114,6 +114,9 @@
                 revision = None;
             }
             Err(error) => {
+                // A store that cuts a watch may have dropped its history, and says so to a new watch
+                // only when that ends; a list tells at once what the watch did not.
+                revision = None;
                 if lost_at.is_none() {
                     lost_at = Some(sent);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
@@ -202,6 +205,11 @@
     let change = relay.beliefs.borrow_mut().fleet.upsert(replica);
     match change {
         FleetChange::Unchanged => {}
+        FleetChange::Joined => {
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers);
+            let predecessors = relay.beliefs.borrow().fleet.predecessors(&id, address);
+            predecessors.iter().for_each(|old| drop_replica(relay, old));
+        }
         FleetChange::Draining => {
             relay.raise_alarm();
             tracing::info!(event = "replica-draining", replica = id, %address);
--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover.rs
@@ -237,8 +237,9 @@
             let len = self.layers_at(holder, self.fill);
             (held_twice && holder.can_order && len > 0).then_some((index, len))
         });
-        // Best: the smallest that closes it whole, else the largest.
-        let best = spare.min_by_key(|(_, len)| (gap.len().saturating_sub(*len), *len));
+        // Best: the one that fits. A much larger one would take more room from where it is than the gap
+        // needs, and loads for long.
+        let best = spare.min_by_key(|(_, len)| (len.abs_diff(gap.len()), *len));
         let Some((index, len)) = best else { return false };
         let from = gap.from.min(self.model.layers - len);
         self.order(index, LayerRange { from, to: from + len }, PlaceReason::Move);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -86,6 +86,12 @@
         change
     }
 
+    /// Other replicas that are listed at an address: earlier starts, which ended there.
+    pub fn predecessors(&self, id: &str, address: SocketAddr) -> Vec<String> {
+        let others = self.replicas.values().filter(|other| other.address == address);
+        others.filter(|other| other.id != id).map(|other| other.id.clone()).collect()
+    }
+
     /// Drops a replica.
     pub fn remove(&mut self, id: &str) -> FleetChange {
         match self.replicas.remove(id) {
