--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -22,7 +22,7 @@
     answers::{BodyBroken, RelayBody},
     counts::count,
     engines::{OrderEnd, order_repath},
-    paths::{PathWish, RoomGuard, find_path},
+    paths::{PathWish, RoomGuard, crosses, find_path},
     pool::BusyLink,
     request::CallerRequest,
     state::Relay,
@@ -39,7 +39,7 @@
 
 /// Pause after which a stream whose replicas all seem well is taken up elsewhere. Callers give up
 /// after two seconds without an event.
-const LONGEST_QUIET: Millis = 1_200;
+const LONGEST_QUIET: Millis = 1_500;
 
 struct StreamFlow {
     relay: Rc<Relay>,
@@ -185,7 +185,7 @@
 
     /// Position of a part after the first whose replica should not be used any more.
     fn lost_part(&self) -> Option<usize> {
-        let lost = |part: &PathPart| !self.relay.is_usable(&part.id);
+        let lost = |part: &PathPart| !self.relay.is_usable(part);
         self.path.iter().skip(1).position(lost).map(|position| position + 1)
     }
 
@@ -202,15 +202,17 @@
                 note_fault(&self.relay, at_fault, "stalled");
             }
         }
-        if self.lost_part().is_some() && self.repath().await {
-            return;
+        if self.lost_part().is_some() && !self.repath().await {
+            return self.recover("a replica of the path is lost").await;
         }
         if now_millis() - self.last_progress > LONGEST_QUIET {
             self.recover("no event for long").await;
         }
     }
 
-    /// Moves the request to a path without the lost replicas; the others keep its memory.
+    /// Moves the request to a path without the lost replicas; the others keep its memory. Only within a
+    /// data centre: the new parts read the whole request again, and its activations would have to cross
+    /// a pipe that many requests need at the same moment.
     async fn repath(&mut self) -> bool {
         let service = self.permit.config.services.get(&self.permit.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
@@ -225,7 +227,8 @@
             avoid: &[],
             first: Some((&first.id, first.range)),
         };
-        let Some(path) = find_path(&self.relay, &wish) else { return false };
+        let path = find_path(&self.relay, &wish);
+        let Some(path) = path.filter(|path| !crosses(&self.relay, path)) else { return false };
         let id = &self.request.marks.attempt_id;
         let end = order_repath(&self.relay, id, &path).await;
         let quiet_ms = now_millis() - self.last_progress;
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -55,6 +55,13 @@
     })
 }
 
+/// Whether a path passes from one data centre to another.
+pub fn crosses(relay: &Relay, path: &[PathPart]) -> bool {
+    let beliefs = relay.beliefs.borrow();
+    let place = |part: &PathPart| beliefs.fleet.get(&part.id).map(|replica| &replica.data_centre);
+    path.windows(2).any(|pair| place(&pair[0]) != place(&pair[1]))
+}
+
 /// Numbers data centres as they are met.
 #[derive(Default)]
 struct DataCentres {
@@ -90,6 +97,8 @@
         let kind = wish.engine.kind(&replica.kind);
         let total = kind.map_or(0.0, |kind| wish.engine.room(kind.memory_mb, range.len()));
         let promised = beliefs.room.promised(&replica.id);
+        // A replica that was short of memory a moment ago counts as full.
+        let promised = if beliefs.full.is_suspect(&replica.id, now) { total } else { promised };
         let layer_cost =
             layer_cost(wish.engine, kind.map_or(1.0, |kind| kind.pace), promised, total);
         let data_centre = data_centres.number(&replica.data_centre);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -88,6 +88,8 @@
             (true, Some(first)) => name < first.as_str(),
             (true, None) => true,
             (false, Some(_)) => false,
+            // One that hears nobody and has lost the store is cut off; the others decide.
+            (false, None) if live().next().is_none() => self.peers.is_empty(),
             (false, None) => live().all(|(other, _)| name < other.as_str()),
         }
     }
@@ -171,12 +173,13 @@
 
 fn compose_news(relay: &Relay) -> (PeerNews, Vec<SocketAddr>) {
     let now = now_millis();
+    let fleet_is_fresh = relay.is_fleet_fresh(now);
     let mut beliefs = relay.beliefs.borrow_mut();
     beliefs.room.forget(now);
     let room = beliefs.room.own().iter();
     let news = PeerNews {
         name: relay.settings.name.clone(),
-        fleet_is_fresh: beliefs.fleet_lease.age(now).is_some_and(|age| age < FRESH_FLEET),
+        fleet_is_fresh,
         room: room.map(|(id, amount)| (id.clone(), *amount as u64)).collect(),
         suspects: beliefs.suspects.current(now).map(|(id, left)| (id.to_owned(), left)).collect(),
     };
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -19,7 +19,6 @@
 
 use crate::{
     engines::{OrderEnd, ask_report, order_layers, recent_report},
-    peers::FRESH_FLEET,
     state::Relay,
 };
 
@@ -86,8 +85,8 @@
 }
 
 fn is_first(relay: &Relay, now: Millis) -> bool {
+    let fresh = relay.is_fleet_fresh(now);
     let beliefs = relay.beliefs.borrow();
-    let fresh = beliefs.fleet_lease.age(now).is_some_and(|age| age < FRESH_FLEET);
     beliefs.peers.is_first(&relay.settings.name, fresh, now)
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
     Millis,
     access::{ConfigSlot, RoutingConfig},
     budget::{BudgetConfig, RepeatBudget},
+    chain::PathPart,
     fleet::FleetView,
     freshness::FreshnessLease,
     room::RoomLedger,
@@ -23,8 +24,13 @@
 };
 
 use crate::{
-    counts::Counts, engines::ReportCache, peers::PeerTable, plain::ServiceLoads,
-    pool::EndpointPool, settings::RelaySettings, stop::StopState,
+    counts::Counts,
+    engines::ReportCache,
+    peers::{FRESH_FLEET, PeerTable},
+    plain::ServiceLoads,
+    pool::EndpointPool,
+    settings::RelaySettings,
+    stop::StopState,
 };
 
 /// Beliefs of a relay: each came from somewhere, at some time.
@@ -42,6 +48,10 @@
     pub room: RoomLedger,
     /// Replicas to keep away from.
     pub suspects: SuspectList,
+    /// Replicas that were short of memory a moment ago.
+    pub full: SuspectList,
+    /// Whether the last read of the list of replicas failed.
+    pub fleet_lost: bool,
     /// Repeats, by service.
     pub budgets: HashMap<String, RepeatBudget>,
     /// Loads of plain services' replicas.
@@ -119,10 +129,30 @@
         self.alarms.set(self.alarms.get() + 1);
     }
 
-    /// Whether a replica may be sent work: it is listed, stays, and is not suspected.
-    pub fn is_usable(&self, id: &str) -> bool {
+    /// Notes that a replica was short of memory.
+    pub fn note_full(&self, id: &str) {
+        let now = now_millis();
+        if self.beliefs.borrow_mut().full.note_failure(id, now).is_some() {
+            tracing::info!(event = "replica-full", replica = id);
+        }
+    }
+
+    /// Whether a part of a path still runs: its replica is listed, stays, holds the layers and is not
+    /// suspected.
+    pub fn is_usable(&self, part: &PathPart) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let Some(replica) = beliefs.fleet.get(&part.id) else { return false };
+        let holds = replica
+            .layers
+            .is_some_and(|held| held.from <= part.range.from && part.range.to <= held.to);
+        let suspect = beliefs.suspects.is_suspect(&part.id, now_millis());
+        holds && !replica.draining && !suspect
+    }
+
+    /// Whether the list of replicas is recent, as far as this relay can tell.
+    pub fn is_fleet_fresh(&self, now: Millis) -> bool {
         let beliefs = self.beliefs.borrow();
-        let listed = beliefs.fleet.get(id).is_some_and(|replica| !replica.draining);
-        listed && !beliefs.suspects.is_suspect(id, now_millis())
+        let age = beliefs.fleet_lease.age(now);
+        !beliefs.fleet_lost && age.is_some_and(|age| age < FRESH_FLEET)
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -245,7 +245,7 @@
     let (head, body) = response.into_parts();
     let marks = read_answer(&head.headers);
     if let Some(end) = early_end(request, &marks, head.status) {
-        note_rejection(relay, tried, &marks, &first, head.status);
+        note_rejection(relay, tried, &marks, &first, head.status).await;
         match end {
             AttemptEnd::Rejected => tried.rejected += 1,
             _ => tried.sends += 1,
@@ -262,8 +262,9 @@
     read_whole(relay, head, body, link, &marks).await
 }
 
-/// Learns from a rejection: the replica that it names is kept away from.
-fn note_rejection(
+/// Learns from a rejection: the replica that it names is asked for its state. One that does not answer
+/// is kept away from; one that is well is short of memory, or holds other layers than were listed.
+async fn note_rejection(
     relay: &Relay,
     tried: &mut TriedReplicas,
     marks: &AnswerMarks,
@@ -274,11 +275,19 @@
     let id = relay.beliefs.borrow().fleet.at(at_fault).map(|replica| replica.id.clone());
     let Some(id) = id else { return };
     if marks.at_fault.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
-        relay.suspect(&id, "rejected");
+        match recent_report(relay, at_fault).await {
+            None => relay.suspect(&id, "rejected and silent"),
+            Some(report) if report.layers.is_none() => relay.suspect(&id, "rejected and empty"),
+            Some(report) if report.room_used > report.room_total * FULL => relay.note_full(&id),
+            Some(_) => {}
+        }
     }
     tried.avoid.push(id);
 }
 
+/// Part of an engine's memory for requests above which a rejection is put down to it.
+const FULL: f64 = 0.7;
+
 async fn read_whole(
     relay: &Relay,
     head: response::Parts,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -50,6 +50,7 @@
     take_list: fn(&Relay, Vec<ListedObject>),
     take_change: fn(&Relay, ObjectChange),
     prove: fn(&Relay, Millis),
+    lose: fn(&Relay),
 }
 
 /// Follows the configuration for good.
@@ -65,6 +66,7 @@
             }
         },
         prove: |relay, sent| relay.beliefs.borrow_mut().config_lease.prove(sent),
+        lose: |_| {},
     };
     follow(relay, followed).await;
 }
@@ -77,7 +79,12 @@
         gather: GATHER,
         take_list: take_replica_list,
         take_change: take_replica_change,
-        prove: |relay, sent| relay.beliefs.borrow_mut().fleet_lease.prove(sent),
+        prove: |relay, sent| {
+            let mut beliefs = relay.beliefs.borrow_mut();
+            beliefs.fleet_lease.prove(sent);
+            beliefs.fleet_lost = false;
+        },
+        lose: |relay| relay.beliefs.borrow_mut().fleet_lost = true,
     };
     follow(relay, followed).await;
 }
@@ -117,6 +124,7 @@
                 // A store that cuts a watch may have dropped its history, and says so to a new watch
                 // only when that ends; a list tells at once what the watch did not.
                 revision = None;
+                (followed.lose)(&relay);
                 if lost_at.is_none() {
                     lost_at = Some(sent);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
@@ -215,6 +223,7 @@
             tracing::info!(event = "replica-draining", replica = id, %address);
         }
         change => {
+            relay.raise_alarm();
             tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers);
         }
     }
--- a/crates/router/src/chain.rs
+++ b/crates/router/src/chain.rs
@@ -14,7 +14,9 @@
 
 /// Costs that decide between paths, in milliseconds of a token step. The relations matter, not the
 /// unit: crossing between data centres moves the activations of a whole prompt over a shared pipe
-/// (trial figures: 20 ms), starting elsewhere moves only the request's bytes.
+/// (20 ms of it for a usual prompt), and two data centres' worth of prompts more than fill the pipe; so a
+/// path crosses only where no data centre has a whole one. Starting elsewhere moves only the request's
+/// bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct ChainCosts {
     /// One more part.
@@ -27,7 +29,7 @@
 
 impl Default for ChainCosts {
     fn default() -> Self {
-        Self { hop: 0.5, crossing: 40.0, remote_start: 3.0 }
+        Self { hop: 0.5, crossing: 1_000.0, remote_start: 3.0 }
     }
 }
 
