One relay of each data centre follows the store; the others hear from it

Proofs are dated by echoed stamps, so that no clock of another VM is trusted (crates/router/tests/membership.rs).

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
-//! | [`watch`], [`peers`] | what the relay knows, from the store and from other relays |
+//! | [`watch`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
 //! | [`placer`] | orders to engines to hold layers |
 //! | [`stop`], [`run`], [`settings`], [`logs`], [`counts`] | the process |
 
@@ -22,6 +22,7 @@
 pub mod engines;
 pub mod flow;
 pub mod logs;
+pub mod news;
 pub mod paths;
 pub mod peers;
 pub mod placer;
--- /dev/null
+++ b/crates/relay/src/news.rs
@@ -0,0 +1,116 @@
+//! What relays tell each other, and its form on the wire.
+//!
+//! Datagrams in a compact binary form: every byte between data centres has a price. The first byte is
+//! the form's version; another one is passed over, so two versions can run side by side.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use switchfold_router::{
+    Millis,
+    fleet::{LayerRange, ReplicaEntry},
+};
+
+/// Version of the form.
+const FORM: u8 = 1;
+
+/// A message between relays.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// State of the sender, told regularly.
+    State(StateNews),
+    /// Replicas that changed, told at once within a data centre.
+    Fleet(FleetNews),
+}
+
+/// State of a relay.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StateNews {
+    /// Name of the sender.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its start and its clock, for the receiver to return.
+    pub stamp: (u32, Millis),
+    /// Newest stamp of the receiver, and how long it was held.
+    pub echo: Option<((u32, Millis), Millis)>,
+    /// Whether its list of replicas is recent.
+    pub fleet_is_fresh: bool,
+    /// Age of its proof of that list.
+    pub fleet_age: Option<Millis>,
+    /// Digest of that list.
+    pub fleet_digest: u64,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Age of its proof of the configuration.
+    pub config_age: Option<Millis>,
+    /// Room promised, by replica, in tokens times layers; nothing where this message leaves it out.
+    pub room: Option<Vec<(String, u32)>>,
+    /// Replicas kept away from, with the milliseconds that it still lasts.
+    pub suspects: Vec<(String, u32)>,
+}
+
+/// Replicas that changed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FleetNews {
+    /// Replicas as they are now; those that are gone have no record.
+    pub changes: Vec<(String, Option<ReplicaRecord>)>,
+}
+
+/// A replica's entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReplicaRecord {
+    service: String,
+    address: SocketAddr,
+    data_centre: String,
+    slots: u32,
+    draining: bool,
+    kind: String,
+    layers: Option<(u32, u32)>,
+}
+
+impl ReplicaRecord {
+    /// Record of an entry.
+    pub fn new(entry: &ReplicaEntry) -> Self {
+        Self {
+            service: entry.service.clone(),
+            address: entry.address,
+            data_centre: entry.data_centre.clone(),
+            slots: entry.slots,
+            draining: entry.draining,
+            kind: entry.kind.clone(),
+            layers: entry.layers.map(|range| (range.from, range.to)),
+        }
+    }
+
+    /// The entry, under the id that it was told with.
+    pub fn into_entry(self, id: String) -> ReplicaEntry {
+        ReplicaEntry {
+            id,
+            service: self.service,
+            address: self.address,
+            data_centre: self.data_centre,
+            slots: self.slots,
+            draining: self.draining,
+            kind: self.kind,
+            layers: self.layers.map(|(from, to)| LayerRange { from, to }),
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Writes a message.
+    ///
+    /// # Panics
+    ///
+    /// Never: messages are plain data, and memory is the only limit.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![FORM]).expect("messages are plain data")
+    }
+
+    /// Reads a message; nothing where it is of another form or damaged.
+    pub fn decode(datagram: &[u8]) -> Option<Self> {
+        let (form, message) = datagram.split_first()?;
+        (*form == FORM).then(|| postcard::from_bytes(message).ok()).flatten()
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,29 +1,39 @@
-//! What relays tell each other.
+//! Talking to the other relays.
 //!
-//! Each relay sends its promises of room and its suspicions to the others by UDP, a few times a second.
-//! A lost datagram costs nothing but the age of one figure. Relays learn of each other from an object
-//! each in the store, and from the datagrams themselves, so no watch is needed.
+//! Each relay tells its state to the others by UDP: often within its data centre, seldom beyond. A lost
+//! datagram costs nothing but the age of some figures. Relays learn of each other from an object each
+//! in the store, and from the datagrams themselves.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::ENTRY_KIND;
-use switchfold_router::Millis;
+use switchfold_router::{
+    Millis,
+    membership::{PeerStamp, PeerState, PeerTable, proof_time},
+};
 use switchfold_store::StoreError;
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::time::sleep;
 
-use crate::state::Relay;
+use crate::{
+    news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
+    state::Relay,
+    watch::{drop_replica, keep_replica},
+};
 
-/// Time between two datagrams to a peer. A request holds its room for seconds, so figures a fifth of a
-/// second old miss a few percent of it.
+/// Time between two messages within a data centre. A request holds its room for seconds, so figures a
+/// fifth of a second old miss a few percent of it.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 
-/// Silence after which a peer is taken for gone, in milliseconds: some datagrams in a row were lost.
-pub const PEER_SILENCE: Millis = 1_200;
+/// Of these messages, one in so many also goes to the relays of other data centres.
+const FAR_ONE_IN: u64 = 2;
+
+/// Of the messages to other data centres, one in so many tells the promised room.
+const FAR_ROOM_ONE_IN: u64 = 3;
 
 /// Time between two readings of the peers' objects; stale reads do, at a tenth of the price.
-const LIST_EVERY: Duration = Duration::from_secs(8);
+const LIST_EVERY: Duration = Duration::from_secs(12);
 
 /// Largest datagram that is read.
 const MOST_DATAGRAM: usize = 60_000;
@@ -37,153 +47,169 @@
     pub data_centre: String,
 }
 
-/// What a relay tells its peers. Field names are short because every byte between data centres has a
-/// price.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct PeerNews {
-    /// Name of the sender.
-    #[serde(rename = "n")]
-    pub name: String,
-    /// Whether the sender's list of replicas is recent.
-    #[serde(rename = "f")]
-    pub fleet_is_fresh: bool,
-    /// Room promised, by replica, in tokens times layers.
-    #[serde(rename = "r")]
-    pub room: HashMap<String, u64>,
-    /// Replicas kept away from, with the milliseconds that it still lasts.
-    #[serde(rename = "s")]
-    pub suspects: HashMap<String, Millis>,
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    address: SocketAddr,
-    heard: Option<Millis>,
-    fleet_is_fresh: bool,
-}
-
-/// The other relays.
-#[derive(Clone, Debug, Default)]
-pub struct PeerTable {
-    peers: HashMap<String, Peer>,
-}
-
-impl PeerTable {
-    /// Count of other relays ever heard of: an upper bound of those that spend the shared budget.
-    pub fn known(&self) -> usize {
-        self.peers.len()
-    }
-
-    /// Count of other relays that were heard lately.
-    pub fn live(&self, now: Millis) -> usize {
-        self.peers.values().filter(|peer| is_live(peer, now)).count()
-    }
-
-    /// Whether this relay is the one to give orders: the first by name among those that are live and
-    /// know the replicas, or among all live ones where none does.
-    pub fn is_first(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> bool {
-        let live = || self.peers.iter().filter(|(_, peer)| is_live(peer, now));
-        let informed = live().filter(|(_, peer)| peer.fleet_is_fresh).map(|(name, _)| name).min();
-        match (fleet_is_fresh, informed) {
-            (true, Some(first)) => name < first.as_str(),
-            (true, None) => true,
-            (false, Some(_)) => false,
-            // One that hears nobody and has lost the store is cut off; the others decide.
-            (false, None) if live().next().is_none() => self.peers.is_empty(),
-            (false, None) => live().all(|(other, _)| name < other.as_str()),
-        }
-    }
-
-    fn learn(&mut self, name: &str, address: SocketAddr) {
-        let known = self.peers.entry(name.to_owned());
-        known.or_insert(Peer { address, heard: None, fleet_is_fresh: false }).address = address;
-    }
-
-    fn hear(&mut self, news: &PeerNews, address: SocketAddr, now: Millis) {
-        self.learn(&news.name, address);
-        let peer = self.peers.get_mut(&news.name).expect("the peer was just learnt");
-        peer.heard = Some(now);
-        peer.fleet_is_fresh = news.fleet_is_fresh;
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
-    }
-}
-
-fn is_live(peer: &Peer, now: Millis) -> bool {
-    peer.heard.is_some_and(|heard| now.saturating_sub(heard) < PEER_SILENCE)
-}
-
-/// Age up to which the list of replicas counts as recent, in milliseconds: two waits of its watch.
-pub const FRESH_FLEET: Millis = 5_000;
-
 /// Tells and hears peers for good.
-pub async fn talk(relay: Rc<Relay>, socket: Rc<UdpSocket>) {
-    tokio::join!(hear(&relay, &socket), tell(&relay, &socket), find(&relay));
+pub async fn talk(relay: Rc<Relay>) {
+    tokio::join!(hear(&relay), tell(&relay), find(&relay));
 }
 
-async fn hear(relay: &Relay, socket: &UdpSocket) {
+async fn hear(relay: &Relay) {
     let mut buffer = vec![0; MOST_DATAGRAM];
     loop {
-        let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((len, from)) = relay.peer_socket.recv_from(&mut buffer).await else {
             // A datagram to a dead peer comes back as an error of this socket; the next one may do.
             sleep(Duration::from_millis(5)).await;
             continue;
         };
-        match serde_json::from_slice::<PeerNews>(&buffer[..len]) {
-            Ok(news) => take_news(relay, &news, from),
-            Err(error) => tracing::warn!(event = "peer-unreadable", %from, %error),
+        match PeerMessage::decode(&buffer[..len]) {
+            Some(PeerMessage::State(news)) => take_state(relay, &news, from),
+            Some(PeerMessage::Fleet(news)) => take_fleet(relay, news),
+            None => tracing::warn!(event = "peer-unreadable", %from, len),
         }
     }
 }
 
-fn take_news(relay: &Relay, news: &PeerNews, from: SocketAddr) {
+fn take_state(relay: &Relay, news: &StateNews, from: SocketAddr) {
     let now = now_millis();
     let mut alarming = false;
     {
-        let mut beliefs = relay.beliefs.borrow_mut();
-        beliefs.peers.hear(news, from, now);
-        let room = news.room.iter().map(|(id, amount)| (id.clone(), *amount as f64)).collect();
-        beliefs.room.hear(&news.name, room, now);
+        let mut guard = relay.beliefs.borrow_mut();
+        let beliefs = &mut *guard;
+        let state = PeerState {
+            fleet_is_fresh: news.fleet_is_fresh,
+            fleet_digest: news.fleet_digest,
+            config_version: news.config_version,
+        };
+        beliefs.peers.learn(&news.name, from, &news.data_centre);
+        let (incarnation, time) = news.stamp;
+        beliefs.peers.hear(&news.name, state, PeerStamp { incarnation, time }, now);
+        if let Some(room) = &news.room {
+            let room = room.iter().map(|(id, amount)| (id.clone(), f64::from(*amount)));
+            beliefs.room.hear(&news.name, room.collect(), now);
+        }
         for (id, lasts) in &news.suspects {
             if beliefs.fleet.get(id).is_some() && !beliefs.suspects.is_suspect(id, now) {
-                beliefs.suspects.take_over(id, now + lasts);
+                beliefs.suspects.take_over(id, now + Millis::from(*lasts));
                 alarming = true;
                 tracing::info!(event = "suspect-heard", replica = id, from = news.name, lasts);
             }
         }
     }
+    if news.data_centre == relay.settings.data_centre {
+        take_proofs(relay, news, now);
+    }
     if alarming {
         relay.raise_alarm();
     }
 }
 
-async fn tell(relay: &Relay, socket: &UdpSocket) {
+/// Takes over what a relay of the same data centre proved.
+fn take_proofs(relay: &Relay, news: &StateNews, now: Millis) {
+    let mut guard = relay.beliefs.borrow_mut();
+    let beliefs = &mut *guard;
+    let settings = &relay.settings;
+    let digest = beliefs.fleet.digest();
+    beliefs.peers.compare_digest(&settings.name, &settings.data_centre, digest, now);
+    let Some(((incarnation, time), held)) = news.echo else { return };
+    let stamp = PeerStamp { incarnation, time };
+    let proof = |age| proof_time(stamp, relay.incarnation, held, age);
+    let version = beliefs.config.get().map_or(0, |config| config.version);
+    let config = news.config_age.and_then(proof);
+    let config = config.filter(|_| version >= news.config_version);
+    let fleet = news.fleet_age.and_then(proof);
+    let fleet = fleet.filter(|_| news.fleet_is_fresh && digest == news.fleet_digest);
+    beliefs.peers.prove(config, fleet);
+    if let Some(proved) = config {
+        beliefs.config_lease.prove(proved);
+    }
+    if let Some(proved) = fleet {
+        beliefs.fleet_lease.prove(proved);
+        beliefs.fleet_lost = false;
+    }
+}
+
+fn take_fleet(relay: &Relay, news: FleetNews) {
+    for (id, record) in news.changes {
+        match record {
+            Some(record) => keep_replica(relay, record.into_entry(id)),
+            None => drop_replica(relay, &id),
+        }
+    }
+}
+
+/// Tells the relays of the data centre of replicas that changed.
+pub fn tell_fleet(relay: &Relay, ids: &[String]) {
+    let beliefs = relay.beliefs.borrow();
+    let record = |id: &String| {
+        let entry = beliefs.fleet.get(id);
+        (id.clone(), entry.map(ReplicaRecord::new))
+    };
+    let news = FleetNews { changes: ids.iter().map(record).collect() };
+    let datagram = PeerMessage::Fleet(news).encode();
+    for (_, address, _) in near_peers(relay, &beliefs.peers) {
+        // A relay that misses this sees another digest in the next state.
+        let _lost = relay.peer_socket.try_send_to(&datagram, address);
+    }
+}
+
+fn near_peers<'a>(
+    relay: &'a Relay,
+    peers: &'a PeerTable,
+) -> impl Iterator<Item = (&'a str, SocketAddr, bool)> {
+    peers.others(&relay.settings.data_centre).filter(|(_, _, near)| *near)
+}
+
+async fn tell(relay: &Relay) {
+    let mut round: u64 = 0;
     loop {
         sleep(TELL_EVERY).await;
-        let (news, addresses) = compose_news(relay);
-        let datagram = serde_json::to_vec(&news).expect("news are plain data");
-        for address in addresses {
-            // A peer that cannot be reached now is told again soon.
-            let _lost = socket.try_send_to(&datagram, address);
-        }
+        round += 1;
+        let far = round.is_multiple_of(FAR_ONE_IN);
+        let far_room = far && (round / FAR_ONE_IN).is_multiple_of(FAR_ROOM_ONE_IN);
+        tell_state(relay, far, far_room);
     }
 }
 
-fn compose_news(relay: &Relay) -> (PeerNews, Vec<SocketAddr>) {
+/// Tells this relay's state to those of its data centre, and where asked to all.
+pub fn tell_state(relay: &Relay, far: bool, far_room: bool) {
     let now = now_millis();
+    let news = compose_state(relay, now);
+    let beliefs = relay.beliefs.borrow();
+    for (name, address, near) in beliefs.peers.others(&relay.settings.data_centre) {
+        if !near && !far {
+            continue;
+        }
+        let mut news = news.clone();
+        if near {
+            let echo = beliefs.peers.echo(name, now);
+            news.echo = echo.map(|(stamp, held)| ((stamp.incarnation, stamp.time), held));
+        } else if !far_room {
+            news.room = None;
+        }
+        let datagram = PeerMessage::State(news).encode();
+        // A peer that cannot be reached now is told again soon.
+        let _lost = relay.peer_socket.try_send_to(&datagram, address);
+    }
+}
+
+fn compose_state(relay: &Relay, now: Millis) -> StateNews {
     let fleet_is_fresh = relay.is_fleet_fresh(now);
     let mut beliefs = relay.beliefs.borrow_mut();
     beliefs.room.forget(now);
     let room = beliefs.room.own().iter();
-    let news = PeerNews {
+    let suspects = beliefs.suspects.current(now);
+    StateNews {
         name: relay.settings.name.clone(),
+        data_centre: relay.settings.data_centre.clone(),
+        stamp: (relay.incarnation, now),
+        echo: None,
         fleet_is_fresh,
-        room: room.map(|(id, amount)| (id.clone(), *amount as u64)).collect(),
-        suspects: beliefs.suspects.current(now).map(|(id, left)| (id.to_owned(), left)).collect(),
-    };
-    (news, beliefs.peers.addresses())
+        fleet_age: beliefs.fleet_lease.age(now),
+        fleet_digest: beliefs.fleet.digest(),
+        config_version: beliefs.config.get().map_or(0, |config| config.version),
+        config_age: beliefs.config_lease.age(now),
+        room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
+        suspects: suspects.map(|(id, left)| (id.to_owned(), left as u32)).collect(),
+    }
 }
 
 /// Leaves this relay's address in the store, and reads those of the others now and then.
@@ -224,7 +250,9 @@
         return;
     }
     match PeerAddress::deserialize(spec) {
-        Ok(peer) => relay.beliefs.borrow_mut().peers.learn(name, peer.address),
+        Ok(peer) => {
+            relay.beliefs.borrow_mut().peers.learn(name, peer.address, &peer.data_centre);
+        }
         Err(error) => tracing::warn!(event = "peer-unreadable", name, %error),
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,7 +7,7 @@
 };
 
 use derive_more::{Display, Error};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::hash::hash_bytes;
 use switchfold_kernel::clock::epoch_micros;
@@ -76,10 +76,10 @@
         platform = %settings.platform,
         version = env!("CARGO_PKG_VERSION"),
     );
-    let relay = Rc::new(new_relay(settings));
+    let relay = Rc::new(new_relay(settings, peers));
     spawn_local(follow_config(relay.clone()));
     spawn_local(follow_replicas(relay.clone()));
-    spawn_local(talk(relay.clone(), Rc::new(peers)));
+    spawn_local(talk(relay.clone()));
     spawn_local(place_layers(relay.clone()));
     spawn_local(serve_readiness(relay.clone(), readiness));
     spawn_local(sweep(relay.clone()));
@@ -108,18 +108,21 @@
     TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })
 }
 
-fn new_relay(settings: RelaySettings) -> Relay {
+fn new_relay(settings: RelaySettings, peer_socket: UdpSocket) -> Relay {
     let store = ObjectStore::new(&settings.platform.to_string(), STORE_PATIENCE);
     let seed = hash_bytes(epoch_micros(), settings.name.as_bytes());
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
     Relay {
         store,
         settings,
         beliefs: RefCell::new(Beliefs::default()),
         pool: EndpointPool::default(),
         reports: ReportCache::default(),
+        peer_socket,
+        incarnation: random.random(),
         counts: Counts::default(),
         stop: StopState::default(),
-        random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+        random: RefCell::new(random),
         alarms: Cell::new(0),
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -19,20 +19,22 @@
     chain::PathPart,
     fleet::FleetView,
     freshness::FreshnessLease,
+    membership::PeerTable,
     room::RoomLedger,
     suspect::SuspectList,
 };
 
+use tokio::net::UdpSocket;
+
 use crate::{
-    counts::Counts,
-    engines::ReportCache,
-    peers::{FRESH_FLEET, PeerTable},
-    plain::ServiceLoads,
-    pool::EndpointPool,
-    settings::RelaySettings,
-    stop::StopState,
+    counts::Counts, engines::ReportCache, peers::tell_state, plain::ServiceLoads,
+    pool::EndpointPool, settings::RelaySettings, stop::StopState,
 };
 
+/// Age up to which the list of replicas counts as recent, in milliseconds: two waits of its watch, and
+/// the time that a store in trouble takes.
+pub const FRESH_FLEET: Millis = 5_000;
+
 /// Beliefs of a relay: each came from somewhere, at some time.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -73,6 +75,10 @@
     pub reports: ReportCache,
     /// The platform's object store.
     pub store: ObjectStore,
+    /// Number drawn at the start, so that stamps of an earlier one are told apart.
+    pub incarnation: u32,
+    /// Where it hears from the other relays.
+    pub peer_socket: UdpSocket,
     /// Counters.
     pub counts: Counts,
     /// Whether it is stopping.
@@ -120,6 +126,7 @@
         let until = self.beliefs.borrow_mut().suspects.note_failure(id, now);
         if let Some(until) = until {
             self.raise_alarm();
+            tell_state(self, true, false);
             tracing::warn!(event = "suspect", replica = id, why, for_ms = until - now);
         }
     }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -1,7 +1,9 @@
 //! Following the store: the operator's configuration and the list of replicas.
 //!
 //! Each is listed once, then watched from the revision that the list told. What renews a freshness
-//! lease is the time at which a read was sent, never when its answer came.
+//! lease is the time at which a read was sent, never when its answer came. In each data centre one
+//! relay follows the store; the others hear from it and read for themselves only where its proofs are
+//! old or its state differs from theirs.
 
 use std::{rc::Rc, time::Duration};
 
@@ -22,15 +24,18 @@
 use switchfold_store::StoreError;
 use tokio::time::sleep;
 
-use crate::state::Relay;
+use crate::{peers::tell_fleet, settings::RelaySettings, state::Relay};
 
 /// Time that a watch of the configuration waits. Its lease is as old as two waits at most, which
 /// leaves half of the usual bound of 5 s on removed keys.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Time that a watch of the replicas waits. A leaving replica must be left alone within the 2 s that it
-/// goes on serving.
-const REPLICA_WAIT: Duration = Duration::from_millis(2_000);
+/// goes on serving, also where the watch was cut without a word.
+const REPLICA_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at whether another relay still follows for this one.
+const COVER_EVERY: Duration = Duration::from_millis(100);
 
 /// Pause after an answer that held changes, so that changes in series cost one call together.
 const GATHER: Duration = Duration::from_millis(150);
@@ -48,9 +53,10 @@
     wait: Duration,
     gather: Duration,
     take_list: fn(&Relay, Vec<ListedObject>),
-    take_change: fn(&Relay, ObjectChange),
+    take_changes: fn(&Relay, Vec<ObjectChange>),
     prove: fn(&Relay, Millis),
     lose: fn(&Relay),
+    is_covered: fn(&Relay, Millis) -> bool,
 }
 
 /// Follows the configuration for good.
@@ -60,13 +66,18 @@
         wait: CONFIG_WAIT,
         gather: Duration::ZERO,
         take_list: |relay, items| items.iter().for_each(|item| take_config(relay, item)),
-        take_change: |relay, change| {
-            if !change.gone {
-                take_config(relay, &change.object);
-            }
+        take_changes: |relay, changes| {
+            let kept = changes.iter().filter(|change| !change.gone);
+            kept.for_each(|change| take_config(relay, &change.object));
         },
         prove: |relay, sent| relay.beliefs.borrow_mut().config_lease.prove(sent),
         lose: |_| {},
+        is_covered: |relay, now| {
+            let beliefs = relay.beliefs.borrow();
+            let version = beliefs.config.get().map_or(0, |config| config.version);
+            let RelaySettings { name, data_centre, .. } = &relay.settings;
+            beliefs.peers.covers_config(name, data_centre, version, now)
+        },
     };
     follow(relay, followed).await;
 }
@@ -78,13 +89,17 @@
         wait: REPLICA_WAIT,
         gather: GATHER,
         take_list: take_replica_list,
-        take_change: take_replica_change,
+        take_changes: take_replica_changes,
         prove: |relay, sent| {
             let mut beliefs = relay.beliefs.borrow_mut();
             beliefs.fleet_lease.prove(sent);
             beliefs.fleet_lost = false;
         },
         lose: |relay| relay.beliefs.borrow_mut().fleet_lost = true,
+        is_covered: |relay, now| {
+            let RelaySettings { name, data_centre, .. } = &relay.settings;
+            relay.beliefs.borrow().peers.covers_fleet(name, data_centre, now)
+        },
     };
     follow(relay, followed).await;
 }
@@ -96,8 +111,14 @@
     let mut revision = None;
     let mut lost_at: Option<Millis> = None;
     let mut backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
+    let mut listed = false;
     loop {
         let sent = now_millis();
+        if listed && (followed.is_covered)(&relay, sent) {
+            revision = None;
+            sleep(COVER_EVERY).await;
+            continue;
+        }
         let outcome = match revision {
             None => list_once(&relay, &store, &followed).await,
             Some(after) => watch_once(&relay, &store, &followed, after).await,
@@ -111,6 +132,7 @@
                     tracing::info!(event = "store-regained", kind = followed.kind, out_ms, at);
                 }
                 revision = Some(at);
+                listed = true;
                 backoff.reset();
                 if moved {
                     sleep(followed.gather).await;
@@ -153,9 +175,7 @@
     after: u64,
 ) -> Result<u64, StoreError> {
     let changes = store.watch(followed.kind, after, followed.wait).await?;
-    for change in changes.events {
-        (followed.take_change)(relay, change);
-    }
+    (followed.take_changes)(relay, changes.events);
     Ok(changes.at.max(after))
 }
 
@@ -191,11 +211,18 @@
     listed.into_iter().for_each(|replica| keep_replica(relay, replica));
 }
 
-fn take_replica_change(relay: &Relay, change: ObjectChange) {
-    if change.gone {
-        drop_replica(relay, &change.object.metadata.name);
-    } else if let Some(replica) = readable_replica(&change.object) {
-        keep_replica(relay, replica);
+fn take_replica_changes(relay: &Relay, changes: Vec<ObjectChange>) {
+    let ids: Vec<String> =
+        changes.iter().map(|change| change.object.metadata.name.clone()).collect();
+    for change in changes {
+        if change.gone {
+            drop_replica(relay, &change.object.metadata.name);
+        } else if let Some(replica) = readable_replica(&change.object) {
+            keep_replica(relay, replica);
+        }
+    }
+    if !ids.is_empty() {
+        tell_fleet(relay, &ids);
     }
 }
 
@@ -207,7 +234,8 @@
     decoded.ok()
 }
 
-fn keep_replica(relay: &Relay, replica: ReplicaEntry) {
+/// Takes over a replica's entry, from the store or from another relay.
+pub fn keep_replica(relay: &Relay, replica: ReplicaEntry) {
     let (id, address) = (replica.id.clone(), replica.address);
     let layers = format!("{:?}", replica.layers.map(|range| (range.from, range.to)));
     let change = relay.beliefs.borrow_mut().fleet.upsert(replica);
@@ -229,7 +257,8 @@
     }
 }
 
-fn drop_replica(relay: &Relay, id: &str) {
+/// Drops a replica, as the store or another relay told.
+pub fn drop_replica(relay: &Relay, id: &str) {
     let address = relay.beliefs.borrow().fleet.get(id).map(|replica| replica.address);
     let Some(address) = address else { return };
     {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use switchfold_core::hash::hash_bytes;
+
 /// Layers `from..to` of the model.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LayerRange {
@@ -49,6 +51,13 @@
     pub layers: Option<LayerRange>,
 }
 
+/// Digest of one entry. Entries are combined by exclusive or, so order does not matter.
+fn replica_digest(replica: &ReplicaEntry) -> u64 {
+    let layers = replica.layers.map_or((0, 0), |range| (range.from, range.to));
+    let text = format!("{} {} {} {layers:?}", replica.id, replica.address, replica.draining);
+    hash_bytes(0, text.as_bytes())
+}
+
 /// What an update of the list changed for one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FleetChange {
@@ -68,7 +77,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     replicas: BTreeMap<String, ReplicaEntry>,
-    version: u64,
+    digest: u64,
 }
 
 impl FleetView {
@@ -81,8 +90,9 @@
             Some(old) if replica.draining && !old.draining => FleetChange::Draining,
             Some(_) => FleetChange::Updated,
         };
-        self.version += 1;
-        self.replicas.insert(replica.id.clone(), replica);
+        self.digest ^= replica_digest(&replica);
+        let old = self.replicas.insert(replica.id.clone(), replica);
+        self.digest ^= old.as_ref().map_or(0, replica_digest);
         change
     }
 
@@ -95,8 +105,8 @@
     /// Drops a replica.
     pub fn remove(&mut self, id: &str) -> FleetChange {
         match self.replicas.remove(id) {
-            Some(_) => {
-                self.version += 1;
+            Some(old) => {
+                self.digest ^= replica_digest(&old);
                 FleetChange::Gone
             }
             None => FleetChange::Unchanged,
@@ -124,9 +134,9 @@
         self.replicas.values().filter(move |replica| replica.service == service)
     }
 
-    /// Grows with each change.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Digest of the whole list: the same for two relays that know the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Count of replicas.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`chain`] | the path of a request over the layers |
 //! | [`cover`] | which layers each replica should hold |
 //! | [`freshness`] | whether the configuration is recent enough to let keys in |
+//! | [`membership`] | which relay gives orders, and which follows the store for others |
 //! | [`room`] | how much memory for requests is promised at each replica |
 //! | [`suspect`] | which replicas to keep away from for a while |
 //!
@@ -26,6 +27,7 @@
 pub mod cover;
 pub mod fleet;
 pub mod freshness;
+pub mod membership;
 pub mod room;
 pub mod suspect;
 
--- /dev/null
+++ b/crates/router/src/membership.rs
@@ -0,0 +1,200 @@
+//! The other relays: who is there, who gives orders, and who follows the store.
+//!
+//! Relays hear each other a few times a second. From that alone each decides two things, without a vote:
+//! the first by name gives the orders to engines, and in each data centre the first by name follows the
+//! store for the others. A wrong guess is harmless in both cases: orders are fenced by the engines' own
+//! counts, and one that follows the store needlessly only pays for its calls.
+//!
+//! What a follower is told is worth as much as a read of its own only where its age is bounded. Clocks
+//! of two VMs are not compared for that. A relay stamps what it sends; the other returns the newest
+//! stamp with how long it held it, and how old its proof is by its own clock. The proof is then at
+//! least as young, by the first one's clock, as [`proof_time`] says, however long messages took.
+
+use std::{collections::BTreeMap, net::SocketAddr, ops::Bound};
+
+use crate::Millis;
+
+/// Silence after which a relay is taken for gone, in milliseconds: three messages in a row were lost.
+pub const PEER_SILENCE: Millis = 1_600;
+
+/// Age up to which what a peer proved spares a relay its own reads, in milliseconds. A peer's proof is
+/// one to two waits of a second old, plus the time between two messages.
+pub const FOLLOWED_AGE: Millis = 2_400;
+
+/// A relay's clock at some moment, as it stamps its messages.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerStamp {
+    /// Number drawn at the relay's start: the clock begins anew with each.
+    pub incarnation: u32,
+    /// The relay's clock.
+    pub time: Millis,
+}
+
+/// What a relay says of itself.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerState {
+    /// Whether its list of replicas is recent.
+    pub fleet_is_fresh: bool,
+    /// Digest of its list of replicas.
+    pub fleet_digest: u64,
+    /// Version of its configuration.
+    pub config_version: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    data_centre: String,
+    heard: Option<Millis>,
+    state: PeerState,
+    last_stamp: Option<(PeerStamp, Millis)>,
+}
+
+/// The other relays, by name.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<String, Peer>,
+    config_proof: Option<Millis>,
+    fleet_proof: Option<Millis>,
+    digest_differs_since: Option<Millis>,
+}
+
+/// The time, by this relay's clock, since which a peer's proof has held at least: `stamp` is this
+/// relay's own stamp that the peer returned, `held` how long the peer held it, `age` the proof's age.
+/// Nothing where the stamp is of an earlier start, whose clock says nothing of this one's.
+pub fn proof_time(stamp: PeerStamp, incarnation: u32, held: Millis, age: Millis) -> Option<Millis> {
+    let own = stamp.incarnation == incarnation;
+    own.then(|| (stamp.time + held).saturating_sub(age))
+}
+
+impl PeerTable {
+    /// Count of relays ever heard of: an upper bound of those that spend a shared budget.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Count of relays that were heard lately.
+    pub fn live(&self, now: Millis) -> usize {
+        self.peers.values().filter(|peer| peer.is_live(now)).count()
+    }
+
+    /// Learns where a relay is.
+    pub fn learn(&mut self, name: &str, address: SocketAddr, data_centre: &str) {
+        let peer = self.peers.entry(name.to_owned()).or_insert_with(|| Peer {
+            address,
+            data_centre: data_centre.to_owned(),
+            heard: None,
+            state: PeerState::default(),
+            last_stamp: None,
+        });
+        peer.address = address;
+    }
+
+    /// Notes a message of a relay that was learnt.
+    pub fn hear(&mut self, name: &str, state: PeerState, stamp: PeerStamp, now: Millis) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.heard = Some(now);
+            peer.state = state;
+            peer.last_stamp = Some((stamp, now));
+        }
+    }
+
+    /// Newest stamp of a relay, and how long it has been held.
+    pub fn echo(&self, name: &str, now: Millis) -> Option<(PeerStamp, Millis)> {
+        let (stamp, heard) = self.peers.get(name)?.last_stamp?;
+        Some((stamp, now.saturating_sub(heard)))
+    }
+
+    /// Notes what a peer proved of the configuration and the list of replicas.
+    pub fn prove(&mut self, config: Option<Millis>, fleet: Option<Millis>) {
+        self.config_proof = self.config_proof.max(config);
+        self.fleet_proof = self.fleet_proof.max(fleet);
+    }
+
+    /// Relays to tell, with whether each is in the data centre given.
+    pub fn others<'a>(
+        &'a self,
+        data_centre: &'a str,
+    ) -> impl Iterator<Item = (&'a str, SocketAddr, bool)> {
+        self.peers
+            .iter()
+            .map(move |(name, peer)| (name.as_str(), peer.address, peer.data_centre == data_centre))
+    }
+
+    /// Whether this relay is the one to give orders: the first by name among those that are live and
+    /// know the replicas, or among all live ones where none does.
+    pub fn is_first(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> bool {
+        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let informed = live().find(|(_, peer)| peer.state.fleet_is_fresh);
+        match (fleet_is_fresh, informed) {
+            (true, Some((first, _))) => name < first.as_str(),
+            (true, None) => true,
+            (false, Some(_)) => false,
+            // One that hears nobody and has lost the store is cut off; the others decide.
+            (false, None) if live().next().is_none() => self.peers.is_empty(),
+            (false, None) => live().all(|(other, _)| name < other.as_str()),
+        }
+    }
+
+    /// Whether another relay of the data centre follows the configuration for this one, which has
+    /// `version`.
+    pub fn covers_config(&self, own: &str, data_centre: &str, version: u64, now: Millis) -> bool {
+        let proved = is_recent(self.config_proof, now);
+        let newer =
+            self.earlier(own, data_centre, now).any(|peer| peer.state.config_version > version);
+        proved && !newer && self.earlier(own, data_centre, now).next().is_some()
+    }
+
+    /// Whether another relay of the data centre follows the list of replicas for this one.
+    pub fn covers_fleet(&self, own: &str, data_centre: &str, now: Millis) -> bool {
+        let same = self.digest_differs_since.is_none_or(|since| now - since < DIGEST_GRACE);
+        is_recent(self.fleet_proof, now)
+            && same
+            && self.earlier(own, data_centre, now).any(|peer| peer.state.fleet_is_fresh)
+    }
+
+    /// Compares this relay's list of replicas with that of the one that it follows; tells whether they
+    /// are the same.
+    pub fn compare_digest(
+        &mut self,
+        own: &str,
+        data_centre: &str,
+        digest: u64,
+        now: Millis,
+    ) -> bool {
+        let first = self.earlier(own, data_centre, now).find(|peer| peer.state.fleet_is_fresh);
+        let same = first.is_none_or(|first| first.state.fleet_digest == digest);
+        self.digest_differs_since = match (same, self.digest_differs_since) {
+            (true, _) => None,
+            (false, since) => since.or(Some(now)),
+        };
+        same
+    }
+
+    /// Live relays of the data centre before this one by name.
+    fn earlier<'a>(
+        &'a self,
+        own: &'a str,
+        data_centre: &'a str,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Peer> {
+        self.peers
+            .range::<str, _>((Bound::Unbounded, Bound::Excluded(own)))
+            .map(|(_, peer)| peer)
+            .filter(move |peer| peer.data_centre == data_centre && peer.is_live(now))
+    }
+}
+
+/// Time for which two lists of replicas may differ, in milliseconds: a change is told at once, and a
+/// lost message shows in the next two.
+const DIGEST_GRACE: Millis = 500;
+
+fn is_recent(proof: Option<Millis>, now: Millis) -> bool {
+    proof.is_some_and(|proof| now.saturating_sub(proof) < FOLLOWED_AGE)
+}
+
+impl Peer {
+    fn is_live(&self, now: Millis) -> bool {
+        self.heard.is_some_and(|heard| now.saturating_sub(heard) < PEER_SILENCE)
+    }
+}
--- /dev/null
+++ b/crates/router/tests/membership.rs
@@ -0,0 +1,94 @@
+//! Proofs told between relays never claim more than was proved, and one relay follows for each data
+//! centre.
+
+use proptest::prelude::*;
+use switchfold_router::membership::{
+    FOLLOWED_AGE, PEER_SILENCE, PeerStamp, PeerState, PeerTable, proof_time,
+};
+
+fn table(names: &[(&str, &str)], now: u64) -> PeerTable {
+    let mut table = PeerTable::default();
+    for (name, data_centre) in names {
+        table.learn(name, "10.0.0.1:7000".parse().expect("address"), data_centre);
+        let state = PeerState { fleet_is_fresh: true, fleet_digest: 7, config_version: 3 };
+        table.hear(name, state, PeerStamp::default(), now);
+    }
+    table
+}
+
+proptest! {
+    /// Two clocks with any offset, any delays of messages: the time that the asker computes is never
+    /// after the moment, on its own clock, at which the proof was made.
+    #[test]
+    fn a_proof_is_never_dated_too_late(
+        offset in -1_000_000i64..1_000_000,
+        made in 0i64..100_000,
+        stamped in 0i64..100_000,
+        delay in 0i64..10_000,
+        waited in 0i64..10_000,
+    ) {
+        // On the asker's clock: the stamp leaves at `stamped`, arrives after `delay`, is returned after
+        // `waited`. The proof was made at `made`, before the answer was written.
+        let arrived = stamped + delay;
+        let answered = arrived + waited;
+        prop_assume!(made <= answered);
+        // The other relay reads only its own clock, which differs by `offset`.
+        let held = (answered + offset) - (arrived + offset);
+        let age = (answered + offset) - (made + offset);
+        let stamp = PeerStamp { incarnation: 1, time: stamped as u64 };
+        let proof = proof_time(stamp, 1, held as u64, age as u64).expect("own stamp");
+        prop_assert!(proof as i64 <= made.max(0));
+        prop_assert!(proof as i64 >= made - delay || proof == 0);
+    }
+}
+
+#[test]
+fn a_stamp_of_an_earlier_start_proves_nothing() {
+    let stamp = PeerStamp { incarnation: 1, time: 40_000 };
+    assert_eq!(proof_time(stamp, 2, 0, 0), None);
+}
+
+#[test]
+fn one_relay_follows_for_a_data_centre() {
+    let now = 10_000;
+    let mut first = table(&[("b", "x"), ("c", "y")], now);
+    first.prove(Some(now), Some(now));
+    assert!(!first.covers_config("a", "x", 3, now));
+    assert!(!first.covers_fleet("a", "x", now));
+    let mut second = table(&[("a", "x"), ("c", "y")], now);
+    assert!(!second.covers_config("b", "x", 3, now), "nothing proved yet");
+    second.prove(Some(now), Some(now));
+    assert!(second.covers_config("b", "x", 3, now));
+    assert!(second.covers_fleet("b", "x", now));
+    assert!(!second.covers_config("b", "x", 2, now), "the other has a newer version");
+    assert!(!second.covers_config("b", "x", 3, now + FOLLOWED_AGE), "the proof is old");
+    assert!(!second.covers_fleet("b", "x", now + PEER_SILENCE), "the other is silent");
+    let mut other = table(&[("a", "y")], now);
+    other.prove(Some(now), Some(now));
+    assert!(!other.covers_config("b", "x", 3, now), "it is in another data centre");
+}
+
+#[test]
+fn lists_that_stay_different_end_the_cover() {
+    let now = 10_000;
+    let mut table = table(&[("a", "x")], now);
+    table.prove(Some(now), Some(now));
+    assert!(!table.compare_digest("b", "x", 8, now));
+    assert!(table.covers_fleet("b", "x", now + 100), "a change may be on its way");
+    assert!(!table.compare_digest("b", "x", 8, now + 600));
+    assert!(!table.covers_fleet("b", "x", now + 600));
+    assert!(table.compare_digest("b", "x", 7, now + 700));
+    assert!(table.covers_fleet("b", "x", now + 700));
+}
+
+#[test]
+fn the_first_informed_relay_gives_orders() {
+    let now = 10_000;
+    let informed = table(&[("b", "x")], now);
+    assert!(informed.is_first("a", true, now));
+    assert!(!informed.is_first("c", true, now));
+    assert!(!informed.is_first("a", false, now), "another knows the replicas");
+    assert!(informed.is_first("c", true, now + PEER_SILENCE), "the other is gone");
+    assert!(!informed.is_first("a", false, now + PEER_SILENCE), "cut off from all");
+    assert!(PeerTable::default().is_first("a", false, now), "alone from the start");
+}
