--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -21,6 +21,10 @@
     pub resumes: Cell<u64>,
     /// Orders to hold other layers.
     pub orders: Cell<u64>,
+    /// Lists read from the store.
+    pub store_lists: Cell<u64>,
+    /// Watches of the store.
+    pub store_watches: Cell<u64>,
 }
 
 /// Adds one.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -128,8 +128,47 @@
 }
 
 async fn sweep(relay: Rc<Relay>) {
+    let mut rounds: u32 = 0;
     loop {
         sleep(SWEEP_EVERY).await;
         relay.pool.sweep();
+        rounds += 1;
+        if rounds.is_multiple_of(FIGURES_ONE_IN) {
+            log_figures(&relay);
+        }
     }
 }
+
+/// Of the sweeps, one in so many writes a line of figures.
+const FIGURES_ONE_IN: u32 = 10;
+
+fn log_figures(relay: &Relay) {
+    let Counts {
+        requests,
+        answered,
+        refused,
+        failed,
+        repeats,
+        repaths,
+        resumes,
+        orders,
+        store_lists,
+        store_watches,
+    } = &relay.counts;
+    tracing::info!(
+        event = "figures",
+        requests = requests.get(),
+        answered = answered.get(),
+        refused = refused.get(),
+        failed = failed.get(),
+        repeats = repeats.get(),
+        repaths = repaths.get(),
+        resumes = resumes.get(),
+        orders = orders.get(),
+        store_lists = store_lists.get(),
+        store_watches = store_watches.get(),
+        in_flight = relay.stop.in_flight(),
+        idle_links = relay.pool.idle_count(),
+        replicas = relay.beliefs.borrow().fleet.len(),
+    );
+}
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -24,7 +24,7 @@
 use switchfold_store::StoreError;
 use tokio::time::sleep;
 
-use crate::{peers::tell_fleet, settings::RelaySettings, state::Relay};
+use crate::{counts::count, peers::tell_fleet, settings::RelaySettings, state::Relay};
 
 /// Time that a watch of the configuration waits. Its lease is as old as two waits at most, which
 /// leaves half of the usual bound of 5 s on removed keys.
@@ -163,6 +163,7 @@
     store: &ObjectStore,
     followed: &Followed,
 ) -> Result<u64, StoreError> {
+    count(&relay.counts.store_lists);
     let list = store.list(followed.kind, false).await?;
     (followed.take_list)(relay, list.items);
     Ok(list.at)
@@ -174,6 +175,7 @@
     followed: &Followed,
     after: u64,
 ) -> Result<u64, StoreError> {
+    count(&relay.counts.store_watches);
     let changes = store.watch(followed.kind, after, followed.wait).await?;
     (followed.take_changes)(relay, changes.events);
     Ok(changes.at.max(after))
