--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -44,14 +44,23 @@
 /// slower in a disruption.
 pub const STORE_PATIENCE: Duration = Duration::from_millis(800);
 
-/// Longest pause between tries: a lapsed store is used again within half a second.
+/// Longest pause between tries of the relay that follows for its data centre: a store that comes back is
+/// used again within half a second.
 const LONGEST_PAUSE: Millis = 400;
 
+/// Longest pause between tries of the others, which hear from that one. Refused calls have their price.
+const LONGEST_PAUSE_OTHERS: Millis = 1_600;
+
+/// Time that a follower waits after it hears of a newer configuration before it reads it, so that
+/// versions in quick succession cost one read.
+const GATHER_VERSIONS: Duration = Duration::from_millis(300);
+
 /// What is followed, and how its objects are taken over.
 struct Followed {
     kind: &'static str,
     wait: Duration,
     gather: Duration,
+    gather_covered: Duration,
     take_list: fn(&Relay, Vec<ListedObject>),
     take_changes: fn(&Relay, Vec<ObjectChange>),
     prove: fn(&Relay, Millis),
@@ -65,6 +74,7 @@
         kind: CONFIG_KIND,
         wait: CONFIG_WAIT,
         gather: Duration::ZERO,
+        gather_covered: GATHER_VERSIONS,
         take_list: |relay, items| items.iter().for_each(|item| take_config(relay, item)),
         take_changes: |relay, changes| {
             let kept = changes.iter().filter(|change| !change.gone);
@@ -88,6 +98,7 @@
         kind: REPLICA_KIND,
         wait: REPLICA_WAIT,
         gather: GATHER,
+        gather_covered: Duration::ZERO,
         take_list: take_replica_list,
         take_changes: take_replica_changes,
         prove: |relay, sent| {
@@ -111,14 +122,20 @@
     let mut revision = None;
     let mut lost_at: Option<Millis> = None;
     let mut backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
-    let mut listed = false;
+    let (mut listed, mut covered) = (false, false);
     loop {
-        let sent = now_millis();
+        let mut sent = now_millis();
         if listed && (followed.is_covered)(&relay, sent) {
             revision = None;
+            covered = true;
             sleep(COVER_EVERY).await;
             continue;
         }
+        if covered {
+            covered = false;
+            sleep(followed.gather_covered).await;
+            sent = now_millis();
+        }
         let outcome = match revision {
             None => list_once(&relay, &store, &followed).await,
             Some(after) => watch_once(&relay, &store, &followed, after).await,
@@ -151,13 +168,22 @@
                     lost_at = Some(sent);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
                 }
-                let pause = backoff.next_wait().min(LONGEST_PAUSE);
+                let pause = backoff.next_wait().min(longest_pause(&relay));
                 sleep(Duration::from_millis(pause)).await;
             }
         }
     }
 }
 
+fn longest_pause(relay: &Relay) -> Millis {
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let beliefs = relay.beliefs.borrow();
+    match beliefs.peers.is_first_near(name, data_centre, now_millis()) {
+        true => LONGEST_PAUSE,
+        false => LONGEST_PAUSE_OTHERS,
+    }
+}
+
 async fn list_once(
     relay: &Relay,
     store: &ObjectStore,
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -171,6 +171,11 @@
         same
     }
 
+    /// Whether no live relay of the data centre comes before this one by name.
+    pub fn is_first_near(&self, own: &str, data_centre: &str, now: Millis) -> bool {
+        self.earlier(own, data_centre, now).next().is_none()
+    }
+
     /// Live relays of the data centre before this one by name.
     fn earlier<'a>(
         &'a self,
