--- a/crates/relay/src/answers.rs
+++ b/crates/relay/src/answers.rs
@@ -85,11 +85,12 @@
         }
     }
 
-    /// Time after which a refused caller should come back: at once where another relay serves it, else
-    /// when a new list of replicas or a short load can be there.
+    /// Time after which a refused caller should come back: at once where another relay serves it; after
+    /// the usual time to close a gap in the layers; else when the store is likely heard again.
     pub fn retry_after(self) -> Millis {
         match self {
             Self::Stopping => 10,
+            Self::NoReplica | Self::NotRun => 1_400,
             _ => 700,
         }
     }
--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -47,39 +47,43 @@
     reports: RefCell<HashMap<SocketAddr, CachedReport>>,
 }
 
-/// A report, or that one is being asked for.
 #[derive(Clone, Debug)]
 struct CachedReport {
     asked: Millis,
-    report: Option<Rc<EngineReport>>,
+    state: ReportState,
 }
 
-/// Gives an engine's report, asked for lately by anyone; nothing where there is none yet.
-pub async fn recent_report(relay: &Relay, address: SocketAddr) -> Option<Rc<EngineReport>> {
+/// What is known of an engine's state.
+#[derive(Clone, Debug)]
+pub enum ReportState {
+    /// It is being asked, and there is no earlier report.
+    Asking,
+    /// It was asked and did not answer as its interface says.
+    Silent,
+    /// Its report.
+    Answered(Rc<EngineReport>),
+}
+
+/// Gives an engine's report, asked for lately by anyone.
+pub async fn recent_report(relay: &Relay, address: SocketAddr) -> ReportState {
     let now = now_millis();
     let cached = relay.reports.reports.borrow().get(&address).cloned();
-    if let Some(cached) = cached.filter(|cached| now.saturating_sub(cached.asked) < REPORT_AGE) {
-        return cached.report;
+    let asked = cached.as_ref().map(|cached| cached.asked);
+    let state = cached.map_or(ReportState::Asking, |cached| cached.state);
+    if asked.is_some_and(|asked| now.saturating_sub(asked) < REPORT_AGE) {
+        return state;
     }
-    let old = cached_report(relay, address);
-    keep_report(relay, address, now, old);
-    let report = ask_report(relay, address).await.map(Rc::new);
-    keep_report(relay, address, now, report.clone());
-    report
-}
-
-fn cached_report(relay: &Relay, address: SocketAddr) -> Option<Rc<EngineReport>> {
-    let reports = relay.reports.reports.borrow();
-    reports.get(&address).and_then(|cached| cached.report.clone())
+    keep_report(relay, address, now, state);
+    let state = match ask_report(relay, address).await {
+        Some(report) => ReportState::Answered(Rc::new(report)),
+        None => ReportState::Silent,
+    };
+    keep_report(relay, address, now, state.clone());
+    state
 }
 
-fn keep_report(
-    relay: &Relay,
-    address: SocketAddr,
-    asked: Millis,
-    report: Option<Rc<EngineReport>>,
-) {
-    relay.reports.reports.borrow_mut().insert(address, CachedReport { asked, report });
+fn keep_report(relay: &Relay, address: SocketAddr, asked: Millis, state: ReportState) {
+    relay.reports.reports.borrow_mut().insert(address, CachedReport { asked, state });
 }
 
 /// Asks an engine for its report; nothing where it does not answer as its interface says.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -9,20 +9,21 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
     events::EventFramer,
     headers::{AnswerMarks, read_answer},
 };
 use switchfold_router::{Millis, chain::PathPart};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     admit::{Permit, admit},
     answers::{BodyBroken, RelayBody},
     counts::count,
     engines::{OrderEnd, order_repath},
-    paths::{PathWish, RoomGuard, crosses, find_path},
+    paths::{PathWish, RoomGuard, RoomRule, crosses, find_path},
     pool::BusyLink,
     request::CallerRequest,
     state::Relay,
@@ -41,6 +42,17 @@
 /// after two seconds without an event.
 const LONGEST_QUIET: Millis = 1_500;
 
+/// Silence up to which a lost stream waits for a path with room: callers give up after two seconds.
+const LATEST_RESUME: Millis = 1_500;
+
+/// Longest delay before a lost stream is taken up elsewhere, in milliseconds: the streams of a replica
+/// are lost together, and each is read again where it goes.
+const MOST_STAGGER: Millis = 150;
+
+/// Longest delay before a stream leaves a replica that goes on serving for now, in milliseconds: a
+/// leaving replica serves two seconds, and one that is to hold other layers waits for its streams.
+const MOST_LEAVING_DELAY: Millis = 1_000;
+
 struct StreamFlow {
     relay: Rc<Relay>,
     request: Rc<CallerRequest>,
@@ -54,6 +66,7 @@
     framer: EventFramer,
     last_progress: Millis,
     alarms_seen: u64,
+    leave_at: Option<Millis>,
     ended: bool,
     _in_flight: FlightGuard,
 }
@@ -76,6 +89,7 @@
         path: opened.path,
         room: opened.room,
         last_progress: now_millis(),
+        leave_at: None,
         ended: false,
         relay,
         request,
@@ -171,15 +185,22 @@
         );
     }
 
-    /// Looks at the path after something happened to a replica.
+    /// Looks at the path after something happened to a replica. Replicas that still serve are left one
+    /// stream after the other, since the whole request is read again where it goes.
     async fn heed_alarms(&mut self) {
         let alarms = self.relay.alarms.get();
-        if alarms == self.alarms_seen {
-            return;
+        let now = now_millis();
+        if alarms != self.alarms_seen {
+            self.alarms_seen = alarms;
+            let delay = self.draw_delay(MOST_LEAVING_DELAY).as_millis() as Millis;
+            let lost = self.lost_part().is_some();
+            self.leave_at = lost.then(|| self.leave_at.unwrap_or(now + delay));
         }
-        self.alarms_seen = alarms;
-        if self.lost_part().is_some() {
-            self.repath().await;
+        if self.leave_at.is_some_and(|at| now >= at) {
+            self.leave_at = None;
+            if self.lost_part().is_some() {
+                self.repath().await;
+            }
         }
     }
 
@@ -227,7 +248,7 @@
             avoid: &[],
             first: Some((&first.id, first.range)),
         };
-        let path = find_path(&self.relay, &wish);
+        let path = find_path(&self.relay, &wish, RoomRule::Wanted);
         let Some(path) = path.filter(|path| !crosses(&self.relay, path)) else { return false };
         let id = &self.request.marks.attempt_id;
         let end = order_repath(&self.relay, id, &path).await;
@@ -253,12 +274,23 @@
             first = self.path[0].id,
             last_event = self.framer.last_id(),
         );
+        // Many streams are lost together: they come back one after the other.
+        sleep(self.draw_delay(MOST_STAGGER)).await;
         while repeatable && may_repeat(&self.relay, &self.permit, &self.tried) {
             let Ok(permit) = admit(&self.relay, &self.request.asked) else { break };
             self.permit = permit;
             let last_event = self.framer.last_id();
-            let opened =
-                open_stream(&self.relay, &self.request, &self.permit, &mut self.tried, last_event);
+            let quiet = now_millis() - self.last_progress;
+            let patience = Duration::from_millis(LATEST_RESUME.saturating_sub(quiet));
+            let relay = self.relay.clone();
+            let opened = open_stream(
+                &relay,
+                &self.request,
+                &self.permit,
+                &mut self.tried,
+                last_event,
+                patience,
+            );
             match opened.await {
                 Some(OpenEnd::Open(stream)) => return self.take_over(*stream),
                 Some(OpenEnd::Failed(end, detail)) => {
@@ -271,6 +303,11 @@
         self.give_up(why);
     }
 
+    fn draw_delay(&self, most: Millis) -> Duration {
+        let millis = self.relay.random.borrow_mut().random_range(0..=most);
+        Duration::from_millis(millis)
+    }
+
     fn take_over(&mut self, stream: OpenStream) {
         count(&self.relay.counts.resumes);
         let quiet_ms = now_millis() - self.last_progress;
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -1,6 +1,6 @@
 //! Paths over engines, by what the relay knows.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
@@ -9,6 +9,8 @@
     fleet::{LayerRange, ReplicaEntry},
 };
 
+use tokio::time::{Instant, sleep};
+
 use crate::state::{Beliefs, Relay};
 
 /// What a path is wanted for.
@@ -34,9 +36,17 @@
 /// meanwhile and answers longer than expected.
 const PLANNED_FILL: f64 = 0.95;
 
-/// Chooses a path. Where no path has room, one is chosen as if there were: an engine that is short of
-/// memory makes its newest requests wait, which serves more callers than refusing them does.
-pub fn find_path(relay: &Relay, wish: &PathWish<'_>) -> Option<Vec<PathPart>> {
+/// Whether a path must have room for the request at each of its replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RoomRule {
+    /// It must.
+    Needed,
+    /// It should: an engine that is short of memory refuses, or makes its newest requests wait.
+    Wanted,
+}
+
+/// Chooses a path.
+pub fn find_path(relay: &Relay, wish: &PathWish<'_>, rule: RoomRule) -> Option<Vec<PathPart>> {
     let beliefs = relay.beliefs.borrow();
     let mut data_centres = DataCentres::default();
     let home = data_centres.number(&relay.settings.data_centre);
@@ -49,10 +59,33 @@
         first: wish.first,
     };
     let costs = ChainCosts::default();
-    choose_path(&request, &offers, &costs).or_else(|| {
-        offers.iter_mut().for_each(|offer| offer.room = f64::INFINITY);
-        choose_path(&request, &offers, &costs)
-    })
+    let path = choose_path(&request, &offers, &costs);
+    if path.is_some() || rule == RoomRule::Needed {
+        return path;
+    }
+    offers.iter_mut().for_each(|offer| offer.room = f64::INFINITY);
+    choose_path(&request, &offers, &costs)
+}
+
+/// Time between two looks for a path with room.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
+/// Waits for a path with room, for `patience` at most, and then takes one without.
+pub async fn wait_for_path(
+    relay: &Relay,
+    wish: &PathWish<'_>,
+    patience: Duration,
+) -> Option<Vec<PathPart>> {
+    let end = Instant::now() + patience;
+    loop {
+        if let Some(path) = find_path(relay, wish, RoomRule::Needed) {
+            return Some(path);
+        }
+        if Instant::now() >= end {
+            return find_path(relay, wish, RoomRule::Wanted);
+        }
+        sleep(LOOK_EVERY).await;
+    }
 }
 
 /// Whether a path passes from one data centre to another.
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -5,7 +5,11 @@
 //! relays that both take themselves for the first order the same, and an order names how many orders
 //! the engine took before, so a late one is refused.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use switchfold_kernel::clock::now_millis;
@@ -18,7 +22,7 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    engines::{OrderEnd, ask_report, order_layers, recent_report},
+    engines::{OrderEnd, ReportState, ask_report, order_layers, recent_report},
     state::Relay,
 };
 
@@ -122,30 +126,46 @@
         }
     }
 
-    /// Asks suspected replicas whether they still hold their layers. A suspicion alone does not move
-    /// layers: it may come of one full memory, or of one bad link.
+    /// Asks suspected replicas whether they still hold their layers, and goes on asking those that do
+    /// not until they do or are listed no more. A suspicion alone does not move layers: it may come of
+    /// one bad link.
     async fn probe_suspects(&mut self, relay: &Relay, now: Millis) {
-        let due: Vec<ReplicaEntry> = {
-            let beliefs = relay.beliefs.borrow();
-            let suspects =
-                beliefs.suspects.current(now).filter_map(|(id, _)| beliefs.fleet.get(id));
-            let is_due = |replica: &&ReplicaEntry| {
-                let probe = self.probes.get(&replica.id);
-                probe.is_none_or(|probe| now - probe.asked >= PROBE_AGE)
-            };
-            suspects.filter(is_due).filter(|replica| replica.layers.is_some()).cloned().collect()
-        };
+        let due = self.due_probes(relay, now);
         let asked = due.iter().map(|replica| recent_report(relay, replica.address));
         let reports = join_all(asked).await;
         for (replica, report) in due.iter().zip(reports) {
-            let holds = report.is_some_and(|report| report.layers.is_some());
-            self.probes.insert(replica.id.clone(), ProbeEnd { asked: now, holds });
-            tracing::info!(event = "suspect-probed", replica = replica.id, holds);
+            let holds = match report {
+                ReportState::Asking => continue,
+                ReportState::Silent => false,
+                ReportState::Answered(report) => report.layers.is_some(),
+            };
+            let probe = ProbeEnd { asked: now, holds };
+            let known = self.probes.insert(replica.id.clone(), probe);
+            if known.is_none_or(|known| known.holds != holds) {
+                tracing::info!(event = "suspect-probed", replica = replica.id, holds);
+            }
+            if !holds {
+                relay.suspect(&replica.id, "holds no layers, or is silent");
+            }
         }
         let beliefs = relay.beliefs.borrow();
         self.probes.retain(|id, _| beliefs.fleet.get(id).is_some());
     }
 
+    fn due_probes(&self, relay: &Relay, now: Millis) -> Vec<ReplicaEntry> {
+        let beliefs = relay.beliefs.borrow();
+        let suspects = beliefs.suspects.current(now).map(|(id, _)| id);
+        let lost = self.probes.iter().filter(|(_, probe)| !probe.holds);
+        let ids: BTreeSet<&str> = suspects.chain(lost.map(|(id, _)| id.as_str())).collect();
+        let is_due = |replica: &&ReplicaEntry| {
+            let probe = self.probes.get(&replica.id);
+            let due = probe.is_none_or(|probe| now - probe.asked >= PROBE_AGE);
+            due && replica.layers.is_some()
+        };
+        let replicas = ids.into_iter().filter_map(|id| beliefs.fleet.get(id));
+        replicas.filter(is_due).cloned().collect()
+    }
+
     fn is_lost(&self, id: &str) -> bool {
         self.probes.get(id).is_some_and(|probe| !probe.holds)
     }
@@ -161,7 +181,7 @@
         let mut groups: HashMap<&str, Vec<LayerHolder>> = HashMap::new();
         for replica in beliefs.fleet.of_service(service).filter(|replica| !replica.draining) {
             let suspect = beliefs.suspects.is_suspect(&replica.id, now);
-            let lost = suspect && self.is_lost(&replica.id);
+            let lost = self.is_lost(&replica.id);
             let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
             groups.entry(&replica.data_centre).or_default().push(holder);
         }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -35,10 +35,12 @@
 
 /// Serves callers until the relay stops.
 pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
+    let stopped = stopped(&relay);
+    tokio::pin!(stopped);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stopped(&relay) => return,
+            () = stopped.as_mut() => return,
         };
         match accepted {
             Ok((stream, _)) => drop(spawn_local(serve_connection(relay.clone(), stream))),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,9 +19,9 @@
     admit::{Permit, admit},
     answers::{Refusal, RelayAnswer, whole},
     counts::count,
-    engines::recent_report,
+    engines::{ReportState, recent_report},
     flow::stream_body,
-    paths::{PathWish, RoomGuard, find_path},
+    paths::{PathWish, RoomGuard, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
     request::{CallerRequest, ReplicaTarget},
@@ -85,7 +85,8 @@
     let mut tried = TriedReplicas::default();
     loop {
         let last_event = request.marks.last_event;
-        let opened = open_stream(relay, &request, &permit, &mut tried, last_event).await;
+        let patience = room_patience(&request, &permit);
+        let opened = open_stream(relay, &request, &permit, &mut tried, last_event, patience).await;
         let (end, detail) = match opened {
             None if tried.sends > 0 => return Err(Refusal::Unknown),
             None => return Err(Refusal::NoReplica),
@@ -118,6 +119,16 @@
     }
 }
 
+/// Part of the latency objective for which a request waits for room, in hundredths; the rest is enough
+/// for its first event.
+const ROOM_WAIT_HUNDREDTHS: Millis = 60;
+
+fn room_patience(request: &CallerRequest, permit: &Permit) -> Duration {
+    let waits = permit.route.objective * ROOM_WAIT_HUNDREDTHS / 100;
+    let held = now_millis().saturating_sub(request.arrived);
+    Duration::from_millis(waits.saturating_sub(held))
+}
+
 /// Time below which a second attempt is not worth its price, in milliseconds.
 const MIN_TIME_LEFT: Millis = 100;
 
@@ -128,19 +139,21 @@
     within && (first || relay.spend_repeat(&permit.service, now_millis()))
 }
 
-/// Opens a stream over the best path; nothing where there is none.
+/// Opens a stream over the best path; waits for one with room for `patience`. Nothing where there is
+/// none at all.
 pub async fn open_stream(
     relay: &Rc<Relay>,
     request: &CallerRequest,
     permit: &Permit,
     tried: &mut TriedReplicas,
     last_event: Option<u64>,
+    patience: Duration,
 ) -> Option<OpenEnd> {
     let engine = permit.config.services.get(&permit.service)?.engine.as_ref()?;
     let tokens = request.tokens((engine.usual_prompt, engine.usual_answer));
     let wish =
         PathWish { service: &permit.service, engine, tokens, avoid: &tried.avoid, first: None };
-    let path = find_path(relay, &wish)?;
+    let path = wait_for_path(relay, &wish, patience).await?;
     let first = relay.beliefs.borrow().fleet.get(&path[0].id).cloned()?;
     let room = RoomGuard::new(relay, &path, tokens);
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
@@ -158,8 +171,8 @@
             return Some(OpenEnd::Failed(AttemptEnd::NotSent, detail));
         }
         Err(AwaitError::Send(SendError::Broken { detail })) => {
+            // Not a reason to keep others away: an answer that is garbled or cut says little of the next.
             tried.sends += 1;
-            relay.suspect(&first.id, &detail);
             tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
@@ -215,9 +228,14 @@
     }
 }
 
-/// Asks an engine which replica a request waits for.
+/// Asks the first engine of a path what a request waits for; gives the replica that holds it up, which
+/// is the first one itself where that does not answer.
 pub async fn find_stall(relay: &Relay, first: SocketAddr, attempt_id: &str) -> Option<SocketAddr> {
-    let report = recent_report(relay, first).await?;
+    let report = match recent_report(relay, first).await {
+        ReportState::Asking => return None,
+        ReportState::Silent => return Some(first),
+        ReportState::Answered(report) => report,
+    };
     let own = report.stalled.iter().find(|stalled| stalled.attempt_id == attempt_id);
     own.and_then(|stalled| stalled.at_fault)
 }
@@ -276,10 +294,15 @@
     let Some(id) = id else { return };
     if marks.at_fault.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
         match recent_report(relay, at_fault).await {
-            None => relay.suspect(&id, "rejected and silent"),
-            Some(report) if report.layers.is_none() => relay.suspect(&id, "rejected and empty"),
-            Some(report) if report.room_used > report.room_total * FULL => relay.note_full(&id),
-            Some(_) => {}
+            ReportState::Asking => {}
+            ReportState::Silent => relay.suspect(&id, "rejected and silent"),
+            ReportState::Answered(report) if report.layers.is_none() => {
+                relay.suspect(&id, "rejected and empty");
+            }
+            ReportState::Answered(report) if report.room_used > report.room_total * FULL => {
+                relay.note_full(&id);
+            }
+            ReportState::Answered(_) => {}
         }
     }
     tried.avoid.push(id);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -236,6 +236,14 @@
     let listed: Vec<ReplicaEntry> = items.iter().filter_map(readable_replica).collect();
     let missing = relay.beliefs.borrow().fleet.missing_from(&listed);
     missing.iter().for_each(|id| drop_replica(relay, id));
+    if relay.beliefs.borrow().fleet.is_empty() {
+        tracing::info!(event = "replicas-listed", count = listed.len());
+        let mut beliefs = relay.beliefs.borrow_mut();
+        for replica in listed {
+            beliefs.fleet.upsert(replica);
+        }
+        return;
+    }
     listed.into_iter().for_each(|replica| keep_replica(relay, replica));
 }
 
--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover.rs
@@ -4,7 +4,7 @@
 //! from the same list gets the same answer. It works one group of replicas at a time, a group being
 //! the replicas of one data centre, because activations between data centres share a slow pipe.
 //!
-//! Three steps, each on its own:
+//! Four steps, each on its own:
 //!
 //! 1. **Empty replicas** are placed where they help most: on layers that nobody holds, then where room
 //!    for requests is scarcest.
@@ -12,6 +12,8 @@
 //!    as well; narrow ones, and what then remains, to neighbours, which load the few missing layers, up
 //!    to [`CoverConfig::stretch_fill`] of their memory.
 //! 3. **Trimming**: a replica that was stretched gives back what others hold by now.
+//! 4. **Balance**: where nothing else is to do, one replica whose layers others hold as well moves to
+//!    the layers with the least room for requests, since a path is as wide as its narrowest layer.
 //!
 //! Trade-off: a lost replica costs a load of a few layers (a second or two), not a new layout of the
 //! whole group, which would move the memory of every running request.
@@ -80,6 +82,8 @@
     Move,
     /// Others hold what it was stretched to.
     Trim,
+    /// Others hold its layers, and these have the least room.
+    Balance,
 }
 
 /// Computes the orders for one group of replicas.
@@ -95,9 +99,16 @@
     group.place_empty();
     group.close_gaps();
     group.trim();
+    if group.orders.is_empty() && group.holders.iter().all(|holder| holder.can_order) {
+        group.balance();
+    }
     group.orders
 }
 
+/// Gain of the narrowest layer's room below which no replica is moved for it: a move costs a load and
+/// moves requests.
+const LEAST_GAIN: f64 = 1.25;
+
 /// Gaps below this many layers are closed by neighbours: each loads two or three layers, in less time
 /// than a whole replica takes.
 const NARROW_GAP: u32 = 5;
@@ -159,9 +170,15 @@
 
     /// Memory for requests that the holders of each layer have for one layer, in MB.
     fn room_by_layer(&self) -> Vec<f64> {
+        self.room_without(None)
+    }
+
+    /// The same, without one of the holders.
+    fn room_without(&self, left_out: Option<usize>) -> Vec<f64> {
         let mut room = vec![0.0; self.model.layers as usize];
-        for holder in &self.holders {
-            let Some(range) = holder.range.filter(|range| !range.is_empty()) else { continue };
+        for (index, holder) in self.holders.iter().enumerate() {
+            let range = holder.range.filter(|range| !range.is_empty() && left_out != Some(index));
+            let Some(range) = range else { continue };
             let len = f64::from(range.len());
             let free = (holder.memory_mb - len * self.model.layer_mb).max(0.0) / len;
             for layer in range.from..range.to.min(self.model.layers) {
@@ -289,6 +306,44 @@
         None
     }
 
+    /// Moves the replica whose move widens the narrowest layer most.
+    fn balance(&mut self) {
+        let narrowest = least(&self.room_by_layer());
+        let counts = self.counts();
+        let moves = (0..self.holders.len()).filter_map(|index| {
+            let range = self.holders[index].range.filter(|range| !range.is_empty())?;
+            let held_twice = (range.from..range.to).all(|layer| counts[layer as usize] > 1);
+            let len = self.layers_at(&self.holders[index], self.fill);
+            (held_twice && len > 0).then(|| self.best_move(index, len))
+        });
+        let best = moves.max_by(|left, right| left.1.total_cmp(&right.1));
+        if let Some((order, gained)) = best.filter(|(_, gained)| *gained > narrowest * LEAST_GAIN) {
+            let (index, range) = order;
+            debug_assert!(gained > narrowest);
+            self.order(index, range, PlaceReason::Balance);
+        }
+    }
+
+    /// Best place for `len` layers of a holder, with the narrowest layer's room after the move.
+    fn best_move(&self, index: usize, len: u32) -> ((usize, LayerRange), f64) {
+        let room = self.room_without(Some(index));
+        let free = self.holders[index].memory_mb - f64::from(len) * self.model.layer_mb;
+        let added = free.max(0.0) / f64::from(len);
+        let narrowest = |from: u32| {
+            let with = room.iter().enumerate().map(|(layer, room)| {
+                let covered = (from..from + len).contains(&(layer as u32));
+                if covered { room + added } else { *room }
+            });
+            with.fold(f64::INFINITY, f64::min)
+        };
+        let starts = 0..=self.model.layers - len;
+        let best = starts.map(|from| (from, narrowest(from)));
+        let (from, gained) = best
+            .max_by(|left, right| left.1.total_cmp(&right.1))
+            .expect("a replica holds at most all layers");
+        ((index, LayerRange { from, to: from + len }), gained)
+    }
+
     /// Takes back what a replica holds beyond the usual where others hold it too.
     fn trim(&mut self) {
         for index in 0..self.holders.len() {
@@ -308,6 +363,10 @@
     }
 }
 
+fn least(room: &[f64]) -> f64 {
+    room.iter().copied().fold(f64::INFINITY, f64::min)
+}
+
 /// Drops layers at both ends that others hold, down to `usual`.
 fn trimmed_range(mut range: LayerRange, usual: u32, counts: &[u32]) -> LayerRange {
     while range.len() > usual {
