--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover.rs
@@ -13,7 +13,7 @@
 //!    the fewest loads, up to [`CoverConfig::stretch_fill`] of their memory.
 //! 3. **Trimming**: a replica that was stretched gives back what others already hold.
 //! 4. **Balance**: where nothing else is to do, one replica whose layers others hold as well moves to
-//!    the layers with the least room for requests, since a path is as wide as its narrowest layer.
+//!    where room for requests is scarcest, since a path is as wide as its narrowest layer.
 //!
 //! Trade-off: a lost replica costs a load of a few layers (a second or two), not a new layout of the
 //! whole group, which would move the memory of every running request.
@@ -117,9 +117,9 @@
     }
 }
 
-/// Gain of the narrowest layer's room below which no replica is moved for it: a move costs a load and
-/// moves requests.
-const LEAST_GAIN: f64 = 1.25;
+/// Part of the scarcity of room that must remain at most for a replica to be moved: a move costs a load
+/// and moves requests.
+const MOST_LEFT: f64 = 0.9;
 
 /// Gaps below this many layers are closed by neighbours: each loads two or three layers, in less time
 /// than a whole replica takes.
@@ -128,9 +128,9 @@
 /// Cost of loading one layer when gaps are closed.
 const LOAD_COST: f64 = 1.0;
 
-/// Cost of one layer beyond a replica's usual count, against loading one: it leaves less room for
-/// requests until others take it over.
-const BEYOND_COST: f64 = 0.5;
+/// Weight of scarce room against loads, in MB: layers of which a replica has this much room each cost as
+/// much as loading them. A usual request holds 7 MB a layer, and a hundred run at once.
+const ROOM_WEIGHT: f64 = 400.0;
 
 struct Group<'a> {
     holders: Vec<LayerHolder>,
@@ -300,7 +300,6 @@
     ) -> (Vec<Option<f64>>, Vec<Option<usize>>) {
         let holder = &self.holders[index];
         let most = self.most_layers(holder) as usize;
-        let usual = self.layers_at(holder, self.fill) as usize;
         let mut next = best.to_vec();
         let mut from = vec![None; best.len()];
         for (start, cost) in best.iter().enumerate() {
@@ -312,8 +311,8 @@
                 if loads > 0 && !holder.can_order {
                     break;
                 }
-                let beyond = (end - start).saturating_sub(usual);
-                let total = cost + loads as f64 * LOAD_COST + beyond as f64 * BEYOND_COST;
+                let scarcity = self.scarcity(holder, end - start) * ROOM_WEIGHT;
+                let total = cost + loads as f64 * LOAD_COST + scarcity;
                 if next[end].is_none_or(|known| total < known) {
                     next[end] = Some(total);
                     from[end] = Some(start);
@@ -323,6 +322,14 @@
         (next, from)
     }
 
+    /// How scarce room for requests is at a replica that holds so many layers: the sum over them of one
+    /// over the room for one layer, in 1/MB.
+    fn scarcity(&self, holder: &LayerHolder, layers: usize) -> f64 {
+        let len = layers as f64;
+        let room = (holder.memory_mb - len * self.model.layer_mb) / len;
+        len / room.max(1.0)
+    }
+
     /// Orders a replica to hold `part`, and beside it as much of what it holds as its memory takes: what
     /// it gives up now, others may still be loading.
     fn take_over(&mut self, index: usize, part: LayerRange) {
@@ -361,9 +368,9 @@
         true
     }
 
-    /// Moves the replica whose move widens the narrowest layer most.
+    /// Moves the replica whose move makes room least scarce.
     fn balance(&mut self) {
-        let narrowest = least(&self.room_by_layer());
+        let now = total_scarcity(&self.room_by_layer());
         let counts = self.counts();
         let moves = (0..self.holders.len()).filter_map(|index| {
             let range = self.holders[index].range.filter(|range| !range.is_empty())?;
@@ -371,32 +378,31 @@
             let len = self.layers_at(&self.holders[index], self.fill);
             (held_twice && len > 0).then(|| self.best_move(index, len))
         });
-        let best = moves.max_by(|left, right| left.1.total_cmp(&right.1));
-        if let Some((order, gained)) = best.filter(|(_, gained)| *gained > narrowest * LEAST_GAIN) {
-            let (index, range) = order;
-            debug_assert!(gained > narrowest);
-            self.order(index, range, PlaceReason::Balance);
+        let best = moves.min_by(|left, right| left.scarcity.total_cmp(&right.scarcity));
+        if let Some(best) = best.filter(|best| best.scarcity < now * MOST_LEFT) {
+            self.order(best.index, best.range, PlaceReason::Balance);
         }
     }
 
-    /// Best place for `len` layers of a holder, with the narrowest layer's room after the move.
-    fn best_move(&self, index: usize, len: u32) -> ((usize, LayerRange), f64) {
+    /// Best place for `len` layers of a holder.
+    fn best_move(&self, index: usize, len: u32) -> HolderMove {
         let room = self.room_without(Some(index));
         let free = self.holders[index].memory_mb - f64::from(len) * self.model.layer_mb;
         let added = free.max(0.0) / f64::from(len);
-        let narrowest = |from: u32| {
-            let with = room.iter().enumerate().map(|(layer, room)| {
-                let covered = (from..from + len).contains(&(layer as u32));
-                if covered { room + added } else { *room }
-            });
-            with.fold(f64::INFINITY, f64::min)
+        let scarcity = |from: u32| {
+            let mut room = room.clone();
+            let layers = from as usize..(from + len) as usize;
+            room[layers].iter_mut().for_each(|room| *room += added);
+            total_scarcity(&room)
         };
-        let starts = 0..=self.model.layers - len;
-        let best = starts.map(|from| (from, narrowest(from)));
-        let (from, gained) = best
-            .max_by(|left, right| left.1.total_cmp(&right.1))
-            .expect("a replica holds at most all layers");
-        ((index, LayerRange { from, to: from + len }), gained)
+        let moves = (0..=self.model.layers - len).map(|from| HolderMove {
+            index,
+            range: LayerRange { from, to: from + len },
+            scarcity: scarcity(from),
+        });
+        moves
+            .min_by(|left, right| left.scarcity.total_cmp(&right.scarcity))
+            .expect("a replica holds at most all layers")
     }
 
     /// Takes back what a replica holds beyond the usual where others hold it too.
@@ -418,8 +424,17 @@
     }
 }
 
-fn least(room: &[f64]) -> f64 {
-    room.iter().copied().fold(f64::INFINITY, f64::min)
+/// A place that a holder could move to, with the scarcity of room after it.
+#[derive(Clone, Copy, Debug)]
+struct HolderMove {
+    index: usize,
+    range: LayerRange,
+    scarcity: f64,
+}
+
+/// Sum over all layers of one over the room for one layer, in 1/MB.
+fn total_scarcity(room: &[f64]) -> f64 {
+    room.iter().map(|room| 1.0 / room.max(1.0)).sum()
 }
 
 /// Drops layers at both ends that others hold, down to `usual`.
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -196,6 +196,24 @@
     }
 }
 
+/// A replica stretched for a lost neighbour has little room; spare ones come to its help.
+#[test]
+fn stretched_layers_are_relieved() {
+    let mut holders = settle(mixed_group());
+    let lost =
+        holders.iter().position(|holder| holder.memory_mb == 21_600.0).expect("a middle one");
+    holders.remove(lost);
+    holders.push(holder(20, 14_400.0, Some((0, 5))));
+    holders.push(holder(21, 14_400.0, Some((5, 10))));
+    let settled = settle(holders);
+    for holder in &settled {
+        let range = holder.range.expect("all hold layers");
+        let room =
+            (holder.memory_mb - f64::from(range.len()) * MODEL.layer_mb) / f64::from(range.len());
+        assert!(room > 300.0, "{holder:?} of {settled:?}");
+    }
+}
+
 /// What others are only about to hold is no reason to give layers up.
 #[test]
 fn nothing_is_given_up_for_what_is_not_there_yet() {
