--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -280,8 +280,11 @@
             first: Some((&first.id, first.range)),
         };
         let path = find_path(&self.relay, &wish, RoomRule::Wanted);
-        let Some(path) = path.filter(|path| !crosses(&self.relay, path)) else { return false };
         let id = &self.request.marks.attempt_id;
+        let Some(path) = path.filter(|path| !crosses(&self.relay, path)) else {
+            tracing::info!(event = "repath-impossible", request = id, first = first.id);
+            return false;
+        };
         let end = order_repath(&self.relay, id, &path).await;
         let quiet_ms = now_millis() - self.last_progress;
         tracing::info!(event = "repath", request = id, ?end, quiet_ms, parts = path.len());
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -124,7 +124,7 @@
             && !wish.avoid.contains(&replica.id)
     };
     let replicas = beliefs.fleet.of_service(wish.service).filter(usable);
-    let mut offers = Vec::new();
+    let mut offers: Vec<PartOffer> = kept_part(beliefs, wish, data_centres).into_iter().collect();
     for replica in replicas {
         let Some(range) = replica.layers else { continue };
         let kind = wish.engine.kind(&replica.kind);
@@ -147,6 +147,24 @@
     offers
 }
 
+/// The first part of a request that runs: its replica goes on with it whatever it is to hold later.
+fn kept_part(
+    beliefs: &Beliefs,
+    wish: &PathWish<'_>,
+    data_centres: &mut DataCentres,
+) -> Option<PartOffer> {
+    let (id, range) = wish.first?;
+    let replica = beliefs.fleet.get(id)?;
+    Some(PartOffer {
+        id: id.to_owned(),
+        address: replica.address,
+        data_centre: data_centres.number(&replica.data_centre),
+        range,
+        layer_cost: 0.0,
+        room: f64::INFINITY,
+    })
+}
+
 /// Cost of one layer: the time of a step, and a term that grows steeply as memory fills up.
 fn layer_cost(engine: &EngineSpec, pace: f64, promised: f64, total: f64) -> f64 {
     const FULLEST: f64 = 0.98;
--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover.rs
@@ -128,6 +128,13 @@
 /// Cost of loading one layer when gaps are closed.
 const LOAD_COST: f64 = 1.0;
 
+/// Cost of giving up one layer, against loading one: requests that use it must be moved first.
+const GIVE_UP_COST: f64 = 0.3;
+
+/// Cost of giving up the first layer: a request cannot leave the replica that took it, so the load waits
+/// for the longest of them.
+const FIRST_LAYER_COST: f64 = 30.0;
+
 /// Weight of scarce room against loads, in MB: layers of which a replica has this much room each cost as
 /// much as loading them. A usual request holds 7 MB a layer, and a hundred run at once.
 const ROOM_WEIGHT: f64 = 400.0;
@@ -312,7 +319,9 @@
                     break;
                 }
                 let scarcity = self.scarcity(holder, end - start) * ROOM_WEIGHT;
-                let total = cost + loads as f64 * LOAD_COST + scarcity;
+                let part = LayerRange { from: start as u32, to: end as u32 };
+                let given_up = self.give_up_cost(holder, part);
+                let total = cost + loads as f64 * LOAD_COST + scarcity + given_up;
                 if next[end].is_none_or(|known| total < known) {
                     next[end] = Some(total);
                     from[end] = Some(start);
@@ -322,6 +331,27 @@
         (next, from)
     }
 
+    /// Cost of what a replica gives up to hold `part`.
+    fn give_up_cost(&self, holder: &LayerHolder, part: LayerRange) -> f64 {
+        let Some(range) = holder.range else { return 0.0 };
+        let kept = self.wanted_range(holder, part);
+        let overlap = range.to.min(kept.to).saturating_sub(range.from.max(kept.from));
+        let given_up = f64::from(range.len() - overlap) * GIVE_UP_COST;
+        let first = range.from == 0 && kept.from > 0;
+        given_up + if first { FIRST_LAYER_COST } else { 0.0 }
+    }
+
+    /// What a replica holds that takes `part` over: beside it as much of what it holds as its memory
+    /// takes, since others may still be loading what it gives up.
+    fn wanted_range(&self, holder: &LayerHolder, part: LayerRange) -> LayerRange {
+        let range = holder.range.filter(|range| range.from <= part.to && part.from <= range.to);
+        let Some(range) = range else { return part };
+        let spare = self.most_layers(holder).saturating_sub(part.len());
+        let left = part.from.saturating_sub(range.from).min(spare);
+        let right = range.to.saturating_sub(part.to).min(spare - left);
+        LayerRange { from: part.from - left, to: part.to + right }
+    }
+
     /// How scarce room for requests is at a replica that holds so many layers: the sum over them of one
     /// over the room for one layer, in 1/MB.
     fn scarcity(&self, holder: &LayerHolder, layers: usize) -> f64 {
@@ -330,23 +360,13 @@
         len / room.max(1.0)
     }
 
-    /// Orders a replica to hold `part`, and beside it as much of what it holds as its memory takes: what
-    /// it gives up now, others may still be loading.
     fn take_over(&mut self, index: usize, part: LayerRange) {
         let holder = &self.holders[index];
         let Some(range) = holder.range else { return };
         if range.from <= part.from && part.to <= range.to {
             return;
         }
-        let most = self.most_layers(holder).max(part.len());
-        let touches = range.from <= part.to && part.from <= range.to;
-        let mut wanted = part;
-        if touches {
-            let spare = most - part.len();
-            let left = part.from.saturating_sub(range.from).min(spare);
-            let right = range.to.saturating_sub(part.to).min(spare - left);
-            wanted = LayerRange { from: part.from - left, to: part.to + right };
-        }
+        let wanted = self.wanted_range(holder, part);
         self.order(index, wanted, PlaceReason::Gap);
     }
 
@@ -355,9 +375,9 @@
         let spare = (0..self.holders.len()).filter_map(|index| {
             let holder = &self.holders[index];
             let range = holder.range.filter(|range| !range.is_empty())?;
-            let held_twice = (range.from..range.to).all(|layer| counts[layer as usize] > 1);
             let len = self.layers_at(holder, self.fill);
-            (held_twice && holder.can_order && len > 0).then_some((index, len))
+            let can_move = is_spare(range, counts) && holder.can_order && len > 0;
+            can_move.then_some((index, len))
         });
         // Best: the one that fits. A much larger one would take more room from where it is than the gap
         // needs, and loads for long.
@@ -374,9 +394,8 @@
         let counts = self.counts();
         let moves = (0..self.holders.len()).filter_map(|index| {
             let range = self.holders[index].range.filter(|range| !range.is_empty())?;
-            let held_twice = (range.from..range.to).all(|layer| counts[layer as usize] > 1);
             let len = self.layers_at(&self.holders[index], self.fill);
-            (held_twice && len > 0).then(|| self.best_move(index, len))
+            (is_spare(range, &counts) && len > 0).then(|| self.best_move(index, len))
         });
         let best = moves.min_by(|left, right| left.scarcity.total_cmp(&right.scarcity));
         if let Some(best) = best.filter(|best| best.scarcity < now * MOST_LEFT) {
@@ -437,6 +456,11 @@
     room.iter().map(|room| 1.0 / room.max(1.0)).sum()
 }
 
+/// Whether others hold all these layers too, and no request begins there.
+fn is_spare(range: LayerRange, counts: &[u32]) -> bool {
+    range.from > 0 && (range.from..range.to).all(|layer| counts[layer as usize] > 1)
+}
+
 /// Drops layers at both ends that others hold, down to `usual`.
 fn trimmed_range(mut range: LayerRange, usual: u32, counts: &[u32]) -> LayerRange {
     while range.len() > usual {
