--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -212,6 +212,7 @@
             // A suspicion may be wrong: a stream that still flows has lost nothing.
             PartState::Lost => self.doubtful = true,
         }
+        self.doubtful |= self.relay.part_state(&self.path[0]) == PartState::Lost;
     }
 
     /// Leaves replicas that serve on for a while, once this stream's moment has come.
@@ -244,16 +245,15 @@
     async fn look_into(&mut self) {
         self.doubtful = false;
         let first = self.path[0].clone();
-        let first_gone = self.relay.beliefs.borrow().fleet.get(&first.id).is_none();
-        if first_gone {
-            return self.recover("first replica is gone").await;
-        }
         if self.path_state() != PartState::Lost {
             let id = &self.request.marks.attempt_id;
             if let Some(at_fault) = find_stall(&self.relay, first.address, id).await {
                 note_fault(&self.relay, at_fault, "stalled");
             }
         }
+        if self.relay.part_state(&first) == PartState::Lost {
+            return self.recover("the first replica is lost").await;
+        }
         if self.path_state() == PartState::Lost {
             return self.replace_lost().await;
         }
