--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -120,11 +120,23 @@
 
     /// Takes a repeat of a service's budget.
     pub fn spend_repeat(&self, service: &str, now: Millis) -> bool {
+        self.with_budget(service, |budget, config, entries| budget.spend(config, entries, now))
+    }
+
+    /// Whether a service's budget has a repeat.
+    pub fn has_repeat(&self, service: &str, now: Millis) -> bool {
+        self.with_budget(service, |budget, config, entries| budget.has_one(config, entries, now))
+    }
+
+    fn with_budget(
+        &self,
+        service: &str,
+        ask: impl FnOnce(&mut RepeatBudget, &BudgetConfig, usize) -> bool,
+    ) -> bool {
         let config = self.budget_config();
         let mut beliefs = self.beliefs.borrow_mut();
         let entries = beliefs.peers.known() + 1;
-        let budget = beliefs.budgets.entry(service.to_owned()).or_default();
-        budget.spend(&config, entries, now)
+        ask(beliefs.budgets.entry(service.to_owned()).or_default(), &config, entries)
     }
 
     /// Notes a request of a caller for a service.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -33,6 +33,10 @@
 /// above the 50 ms that a first event takes, and early enough for a second try within the objective.
 const QUIET_HEAD: Duration = Duration::from_millis(200);
 
+/// Time without the head of an answer after which another replica is tried although the first one seems
+/// well: its answer may be lost, and callers give up after two seconds.
+const LATE_HEAD: Duration = Duration::from_millis(700);
+
 /// Time between two such questions; an engine's report is some hundred milliseconds old.
 const ASK_EVERY: Duration = Duration::from_millis(100);
 
@@ -161,7 +165,11 @@
     let fresh = !permit.route.is_repeatable();
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
-        await_head(relay, request, &first, sending).await
+        let can_leave = permit.route.is_repeatable() && tried.sends + 1 < permit.route.max_attempts;
+        await_head(relay, request, &first, sending, || {
+            can_leave && relay.has_repeat(&permit.service, now_millis())
+        })
+        .await
     };
     let (response, link) = match sent {
         Ok(sent) => sent,
@@ -178,6 +186,7 @@
         }
         Err(AwaitError::Stalled(detail)) => {
             tried.sends += 1;
+            tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
         Err(AwaitError::TimeUp) => {
@@ -197,15 +206,18 @@
 type Sent = (Response<Incoming>, BusyLink);
 
 /// Waits for the head of an answer. Where it is late, the first engine is asked what it waits for; a
-/// request that waits for a lost replica is given up at once.
+/// request that waits for a lost replica is given up at once, and one that waits for long where
+/// `may_leave` allows another send.
 async fn await_head(
     relay: &Relay,
     request: &CallerRequest,
     first: &ReplicaEntry,
     sending: impl Future<Output = Result<Sent, SendError>>,
+    may_leave: impl Fn() -> bool,
 ) -> Result<Sent, AwaitError> {
     tokio::pin!(sending);
-    let mut ask_at = Instant::now() + QUIET_HEAD;
+    let begun = Instant::now();
+    let mut ask_at = begun + QUIET_HEAD;
     loop {
         let left = Duration::from_millis(request.time_left(now_millis()));
         let end = Instant::now() + left;
@@ -224,6 +236,9 @@
             let detail = note_fault(relay, at_fault, "stalled");
             return Err(AwaitError::Stalled(detail));
         }
+        if begun.elapsed() > LATE_HEAD && may_leave() {
+            return Err(AwaitError::Stalled("no answer for long".to_owned()));
+        }
         ask_at = Instant::now() + ASK_EVERY;
     }
 }
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -44,14 +44,19 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one repeat where the budget has one; `entries` share the allowance.
-    pub fn spend(&mut self, config: &BudgetConfig, entries: usize, now: Millis) -> bool {
+    /// Whether the budget has a repeat; `entries` share the allowance.
+    pub fn has_one(&mut self, config: &BudgetConfig, entries: usize, now: Millis) -> bool {
         self.forget(config.window, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = config.allowance / entries.max(1) as f64;
         let most = (f64::from(requests) * config.ratio + share) * SPENT_PART;
-        let enough = f64::from(repeats) + 1.0 <= most;
+        f64::from(repeats) + 1.0 <= most
+    }
+
+    /// Takes one repeat where the budget has one.
+    pub fn spend(&mut self, config: &BudgetConfig, entries: usize, now: Millis) -> bool {
+        let enough = self.has_one(config, entries, now);
         if enough {
             self.bucket(now).repeats += 1;
         }
