Stand-ins of the platform; tests of the relay by faults; metrics; settings that change

Metrics by opentelemetry on the metrics address, figures in the log, bounds reloaded from a changed file.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -74,5 +74,6 @@
 
 /// Whether the configuration is recent enough to let keys in.
 pub fn is_config_fresh(relay: &Relay, now: Millis) -> bool {
-    relay.beliefs.borrow().config_lease.holds(relay.settings.bounds.revoke_ms, now)
+    let bound = relay.bounds.borrow().revoke_ms;
+    relay.beliefs.borrow().config_lease.holds(bound, now)
 }
--- a/crates/relay/src/bin/switchfold-relay.rs
+++ b/crates/relay/src/bin/switchfold-relay.rs
@@ -6,8 +6,13 @@
 use switchfold_kernel::{
     exit::{OK, UNAVAILABLE, USAGE, fail},
     settings::load_settings,
+    shutdown::signal_on_request,
+};
+use switchfold_relay::{
+    logs,
+    run::{RelaySockets, RunError, run_relay},
+    settings::RelaySettings,
 };
-use switchfold_relay::{logs, run::run_relay, settings::RelaySettings};
 use tokio::task::LocalSet;
 use tracing::level_filters::LevelFilter;
 
@@ -31,6 +36,11 @@
     check: bool,
 }
 
+async fn run(settings: RelaySettings, file: PathBuf) -> Result<(), RunError> {
+    let sockets = RelaySockets::bind(&settings).await?;
+    run_relay(settings, sockets, Some(file), signal_on_request()).await
+}
+
 fn main() -> ExitCode {
     let arguments = RelayArguments::parse();
     let settings: RelaySettings = match load_settings(&arguments.settings) {
@@ -46,7 +56,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(UNAVAILABLE, &error),
     };
-    match LocalSet::new().block_on(&runtime, run_relay(settings)) {
+    match LocalSet::new().block_on(&runtime, run(settings, arguments.settings)) {
         Ok(()) => ExitCode::from(OK),
         Err(error) => fail(UNAVAILABLE, &error),
     }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -69,6 +69,7 @@
     room: RoomGuard,
     framer: EventFramer,
     last_progress: Millis,
+    longest_pause: Millis,
     alarms_seen: u64,
     leave_at: Option<Millis>,
     doubtful: bool,
@@ -94,6 +95,7 @@
         path: opened.path,
         room: opened.room,
         last_progress: now_millis(),
+        longest_pause: 0,
         leave_at: None,
         doubtful: false,
         ended: false,
@@ -125,7 +127,9 @@
         while !self.ended {
             match self.wait().await {
                 Waited::Bytes(chunk) => {
-                    self.last_progress = now_millis();
+                    let now = now_millis();
+                    self.longest_pause = self.longest_pause.max(now - self.last_progress);
+                    self.last_progress = now;
                     if let Some(events) = self.framer.push(chunk) {
                         self.leave_in_turn().await;
                         return Some(Ok(Frame::data(events)));
@@ -179,6 +183,17 @@
 
     fn finish(&mut self) {
         self.ended = true;
+        let took = now_millis() - self.request.arrived;
+        self.relay.metrics.note_end(&self.permit, took, Some(self.longest_pause));
+        tracing::info!(
+            event = "stream-ended",
+            request = self.request.marks.attempt_id,
+            took_ms = took,
+            longest_pause_ms = self.longest_pause,
+            events = self.framer.events(),
+            parts = self.path.len(),
+            first = self.path[0].id,
+        );
         if let Some(link) = self.link.take().filter(|_| !self.marks.closes) {
             link.give_back(&self.relay.pool, self.marks.keep_alive);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
 //! | [`placer`] | orders to engines to hold layers |
-//! | [`stop`], [`run`], [`settings`], [`logs`], [`counts`] | the process |
+//! | [`stop`], [`run`], [`reload`], [`settings`], [`logs`], [`counts`], [`metrics`] | the process |
 
 pub mod admit;
 pub mod answers;
@@ -22,12 +22,14 @@
 pub mod engines;
 pub mod flow;
 pub mod logs;
+pub mod metrics;
 pub mod news;
 pub mod paths;
 pub mod peers;
 pub mod placer;
 pub mod plain;
 pub mod pool;
+pub mod reload;
 pub mod request;
 pub mod run;
 pub mod serve;
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,181 @@
+//! Counters and histograms of a relay, read as Prometheus text.
+//!
+//! Histograms are by route and organisation, with bounded labels. Counters of what happens often are
+//! plain cells ([`Counts`](crate::counts::Counts)), copied when the metrics are read.
+
+use std::cell::RefCell;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram},
+};
+use switchfold_kernel::{
+    clock::now_millis,
+    metrics::{LabelBudget, MetricsError, MetricsHub},
+};
+use switchfold_router::{
+    Millis,
+    attempt::{AttemptEnd, NextStep},
+};
+
+use crate::{admit::Permit, state::Relay};
+
+/// Organisations that keep a name of their own; the rest go together.
+const NAMED_ORGANISATIONS: usize = 50;
+
+/// Routes that keep a name of their own.
+const NAMED_ROUTES: usize = 40;
+
+/// Requests after which a name is kept.
+const PROMOTE_AFTER: u64 = 2;
+
+/// Bounds of the histograms, in milliseconds.
+const BOUNDS: &[f64] = &[
+    1.0, 5.0, 10.0, 25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 500.0, 700.0, 1_000.0, 2_000.0,
+    5_000.0, 10_000.0, 30_000.0,
+];
+
+/// Metrics of one relay.
+#[derive(Debug)]
+pub struct RelayMetrics {
+    hub: MetricsHub,
+    first_byte: Histogram<f64>,
+    total: Histogram<f64>,
+    pause: Histogram<f64>,
+    outcomes: Counter<u64>,
+    attempts: Counter<u64>,
+    figures: Gauge<u64>,
+    ages: Gauge<u64>,
+    routes: RefCell<LabelBudget>,
+    organisations: RefCell<LabelBudget>,
+}
+
+impl RelayMetrics {
+    /// Sets up the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the exporter cannot be made.
+    pub fn new() -> Result<Self, MetricsError> {
+        let hub = MetricsHub::new()?;
+        let meter = hub.meter();
+        let histogram = |name: &'static str, help: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(help).with_unit("ms");
+            builder.with_boundaries(BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            first_byte: histogram("switchfold_first_byte", "From arrival to the answer's head"),
+            total: histogram("switchfold_total", "From arrival to the answer's end"),
+            pause: histogram(
+                "switchfold_longest_pause",
+                "Longest pause between events of a stream",
+            ),
+            outcomes: meter
+                .u64_counter("switchfold_outcomes")
+                .with_description("Ended requests by status and reason")
+                .build(),
+            attempts: meter
+                .u64_counter("switchfold_attempts")
+                .with_description("Attempts that did not simply succeed, by end and next step")
+                .build(),
+            figures: meter
+                .u64_gauge("switchfold_figures")
+                .with_description("Counts since the start, and present sizes, by name")
+                .build(),
+            ages: meter
+                .u64_gauge("switchfold_belief_age")
+                .with_description("Age of what the relay believes, by belief")
+                .with_unit("ms")
+                .build(),
+            routes: RefCell::new(LabelBudget::new(NAMED_ROUTES, PROMOTE_AFTER)),
+            organisations: RefCell::new(LabelBudget::new(NAMED_ORGANISATIONS, PROMOTE_AFTER)),
+            hub,
+        })
+    }
+
+    fn labels(&self, permit: &Permit) -> [KeyValue; 2] {
+        let organisation = permit.organisation.as_deref().unwrap_or("none");
+        let organisation = self.organisations.borrow_mut().label(organisation).to_owned();
+        let route = self.routes.borrow_mut().label(&permit.route.name).to_owned();
+        [KeyValue::new("organisation", organisation), KeyValue::new("route", route)]
+    }
+
+    /// Notes the head of an answer.
+    pub fn note_head(&self, permit: &Permit, took: Millis) {
+        self.first_byte.record(took as f64, &self.labels(permit));
+    }
+
+    /// Notes the end of an answer that a replica made.
+    pub fn note_end(&self, permit: &Permit, took: Millis, longest_pause: Option<Millis>) {
+        let labels = self.labels(permit);
+        self.total.record(took as f64, &labels);
+        if let Some(pause) = longest_pause {
+            self.pause.record(pause as f64, &labels);
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn note_outcome(&self, status: u16, reason: &str) {
+        let labels = [
+            KeyValue::new("status", i64::from(status)),
+            KeyValue::new("reason", reason.to_owned()),
+        ];
+        self.outcomes.add(1, &labels);
+    }
+
+    /// Notes an attempt.
+    pub fn note_attempt(&self, end: AttemptEnd, next: NextStep) {
+        let labels =
+            [KeyValue::new("end", format!("{end:?}")), KeyValue::new("next", format!("{next:?}"))];
+        self.attempts.add(1, &labels);
+    }
+
+    /// All metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a metric has no text form.
+    pub fn render(&self, relay: &Relay) -> Result<Vec<u8>, MetricsError> {
+        self.copy_figures(relay);
+        self.copy_ages(relay);
+        self.hub.render()
+    }
+
+    fn copy_figures(&self, relay: &Relay) {
+        let counts = &relay.counts;
+        let beliefs = relay.beliefs.borrow();
+        let now = now_millis();
+        let figures = [
+            ("requests", counts.requests.get()),
+            ("answered", counts.answered.get()),
+            ("refused", counts.refused.get()),
+            ("failed", counts.failed.get()),
+            ("repeats", counts.repeats.get()),
+            ("repaths", counts.repaths.get()),
+            ("resumes", counts.resumes.get()),
+            ("orders", counts.orders.get()),
+            ("store_lists", counts.store_lists.get()),
+            ("store_watches", counts.store_watches.get()),
+            ("in_flight", relay.stop.in_flight() as u64),
+            ("idle_links", relay.pool.idle_count() as u64),
+            ("replicas", beliefs.fleet.len() as u64),
+            ("suspects", beliefs.suspects.current(now).count() as u64),
+            ("live_relays", beliefs.peers.live(now) as u64),
+            ("config_version", beliefs.config.get().map_or(0, |config| config.version)),
+        ];
+        for (name, value) in figures {
+            self.figures.record(value, &[KeyValue::new("name", name)]);
+        }
+    }
+
+    fn copy_ages(&self, relay: &Relay) {
+        let beliefs = relay.beliefs.borrow();
+        let now = now_millis();
+        let ages = [("config", &beliefs.config_lease), ("replicas", &beliefs.fleet_lease)];
+        for (name, lease) in ages {
+            if let Some(age) = lease.age(now) {
+                self.ages.record(age, &[KeyValue::new("belief", name)]);
+            }
+        }
+    }
+}
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -190,9 +190,14 @@
                 && paid(sends),
         };
         let next = decide_next(state, report.end);
-        request.log_attempt(&replica.id, &permit, report.end, next, &report.detail);
+        request.log_attempt(relay, &replica.id, &permit, report.end, next, &report.detail);
         match (next, report.reply) {
-            (NextStep::PassOn, Some(reply)) => return Ok(pass_on(reply)),
+            (NextStep::PassOn, Some(reply)) => {
+                let took = now - request.arrived;
+                relay.metrics.note_head(&permit, took);
+                relay.metrics.note_end(&permit, took, None);
+                return Ok(pass_on(reply));
+            }
             (NextStep::TryElsewhere, _) => {
                 if sends > 0 {
                     count(&relay.counts.repeats);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -111,8 +111,7 @@
         fresh: bool,
     ) -> Result<(Response<Incoming>, BusyLink), SendError> {
         let mut request = request;
-        while !fresh {
-            let Some(link) = self.take(address) else { break };
+        while let Some(link) = self.take(address).filter(|_| !fresh) {
             match send_on(link, request).await {
                 Ok(answered) => return Ok(answered),
                 Err((SendError::NotSent { .. }, Some(unsent))) => request = unsent,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -97,6 +97,7 @@
     /// Writes the line of an attempt.
     pub fn log_attempt(
         &self,
+        relay: &Relay,
         replica: &str,
         permit: &Permit,
         end: AttemptEnd,
@@ -107,6 +108,7 @@
         if plain {
             return;
         }
+        relay.metrics.note_attempt(end, next);
         tracing::warn!(
             event = "attempt-failed",
             request = self.marks.attempt_id,
@@ -131,8 +133,15 @@
     let outcome = serve(&relay, parts, body, marks, arrived, in_flight).await;
     let mut answer = match outcome {
         Ok(answer) => {
+            let status = answer.status().as_u16();
             count(&relay.counts.answered);
-            tracing::debug!(event = "answered", request = id, status = answer.status().as_u16());
+            relay.metrics.note_outcome(status, "answered");
+            tracing::info!(
+                event = "answered",
+                request = id,
+                status,
+                took_ms = now_millis() - arrived
+            );
             answer
         }
         Err(refusal) => refuse(&relay, &id, refusal, arrived),
@@ -206,6 +215,7 @@
         503 => count(&relay.counts.refused),
         _ => count(&relay.counts.failed),
     }
+    relay.metrics.note_outcome(status, &refusal.to_string());
     let config = relay.config().map_or(0, |config| config.version);
     let config_age = relay.beliefs.borrow().config_lease.age(now_millis());
     tracing::warn!(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -2,6 +2,9 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    path::PathBuf,
     rc::Rc,
     time::Duration,
 };
@@ -10,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::hash::hash_bytes;
-use switchfold_kernel::clock::epoch_micros;
+use switchfold_kernel::{clock::epoch_micros, metrics::MetricsError, shutdown::ShutdownSignal};
 use switchfold_platform::objects::ObjectStore;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -23,10 +26,12 @@
 use crate::{
     counts::Counts,
     engines::ReportCache,
+    metrics::RelayMetrics,
     peers::talk,
     placer::place_layers,
     pool::EndpointPool,
-    serve::{serve_callers, serve_readiness},
+    reload::follow_settings,
+    serve::{serve_callers, serve_metrics, serve_readiness},
     settings::RelaySettings,
     state::{Beliefs, Relay},
     stop::StopState,
@@ -40,35 +45,71 @@
     #[display("cannot listen on {address}: {source}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// What the system said.
-        source: std::io::Error,
+        source: io::Error,
+    },
+    /// Metrics cannot be set up.
+    #[display("{source}")]
+    Metrics {
+        /// What the library said.
+        source: MetricsError,
     },
     /// Signals cannot be received.
     #[display("cannot receive signals: {source}")]
     Signals {
         /// What the system said.
-        source: std::io::Error,
+        source: io::Error,
     },
 }
 
+/// Sockets of a relay, bound.
+#[derive(Debug)]
+pub struct RelaySockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For questions for readiness.
+    pub readiness: TcpListener,
+    /// For metrics.
+    pub metrics: TcpListener,
+    /// For messages of other relays.
+    pub peers: UdpSocket,
+}
+
+impl RelaySockets {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one is not to be had.
+    pub async fn bind(settings: &RelaySettings) -> Result<Self, RunError> {
+        let peers = UdpSocket::bind(settings.peer_listen).await;
+        Ok(Self {
+            callers: listen(settings.listen).await?,
+            readiness: listen(settings.ready_listen).await?,
+            metrics: listen(settings.metrics_listen).await?,
+            peers: peers
+                .map_err(|source| RunError::Listen { address: settings.peer_listen, source })?,
+        })
+    }
+}
+
 /// Time between two sweeps of idle connections.
 const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
 
-/// Runs a relay until a planned stop ends; must be called within a `LocalSet`.
+/// Runs a relay until a planned stop ends; must be called within a `LocalSet`. The settings file, where
+/// there is one, is read again when it changes or SIGHUP comes.
 ///
 /// # Errors
 ///
-/// Fails where an address or the signals are not to be had.
-pub async fn run_relay(settings: RelaySettings) -> Result<(), RunError> {
-    let callers = listen(settings.listen).await?;
-    let readiness = listen(settings.ready_listen).await?;
-    let peers = UdpSocket::bind(settings.peer_listen).await;
-    let peers =
-        peers.map_err(|source| RunError::Listen { address: settings.peer_listen, source })?;
-    let mut terminate =
-        signal(SignalKind::terminate()).map_err(|source| RunError::Signals { source })?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|source| RunError::Signals { source })?;
+/// Fails where signals or metrics are not to be had.
+pub async fn run_relay(
+    settings: RelaySettings,
+    sockets: RelaySockets,
+    file: Option<PathBuf>,
+    shutdown: ShutdownSignal,
+) -> Result<(), RunError> {
+    let hangup = signal(SignalKind::hangup()).map_err(|source| RunError::Signals { source })?;
     tracing::info!(
         event = "started",
         name = settings.name,
@@ -77,26 +118,25 @@
         platform = %settings.platform,
         version = env!("CARGO_PKG_VERSION"),
     );
-    let relay = Rc::new(new_relay(settings, peers));
+    let metrics = RelayMetrics::new().map_err(|source| RunError::Metrics { source })?;
+    let relay = Rc::new(new_relay(settings, sockets.peers, metrics));
     spawn_local(follow_config(relay.clone()));
     spawn_local(follow_replicas(relay.clone()));
     spawn_local(talk(relay.clone()));
     spawn_local(place_layers(relay.clone()));
-    spawn_local(serve_readiness(relay.clone(), readiness));
+    spawn_local(serve_readiness(relay.clone(), sockets.readiness));
+    spawn_local(serve_metrics(relay.clone(), sockets.metrics));
     spawn_local(sweep(relay.clone()));
+    if let Some(file) = file {
+        spawn_local(follow_settings(relay.clone(), file, hangup));
+    }
     let stopping = relay.clone();
     spawn_local(async move {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => {
-                    tracing::info!(event = "stopping", in_flight = stopping.stop.in_flight());
-                    stopping.stop.raise();
-                }
-                _ = hangup.recv() => tracing::info!(event = "reload"),
-            }
-        }
+        shutdown.raised().await;
+        tracing::info!(event = "stopping", in_flight = stopping.stop.in_flight());
+        stopping.stop.raise();
     });
-    serve_callers(relay.clone(), callers).await;
+    serve_callers(relay.clone(), sockets.callers).await;
     tracing::info!(
         event = "stopped",
         requests = relay.counts.requests.get(),
@@ -105,16 +145,17 @@
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })
 }
 
-fn new_relay(settings: RelaySettings, peer_socket: UdpSocket) -> Relay {
+fn new_relay(settings: RelaySettings, peer_socket: UdpSocket, metrics: RelayMetrics) -> Relay {
     let store = ObjectStore::new(&settings.platform.to_string(), STORE_PATIENCE);
     let seed = hash_bytes(epoch_micros(), settings.name.as_bytes());
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     Relay {
         store,
+        bounds: RefCell::new(settings.bounds.clone()),
         settings,
         beliefs: RefCell::new(Beliefs::default()),
         pool: EndpointPool::default(),
@@ -122,6 +163,7 @@
         peer_socket,
         incarnation: random.random(),
         counts: Counts::default(),
+        metrics,
         stop: StopState::default(),
         random: RefCell::new(random),
         alarms: Cell::new(0),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -57,7 +57,7 @@
 async fn stopped(relay: &Relay) {
     relay.stop.raised().await;
     let end = Instant::now()
-        + Duration::from_secs(relay.settings.bounds.grace_s).saturating_sub(STOP_MARGIN);
+        + Duration::from_secs(relay.bounds.borrow().grace_s).saturating_sub(STOP_MARGIN);
     sleep_until(end.min(Instant::now() + LEAST_STOP)).await;
     const STEP: Duration = Duration::from_millis(50);
     while relay.stop.in_flight() > 0 && Instant::now() < end {
@@ -104,16 +104,36 @@
 
 /// Answers questions for readiness until the process ends.
 pub async fn serve_readiness(relay: Rc<Relay>, listener: TcpListener) {
+    serve_simple(listener, move || readiness(is_ready(&relay))).await;
+}
+
+/// Serves metrics until the process ends.
+pub async fn serve_metrics(relay: Rc<Relay>, listener: TcpListener) {
+    serve_simple(listener, move || match relay.metrics.render(&relay) {
+        Ok(text) => Response::new(whole(Bytes::from(text))),
+        Err(error) => {
+            tracing::error!(event = "metrics-unreadable", %error);
+            let mut answer = Response::new(whole(Bytes::new()));
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            answer
+        }
+    })
+    .await;
+}
+
+/// Gives every request the same answer, made anew for each.
+async fn serve_simple(listener: TcpListener, answer: impl Fn() -> RelayAnswer + 'static) {
+    let answer = Rc::new(answer);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let relay = relay.clone();
+        let answer = answer.clone();
         spawn_local(async move {
             let service = service_fn(|_: Request<Incoming>| {
-                let ready = is_ready(&relay);
-                async move { Ok::<RelayAnswer, Infallible>(readiness(ready)) }
+                let answer = answer();
+                async move { Ok::<RelayAnswer, Infallible>(answer) }
             });
             let _ended =
                 http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -134,6 +154,6 @@
 pub fn is_ready(relay: &Relay) -> bool {
     let beliefs = relay.beliefs.borrow();
     let knows = beliefs.config.get().is_some() && !beliefs.fleet.is_empty();
-    let bound = relay.settings.bounds.revoke_ms;
+    let bound = relay.bounds.borrow().revoke_ms;
     knows && !relay.stop.is_raised() && beliefs.config_lease.holds(bound, now_millis())
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -30,7 +30,7 @@
 }
 
 /// Bounds that the platform sets, with their units in the names.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
     /// Time from a key's removal to the last request that may run with it.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -27,8 +27,14 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    counts::Counts, engines::ReportCache, peers::tell_state, plain::ServiceLoads,
-    pool::EndpointPool, settings::RelaySettings, stop::StopState,
+    counts::Counts,
+    engines::ReportCache,
+    metrics::RelayMetrics,
+    peers::tell_state,
+    plain::ServiceLoads,
+    pool::EndpointPool,
+    settings::{BoundSettings, RelaySettings},
+    stop::StopState,
 };
 
 /// Age up to which the list of replicas counts as recent, in milliseconds: two waits of its watch, and
@@ -76,8 +82,10 @@
 /// A relay.
 #[derive(Debug)]
 pub struct Relay {
-    /// Settings in force.
+    /// Settings as at the start.
     pub settings: RelaySettings,
+    /// Bounds in force; they may change while the relay runs.
+    pub bounds: RefCell<BoundSettings>,
     /// What it knows.
     pub beliefs: RefCell<Beliefs>,
     /// Connections to replicas.
@@ -92,6 +100,8 @@
     pub peer_socket: UdpSocket,
     /// Counters.
     pub counts: Counts,
+    /// Histograms, and what is served on the metrics address.
+    pub metrics: RelayMetrics,
     /// Whether it is stopping.
     pub stop: StopState,
     /// Draws for weights and jitter.
@@ -110,7 +120,7 @@
 
     /// Bounds on repeats, as the platform sets them.
     pub fn budget_config(&self) -> BudgetConfig {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.borrow();
         BudgetConfig {
             ratio: bounds.retry_ratio,
             allowance: bounds.retry_allowance as f64,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -110,7 +110,7 @@
         };
         let next = decide_next(state, end);
         let first = tried.avoid.last().map_or("", String::as_str);
-        request.log_attempt(first, &permit, end, next, &detail);
+        request.log_attempt(relay, first, &permit, end, next, &detail);
         match next {
             NextStep::TryElsewhere => {
                 count(&relay.counts.repeats);
@@ -359,6 +359,8 @@
     stream: OpenStream,
     in_flight: FlightGuard,
 ) -> RelayAnswer {
+    let took = now_millis() - request.arrived;
+    relay.metrics.note_head(&permit, took);
     let mut head = stream.head.clone();
     strip_hop_headers(&mut head.headers);
     let body = stream_body(relay.clone(), request, permit, tried, stream, in_flight);
--- /dev/null
+++ b/crates/relay/tests/harness/mod.rs
@@ -0,0 +1,233 @@
+//! A relay between stand-ins of the platform, on loopback, and a caller.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use switchfold_kernel::shutdown::ShutdownSignal;
+use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
+use switchfold_platform_standin::{
+    StandinReplica, StandinStore,
+    samples::{self, HOST, KEY, RouteSample},
+};
+use switchfold_relay::{
+    run::{RelaySockets, run_relay},
+    settings::{BoundSettings, RelaySettings},
+};
+use tokio::{
+    net::TcpStream,
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::{sleep, timeout},
+};
+
+/// Longest wait of a test for what must come; no assertion depends on how long it really takes.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Route of calls that may be repeated.
+pub(crate) const SAFE: RouteSample = RouteSample {
+    prefix: "/safe/",
+    kind: "idempotent",
+    service: "desk",
+    timeout_ms: 10_000,
+    most_attempts: 2,
+    resumable: false,
+};
+
+/// Route of calls that may not be repeated.
+pub(crate) const ONCE: RouteSample =
+    RouteSample { prefix: "/once/", kind: "non_idempotent", most_attempts: 2, ..SAFE };
+
+/// Route of calls that are held briefly.
+pub(crate) const BRIEF: RouteSample = RouteSample { prefix: "/brief/", timeout_ms: 300, ..ONCE };
+
+/// Route of streams that may be taken up elsewhere.
+pub(crate) const STREAM: RouteSample = RouteSample {
+    prefix: "/stream/",
+    kind: "streaming",
+    service: "model",
+    timeout_ms: 15_000,
+    most_attempts: 2,
+    resumable: true,
+};
+
+/// Route of streams that may not.
+pub(crate) const STREAM_ONCE: RouteSample =
+    RouteSample { prefix: "/stream-once/", resumable: false, ..STREAM };
+
+/// All routes of the tests.
+pub(crate) const ROUTES: [RouteSample; 5] = [SAFE, ONCE, BRIEF, STREAM, STREAM_ONCE];
+
+/// A relay that runs, and the store that it follows.
+pub(crate) struct RunningRelay {
+    /// The store.
+    pub(crate) store: StandinStore,
+    /// Where callers connect.
+    pub(crate) address: SocketAddr,
+    /// Where readiness is asked.
+    pub(crate) ready: SocketAddr,
+    /// Where metrics are served.
+    pub(crate) metrics: SocketAddr,
+    /// Ends it in order.
+    pub(crate) shutdown: ShutdownSignal,
+    /// Ends when it does.
+    pub(crate) task: JoinHandle<()>,
+}
+
+/// Runs a test on one thread, as the relay's program does.
+pub(crate) fn run_test(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        timeout(PATIENCE * 3, test).await.expect("the test ends");
+    });
+}
+
+/// Bounds of the tests.
+pub(crate) fn bounds() -> BoundSettings {
+    BoundSettings {
+        revoke_ms: 5_000,
+        grace_s: 8,
+        stall_ms: 2_000,
+        retry_ratio: 0.2,
+        retry_window_s: 10,
+        retry_allowance: 200,
+    }
+}
+
+impl RunningRelay {
+    /// Starts a relay beside a store that holds these replicas' entries.
+    pub(crate) async fn start(
+        bounds: BoundSettings,
+        entries: &[(&str, serde_json::Value)],
+    ) -> Self {
+        let store = StandinStore::start().await;
+        store.put(CONFIG_KIND, CONFIG_NAME, samples::config(1, &ROUTES, &[KEY]));
+        for (id, entry) in entries {
+            store.put(REPLICA_KIND, id, entry.clone());
+        }
+        let relay = Self::start_beside(store, bounds).await;
+        relay.wait_ready(StatusCode::OK).await;
+        relay
+    }
+
+    /// Starts a relay beside a store, whatever that holds.
+    pub(crate) async fn start_beside(store: StandinStore, bounds: BoundSettings) -> Self {
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let settings = RelaySettings {
+            name: "relay-1".to_owned(),
+            data_centre: "hall".to_owned(),
+            region: "west".to_owned(),
+            listen: any,
+            ready_listen: any,
+            peer_listen: any,
+            metrics_listen: any,
+            platform: store.address(),
+            bounds,
+        };
+        let sockets = RelaySockets::bind(&settings).await.expect("free loopback ports");
+        let address = sockets.callers.local_addr().expect("bound");
+        let ready = sockets.readiness.local_addr().expect("bound");
+        let metrics = sockets.metrics.local_addr().expect("bound");
+        let shutdown = ShutdownSignal::new();
+        let running = run_relay(settings, sockets, None, shutdown.clone());
+        let task = spawn_local(async move { running.await.expect("the relay runs") });
+        Self { store, address, ready, metrics, shutdown, task }
+    }
+
+    /// Waits until readiness has this status.
+    pub(crate) async fn wait_ready(&self, wanted: StatusCode) {
+        let request = || Request::get("/readyz").body(Full::default()).expect("a request");
+        wait_until(async || call(self.ready, request()).await.status == wanted).await;
+    }
+
+    /// Calls a path of a route with the sample key.
+    pub(crate) async fn get(&self, path: &str, id: &str) -> Called {
+        call(self.address, request(path, id)).await
+    }
+}
+
+/// A request of a caller.
+pub(crate) fn request(path: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::post(path)
+        .header("host", HOST)
+        .header("x-attempt-id", id)
+        .header("x-deadline-ms", "8000")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(Bytes::from_static(b"question")))
+        .expect("a request")
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Called {
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body, as far as it came.
+    pub(crate) body: String,
+    /// Whether the body ended as it should.
+    pub(crate) whole: bool,
+}
+
+impl Called {
+    /// Whether it carries a replica's signature.
+    pub(crate) fn is_sealed(&self) -> bool {
+        self.headers.contains_key("x-replica-seal")
+    }
+}
+
+/// Makes one call on a connection of its own.
+pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Called {
+    let exchange = async {
+        let stream = TcpStream::connect(address).await.expect("the relay listens");
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.expect("a connection");
+        let connection = tokio::spawn(connection);
+        let answer = sender.send_request(request).await.expect("an answer");
+        let (parts, mut body) = answer.into_parts();
+        let (mut bytes, mut whole) = (Vec::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        connection.abort();
+        let body = String::from_utf8_lossy(&bytes).into_owned();
+        Called { status: parts.status, headers: parts.headers, body, whole }
+    };
+    timeout(PATIENCE, exchange).await.expect("the call ends")
+}
+
+/// Waits until something holds.
+pub(crate) async fn wait_until(mut holds: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(PATIENCE, waiting).await.expect("it holds in the end");
+}
+
+/// Ids of the events in a stream's body.
+pub(crate) fn event_ids(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// A replica's entry, with its id.
+pub(crate) fn listed<'a>(
+    id: &'a str,
+    replica: &StandinReplica,
+    entry: impl Fn(SocketAddr) -> serde_json::Value,
+) -> (&'a str, serde_json::Value) {
+    (id, entry(replica.address()))
+}
--- /dev/null
+++ b/crates/relay/tests/streams.rs
@@ -0,0 +1,275 @@
+//! Streams over engines, by the ways in which engines fail.
+
+mod harness;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use harness::{RunningRelay, bounds, call, event_ids, listed, request, run_test, wait_until};
+use http::StatusCode;
+use switchfold_platform::REPLICA_KIND;
+use switchfold_platform_standin::{
+    Reply, SeenRequest, StandinReplica, StreamEnd, answer, events, reject,
+    samples::{LAYERS, draining, model_entry, report},
+};
+
+/// Events of a whole stream.
+const EVENTS: u64 = 12;
+
+/// Pause between events.
+const PAUSE: Duration = Duration::from_millis(10);
+
+fn whole_stream(request: &SeenRequest) -> Reply {
+    events(request, EVENTS, PAUSE, StreamEnd::Whole)
+}
+
+/// An engine that holds all layers: its report and orders, and a script for requests.
+fn engine(
+    from: u32,
+    to: u32,
+    script: impl Fn(&SeenRequest) -> Reply + Send + Sync + 'static,
+) -> impl Fn(&SeenRequest) -> Reply + Send + Sync + 'static {
+    move |request| match request.target.as_str() {
+        "/report" => answer(request, 200, &report(from, to, &[])),
+        "/order" => answer(request, 200, ""),
+        _ => script(request),
+    }
+}
+
+fn whole_model(address: SocketAddr) -> serde_json::Value {
+    model_entry(address, 0, LAYERS)
+}
+
+/// A script that fails on the first request it gets, counted over several replicas, and is well after.
+fn fails_first(
+    count: &Arc<Mutex<u32>>,
+    fails: impl Fn(&SeenRequest) -> Reply + Send + Sync + 'static,
+) -> impl Fn(&SeenRequest) -> Reply + Send + Sync + 'static {
+    let count = count.clone();
+    engine(0, LAYERS, move |request| {
+        let mut count = count.lock().expect("no script panics");
+        *count += 1;
+        match *count {
+            1 => fails(request),
+            _ => whole_stream(request),
+        }
+    })
+}
+
+#[test]
+fn a_stream_is_passed_on_whole() {
+    run_test(async {
+        let replica = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, whole_model)]).await;
+        let called = relay.get("/stream/a", "a").await;
+        assert_eq!(called.status, StatusCode::OK);
+        assert!(called.whole && called.is_sealed());
+        assert_eq!(event_ids(&called.body), (0..EVENTS).collect::<Vec<u64>>());
+        let seen = &replica.seen()[0];
+        assert_eq!(seen.header("path"), Some(format!("{}=0-{LAYERS}", replica.address()).as_str()));
+        assert_eq!(seen.header("x-expect-replica"), Some("i-1"));
+    });
+}
+
+#[test]
+fn a_caller_takes_a_stream_up_after_its_last_event() {
+    run_test(async {
+        let replica = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, whole_model)]).await;
+        let mut asked = request("/stream/a", "a");
+        asked.headers_mut().insert("last-event-id", "4".parse().expect("a value"));
+        let called = call(relay.address, asked).await;
+        assert_eq!(event_ids(&called.body), (5..EVENTS).collect::<Vec<u64>>());
+    });
+}
+
+#[test]
+fn a_path_runs_each_layer_once_over_several_engines() {
+    run_test(async {
+        let one = StandinReplica::start(engine(0, 5, whole_stream)).await;
+        let two = StandinReplica::start(engine(3, LAYERS, whole_stream)).await;
+        let entries = [
+            listed("i-1", &one, |address| model_entry(address, 0, 5)),
+            listed("i-2", &two, |address| model_entry(address, 3, LAYERS)),
+        ];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        assert!(relay.get("/stream/a", "a").await.whole);
+        let seen = &one.seen()[0];
+        let path = seen.header("path").expect("a path");
+        let parts: Vec<(u32, u32)> = path
+            .split(',')
+            .filter_map(|part| part.split_once('=')?.1.split_once('-'))
+            .map(|(from, to)| (from.parse().expect("a layer"), to.parse().expect("a layer")))
+            .collect();
+        assert_eq!(parts.first().map(|part| part.0), Some(0));
+        assert_eq!(parts.last().map(|part| part.1), Some(LAYERS));
+        assert!(parts.windows(2).all(|pair| pair[0].1 == pair[1].0), "{path}");
+        assert_eq!(two.seen(), [], "the engines hand requests on themselves");
+    });
+}
+
+/// However a stream breaks, on a route that allows it the caller gets every event once; else it gets
+/// what came, and no end that looks like one.
+#[test]
+fn a_broken_stream_goes_on_elsewhere() {
+    for end in [StreamEnd::Cut, StreamEnd::CutWithinEvent] {
+        for (path, resumes) in [("/stream/a", true), ("/stream-once/a", false)] {
+            run_test(async move {
+                let count = Arc::new(Mutex::new(0));
+                let script = || fails_first(&count, move |r| events(r, 5, PAUSE, end));
+                let one = StandinReplica::start(script()).await;
+                let two = StandinReplica::start(script()).await;
+                let entries = [listed("i-1", &one, whole_model), listed("i-2", &two, whole_model)];
+                let relay = RunningRelay::start(bounds(), &entries).await;
+                let called = relay.get(path, "a").await;
+                let expected = if resumes { EVENTS } else { 5 };
+                assert_eq!(event_ids(&called.body), (0..expected).collect::<Vec<u64>>(), "{end:?}");
+                assert_eq!(called.whole, resumes, "{end:?}");
+                let sent = one.seen().len() + two.seen().len();
+                assert_eq!(sent, if resumes { 2 } else { 1 });
+            });
+        }
+    }
+}
+
+/// What happens before the first event: (what the first engine does, whether the route may be
+/// repeated, status, requests sent).
+#[test]
+fn a_stream_that_does_not_open_is_tried_elsewhere() {
+    type Script = fn(&SeenRequest) -> Reply;
+    let rows: [(&str, Script, &str, u16, usize); 6] = [
+        ("rejected", |r| reject(r, 503, None), "/stream-once/a", 200, 2),
+        ("other layers there", |r| reject(r, 421, None), "/stream-once/a", 200, 2),
+        ("closed", |_| Reply::Close, "/stream/a", 200, 2),
+        ("closed, once only", |_| Reply::Close, "/stream-once/a", 502, 1),
+        ("failed", |r| answer(r, 500, "no"), "/stream/a", 200, 2),
+        ("refused for good", |r| answer(r, 400, "no"), "/stream/a", 400, 1),
+    ];
+    for (name, fails, path, status, sends) in rows {
+        run_test(async move {
+            let count = Arc::new(Mutex::new(0));
+            let one = StandinReplica::start(fails_first(&count, fails)).await;
+            let two = StandinReplica::start(fails_first(&count, fails)).await;
+            let entries = [listed("i-1", &one, whole_model), listed("i-2", &two, whole_model)];
+            let relay = RunningRelay::start(bounds(), &entries).await;
+            let called = relay.get(path, "a").await;
+            assert_eq!(called.status.as_u16(), status, "{name}");
+            assert_eq!(one.seen().len() + two.seen().len(), sends, "{name}");
+        });
+    }
+}
+
+/// A stream that stands still because of another engine of its path is moved: the first engine is told
+/// the new path, with the same first part, and nothing is sent twice.
+#[test]
+fn a_stalled_part_is_replaced_in_place() {
+    run_test(async {
+        let lost = StandinReplica::start(engine(4, LAYERS, whole_stream)).await;
+        let spare = StandinReplica::start(engine(4, LAYERS, whole_stream)).await;
+        let moved = Arc::new(Mutex::new(None::<String>));
+        let (at_fault, told) = (lost.address(), moved.clone());
+        let first = StandinReplica::start(move |request| match request.target.as_str() {
+            "/report" => answer(request, 200, &report(0, 4, &[("a", at_fault)])),
+            "/order" => {
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                *told.lock().expect("no script panics") = Some(body);
+                answer(request, 200, "")
+            }
+            _ => events(request, 3, PAUSE, StreamEnd::Silence),
+        })
+        .await;
+        let entries = [
+            listed("i-1", &first, |address| model_entry(address, 0, 4)),
+            listed("i-2", &lost, |address| model_entry(address, 4, LAYERS)),
+        ];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let asked = request("/stream/a", "a");
+        let address = relay.address;
+        let calling = tokio::task::spawn_local(async move { call(address, asked).await });
+        wait_until(async || first.seen().len() == 1).await;
+        relay.store.put(REPLICA_KIND, "i-3", model_entry(spare.address(), 4, LAYERS));
+        wait_until(async || moved.lock().expect("no script panics").is_some()).await;
+        let order = moved.lock().expect("no script panics").clone().expect("an order");
+        let path = format!("{}=0-4,{}=4-{LAYERS}", first.address(), spare.address());
+        assert!(order.contains("\"op\":\"repath\""), "{order}");
+        assert!(order.contains(&path), "{order} has {path}");
+        calling.abort();
+    });
+}
+
+/// Engines short of memory refuse; another path is taken, and the caller sees nothing of it.
+#[test]
+fn a_full_engine_is_passed_by() {
+    run_test(async {
+        let full =
+            StandinReplica::start(move |request: &SeenRequest| match request.target.as_str() {
+                "/report" => answer(request, 200, &report(0, LAYERS, &[])),
+                _ => reject(request, 503, None),
+            })
+            .await;
+        let well = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let entries = [listed("i-1", &full, whole_model), listed("i-2", &well, whole_model)];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        for id in ["a", "b", "c"] {
+            assert!(relay.get("/stream/a", id).await.whole);
+        }
+        assert_eq!(well.seen().len(), 3);
+    });
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_stream() {
+    run_test(async {
+        let leaves = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let stays = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let entries = [listed("i-1", &leaves, whole_model), listed("i-2", &stays, whole_model)];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        relay.store.put(REPLICA_KIND, "i-1", draining(whole_model(leaves.address())));
+        wait_until(async || {
+            let before = leaves.seen().len();
+            relay.get("/stream/a", "a").await;
+            leaves.seen().len() == before
+        })
+        .await;
+        let before = leaves.seen().len();
+        relay.get("/stream/a", "b").await;
+        assert_eq!(leaves.seen().len(), before);
+    });
+}
+
+/// Layers that nobody holds: the engines are told to hold them, and no order goes twice.
+#[test]
+fn empty_engines_are_given_layers() {
+    run_test(async {
+        let replica = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let mut empty = whole_model(replica.address());
+        empty["layers"] = serde_json::Value::Null;
+        let relay = RunningRelay::start(bounds(), &[("i-1", empty)]).await;
+        wait_until(async || !replica.orders().is_empty()).await;
+        let order = &replica.orders()[0];
+        assert!(order.contains("\"op\":\"place\""), "{order}");
+        assert!(order.contains("\"expected_rev\":3"), "{order}");
+        let called = relay.get("/stream/a", "a").await;
+        assert_eq!(called.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(called.headers.contains_key("retry-after"));
+        assert_eq!(replica.orders().len(), 1);
+    });
+}
+
+/// The caller leaves in the middle of a stream: the engine's connection ends at once.
+#[test]
+fn a_caller_that_leaves_ends_its_stream() {
+    run_test(async {
+        let script = |r: &SeenRequest| events(r, 3, PAUSE, StreamEnd::Silence);
+        let replica = StandinReplica::start(engine(0, LAYERS, script)).await;
+        let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, whole_model)]).await;
+        let calling = call(relay.address, request("/stream/a", "a"));
+        let gone = tokio::time::timeout(Duration::from_millis(300), calling).await;
+        assert!(gone.is_err(), "the stream never ends");
+        // Connections for reports may stay; the stream's own does not.
+        wait_until(async || replica.seen().len() == 1 && replica.open_connections() <= 1).await;
+    });
+}
