--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -33,6 +33,10 @@
 /// Time after the start before the first orders, in milliseconds: peers are heard by then.
 const FIRST_ROUND: Millis = 900;
 
+/// Time for which a relay must be the first before it gives orders, in milliseconds: two messages of its
+/// predecessor may be lost.
+const TAKE_CHARGE: Millis = 600;
+
 /// Time without a new replica after which the first layout is made, in milliseconds.
 const SETTLED: Millis = 900;
 
@@ -72,6 +76,7 @@
     refused: Rc<RefCell<Vec<String>>>,
     fleet_seen: u64,
     fleet_changed: Millis,
+    first_since: Option<Millis>,
 }
 
 /// Places layers for good.
@@ -83,7 +88,7 @@
         let now = now_millis();
         placer.observe(&relay, now);
         let age = now - begun;
-        if age < FIRST_ROUND || !is_first(&relay, now) {
+        if !placer.is_in_charge(&relay, now) || age < FIRST_ROUND {
             continue;
         }
         let settled = now - placer.fleet_changed > SETTLED;
@@ -101,6 +106,13 @@
 }
 
 impl Placer {
+    /// Whether this relay has been the one to give orders for a while: another one that was may still
+    /// have some under way.
+    fn is_in_charge(&mut self, relay: &Relay, now: Millis) -> bool {
+        self.first_since = is_first(relay, now).then(|| self.first_since.unwrap_or(now));
+        self.first_since.is_some_and(|since| now - since >= TAKE_CHARGE)
+    }
+
     /// Notes joined and left replicas, and orders that took effect.
     fn observe(&mut self, relay: &Relay, now: Millis) {
         for id in self.refused.borrow_mut().drain(..) {
@@ -171,7 +183,8 @@
         let is_due = |replica: &&ReplicaEntry| {
             let probe = self.probes.get(&replica.id);
             let due = probe.is_none_or(|probe| now - probe.asked >= PROBE_AGE);
-            due && replica.layers.is_some()
+            // One that loads what it was ordered to hold holds nothing meanwhile, and is well.
+            due && replica.layers.is_some() && !self.pending.contains_key(&replica.id)
         };
         let replicas = ids.into_iter().filter_map(|id| beliefs.fleet.get(id));
         replicas.filter(is_due).cloned().collect()
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -19,7 +19,7 @@
     chain::PathPart,
     fleet::FleetView,
     freshness::FreshnessLease,
-    membership::{FOLLOWED_AGE, PeerTable},
+    membership::PeerTable,
     room::RoomLedger,
     suspect::SuspectList,
 };
@@ -41,6 +41,10 @@
 /// the time that a store in trouble takes.
 pub const FRESH_FLEET: Millis = 5_000;
 
+/// The same, where this relay has lost the store and only hears from others: their proofs are up to
+/// two waits of a second old, and what they tell a little more.
+pub const TOLD_FLEET: Millis = 3_500;
+
 /// Beliefs of a relay: each came from somewhere, at some time.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -199,7 +203,7 @@
     /// Whether the list of replicas is recent, as far as this relay can tell.
     pub fn is_fleet_fresh(&self, now: Millis) -> bool {
         let beliefs = self.beliefs.borrow();
-        let most = if beliefs.fleet_lost { FOLLOWED_AGE } else { FRESH_FLEET };
+        let most = if beliefs.fleet_lost { TOLD_FLEET } else { FRESH_FLEET };
         beliefs.fleet_lease.age(now).is_some_and(|age| age < most)
     }
 }
--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover.rs
@@ -229,17 +229,20 @@
         }
     }
 
-    /// Where `len` layers help most; the lowest of equal places.
+    /// Where `len` layers help most; the lowest of equal places. The first layer is not held twice where
+    /// that can be helped: a replica where requests begin cannot be moved later.
     fn best_start(&self, len: u32) -> u32 {
         const UNHELD_GAIN: f64 = 1_000.0;
         let room = self.room_by_layer();
+        let last = self.model.layers - len;
+        let first = u32::from(room[0] > 0.0).min(last);
         let gain = |layer: u32| match room[layer as usize] {
             free if free <= 0.0 => UNHELD_GAIN,
             // MB for requests in one layer; the scarcer, the greater the gain.
             free => (self.model.layer_mb / free).min(UNHELD_GAIN / 2.0),
         };
-        let mut best = (0, f64::MIN);
-        for from in 0..=self.model.layers - len {
+        let mut best = (first, f64::MIN);
+        for from in first..=last {
             let total: f64 = (from..from + len).map(gain).sum();
             if total > best.1 + 1e-9 {
                 best = (from, total);
