--- a/crates/router/src/cover.rs
+++ b/crates/router/src/cover/mod.rs
@@ -18,7 +18,12 @@
 //! Trade-off: a lost replica costs a load of a few layers (a second or two), not a new layout of the
 //! whole group, which would move the memory of every running request.
 
-use crate::fleet::LayerRange;
+mod tiling;
+
+use crate::{
+    cover::tiling::{CALM, URGENT, WITHOUT_LOADS, tile, wanted_range},
+    fleet::LayerRange,
+};
 
 /// Fractions of a replica's memory that weights may take.
 #[derive(Clone, Copy, Debug)]
@@ -125,20 +130,6 @@
 /// than a whole replica takes.
 const NARROW_GAP: u32 = 5;
 
-/// Cost of loading one layer when gaps are closed.
-const LOAD_COST: f64 = 1.0;
-
-/// Cost of giving up one layer, against loading one: requests that use it must be moved first.
-const GIVE_UP_COST: f64 = 0.3;
-
-/// Cost of giving up the first layer: a request cannot leave the replica that took it, so the load waits
-/// for the longest of them.
-const FIRST_LAYER_COST: f64 = 30.0;
-
-/// Weight of scarce room against loads, in MB: layers of which a replica has this much room each cost as
-/// much as loading them. A usual request holds 7 MB a layer, and a hundred run at once.
-const ROOM_WEIGHT: f64 = 400.0;
-
 struct Group<'a> {
     holders: Vec<LayerHolder>,
     model: ModelShape,
@@ -196,22 +187,7 @@
 
     /// Memory for requests that the holders of each layer have for one layer, in MB.
     fn room_by_layer(&self) -> Vec<f64> {
-        self.room_without(None)
-    }
-
-    /// The same, without one of the holders.
-    fn room_without(&self, left_out: Option<usize>) -> Vec<f64> {
-        let mut room = vec![0.0; self.model.layers as usize];
-        for (index, holder) in self.holders.iter().enumerate() {
-            let range = holder.range.filter(|range| !range.is_empty() && left_out != Some(index));
-            let Some(range) = range else { continue };
-            let len = f64::from(range.len());
-            let free = (holder.memory_mb - len * self.model.layer_mb).max(0.0) / len;
-            for layer in range.from..range.to.min(self.model.layers) {
-                room[layer as usize] += free;
-            }
-        }
-        room
+        room_by_layer(&self.holders, self.model, None)
     }
 
     fn place_empty(&mut self) {
@@ -271,106 +247,26 @@
         }
     }
 
-    /// Closes all gaps with the fewest loads. The replicas keep the order of their layers; each may take
-    /// over from the one before it at any layer. `best[frontier]` is the least cost at which the
-    /// replicas so far cover all layers below `frontier`; worst case replicas x layers x most layers of
-    /// one, about 20,000 steps for 13 replicas of 80 layers. Where the replicas cannot cover everything,
-    /// as much as they can from the first layer on is covered.
+    /// Deals the layers anew over all replicas, with the least cost.
     fn retile(&mut self) {
-        let layers = self.model.layers as usize;
-        let mut order: Vec<usize> =
-            (0..self.holders.len()).filter(|index| self.holders[*index].range.is_some()).collect();
-        order.sort_by_key(|index| self.holders[*index].range.map(|range| (range.from, range.to)));
-        let mut best: Vec<Option<f64>> = vec![None; layers + 1];
-        best[0] = Some(0.0);
-        let mut taken: Vec<Vec<Option<usize>>> = Vec::new();
-        for index in &order {
-            let (next, from) = self.extend_frontier(*index, &best);
-            best = next;
-            taken.push(from);
-        }
-        let Some(mut frontier) = (0..=layers).rev().find(|frontier| best[*frontier].is_some())
-        else {
-            return;
-        };
-        for (index, from) in order.iter().zip(&taken).rev() {
-            if let Some(start) = from[frontier] {
-                self.take_over(*index, LayerRange { from: start as u32, to: frontier as u32 });
-                frontier = start;
-            }
-        }
-    }
-
-    /// Lets one replica extend the frontier; gives the costs after it, and for each frontier where the
-    /// replica begins to serve, or nothing where it is left out.
-    fn extend_frontier(
-        &self,
-        index: usize,
-        best: &[Option<f64>],
-    ) -> (Vec<Option<f64>>, Vec<Option<usize>>) {
-        let holder = &self.holders[index];
-        let most = self.most_layers(holder) as usize;
-        let mut next = best.to_vec();
-        let mut from = vec![None; best.len()];
-        for (start, cost) in best.iter().enumerate() {
-            let Some(cost) = cost else { continue };
-            let mut loads = 0;
-            for end in start + 1..=(start + most).min(best.len() - 1) {
-                let layer = (end - 1) as u32;
-                loads += usize::from(!holder.range.is_some_and(|range| range.contains(layer)));
-                if loads > 0 && !holder.can_order {
-                    break;
-                }
-                let scarcity = self.scarcity(holder, end - start) * ROOM_WEIGHT;
-                let part = LayerRange { from: start as u32, to: end as u32 };
-                let given_up = self.give_up_cost(holder, part);
-                let total = cost + loads as f64 * LOAD_COST + scarcity + given_up;
-                if next[end].is_none_or(|known| total < known) {
-                    next[end] = Some(total);
-                    from[end] = Some(start);
-                }
-            }
+        for (index, part) in tile(self.model, &self.holders, &self.most(), URGENT) {
+            self.take_over(index, part, PlaceReason::Gap);
         }
-        (next, from)
     }
 
-    /// Cost of what a replica gives up to hold `part`.
-    fn give_up_cost(&self, holder: &LayerHolder, part: LayerRange) -> f64 {
-        let Some(range) = holder.range else { return 0.0 };
-        let kept = self.wanted_range(holder, part);
-        let overlap = range.to.min(kept.to).saturating_sub(range.from.max(kept.from));
-        let given_up = f64::from(range.len() - overlap) * GIVE_UP_COST;
-        let first = range.from == 0 && kept.from > 0;
-        given_up + if first { FIRST_LAYER_COST } else { 0.0 }
+    /// Most layers of each holder.
+    fn most(&self) -> Vec<u32> {
+        self.holders.iter().map(|holder| self.most_layers(holder)).collect()
     }
 
-    /// What a replica holds that takes `part` over: beside it as much of what it holds as its memory
-    /// takes, since others may still be loading what it gives up.
-    fn wanted_range(&self, holder: &LayerHolder, part: LayerRange) -> LayerRange {
-        let range = holder.range.filter(|range| range.from <= part.to && part.from <= range.to);
-        let Some(range) = range else { return part };
-        let spare = self.most_layers(holder).saturating_sub(part.len());
-        let left = part.from.saturating_sub(range.from).min(spare);
-        let right = range.to.saturating_sub(part.to).min(spare - left);
-        LayerRange { from: part.from - left, to: part.to + right }
-    }
-
-    /// How scarce room for requests is at a replica that holds so many layers: the sum over them of one
-    /// over the room for one layer, in 1/MB.
-    fn scarcity(&self, holder: &LayerHolder, layers: usize) -> f64 {
-        let len = layers as f64;
-        let room = (holder.memory_mb - len * self.model.layer_mb) / len;
-        len / room.max(1.0)
-    }
-
-    fn take_over(&mut self, index: usize, part: LayerRange) {
+    fn take_over(&mut self, index: usize, part: LayerRange, reason: PlaceReason) {
         let holder = &self.holders[index];
         let Some(range) = holder.range else { return };
         if range.from <= part.from && part.to <= range.to {
             return;
         }
-        let wanted = self.wanted_range(holder, part);
-        self.order(index, wanted, PlaceReason::Gap);
+        let wanted = wanted_range(range, part, self.most_layers(holder).max(part.len()));
+        self.order(index, wanted, reason);
     }
 
     /// Moves a replica whose layers others hold too: the one that fits the gap best.
@@ -391,7 +287,8 @@
         true
     }
 
-    /// Moves the replica whose move makes room least scarce.
+    /// Makes room less scarce, by moving one spare replica or by dealing the layers anew, whichever
+    /// helps more.
     fn balance(&mut self) {
         let now = total_scarcity(&self.room_by_layer());
         let counts = self.counts();
@@ -401,14 +298,34 @@
             (is_spare(range, &counts) && len > 0).then(|| self.best_move(index, len))
         });
         let best = moves.min_by(|left, right| left.scarcity.total_cmp(&right.scarcity));
-        if let Some(best) = best.filter(|best| best.scarcity < now * MOST_LEFT) {
-            self.order(best.index, best.range, PlaceReason::Balance);
+        let parts = tile(self.model, &self.holders, &self.most(), CALM);
+        let dealt = self.scarcity_of(&parts);
+        let moved = best.map_or(f64::INFINITY, |best| best.scarcity);
+        if moved.min(dealt) > now * MOST_LEFT {
+            return;
+        }
+        match best.filter(|_| moved <= dealt) {
+            Some(best) => self.order(best.index, best.range, PlaceReason::Balance),
+            None => parts
+                .into_iter()
+                .for_each(|(index, part)| self.take_over(index, part, PlaceReason::Balance)),
         }
     }
 
+    /// Scarcity of room once each holder has its part, and those without one what they hold.
+    fn scarcity_of(&self, parts: &[(usize, LayerRange)]) -> f64 {
+        let mut after = self.holders.clone();
+        for (index, part) in parts {
+            let usual = self.layers_at(&after[*index], self.fill).max(part.len());
+            let range = after[*index].range.map(|range| wanted_range(range, *part, usual));
+            after[*index].range = range;
+        }
+        total_scarcity(&room_by_layer(&after, self.model, None))
+    }
+
     /// Best place for `len` layers of a holder.
     fn best_move(&self, index: usize, len: u32) -> HolderMove {
-        let room = self.room_without(Some(index));
+        let room = room_by_layer(&self.holders, self.model, Some(index));
         let free = self.holders[index].memory_mb - f64::from(len) * self.model.layer_mb;
         let added = free.max(0.0) / f64::from(len);
         let scarcity = |from: u32| {
@@ -427,19 +344,15 @@
             .expect("a replica holds at most all layers")
     }
 
-    /// Takes back what a replica holds beyond the usual where others hold it too.
+    /// Takes back what replicas hold beyond the usual where others hold it too, so that what is left is
+    /// shared out evenly.
     fn trim(&mut self) {
-        for index in 0..self.holders.len() {
+        for (index, part) in tile(self.model, &self.holders, &self.most(), WITHOUT_LOADS) {
             let holder = &self.holders[index];
-            let (Some(range), true) = (holder.range, holder.can_order) else { continue };
-            let usual = self.layers_at(holder, self.fill).max(1);
-            let was_ordered = self.orders.iter().any(|order| order.id == holder.id);
-            if was_ordered || range.len() <= usual {
-                continue;
-            }
-            let counts = self.counts();
-            let trimmed = trimmed_range(range, usual, &counts);
-            if trimmed != range {
+            let Some(range) = holder.range else { continue };
+            let usual = self.layers_at(holder, self.fill).max(part.len());
+            let trimmed = wanted_range(range, part, usual);
+            if range.len() > usual && trimmed != range {
                 self.order(index, trimmed, PlaceReason::Trim);
             }
         }
@@ -454,6 +367,21 @@
     scarcity: f64,
 }
 
+/// Memory for requests that holders, but for one left out, have for one layer, in MB, by layer.
+fn room_by_layer(holders: &[LayerHolder], model: ModelShape, left_out: Option<usize>) -> Vec<f64> {
+    let mut room = vec![0.0; model.layers as usize];
+    for (index, holder) in holders.iter().enumerate() {
+        let range = holder.range.filter(|range| !range.is_empty() && left_out != Some(index));
+        let Some(range) = range else { continue };
+        let len = f64::from(range.len());
+        let free = (holder.memory_mb - len * model.layer_mb).max(0.0) / len;
+        for layer in range.from..range.to.min(model.layers) {
+            room[layer as usize] += free;
+        }
+    }
+    room
+}
+
 /// Sum over all layers of one over the room for one layer, in 1/MB.
 fn total_scarcity(room: &[f64]) -> f64 {
     room.iter().map(|room| 1.0 / room.max(1.0)).sum()
@@ -464,20 +392,6 @@
     range.from > 0 && (range.from..range.to).all(|layer| counts[layer as usize] > 1)
 }
 
-/// Drops layers at both ends that others hold, down to `usual`.
-fn trimmed_range(mut range: LayerRange, usual: u32, counts: &[u32]) -> LayerRange {
-    while range.len() > usual {
-        if counts[range.to as usize - 1] > 1 {
-            range.to -= 1;
-        } else if counts[range.from as usize] > 1 {
-            range.from += 1;
-        } else {
-            break;
-        }
-    }
-    range
-}
-
 /// Widest run of layers that nobody holds.
 pub fn widest_gap(counts: &[u32]) -> Option<LayerRange> {
     let mut best: Option<LayerRange> = None;
