--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -21,7 +21,7 @@
 mod tiling;
 
 use crate::{
-    cover::tiling::{CALM, URGENT, WITHOUT_LOADS, tile, wanted_range},
+    cover::tiling::{URGENT, WITHOUT_LOADS, tile, wanted_range},
     fleet::LayerRange,
 };
 
@@ -205,20 +205,17 @@
         }
     }
 
-    /// Where `len` layers help most; the lowest of equal places. The first layer is not held twice where
-    /// that can be helped: a replica where requests begin cannot be moved later.
+    /// Where `len` layers help most; the lowest of equal places.
     fn best_start(&self, len: u32) -> u32 {
         const UNHELD_GAIN: f64 = 1_000.0;
         let room = self.room_by_layer();
-        let last = self.model.layers - len;
-        let first = u32::from(room[0] > 0.0).min(last);
         let gain = |layer: u32| match room[layer as usize] {
             free if free <= 0.0 => UNHELD_GAIN,
             // MB for requests in one layer; the scarcer, the greater the gain.
             free => (self.model.layer_mb / free).min(UNHELD_GAIN / 2.0),
         };
-        let mut best = (first, f64::MIN);
-        for from in first..=last {
+        let mut best = (0, f64::MIN);
+        for from in 0..=self.model.layers - len {
             let total: f64 = (from..from + len).map(gain).sum();
             if total > best.1 + 1e-9 {
                 best = (from, total);
@@ -287,8 +284,7 @@
         true
     }
 
-    /// Makes room less scarce, by moving one spare replica or by dealing the layers anew, whichever
-    /// helps more.
+    /// Moves the replica whose move makes room least scarce.
     fn balance(&mut self) {
         let now = total_scarcity(&self.room_by_layer());
         let counts = self.counts();
@@ -298,29 +294,9 @@
             (is_spare(range, &counts) && len > 0).then(|| self.best_move(index, len))
         });
         let best = moves.min_by(|left, right| left.scarcity.total_cmp(&right.scarcity));
-        let parts = tile(self.model, &self.holders, &self.most(), CALM);
-        let dealt = self.scarcity_of(&parts);
-        let moved = best.map_or(f64::INFINITY, |best| best.scarcity);
-        if moved.min(dealt) > now * MOST_LEFT {
-            return;
-        }
-        match best.filter(|_| moved <= dealt) {
-            Some(best) => self.order(best.index, best.range, PlaceReason::Balance),
-            None => parts
-                .into_iter()
-                .for_each(|(index, part)| self.take_over(index, part, PlaceReason::Balance)),
-        }
-    }
-
-    /// Scarcity of room once each holder has its part, and those without one what they hold.
-    fn scarcity_of(&self, parts: &[(usize, LayerRange)]) -> f64 {
-        let mut after = self.holders.clone();
-        for (index, part) in parts {
-            let usual = self.layers_at(&after[*index], self.fill).max(part.len());
-            let range = after[*index].range.map(|range| wanted_range(range, *part, usual));
-            after[*index].range = range;
+        if let Some(best) = best.filter(|best| best.scarcity < now * MOST_LEFT) {
+            self.order(best.index, best.range, PlaceReason::Balance);
         }
-        total_scarcity(&room_by_layer(&after, self.model, None))
     }
 
     /// Best place for `len` layers of a holder.
