Place spare replicas so that as many replicas as possible can be lost without a gap

A crash turns every stream of its data centre late unless another replica there holds the same layers. The spare replicas stood over the largest accelerator's layers, which covered one replica; now they stand over those of the smallest holders.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -37,7 +37,7 @@
 
 /// Pause after which a stream is looked into whose path is suspected: above the usual pause, and early
 /// enough to go on elsewhere before the route's longest one.
-const DOUBTFUL_QUIET: Millis = 100;
+const DOUBTFUL_QUIET: Millis = 70;
 
 /// Time between two looks into a stream that stands still.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -360,6 +360,7 @@
     fn take_over(&mut self, stream: OpenStream) {
         count(&self.relay.counts.resumes);
         let quiet_ms = now_millis() - self.last_progress;
+        self.longest_pause = self.longest_pause.max(quiet_ms);
         tracing::info!(event = "stream-resumed", request = self.request.marks.attempt_id, quiet_ms);
         self.marks = read_answer(&stream.head.headers);
         self.body = stream.body;
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -6,8 +6,8 @@
 //!
 //! Four steps, each on its own:
 //!
-//! 1. **Empty replicas** are placed where they help most: on layers that nobody holds, then where room
-//!    for requests is scarcest.
+//! 1. **Empty replicas** are placed where they help most: on layers that nobody holds, then on those of
+//!    a single small replica, so that as many replicas as possible can be lost without a gap.
 //! 2. **Gaps** that remain are closed. Wide ones are given to a replica all of whose layers others hold
 //!    as well; for the rest, all replicas in the order of their layers take over from each other with
 //!    the fewest loads, up to [`CoverConfig::stretch_fill`] of their memory.
@@ -207,16 +207,10 @@
 
     /// Where `len` layers help most; the lowest of equal places.
     fn best_start(&self, len: u32) -> u32 {
-        const UNHELD_GAIN: f64 = 1_000.0;
-        let room = self.room_by_layer();
-        let gain = |layer: u32| match room[layer as usize] {
-            free if free <= 0.0 => UNHELD_GAIN,
-            // MB for requests in one layer; the scarcer, the greater the gain.
-            free => (self.model.layer_mb / free).min(UNHELD_GAIN / 2.0),
-        };
+        let gains = self.gains();
         let mut best = (0, f64::MIN);
         for from in 0..=self.model.layers - len {
-            let total: f64 = (from..from + len).map(gain).sum();
+            let total: f64 = gains[from as usize..(from + len) as usize].iter().sum();
             if total > best.1 + 1e-9 {
                 best = (from, total);
             }
@@ -224,6 +218,25 @@
         best.0
     }
 
+    /// What holding each layer once more brings. First comes a layer that nobody holds; then one that a
+    /// single replica holds, the more the fewer it holds, so that as many replicas as possible can be
+    /// lost without a gap; then scarce room.
+    fn gains(&self) -> Vec<f64> {
+        const UNHELD_GAIN: f64 = 1_000.0;
+        const SCARCE_GAIN: f64 = 0.02;
+        let mut gains = vec![UNHELD_GAIN; self.model.layers as usize];
+        let room = self.room_by_layer();
+        let counts = self.counts();
+        for range in self.holders.iter().filter_map(|holder| holder.range) {
+            let alone = 1.0 / f64::from(range.len().max(1));
+            for layer in range.from as usize..range.to.min(self.model.layers) as usize {
+                let scarce = SCARCE_GAIN * self.model.layer_mb / room[layer].max(1.0);
+                gains[layer] = if counts[layer] == 1 { alone } else { 0.0 } + scarce;
+            }
+        }
+        gains
+    }
+
     fn order(&mut self, index: usize, range: LayerRange, reason: PlaceReason) {
         let holder = &mut self.holders[index];
         holder.range = Some(range);
