--- a/crates/ctl/src/bin/switchfold-ctl.rs
+++ b/crates/ctl/src/bin/switchfold-ctl.rs
@@ -7,6 +7,7 @@
 use switchfold_ctl::{
     ask::{AskError, AskRequest, ask},
     check::{SettingsKind, check_settings},
+    explain::explain_files,
     inspect::{
         InspectError, PlacementWay, SubsetSize, describe_bound, describe_placement,
         describe_subsets, read_deployment,
@@ -20,7 +21,7 @@
 #[derive(Debug, Parser)]
 #[command(
     version,
-    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
+    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl check relay --settings examples/relay/relay.json\n  switchfold-ctl explain 9c41d07be2a35f68 --logs relay-1.log relay-2.log\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
 )]
 struct CtlArguments {
     #[command(subcommand)]
@@ -62,6 +63,14 @@
         #[command(subcommand)]
         subject: InspectSubject,
     },
+    /// Put the log lines of one request in order, and name the one that decided its end.
+    Explain {
+        /// Id of the caller's attempt.
+        request: String,
+        /// Log files, of one process each or of several put together.
+        #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Read a token from standard input and print its SHA-256, for settings and organisations.
     HashToken,
 }
@@ -146,6 +155,9 @@
             Err(error) => Err(error.to_string()),
         },
         CtlAction::Inspect { subject } => inspect(&subject).map_err(|error| error.to_string()),
+        CtlAction::Explain { request, logs } => {
+            explain_files(&request, &logs).map_err(|error| error.to_string())
+        }
         CtlAction::HashToken => hash_token().map_err(|error| error.to_string()),
     };
     match done {
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -6,6 +6,7 @@
 use switchfold_agent::settings::AgentSettings;
 use switchfold_entry::settings::EntrySettings;
 use switchfold_kernel::settings::{SettingsError, load_settings};
+use switchfold_relay::settings::RelaySettings;
 
 /// Whose settings a file holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
@@ -14,6 +15,8 @@
     Entry,
     /// An agent's.
     Agent,
+    /// A relay's.
+    Relay,
 }
 
 /// Checks a settings file.
@@ -25,5 +28,6 @@
     match kind {
         SettingsKind::Entry => load_settings::<EntrySettings>(path).map(drop),
         SettingsKind::Agent => load_settings::<AgentSettings>(path).map(drop),
+        SettingsKind::Relay => load_settings::<RelaySettings>(path).map(drop),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,9 +1,11 @@
 //! The operators' command line: statements, checks, and a look at decisions.
 //!
 //! [`ask`] sends a statement to an entry, [`check`] finds every fault of a settings file, [`inspect`]
-//! computes what the system would decide from a file, without any process running.
+//! computes what the system would decide from a file, without any process running; [`explain`] goes from a
+//! request's id to its cause.
 
 pub mod ask;
 pub mod check;
+pub mod explain;
 pub mod inspect;
 pub mod table;
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,64 @@
+//! From a request's id to the line that decided its end.
+
+use assert_matches::assert_matches;
+use switchfold_ctl::explain::{ExplainError, explain};
+
+fn line(second: &str, event: &str, rest: &str) -> String {
+    format!(
+        "{{\"timestamp\":\"2026-04-09T08:30:{second}Z\",\"level\":\"INFO\",\"event\":\"{event}\"{rest}}}"
+    )
+}
+
+fn log(name: &str, lines: &[String]) -> (String, String) {
+    (name.to_owned(), lines.join("\n"))
+}
+
+const OF_A: &str = ",\"request\":\"a\"";
+
+#[test]
+fn a_refusal_is_named_with_what_was_believed() {
+    let logs = [
+        log(
+            "relay-1",
+            &[
+                line("09.100", "store-lost", ",\"kind\":\"config\""),
+                "not a line of ours".to_owned(),
+                line("12.000", "store-lost", ",\"kind\":\"servers\""),
+                line("13.000", "refused", ",\"request\":\"a\",\"reason\":\"stale-configuration\""),
+                line("13.100", "refused", ",\"request\":\"b\",\"reason\":\"no-route\""),
+            ],
+        ),
+        log("relay-2", &[line("12.500", "suspect", ",\"replica\":\"i-1\"")]),
+    ];
+    let text = explain("a", &logs).expect("explained");
+    assert!(text.contains("decided by \"refused\" at relay-1"), "{text}");
+    assert!(text.contains("kind=servers"), "{text}");
+    assert!(!text.contains("kind=config"), "too long before: {text}");
+    assert!(!text.contains("i-1"), "another process's belief: {text}");
+    assert!(!text.contains("no-route"), "another request: {text}");
+}
+
+#[test]
+fn lines_of_several_processes_are_put_in_order() {
+    let logs = [
+        log("relay-2", &[line("11.000", "answered", OF_A), line("12.000", "stream-ended", OF_A)]),
+        log("relay-1", &[line("10.000", "attempt-failed", OF_A)]),
+    ];
+    let text = explain("a", &logs).expect("explained");
+    let position = |word: &str| text.find(word).expect(word);
+    assert!(position("attempt-failed") < position(" answered "));
+    assert!(position(" answered ") < position("stream-ended"));
+    assert!(text.contains("> 2026-04-09T08:30:10.000Z relay-1 attempt-failed"), "{text}");
+}
+
+#[test]
+fn a_name_before_the_object_tells_the_source() {
+    let logs = [log("all", &[format!("  3.9 edge-1 {}", line("10.000", "refused", OF_A))])];
+    assert!(explain("a", &logs).expect("explained").contains("at edge-1"));
+}
+
+#[test]
+fn an_unknown_request_is_an_error() {
+    let logs = [log("relay-1", &[line("10.000", "refused", OF_A)])];
+    assert_matches!(explain("z", &logs), Err(ExplainError::Unknown { .. }));
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -26,6 +26,7 @@
 use crate::{
     counts::Counts,
     engines::ReportCache,
+    logs::lines_left_out,
     metrics::RelayMetrics,
     peers::talk,
     placer::place_layers,
@@ -214,5 +215,6 @@
         in_flight = relay.stop.in_flight(),
         idle_links = relay.pool.idle_count(),
         replicas = relay.beliefs.borrow().fleet.len(),
+        lines_left_out = lines_left_out(),
     );
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{AnswerMarks, read_answer, strip_hop_headers};
+use switchfold_platform::headers::{AnswerMarks, path_value, read_answer, strip_hop_headers};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
@@ -160,6 +160,7 @@
     let path = wait_for_path(relay, &wish, patience).await?;
     let first = relay.beliefs.borrow().fleet.get(&path[0].id).cloned()?;
     let room = RoomGuard::new(relay, &path, tokens);
+    log_dispatch(relay, request, permit, &path, last_event);
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
     let outgoing = request.to_replica(permit, &target);
     let fresh = !permit.route.is_repeatable();
@@ -197,6 +198,31 @@
     Some(read_head(relay, request, tried, first, response, link, path, room).await)
 }
 
+/// Writes the line of a dispatch: where the request goes, by which versions of what is believed.
+fn log_dispatch(
+    relay: &Relay,
+    request: &CallerRequest,
+    permit: &Permit,
+    path: &[PathPart],
+    last_event: Option<u64>,
+) {
+    let now = now_millis();
+    let beliefs = relay.beliefs.borrow();
+    tracing::info!(
+        event = "dispatch",
+        request = request.marks.attempt_id,
+        route = permit.route.name,
+        organisation = permit.organisation,
+        config = permit.config.version,
+        config_age = beliefs.config_lease.age(now),
+        replicas_age = beliefs.fleet_lease.age(now),
+        waited_ms = now - request.arrived,
+        last_event,
+        first = path[0].id,
+        path = path_value(path),
+    );
+}
+
 enum AwaitError {
     Send(SendError),
     Stalled(String),
