--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -144,7 +144,7 @@
 
 fn deciding_line<'a>(own: &[&'a LogLine]) -> Option<&'a LogLine> {
     let last_of = |event: &&str| own.iter().rev().find(|line| line.event == **event).copied();
-    DECIDING.iter().find_map(|event| last_of(event)).or(own.last().copied())
+    DECIDING.iter().find_map(last_of).or(own.last().copied())
 }
 
 fn beliefs_before<'a>(lines: &'a [LogLine], deciding: &LogLine) -> Vec<&'a LogLine> {
