--- a/crates/relay/src/answers.rs
+++ b/crates/relay/src/answers.rs
@@ -86,11 +86,13 @@
     }
 
     /// Time after which a refused caller should come back: at once where another relay serves it; after
-    /// the usual time to close a gap in the layers; else when the store is likely heard again.
+    /// the usual time to close a gap in the layers; else when the store is likely heard again, whose
+    /// disruptions last from two to nine seconds.
     pub fn retry_after(self) -> Millis {
         match self {
             Self::Stopping => 10,
             Self::NoReplica | Self::NotRun => 1_400,
+            Self::StaleConfiguration => 4_000,
             _ => 700,
         }
     }
