--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -143,7 +143,7 @@
                 Waited::Broken(detail) => self.recover(&detail).await,
                 Waited::Quiet => self.look_into().await,
                 Waited::Alarm => self.answer_alarm(),
-                Waited::TimeUp => self.give_up("time is up"),
+                Waited::TimeUp => self.give_up("time is up", "time is up"),
             }
         }
         Some(Err(BodyBroken))
@@ -199,7 +199,7 @@
         }
     }
 
-    fn give_up(&mut self, why: &str) {
+    fn give_up(&mut self, why: &str, not_resumed: &str) {
         self.ended = true;
         self.link = None;
         count(&self.relay.counts.failed);
@@ -208,6 +208,9 @@
             event = "stream-broken",
             request = self.request.marks.attempt_id,
             why,
+            not_resumed,
+            sends = self.tried.sends,
+            rejected = self.tried.rejected,
             quiet_ms,
             last_event = self.framer.last_id(),
         );
@@ -325,9 +328,14 @@
         );
         // Many streams are lost together: they come back one after the other.
         sleep(self.draw_delay(MOST_STAGGER)).await;
-        while repeatable && may_repeat(&self.relay, &self.permit, &self.tried) {
-            let Ok(permit) = admit(&self.relay, &self.request.asked) else { break };
-            self.permit = permit;
+        if !repeatable {
+            return self.give_up(why, "the route allows no second run");
+        }
+        while may_repeat(&self.relay, &self.permit, &self.tried) {
+            match admit(&self.relay, &self.request.asked) {
+                Ok(permit) => self.permit = permit,
+                Err(refusal) => return self.give_up(why, &refusal.to_string()),
+            }
             let last_event = self.framer.last_id();
             let quiet = now_millis() - self.last_progress;
             let patience = Duration::from_millis(LATEST_RESUME.saturating_sub(quiet));
@@ -346,10 +354,14 @@
                     let id = &self.request.marks.attempt_id;
                     tracing::info!(event = "resume-failed", request = id, ?end, detail);
                 }
-                Some(OpenEnd::Answered(_)) | None => break,
+                Some(OpenEnd::Answered(answer)) => {
+                    let status = answer.status().as_u16();
+                    return self.give_up(why, &format!("answered with status {status}"));
+                }
+                None => return self.give_up(why, "no path"),
             }
         }
-        self.give_up(why);
+        self.give_up(why, "no attempt left");
     }
 
     fn draw_delay(&self, most: Millis) -> Duration {
