Wait for a stalled request that may not run twice; pass by a first replica that names an unknown one

Cause: such a request was broken off at the first sign of a stall, although its engine would have said that it did not run; and a rejection that names a replica not listed led back to the same first replica four times. Test: a_request_that_stalls_before_its_first_event, failing before.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -230,17 +230,7 @@
     replica: &ReplicaEntry,
 ) -> AttemptReport {
     let begun = now_millis();
-    tracing::info!(
-        event = "dispatch",
-        request = request.marks.attempt_id,
-        route = permit.route.name,
-        organisation = permit.organisation,
-        config = permit.config.version,
-        config_age = relay.beliefs.borrow().config_lease.age(begun),
-        replicas_age = relay.beliefs.borrow().fleet_lease.age(begun),
-        waited_ms = begun - request.arrived,
-        first = replica.id,
-    );
+    request.log_dispatch(relay, permit, &replica.id, None, None);
     let _in_flight = LoadGuard::new(relay, &replica.id);
     let target = ReplicaTarget { replica, path: None, last_event: None };
     let patience = attempt_patience(request, permit, begun);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -7,7 +7,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{ReplicaMarks, RequestMarks, mark_for_replica, read_marks};
+use switchfold_platform::headers::{
+    ReplicaMarks, RequestMarks, mark_for_replica, path_value, read_marks,
+};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, NextStep},
@@ -107,6 +109,32 @@
         request
     }
 
+    /// Writes the line of a dispatch: where the request goes, by which versions of what is believed.
+    pub fn log_dispatch(
+        &self,
+        relay: &Relay,
+        permit: &Permit,
+        first: &str,
+        last_event: Option<u64>,
+        path: Option<&[PathPart]>,
+    ) {
+        let now = now_millis();
+        let beliefs = relay.beliefs.borrow();
+        tracing::info!(
+            event = "dispatch",
+            request = self.marks.attempt_id,
+            route = permit.route.name,
+            organisation = permit.organisation,
+            config = permit.config.version,
+            config_age = beliefs.config_lease.age(now),
+            replicas_age = beliefs.fleet_lease.age(now),
+            waited_ms = now - self.arrived,
+            last_event,
+            first,
+            path = path.map(path_value),
+        );
+    }
+
     /// Writes the line of an attempt.
     pub fn log_attempt(
         &self,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{AnswerMarks, path_value, read_answer, strip_hop_headers};
+use switchfold_platform::headers::{AnswerMarks, read_answer, strip_hop_headers};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
@@ -160,19 +160,15 @@
     let path = wait_for_path(relay, &wish, patience).await?;
     let first = relay.beliefs.borrow().fleet.get(&path[0].id).cloned()?;
     let room = RoomGuard::new(relay, &path, tokens);
-    log_dispatch(relay, request, permit, &path, last_event);
+    request.log_dispatch(relay, permit, &first.id, last_event, Some(&path));
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
     let outgoing = request.to_replica(permit, &target);
     let fresh = !permit.route.is_repeatable();
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
-        let can_leave = permit.route.is_repeatable() && tried.sends + 1 < permit.route.max_attempts;
-        await_head(relay, request, &first, sending, || {
-            can_leave && relay.has_repeat(&permit.service, now_millis())
-        })
-        .await
+        await_head(relay, request, permit, tried.sends, &first, sending).await
     };
-    let (response, link) = match sent {
+    let sent = match sent {
         Ok(sent) => sent,
         Err(AwaitError::Send(SendError::NotSent { detail })) => {
             relay.suspect(&first.id, &detail);
@@ -195,32 +191,7 @@
             return Some(OpenEnd::Failed(AttemptEnd::Broken, "time is up".to_owned()));
         }
     };
-    Some(read_head(relay, request, tried, first, response, link, path, room).await)
-}
-
-/// Writes the line of a dispatch: where the request goes, by which versions of what is believed.
-fn log_dispatch(
-    relay: &Relay,
-    request: &CallerRequest,
-    permit: &Permit,
-    path: &[PathPart],
-    last_event: Option<u64>,
-) {
-    let now = now_millis();
-    let beliefs = relay.beliefs.borrow();
-    tracing::info!(
-        event = "dispatch",
-        request = request.marks.attempt_id,
-        route = permit.route.name,
-        organisation = permit.organisation,
-        config = permit.config.version,
-        config_age = beliefs.config_lease.age(now),
-        replicas_age = beliefs.fleet_lease.age(now),
-        waited_ms = now - request.arrived,
-        last_event,
-        first = path[0].id,
-        path = path_value(path),
-    );
+    Some(read_head(relay, request, tried, first, sent, (path, room)).await)
 }
 
 enum AwaitError {
@@ -231,16 +202,23 @@
 
 type Sent = (Response<Incoming>, BusyLink);
 
-/// Waits for the head of an answer. Where it is late, the first engine is asked what it waits for; a
-/// request that waits for a lost replica is given up at once, and one that waits for long where
-/// `may_leave` allows another send.
+/// Waits for the head of an answer. Where it is late, the first engine is asked what it waits for. A
+/// request that may run again is given up at once where it waits for a lost replica, and after a while
+/// where it has another send; one that may not is waited for, since the engine may still say that it
+/// did not run.
 async fn await_head(
     relay: &Relay,
     request: &CallerRequest,
+    permit: &Permit,
+    earlier_sends: u32,
     first: &ReplicaEntry,
     sending: impl Future<Output = Result<Sent, SendError>>,
-    may_leave: impl Fn() -> bool,
 ) -> Result<Sent, AwaitError> {
+    let repeatable = permit.route.is_repeatable();
+    let may_leave = || {
+        let within = earlier_sends + 1 < permit.route.max_attempts;
+        repeatable && within && relay.has_repeat(&permit.service, now_millis())
+    };
     tokio::pin!(sending);
     let begun = Instant::now();
     let mut ask_at = begun + QUIET_HEAD;
@@ -260,7 +238,9 @@
         };
         if let Some(at_fault) = stalled_at {
             let detail = note_fault(relay, at_fault, "stalled");
-            return Err(AwaitError::Stalled(detail));
+            if repeatable {
+                return Err(AwaitError::Stalled(detail));
+            }
         }
         if begun.elapsed() > LATE_HEAD && may_leave() {
             return Err(AwaitError::Stalled("no answer for long".to_owned()));
@@ -290,16 +270,14 @@
     format!("{why} at {at_fault} ({})", id.as_deref().unwrap_or("not listed"))
 }
 
-#[expect(clippy::too_many_arguments, reason = "takes over the whole attempt")]
+/// Decides on an answer's head: a stream, a whole answer, or a rejection.
 async fn read_head(
     relay: &Relay,
     request: &CallerRequest,
     tried: &mut TriedReplicas,
     first: ReplicaEntry,
-    response: Response<Incoming>,
-    link: BusyLink,
-    path: Vec<PathPart>,
-    room: RoomGuard,
+    (response, link): Sent,
+    (path, room): (Vec<PathPart>, RoomGuard),
 ) -> OpenEnd {
     let (head, body) = response.into_parts();
     let marks = read_answer(&head.headers);
@@ -332,7 +310,11 @@
 ) {
     let at_fault = marks.at_fault.unwrap_or(first.address);
     let id = relay.beliefs.borrow().fleet.at(at_fault).map(|replica| replica.id.clone());
-    let Some(id) = id else { return };
+    let Some(id) = id else {
+        // Whatever it names is not known here, so the first one is passed by.
+        tried.avoid.push(first.id.clone());
+        return;
+    };
     if marks.at_fault.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
         match recent_report(relay, at_fault).await {
             ReportState::Asking => {}
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -13,7 +13,7 @@
 use switchfold_platform::REPLICA_KIND;
 use switchfold_platform_standin::{
     Reply, SeenRequest, StandinReplica, StreamEnd, answer, events, reject,
-    samples::{LAYERS, draining, model_entry, report},
+    samples::{LAYERS, draining, in_data_centre, model_entry, report},
 };
 
 /// Events of a whole stream.
@@ -43,6 +43,13 @@
     model_entry(address, 0, LAYERS)
 }
 
+/// The same entry in another data centre, where requests go only if none nearer takes them.
+fn elsewhere(
+    entry: impl Fn(SocketAddr) -> serde_json::Value,
+) -> impl Fn(SocketAddr) -> serde_json::Value {
+    move |address| in_data_centre(entry(address), "far")
+}
+
 /// A script that fails on the first request it gets, counted over several replicas, and is well after.
 fn fails_first(
     count: &Arc<Mutex<u32>>,
@@ -200,6 +207,39 @@
     });
 }
 
+/// A request that waits for a lost engine: where it may run again it is tried elsewhere at once; where
+/// it may not, it is waited for, and the engine's own word that it did not run lets it go elsewhere.
+#[test]
+fn a_request_that_stalls_before_its_first_event() {
+    for (path, abandoned) in [("/stream/a", true), ("/stream-once/a", false)] {
+        run_test(async move {
+            let lost = StandinReplica::start(|_| Reply::Silence).await;
+            let at_fault = lost.address();
+            let first = StandinReplica::start(move |request| match request.target.as_str() {
+                "/report" => answer(request, 200, &report(0, LAYERS, &[("a", at_fault)])),
+                _ => {
+                    let Reply::Bytes(bytes) = reject(request, 503, Some(at_fault)) else {
+                        unreachable!("a rejection is bytes");
+                    };
+                    Reply::BytesLater(Duration::from_millis(1_500), bytes)
+                }
+            })
+            .await;
+            let spare = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+            let entries =
+                [listed("i-1", &first, whole_model), listed("i-2", &spare, elsewhere(whole_model))];
+            let relay = RunningRelay::start(bounds(), &entries).await;
+            let called = relay.get(path, "a").await;
+            assert!(called.whole, "{called:?}");
+            assert_eq!(called.status, StatusCode::OK);
+            assert_eq!((first.seen().len(), spare.seen().len()), (1, 1));
+            // Given up at once, its connection is closed; waited for, it is kept.
+            let sent_on = first.seen()[0].connection;
+            assert!(sent_on > 0 && (abandoned || first.open_connections() > 0));
+        });
+    }
+}
+
 /// Engines short of memory refuse; another path is taken, and the caller sees nothing of it.
 #[test]
 fn a_full_engine_is_passed_by() {
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -18,10 +18,14 @@
 //! Trade-off: a lost replica costs a load of a few layers (a second or two), not a new layout of the
 //! whole group, which would move the memory of every running request.
 
+mod scarcity;
 mod tiling;
 
 use crate::{
-    cover::tiling::{URGENT, WITHOUT_LOADS, tile, wanted_range},
+    cover::{
+        scarcity::{room_by_layer, total_scarcity},
+        tiling::{URGENT, WITHOUT_LOADS, tile, wanted_range},
+    },
     fleet::LayerRange,
 };
 
@@ -370,26 +374,6 @@
     scarcity: f64,
 }
 
-/// Memory for requests that holders, but for one left out, have for one layer, in MB, by layer.
-fn room_by_layer(holders: &[LayerHolder], model: ModelShape, left_out: Option<usize>) -> Vec<f64> {
-    let mut room = vec![0.0; model.layers as usize];
-    for (index, holder) in holders.iter().enumerate() {
-        let range = holder.range.filter(|range| !range.is_empty() && left_out != Some(index));
-        let Some(range) = range else { continue };
-        let len = f64::from(range.len());
-        let free = (holder.memory_mb - len * model.layer_mb).max(0.0) / len;
-        for layer in range.from..range.to.min(model.layers) {
-            room[layer as usize] += free;
-        }
-    }
-    room
-}
-
-/// Sum over all layers of one over the room for one layer, in 1/MB.
-fn total_scarcity(room: &[f64]) -> f64 {
-    room.iter().map(|room| 1.0 / room.max(1.0)).sum()
-}
-
 /// Whether others hold all these layers too, and no request begins there.
 fn is_spare(range: LayerRange, counts: &[u32]) -> bool {
     range.from > 0 && (range.from..range.to).all(|layer| counts[layer as usize] > 1)
--- a/crates/router/src/cover/tiling.rs
+++ b/crates/router/src/cover/tiling.rs
@@ -7,7 +7,7 @@
 //! want of a few loads.
 
 use crate::{
-    cover::{LayerHolder, ModelShape},
+    cover::{LayerHolder, ModelShape, scarcity::scarcity},
     fleet::LayerRange,
 };
 
@@ -135,11 +135,3 @@
     let right = held.to.saturating_sub(part.to).min(spare - left);
     LayerRange { from: part.from - left, to: part.to + right }
 }
-
-/// How scarce room for requests is at a replica that holds so many layers: the sum over them of one
-/// over the room for one layer, in 1/MB.
-pub(super) fn scarcity(memory_mb: f64, layer_mb: f64, layers: u32) -> f64 {
-    let len = f64::from(layers);
-    let room = (memory_mb - len * layer_mb) / len;
-    len / room.max(1.0)
-}
