End no stream for silence: leave a replica only once another one answers

Cause: streams whose attempts were used up were closed after 1.5 s of silence, or when a replica of their path was lost, during planned replacements. Ruled out: the change of configuration itself (its routes were not theirs), the planned stop. Test: a_silent_engine_is_waited_for, failing before.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -49,6 +49,9 @@
 /// Silence up to which a lost stream waits for a path with room: callers give up after two seconds.
 const LATEST_RESUME: Millis = 1_500;
 
+/// Time after a stream could not be taken up elsewhere before that is tried again, in milliseconds.
+const TRY_AGAIN: Millis = 400;
+
 /// Longest delay before a lost stream is taken up elsewhere, in milliseconds: the streams of a replica
 /// are lost together, and each is read again where it goes.
 const MOST_STAGGER: Millis = 150;
@@ -73,6 +76,7 @@
     alarms_seen: u64,
     leave_at: Option<Millis>,
     doubtful: bool,
+    next_try: Millis,
     ended: bool,
     _in_flight: FlightGuard,
 }
@@ -98,6 +102,7 @@
         longest_pause: 0,
         leave_at: None,
         doubtful: false,
+        next_try: 0,
         ended: false,
         relay,
         request,
@@ -112,6 +117,15 @@
     Box::pin(StreamBody::new(frames))
 }
 
+/// How a stream was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamLoss {
+    /// Its replica ended it before its time.
+    Broken,
+    /// Nothing comes, or a replica of its path seems lost; it may still go on.
+    Silent,
+}
+
 /// What came of waiting for a stream's next bytes.
 enum Waited {
     Bytes(Bytes),
@@ -139,8 +153,8 @@
                     self.finish();
                     return None;
                 }
-                Waited::End => self.recover("ended within an event").await,
-                Waited::Broken(detail) => self.recover(&detail).await,
+                Waited::End => self.recover("ended within an event", StreamLoss::Broken).await,
+                Waited::Broken(detail) => self.recover(&detail, StreamLoss::Broken).await,
                 Waited::Quiet => self.look_into().await,
                 Waited::Alarm => self.answer_alarm(),
                 Waited::TimeUp => self.give_up("time is up", "time is up"),
@@ -255,7 +269,7 @@
 
     async fn replace_lost(&mut self) {
         if !self.repath().await {
-            self.recover("a replica of the path is lost").await;
+            self.recover("a replica of the path is lost", StreamLoss::Silent).await;
         }
     }
 
@@ -270,13 +284,13 @@
             }
         }
         if self.relay.part_state(&first) == PartState::Lost {
-            return self.recover("the first replica is lost").await;
+            return self.recover("the first replica is lost", StreamLoss::Silent).await;
         }
         if self.path_state() == PartState::Lost {
             return self.replace_lost().await;
         }
         if now_millis() - self.last_progress > LONGEST_QUIET {
-            self.recover("no event for long").await;
+            self.recover("no event for long", StreamLoss::Silent).await;
         }
     }
 
@@ -313,29 +327,45 @@
         end == OrderEnd::Taken
     }
 
-    /// Takes a broken stream up at another replica, where its route allows that.
-    async fn recover(&mut self, why: &str) {
-        self.link = None;
-        self.framer.drop_partial();
-        let repeatable = self.permit.route.is_repeatable();
+    /// Takes a stream up at another replica, where its route allows that. The present replica is left
+    /// only once another one answers: a replica's silence alone is no reason to end an answer, and it
+    /// may still go on.
+    async fn recover(&mut self, why: &str, loss: StreamLoss) {
+        if loss == StreamLoss::Silent && now_millis() < self.next_try {
+            return;
+        }
         tracing::info!(
             event = "stream-lost",
             request = self.request.marks.attempt_id,
             why,
-            repeatable,
+            ?loss,
+            sends = self.tried.sends,
             first = self.path[0].id,
             last_event = self.framer.last_id(),
         );
+        match (self.resume().await, loss) {
+            (Ok(stream), _) => self.take_over(stream),
+            (Err(not_resumed), StreamLoss::Broken) => self.give_up(why, &not_resumed),
+            (Err(not_resumed), StreamLoss::Silent) => {
+                self.next_try = now_millis() + TRY_AGAIN;
+                let id = &self.request.marks.attempt_id;
+                tracing::info!(event = "stream-waits", request = id, why, not_resumed);
+            }
+        }
+    }
+
+    /// Opens the stream anew after its last event.
+    async fn resume(&mut self) -> Result<OpenStream, String> {
+        if !self.permit.route.is_repeatable() {
+            return Err("the route allows no second run".to_owned());
+        }
         // Many streams are lost together: they come back one after the other.
         sleep(self.draw_delay(MOST_STAGGER)).await;
-        if !repeatable {
-            return self.give_up(why, "the route allows no second run");
-        }
         while may_repeat(&self.relay, &self.permit, &self.tried) {
-            match admit(&self.relay, &self.request.asked) {
-                Ok(permit) => self.permit = permit,
-                Err(refusal) => return self.give_up(why, &refusal.to_string()),
-            }
+            self.permit = match admit(&self.relay, &self.request.asked) {
+                Ok(permit) => permit,
+                Err(refusal) => return Err(refusal.to_string()),
+            };
             let last_event = self.framer.last_id();
             let quiet = now_millis() - self.last_progress;
             let patience = Duration::from_millis(LATEST_RESUME.saturating_sub(quiet));
@@ -349,19 +379,18 @@
                 patience,
             );
             match opened.await {
-                Some(OpenEnd::Open(stream)) => return self.take_over(*stream),
+                Some(OpenEnd::Open(stream)) => return Ok(*stream),
                 Some(OpenEnd::Failed(end, detail)) => {
                     let id = &self.request.marks.attempt_id;
                     tracing::info!(event = "resume-failed", request = id, ?end, detail);
                 }
                 Some(OpenEnd::Answered(answer)) => {
-                    let status = answer.status().as_u16();
-                    return self.give_up(why, &format!("answered with status {status}"));
+                    return Err(format!("answered with status {}", answer.status()));
                 }
-                None => return self.give_up(why, "no path"),
+                None => return Err("no path".to_owned()),
             }
         }
-        self.give_up(why, "no attempt left");
+        Err("no attempt left".to_owned())
     }
 
     fn draw_delay(&self, most: Millis) -> Duration {
@@ -374,6 +403,7 @@
         let quiet_ms = now_millis() - self.last_progress;
         self.longest_pause = self.longest_pause.max(quiet_ms);
         tracing::info!(event = "stream-resumed", request = self.request.marks.attempt_id, quiet_ms);
+        self.framer.drop_partial();
         self.marks = read_answer(&stream.head.headers);
         self.body = stream.body;
         self.link = Some(stream.link);
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -207,6 +207,42 @@
     });
 }
 
+/// A stream whose engine falls silent and whose attempts are used up is not ended by the relay: the
+/// engine may go on. Found by a hunt: streams were closed midway during planned replacements.
+#[test]
+fn silence_alone_ends_no_stream() {
+    run_test(async {
+        let script = |request: &SeenRequest| match request.header("last-event-id") {
+            None => events(request, 3, PAUSE, StreamEnd::Silence),
+            Some(_) => events(request, EVENTS, Duration::from_millis(400), StreamEnd::Whole),
+        };
+        let one = StandinReplica::start(engine(0, LAYERS, script)).await;
+        let two = StandinReplica::start(engine(0, LAYERS, script)).await;
+        let entries = [listed("i-1", &one, whole_model), listed("i-2", &two, whole_model)];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let called = relay.get("/stream/a", "a").await;
+        // The second engine pauses longer than any stream should; it is waited for all the same.
+        assert!(called.whole, "{called:?}");
+        assert_eq!(event_ids(&called.body), (0..EVENTS).collect::<Vec<u64>>());
+        assert_eq!(one.seen().len() + two.seen().len(), 2);
+    });
+}
+
+/// A stream whose only engine falls silent goes on when the engine does.
+#[test]
+fn a_silent_engine_is_waited_for() {
+    run_test(async {
+        let slow = |request: &SeenRequest| {
+            events(request, 3, Duration::from_millis(2_500), StreamEnd::Whole)
+        };
+        let only = StandinReplica::start(engine(0, LAYERS, slow)).await;
+        let relay = RunningRelay::start(bounds(), &[listed("i-1", &only, whole_model)]).await;
+        let called = relay.get("/stream-once/a", "a").await;
+        assert!(called.whole, "{called:?}");
+        assert_eq!(event_ids(&called.body), [0, 1, 2]);
+    });
+}
+
 /// A request that waits for a lost engine: where it may run again it is tried elsewhere at once; where
 /// it may not, it is waited for, and the engine's own word that it did not run lets it go elsewhere.
 #[test]
