Serve through lost and slow engines: probe quiet paths, cut for gaps, keep paths inside a data centre

Tests fail without the changes: a_dark_replica_in_the_middle_is_found_by_a_probe, a_wide_gap_leaves_room_at_every_layer.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -1,6 +1,12 @@
-//! Calls to the engines' own interface: reports and orders.
+//! Calls to the engines' own interface: reports, orders, and probes of whether a replica is there.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -13,8 +19,11 @@
     },
     headers::read_answer,
 };
-use switchfold_router::{Millis, chain::PathPart, fleet::LayerRange};
-use tokio::time::timeout;
+use switchfold_router::{Millis, chain::PathPart, cover::GiveUpRule, fleet::LayerRange};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{counts::count, pool::SendError, state::Relay};
 
@@ -41,10 +50,45 @@
 /// anyway, and each question has a price.
 const REPORT_AGE: Millis = 80;
 
-/// Latest reports, by address.
+/// Time that a probe waits for an answer: fifty times what a link takes, and less than half of the usual
+/// longest pause between events, so that a stream can go on elsewhere in time.
+const PROBE_TIME: Duration = Duration::from_millis(50);
+
+/// Time after which a probe asks once more, over a new connection: a lost packet is sent again only
+/// after 200 ms.
+const PROBE_AGAIN: Duration = Duration::from_millis(20);
+
+/// Lateness of a probe's own timer from which its silence proves nothing: this process stood still.
+const PROBE_LATE: Duration = Duration::from_millis(20);
+
+/// Time between two probes of one replica, in milliseconds: under load many streams are quiet at once,
+/// and each probe has a price.
+const PROBE_EVERY: Millis = 300;
+
+/// Latest reports and probes, by address.
 #[derive(Debug, Default)]
 pub struct ReportCache {
     reports: RefCell<HashMap<SocketAddr, CachedReport>>,
+    last_probe: Cell<Option<Millis>>,
+    probed: RefCell<HashMap<SocketAddr, Millis>>,
+}
+
+impl ReportCache {
+    /// When a replica was last probed because requests over it were quiet.
+    pub fn last_probe(&self) -> Option<Millis> {
+        self.last_probe.get()
+    }
+}
+
+/// What a probe of a replica showed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ProbeEnd {
+    /// It answered.
+    Reached,
+    /// It did not, and this process was not late.
+    Lost(String),
+    /// This process was late itself.
+    Unclear,
 }
 
 #[derive(Clone, Debug)]
@@ -106,10 +150,11 @@
     relay: &Relay,
     address: SocketAddr,
     range: LayerRange,
+    give_up: GiveUpRule,
     orders_taken: u64,
 ) -> OrderEnd {
     count(&relay.counts.orders);
-    order(relay, address, place_order(range, orders_taken)).await
+    order(relay, address, place_order(range, give_up, orders_taken)).await
 }
 
 /// Orders the first engine of a request's path to go on over another path.
@@ -127,6 +172,63 @@
     }
 }
 
+/// Probes replicas that may be lost, in the background; one that does not answer is kept away from, and
+/// running streams are told. Whoever asks for the same replica meanwhile shares the probe.
+pub fn probe_replicas(relay: &Rc<Relay>, addresses: impl Iterator<Item = SocketAddr>) {
+    let now = now_millis();
+    relay.reports.last_probe.set(Some(now));
+    for address in addresses {
+        let last = relay.reports.probed.borrow().get(&address).copied();
+        if last.is_some_and(|last| now.saturating_sub(last) < PROBE_EVERY) {
+            continue;
+        }
+        relay.reports.probed.borrow_mut().insert(address, now);
+        let relay = relay.clone();
+        spawn_local(async move {
+            let end = probe(&relay, address).await;
+            if end == ProbeEnd::Reached {
+                return;
+            }
+            let id = relay.beliefs.borrow().fleet.at(address).map(|replica| replica.id.clone());
+            let took_ms = now_millis() - now;
+            tracing::info!(event = "probe-failed", %address, replica = id, ?end, took_ms);
+            if let (Some(id), ProbeEnd::Lost(why)) = (id, end) {
+                relay.suspect(&id, &why);
+            }
+        });
+    }
+}
+
+/// Asks for a report twice, the second time over a new connection, and waits for either.
+async fn probe(relay: &Relay, address: SocketAddr) -> ProbeEnd {
+    let begun = Instant::now();
+    let asking = ask_twice(relay, address);
+    match timeout(PROBE_TIME, asking).await {
+        Ok(Ok(())) => ProbeEnd::Reached,
+        Ok(Err(error)) => ProbeEnd::Lost(error.to_string()),
+        Err(_) if begun.elapsed() > PROBE_TIME + PROBE_LATE => ProbeEnd::Unclear,
+        Err(_) => ProbeEnd::Lost("no answer to a probe".to_owned()),
+    }
+}
+
+async fn ask_twice(relay: &Relay, address: SocketAddr) -> Result<(), SendError> {
+    let first = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), false);
+    tokio::pin!(first);
+    let answered = tokio::select! {
+        answered = first.as_mut() => Some(answered),
+        () = sleep(PROBE_AGAIN) => None,
+    };
+    let again = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), true);
+    match answered {
+        Some(Ok(_)) => Ok(()),
+        Some(Err(_)) => again.await.map(drop),
+        None => tokio::select! {
+            Ok(_) = first => Ok(()),
+            answered = again => answered.map(drop),
+        },
+    }
+}
+
 async fn call(
     relay: &Relay,
     address: SocketAddr,
@@ -134,18 +236,27 @@
     path: &str,
     body: Vec<u8>,
 ) -> Result<(StatusCode, Bytes), SendError> {
-    let exchange = async {
-        let request = engine_request(address, method, path, body);
-        let (response, link) = relay.pool.send(address, request, false).await?;
-        let (parts, body) = response.into_parts();
-        let marks = read_answer(&parts.headers);
-        let body = Limited::new(body, MOST_ANSWER).collect().await;
-        let body = body.map_err(|error| SendError::Broken { detail: error.to_string() })?;
-        if !marks.closes {
-            link.give_back(&relay.pool, marks.keep_alive);
-        }
-        Ok((parts.status, body.to_bytes()))
-    };
     let late = || SendError::Broken { detail: "no answer in time".to_owned() };
+    let exchange = exchange(relay, address, method, path, body, false);
     timeout(CALL_TIME, exchange).await.unwrap_or_else(|_| Err(late()))
 }
+
+async fn exchange(
+    relay: &Relay,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+    fresh: bool,
+) -> Result<(StatusCode, Bytes), SendError> {
+    let request = engine_request(address, method, path, body);
+    let (response, link) = relay.pool.send(address, request, fresh).await?;
+    let (parts, body) = response.into_parts();
+    let marks = read_answer(&parts.headers);
+    let body = Limited::new(body, MOST_ANSWER).collect().await;
+    let body = body.map_err(|error| SendError::Broken { detail: error.to_string() })?;
+    if !marks.closes {
+        link.give_back(&relay.pool, marks.keep_alive);
+    }
+    Ok((parts.status, body.to_bytes()))
+}
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -22,8 +22,8 @@
     admit::{Permit, admit},
     answers::{BodyBroken, RelayBody},
     counts::count,
-    engines::{OrderEnd, order_repath},
-    paths::{PathWish, RoomGuard, RoomRule, crosses, find_path},
+    engines::{OrderEnd, order_repath, probe_replicas},
+    paths::{CrossingRule, PathWish, RoomGuard, RoomRule, find_path},
     pool::BusyLink,
     request::CallerRequest,
     state::{PartState, Relay},
@@ -31,9 +31,15 @@
     stream::{OpenEnd, OpenStream, TriedReplicas, find_stall, may_repeat, note_fault, open_stream},
 };
 
-/// Pause between events after which a stream is looked into where the route names none: events usually
-/// come every 30 to 80 ms.
-const DEFAULT_QUIET: Millis = 200;
+/// Pause between events that is too long where the route names none: events usually come every 30 to
+/// 80 ms.
+const DEFAULT_GAP: Millis = 200;
+
+/// Pause, in mean pauses of the stream, after which the replicas of its path are probed.
+const PROBE_PAUSES: Millis = 3;
+
+/// Least such pause in milliseconds: on a calm day none is as long, so probes cost nothing there.
+const LEAST_QUIET: Millis = 100;
 
 /// Pause after which a stream is looked into whose path is suspected: above the usual pause, and early
 /// enough to go on elsewhere before the route's longest one.
@@ -71,10 +77,13 @@
     path: Vec<PathPart>,
     room: RoomGuard,
     framer: EventFramer,
+    opened_at: Millis,
     last_progress: Millis,
     longest_pause: Millis,
     alarms_seen: u64,
     leave_at: Option<Millis>,
+    /// Whether the path was probed since the last event.
+    is_probed: bool,
     doubtful: bool,
     next_try: Millis,
     ended: bool,
@@ -98,9 +107,11 @@
         link: Some(opened.link),
         path: opened.path,
         room: opened.room,
+        opened_at: now_millis(),
         last_progress: now_millis(),
         longest_pause: 0,
         leave_at: None,
+        is_probed: false,
         doubtful: false,
         next_try: 0,
         ended: false,
@@ -144,6 +155,7 @@
                     let now = now_millis();
                     self.longest_pause = self.longest_pause.max(now - self.last_progress);
                     self.last_progress = now;
+                    self.is_probed = false;
                     if let Some(events) = self.framer.push(chunk) {
                         self.leave_in_turn().await;
                         return Some(Ok(Frame::data(events)));
@@ -166,10 +178,10 @@
     async fn wait(&mut self) -> Waited {
         let now = now_millis();
         let quiet_for = now - self.last_progress;
-        let quiet_after = match self.permit.route.event_gap {
-            _ if self.doubtful => DOUBTFUL_QUIET,
-            0 => DEFAULT_QUIET,
-            gap => gap,
+        let quiet_after = match self.doubtful {
+            true => DOUBTFUL_QUIET,
+            false if self.is_probed => self.longest_gap(),
+            false => self.probe_pause().min(self.longest_gap()),
         };
         let look_in = match quiet_for < quiet_after {
             true => Duration::from_millis(quiet_after - quiet_for),
@@ -195,6 +207,22 @@
         }
     }
 
+    /// Pause between events that makes an answer late.
+    fn longest_gap(&self) -> Millis {
+        match self.permit.route.event_gap {
+            0 => DEFAULT_GAP,
+            gap => gap,
+        }
+    }
+
+    /// Pause after which the replicas of the path are probed: longer than any that the stream has had.
+    fn probe_pause(&self) -> Millis {
+        let ran_for = self.last_progress.saturating_sub(self.opened_at);
+        let mean = ran_for / self.framer.events().max(1);
+        let unusual = (mean * PROBE_PAUSES).max(self.longest_pause * 3 / 2);
+        unusual.max(LEAST_QUIET)
+    }
+
     fn finish(&mut self) {
         self.ended = true;
         let took = now_millis() - self.request.arrived;
@@ -273,11 +301,19 @@
         }
     }
 
-    /// Finds out why a stream stands still, and mends it.
+    /// Finds out why a stream stands still, and mends it. A lost replica shows first in a probe; what the
+    /// first engine says of a stall is some hundred milliseconds old.
     async fn look_into(&mut self) {
         self.doubtful = false;
         let first = self.path[0].clone();
-        if self.path_state() != PartState::Lost {
+        let quiet = now_millis() - self.last_progress;
+        let first_is_lost = self.relay.part_state(&first) == PartState::Lost;
+        if !first_is_lost && self.path_state() != PartState::Lost {
+            if quiet < self.longest_gap() {
+                self.is_probed = true;
+                probe_replicas(&self.relay, self.path.iter().map(|part| part.address));
+                return;
+            }
             let id = &self.request.marks.attempt_id;
             if let Some(at_fault) = find_stall(&self.relay, first.address, id).await {
                 note_fault(&self.relay, at_fault, "stalled");
@@ -311,9 +347,9 @@
             avoid: &[],
             first: Some((&first.id, first.range)),
         };
-        let path = find_path(&self.relay, &wish, RoomRule::Wanted);
+        let path = find_path(&self.relay, &wish, RoomRule::Wanted, CrossingRule::Never);
         let id = &self.request.marks.attempt_id;
-        let Some(path) = path.filter(|path| !crosses(&self.relay, path)) else {
+        let Some(path) = path else {
             tracing::info!(event = "repath-impossible", request = id, first = first.id);
             return false;
         };
@@ -343,6 +379,10 @@
             first = self.path[0].id,
             last_event = self.framer.last_id(),
         );
+        if loss == StreamLoss::Broken {
+            // The replica may be gone, and with it others' streams that pass through it.
+            probe_replicas(&self.relay, std::iter::once(self.path[0].address));
+        }
         match (self.resume().await, loss) {
             (Ok(stream), _) => self.take_over(stream),
             (Err(not_resumed), StreamLoss::Broken) => self.give_up(why, &not_resumed),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`stream`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
+//! | [`survey`] | which engines are slow |
 //! | [`placer`] | orders to engines to hold layers |
 //! | [`stop`], [`run`], [`reload`], [`settings`], [`logs`], [`counts`], [`metrics`] | the process |
 
@@ -37,4 +38,5 @@
 pub mod state;
 pub mod stop;
 pub mod stream;
+pub mod survey;
 pub mod watch;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,7 +12,7 @@
 };
 
 /// Version of the form.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
 
 /// A message between relays.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -48,6 +48,8 @@
     pub room: Option<Vec<(String, u32)>>,
     /// Replicas kept away from, with the milliseconds that it still lasts.
     pub suspects: Vec<(String, u32)>,
+    /// Engines that are slow, with the hundredfold of their factor.
+    pub paces: Vec<(String, u32)>,
 }
 
 /// Replicas that changed.
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -46,8 +46,22 @@
     Wanted,
 }
 
+/// Whether a path may pass from one data centre to another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrossingRule {
+    /// It may not: its activations would share a slow pipe with those of all others.
+    Never,
+    /// It may, where no data centre has a whole path.
+    Allowed,
+}
+
 /// Chooses a path.
-pub fn find_path(relay: &Relay, wish: &PathWish<'_>, rule: RoomRule) -> Option<Vec<PathPart>> {
+pub fn find_path(
+    relay: &Relay,
+    wish: &PathWish<'_>,
+    rule: RoomRule,
+    crossing: CrossingRule,
+) -> Option<Vec<PathPart>> {
     let beliefs = relay.beliefs.borrow();
     let mut data_centres = DataCentres::default();
     let home = data_centres.number(&relay.settings.data_centre);
@@ -57,6 +71,7 @@
         tokens: wish.tokens,
         home,
         data_centres: data_centres.count(),
+        may_cross: crossing == CrossingRule::Allowed,
         first: wish.first,
     };
     let costs = ChainCosts::default();
@@ -71,7 +86,8 @@
 /// Time between two looks for a path with room.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 
-/// Waits for a path with room, for `patience` at most, and then takes one without.
+/// Waits for a path with room in one data centre, for `patience` at most, and then takes one without.
+/// Where no data centre has a whole path, one that crosses is taken at once, if the pipe has room.
 pub async fn wait_for_path(
     relay: &Relay,
     wish: &PathWish<'_>,
@@ -79,21 +95,57 @@
 ) -> Option<Vec<PathPart>> {
     let end = Instant::now() + patience;
     loop {
-        if let Some(path) = find_path(relay, wish, RoomRule::Needed) {
+        if let Some(path) = find_path(relay, wish, RoomRule::Needed, CrossingRule::Never) {
             return Some(path);
         }
+        let crowded = find_path(relay, wish, RoomRule::Wanted, CrossingRule::Never);
+        if crowded.is_none() {
+            return crossing_path(relay, wish);
+        }
         if Instant::now() >= end {
-            return find_path(relay, wish, RoomRule::Wanted);
+            crowded.iter().for_each(|path| log_crowded(relay, wish, path));
+            return crowded;
         }
         sleep(LOOK_EVERY).await;
     }
 }
 
-/// Whether a path passes from one data centre to another.
-pub fn crosses(relay: &Relay, path: &[PathPart]) -> bool {
+/// Tells which replica of a path has least room.
+fn log_crowded(relay: &Relay, wish: &PathWish<'_>, path: &[PathPart]) {
+    let beliefs = relay.beliefs.borrow();
+    let fill = |part: &PathPart| {
+        let replica = beliefs.fleet.get(&part.id)?;
+        let memory = wish.engine.kind(&replica.kind)?.memory_mb;
+        let total = wish.engine.room(memory, replica.layers?.len());
+        Some((beliefs.room.promised(&part.id) / total.max(1.0), &replica.id))
+    };
+    let fullest = path.iter().filter_map(fill).max_by(|left, right| left.0.total_cmp(&right.0));
+    if let Some((fill, replica)) = fullest {
+        tracing::info!(event = "path-crowded", replica, fill, tokens = wish.tokens);
+    }
+}
+
+/// A path over several data centres, where this relay's share of the pipe has room for the request.
+fn crossing_path(relay: &Relay, wish: &PathWish<'_>) -> Option<Vec<PathPart>> {
+    let path = find_path(relay, wish, RoomRule::Wanted, CrossingRule::Allowed)?;
+    let crossings = count_crossings(relay, &path);
+    let pipe_time = wish.engine.crossing_time(wish.tokens) * f64::from(crossings);
+    let now = now_millis();
+    let mut beliefs = relay.beliefs.borrow_mut();
+    let entries = beliefs.peers.live(now) + 1;
+    let taken = beliefs.pipe.take(pipe_time, entries, now);
+    if !taken {
+        tracing::info!(event = "pipe-full", service = wish.service, crossings, pipe_time, entries);
+    }
+    taken.then_some(path)
+}
+
+/// How often a path passes from one data centre to another.
+fn count_crossings(relay: &Relay, path: &[PathPart]) -> u32 {
     let beliefs = relay.beliefs.borrow();
     let place = |part: &PathPart| beliefs.fleet.get(&part.id).map(|replica| &replica.data_centre);
-    path.windows(2).any(|pair| place(&pair[0]) != place(&pair[1]))
+    let passes = path.windows(2).filter(|pair| place(&pair[0]) != place(&pair[1]));
+    passes.count() as u32
 }
 
 /// Numbers data centres as they are met.
@@ -133,8 +185,8 @@
         let promised = beliefs.room.promised(&replica.id);
         // A replica that was short of memory a moment ago counts as full.
         let promised = if beliefs.full.is_suspect(&replica.id, now) { total } else { promised };
-        let layer_cost =
-            layer_cost(wish.engine, kind.map_or(1.0, |kind| kind.pace), promised, total);
+        let pace = kind.map_or(1.0, |kind| kind.pace) * beliefs.paces.factor(&replica.id, now);
+        let layer_cost = layer_cost(wish.engine, pace, promised, total);
         let data_centre = data_centres.number(&replica.data_centre);
         offers.push(PartOffer {
             id: replica.id.clone(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -86,6 +86,9 @@
             let room = room.iter().map(|(id, amount)| (id.clone(), f64::from(*amount)));
             beliefs.room.hear(&news.name, room.collect(), now);
         }
+        for (id, hundredfold) in &news.paces {
+            beliefs.paces.take_over(id, f64::from(*hundredfold) / 100.0, now);
+        }
         for (id, lasts) in &news.suspects {
             if beliefs.fleet.get(id).is_some() && !beliefs.suspects.is_suspect(id, now) {
                 beliefs.suspects.take_over(id, now + Millis::from(*lasts));
@@ -197,6 +200,7 @@
     beliefs.room.forget(now);
     let room = beliefs.room.own().iter();
     let suspects = beliefs.suspects.current(now);
+    let paces = beliefs.paces.asked(now);
     StateNews {
         name: relay.settings.name.clone(),
         data_centre: relay.settings.data_centre.clone(),
@@ -208,6 +212,7 @@
         config_version: beliefs.config.get().map_or(0, |config| config.version),
         config_age: beliefs.config_lease.age(now),
         room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
+        paces: paces.map(|(id, factor)| (id.to_owned(), (factor * 100.0) as u32)).collect(),
         suspects: suspects.map(|(id, left)| (id.to_owned(), left as u32)).collect(),
     }
 }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -268,7 +268,8 @@
         tracing::info!(event = "order-waits", replica = replica.id, from, to, why = "busy");
         return false;
     }
-    let end = order_layers(relay, replica.address, range, report.orders_taken).await;
+    let give_up = order.reason.give_up_rule();
+    let end = order_layers(relay, replica.address, range, give_up, report.orders_taken).await;
     tracing::info!(
         event = "order",
         replica = replica.id,
@@ -277,6 +278,7 @@
         from,
         to,
         reason = ?order.reason,
+        ?give_up,
         orders_taken = report.orders_taken,
         ?end,
     );
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -36,6 +36,7 @@
     settings::RelaySettings,
     state::{Beliefs, Relay},
     stop::StopState,
+    survey::survey_engines,
     watch::{STORE_PATIENCE, follow_config, follow_replicas},
 };
 
@@ -125,6 +126,7 @@
     spawn_local(follow_replicas(relay.clone()));
     spawn_local(talk(relay.clone()));
     spawn_local(place_layers(relay.clone()));
+    spawn_local(survey_engines(relay.clone()));
     spawn_local(serve_readiness(relay.clone(), sockets.readiness));
     spawn_local(serve_metrics(relay.clone(), sockets.metrics));
     spawn_local(sweep(relay.clone()));
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -20,6 +20,8 @@
     fleet::FleetView,
     freshness::FreshnessLease,
     membership::PeerTable,
+    pace::PaceTable,
+    pipe::PipeShare,
     room::RoomLedger,
     suspect::SuspectList,
 };
@@ -58,6 +60,10 @@
     pub fleet_lease: FreshnessLease,
     /// Memory for requests promised at each replica.
     pub room: RoomLedger,
+    /// Engines that are slow.
+    pub paces: PaceTable,
+    /// This relay's share of the pipe between data centres.
+    pub pipe: PipeShare,
     /// Replicas to keep away from.
     pub suspects: SuspectList,
     /// Replicas that were short of memory a moment ago.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,16 +19,20 @@
     admit::{Permit, admit},
     answers::{Refusal, RelayAnswer, whole},
     counts::count,
-    engines::{ReportState, recent_report},
+    engines::{ReportState, probe_replicas, recent_report},
     flow::stream_body,
     paths::{PathWish, RoomGuard, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
     request::{CallerRequest, ReplicaTarget},
-    state::Relay,
+    state::{PartState, Relay},
     stop::FlightGuard,
 };
 
+/// Time without the head of an answer after which the replicas of the path are probed: twice what a
+/// first event usually takes.
+const PROBE_HEAD: Duration = Duration::from_millis(100);
+
 /// Time without the head of an answer after which the first engine is asked what it waits for: well
 /// above the 50 ms that a first event takes, and early enough for a second try within the objective.
 const QUIET_HEAD: Duration = Duration::from_millis(200);
@@ -166,7 +170,7 @@
     let fresh = !permit.route.is_repeatable();
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
-        await_head(relay, request, permit, tried.sends, &first, sending).await
+        await_head(relay, request, permit, tried.sends, &path, sending).await
     };
     let sent = match sent {
         Ok(sent) => sent,
@@ -177,6 +181,8 @@
         }
         Err(AwaitError::Send(SendError::Broken { detail })) => {
             // Not a reason to keep others away: an answer that is garbled or cut says little of the next.
+            // A replica that is gone shows in a probe.
+            probe_replicas(relay, std::iter::once(first.address));
             tried.sends += 1;
             tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
@@ -202,16 +208,16 @@
 
 type Sent = (Response<Incoming>, BusyLink);
 
-/// Waits for the head of an answer. Where it is late, the first engine is asked what it waits for. A
-/// request that may run again is given up at once where it waits for a lost replica, and after a while
+/// Waits for the head of an answer. Where it is late, the replicas of the path are probed, and the first
+/// engine is asked what it waits for. A request that may run again is given up at once where it waits for a lost replica, and after a while
 /// where it has another send; one that may not is waited for, since the engine may still say that it
 /// did not run.
 async fn await_head(
-    relay: &Relay,
+    relay: &Rc<Relay>,
     request: &CallerRequest,
     permit: &Permit,
     earlier_sends: u32,
-    first: &ReplicaEntry,
+    path: &[PathPart],
     sending: impl Future<Output = Result<Sent, SendError>>,
 ) -> Result<Sent, AwaitError> {
     let repeatable = permit.route.is_repeatable();
@@ -221,7 +227,7 @@
     };
     tokio::pin!(sending);
     let begun = Instant::now();
-    let mut ask_at = begun + QUIET_HEAD;
+    let mut ask_at = begun + PROBE_HEAD;
     loop {
         let left = Duration::from_millis(request.time_left(now_millis()));
         let end = Instant::now() + left;
@@ -232,9 +238,21 @@
         if request.time_left(now_millis()) == 0 {
             return Err(AwaitError::TimeUp);
         }
+        ask_at = Instant::now() + ASK_EVERY;
+        let lost = path.iter().find(|part| relay.part_state(part) == PartState::Lost);
+        if let Some(lost) = lost.filter(|_| repeatable) {
+            return Err(AwaitError::Stalled(format!(
+                "a replica of the path is lost ({})",
+                lost.id
+            )));
+        }
+        if begun.elapsed() < QUIET_HEAD {
+            probe_replicas(relay, path.iter().map(|part| part.address));
+            continue;
+        }
         let stalled_at = tokio::select! {
             sent = sending.as_mut() => return sent.map_err(AwaitError::Send),
-            stalled_at = find_stall(relay, first.address, &request.marks.attempt_id) => stalled_at,
+            stalled_at = find_stall(relay, path[0].address, &request.marks.attempt_id) => stalled_at,
         };
         if let Some(at_fault) = stalled_at {
             let detail = note_fault(relay, at_fault, "stalled");
@@ -245,7 +263,6 @@
         if begun.elapsed() > LATE_HEAD && may_leave() {
             return Err(AwaitError::Stalled("no answer for long".to_owned()));
         }
-        ask_at = Instant::now() + ASK_EVERY;
     }
 }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -302,6 +302,7 @@
         beliefs.fleet.remove(id);
         beliefs.suspects.clear(id);
         beliefs.loads.forget(id);
+        beliefs.paces.forget(id);
     }
     relay.pool.forget(address);
     relay.raise_alarm();
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -349,3 +349,32 @@
         wait_until(async || replica.seen().len() == 1 && replica.open_connections() <= 1).await;
     });
 }
+
+/// A replica in the middle of a path goes dark, and the first one's report does not say so yet: it is
+/// found by a probe, and the stream goes on elsewhere.
+#[test]
+fn a_dark_replica_in_the_middle_is_found_by_a_probe() {
+    run_test(async {
+        let silent = |request: &SeenRequest| events(request, 3, PAUSE, StreamEnd::Silence);
+        let first = StandinReplica::start(engine(0, 5, silent)).await;
+        let probes = Arc::new(Mutex::new(0));
+        let counted = probes.clone();
+        let dark = StandinReplica::start(move |request: &SeenRequest| {
+            let is_probe = request.target == REPORT_PATH;
+            *counted.lock().expect("no script panics") += u32::from(is_probe);
+            Reply::Silence
+        })
+        .await;
+        let other = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let entries = [
+            listed("i-1", &first, |address| model_entry(address, 0, 5)),
+            listed("i-2", &dark, |address| model_entry(address, 5, LAYERS)),
+            listed("i-3", &other, elsewhere(whole_model)),
+        ];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let called = relay.get("/stream/a", "a").await;
+        assert!(called.whole);
+        assert_eq!(event_ids(&called.body), (0..EVENTS).collect::<Vec<u64>>());
+        assert!(*probes.lock().expect("no script panics") > 0);
+    });
+}
--- a/crates/router/src/access.rs
+++ b/crates/router/src/access.rs
@@ -113,6 +113,10 @@
     pub usual_prompt: u32,
     /// Mean tokens of an answer.
     pub usual_answer: u32,
+    /// Bytes of activations that one token hands from one replica to the next.
+    pub activation_bytes: f64,
+    /// Width of the pipe between data centres, in Mbit/s; 0 where nothing limits it.
+    pub pipe_mbps: f64,
 }
 
 impl EngineSpec {
@@ -121,6 +125,15 @@
         self.token_bytes / f64::from(self.layers.max(1)) / 1e6
     }
 
+    /// Time that the activations of so many tokens take of the pipe between data centres, in
+    /// milliseconds.
+    pub fn crossing_time(&self, tokens: f64) -> f64 {
+        if self.pipe_mbps <= 0.0 {
+            return 0.0;
+        }
+        tokens * self.activation_bytes * 8.0 / (self.pipe_mbps * 1_000.0)
+    }
+
     /// Kind of that name.
     pub fn kind(&self, name: &str) -> Option<&CardKind> {
         self.kinds.iter().find(|kind| kind.name == name)
--- a/crates/router/src/chain.rs
+++ b/crates/router/src/chain.rs
@@ -72,6 +72,8 @@
     pub home: usize,
     /// Count of data centres.
     pub data_centres: usize,
+    /// Whether the path may pass from one data centre to another.
+    pub may_cross: bool,
     /// First replica that the path must begin with, and its layers: for changing the path of a request
     /// that runs.
     pub first: Option<(&'a str, LayerRange)>,
@@ -147,7 +149,8 @@
             true if offer.data_centre == request.home => 0.0,
             true => costs.remote_start,
             false if offer.data_centre == row => 0.0,
-            false => costs.crossing,
+            false if request.may_cross => costs.crossing,
+            false => continue,
         };
         for next in position + 1..bounds.len() {
             let to = bounds[next];
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -97,6 +97,27 @@
     Balance,
 }
 
+/// What becomes of running requests that use layers given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GiveUpRule {
+    /// They are waited for; nothing new is loaded until they have ended.
+    Wait,
+    /// They are cut at once, and go on elsewhere where their route allows it.
+    Cut,
+}
+
+impl PlaceReason {
+    /// Where a gap is open, the whole group serves nobody, and the requests that an order waits for
+    /// cannot move within the group either: a replica once waited 14 s for them before it began a load
+    /// of a second and a half.
+    pub fn give_up_rule(self) -> GiveUpRule {
+        match self {
+            Self::Gap | Self::Move => GiveUpRule::Cut,
+            Self::Empty | Self::Trim | Self::Balance => GiveUpRule::Wait,
+        }
+    }
+}
+
 /// Computes the orders for one group of replicas.
 pub fn plan_group(
     holders: &[LayerHolder],
@@ -130,10 +151,11 @@
 /// and moves requests.
 const MOST_LEFT: f64 = 0.9;
 
-/// Gaps below this many layers are closed by neighbours: each loads two or three layers, in less time
-/// than a whole replica takes.
-const NARROW_GAP: u32 = 5;
+/// Gaps below so many layers are closed by neighbours: each loads two or three layers, in less time than
+/// a whole replica takes, but has less room for requests then. Each is tried; the last one moves nobody.
+const NARROW_GAPS: [u32; 4] = [1, 3, 5, u32::MAX];
 
+#[derive(Clone)]
 struct Group<'a> {
     holders: Vec<LayerHolder>,
     model: ModelShape,
@@ -262,11 +284,48 @@
         self.orders.push(PlaceOrder { id, range, reason });
     }
 
+    /// Closes gaps in the way that costs least: by moving spare replicas into them, by neighbours that
+    /// take over from each other, or by both.
     fn close_gaps(&mut self) {
+        if widest_gap(&self.counts()).is_none() {
+            return;
+        }
+        let ways = NARROW_GAPS.into_iter().map(|narrow| {
+            let mut way = self.clone();
+            way.close_gaps_from(narrow);
+            let cost = way.cost(&self.holders);
+            (way, cost)
+        });
+        let best = ways.min_by(|left, right| left.1.total_cmp(&right.1));
+        if let Some((best, _)) = best {
+            *self = best;
+        }
+    }
+
+    /// Cost of a layout: layers that nobody holds, then the longest load, in layers, and the scarcity of
+    /// room at the narrowest layer.
+    fn cost(&self, before: &[LayerHolder]) -> f64 {
+        const UNHELD_COST: f64 = 1_000.0;
+        const LOAD_COST: f64 = 1.0;
+        /// Room for one layer, in MB, that is worth a load of one layer more where it is all there is.
+        const NARROW_COST: f64 = 5_000.0;
+        let unheld = self.counts().iter().filter(|count| **count == 0).count();
+        let loads = before.iter().zip(&self.holders).map(|(before, after)| {
+            let held = before.range.unwrap_or_default();
+            let range = after.range.unwrap_or_default();
+            (range.from..range.to).filter(|layer| !held.contains(*layer)).count()
+        });
+        let longest = loads.max().unwrap_or(0);
+        let narrowest = self.room_by_layer().into_iter().fold(f64::INFINITY, f64::min);
+        unheld as f64 * UNHELD_COST + longest as f64 * LOAD_COST + NARROW_COST / narrowest.max(1.0)
+    }
+
+    /// Moves spare replicas into gaps of at least `narrow` layers, and deals the rest to neighbours.
+    fn close_gaps_from(&mut self, narrow: u32) {
         while let Some(gap) = widest_gap(&self.counts()) {
             // What others are only about to hold is no reason to give layers up.
             let held = self.held_counts();
-            if gap.len() < NARROW_GAP || !self.move_into(gap, &held) {
+            if gap.len() < narrow || !self.move_into(gap, &held) {
                 break;
             }
         }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -5,7 +5,7 @@
 use switchfold_core::hash::hash_bytes;
 
 /// Layers `from..to` of the model.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LayerRange {
     /// First layer.
     pub from: u32,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`cover`] | which layers each replica should hold |
 //! | [`freshness`] | whether the configuration is recent enough to let keys in |
 //! | [`membership`] | which relay gives orders, and which follows the store for others |
+//! | [`pace`] | how slow each engine is at the moment |
+//! | [`pipe`] | how many paths may cross from one data centre to another |
 //! | [`room`] | how much memory for requests is promised at each replica |
 //! | [`suspect`] | which replicas to keep away from for a while |
 //!
@@ -28,6 +30,8 @@
 pub mod fleet;
 pub mod freshness;
 pub mod membership;
+pub mod pace;
+pub mod pipe;
 pub mod room;
 pub mod suspect;
 
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -3,7 +3,9 @@
 use proptest::prelude::*;
 use switchfold_router::{
     chain::{ChainCosts, PartOffer, PathRequest, choose_path, tiles},
-    cover::{CoverConfig, LayerHolder, ModelShape, PlaceReason, plan_group, widest_gap},
+    cover::{
+        CoverConfig, GiveUpRule, LayerHolder, ModelShape, PlaceReason, plan_group, widest_gap,
+    },
     fleet::LayerRange,
 };
 
@@ -21,7 +23,14 @@
 }
 
 fn request() -> PathRequest<'static> {
-    PathRequest { layers: LAYERS, tokens: 900.0, home: 0, data_centres: 3, first: None }
+    PathRequest {
+        layers: LAYERS,
+        tokens: 900.0,
+        home: 0,
+        data_centres: 3,
+        may_cross: true,
+        first: None,
+    }
 }
 
 #[test]
@@ -32,6 +41,15 @@
     assert_eq!(ids, ["r0", "r1"]);
 }
 
+#[test]
+fn crosses_only_where_it_may() {
+    let offers = [offer(1, 0, 40, 0, 1.0), offer(2, 40, 80, 1, 1.0)];
+    let costs = ChainCosts::default();
+    assert!(choose_path(&request(), &offers, &costs).is_some());
+    let inside = PathRequest { may_cross: false, ..request() };
+    assert_eq!(choose_path(&inside, &offers, &costs), None);
+}
+
 #[test]
 fn crosses_once_where_a_layer_is_missing() {
     let offers = [offer(0, 0, 40, 0, 1.0), offer(1, 48, 80, 0, 1.0), offer(2, 30, 80, 1, 1.0)];
@@ -156,6 +174,42 @@
     assert_eq!(widest_gap(&counts(&after(&mixed_group()))), None);
 }
 
+/// A lost large replica: spare small ones move into the gap, so that nobody is stretched until it has
+/// room for a third of the usual requests only.
+#[test]
+fn a_wide_gap_leaves_room_at_every_layer() {
+    let mut holders = vec![
+        holder(0, 36_000.0, Some((0, 14))),
+        holder(1, 21_600.0, Some((28, 36))),
+        holder(2, 21_600.0, Some((36, 44))),
+        holder(3, 21_600.0, Some((44, 52))),
+        holder(4, 21_600.0, Some((52, 60))),
+    ];
+    for (pair, from) in [60, 65, 70].into_iter().enumerate() {
+        holders.push(holder(10 + 2 * pair, 14_400.0, Some((from, from + 5))));
+        holders.push(holder(11 + 2 * pair, 14_400.0, Some((from, from + 5))));
+    }
+    holders.push(holder(20, 14_400.0, Some((75, 80))));
+    let repaired = after(&holders);
+    assert_eq!(widest_gap(&counts(&repaired)), None);
+    for holder in &repaired {
+        let len = f64::from(holder.range.expect("all hold layers").len());
+        let room = (holder.memory_mb - len * MODEL.layer_mb) / len;
+        assert!(room > 600.0, "{holder:?} of {repaired:?}");
+    }
+}
+
+/// While a gap is open, an order does not wait for requests that cannot move away either.
+#[test]
+fn only_orders_that_close_gaps_cut_requests() {
+    for reason in [PlaceReason::Gap, PlaceReason::Move] {
+        assert_eq!(reason.give_up_rule(), GiveUpRule::Cut);
+    }
+    for reason in [PlaceReason::Empty, PlaceReason::Trim, PlaceReason::Balance] {
+        assert_eq!(reason.give_up_rule(), GiveUpRule::Wait);
+    }
+}
+
 #[test]
 fn a_settled_group_is_left_alone() {
     let settled = settle(mixed_group());
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -7,6 +7,8 @@
     access::ConfigSlot,
     budget::{BudgetConfig, RepeatBudget},
     freshness::{FreshnessLease, LEASE_MARGIN},
+    pace::{PACE_AGE, PaceTable},
+    pipe::PipeShare,
     room::{PEER_AGE, RoomLedger},
     suspect::{FIRST_TIME_OUT, SuspectList},
 };
@@ -100,3 +102,50 @@
     suspects.clear("a");
     assert!(!suspects.is_suspect("a", FIRST_TIME_OUT));
 }
+
+proptest! {
+    /// However requests come, all entries together fill no more of the pipe than there is, but for what
+    /// each may take ahead.
+    #[test]
+    fn the_pipe_is_not_overfilled(
+        steps in prop::collection::vec((0usize..4, 0u64..60, 1f64..80.0), 1..200)
+    ) {
+        const ENTRIES: usize = 4;
+        const AHEAD: f64 = 250.0;
+        let mut shares = vec![PipeShare::default(); ENTRIES];
+        let (mut now, mut taken, mut largest) = (0, 0.0, 0.0_f64);
+        for (entry, wait, time) in steps {
+            now += wait;
+            largest = largest.max(time);
+            if shares[entry].take(time, ENTRIES, now) {
+                taken += time;
+            }
+            let most = now as f64 + AHEAD + ENTRIES as f64 * largest;
+            prop_assert!(taken <= most, "{taken} of {most}");
+        }
+    }
+}
+
+#[test]
+fn a_full_pipe_has_room_again_later() {
+    let mut share = PipeShare::default();
+    let mut now = 0;
+    while share.take(40.0, 5, now) {}
+    assert!(!share.take(40.0, 5, now));
+    now += 10_000;
+    assert!(share.take(40.0, 5, now));
+}
+
+#[test]
+fn a_slow_engine_is_told_by_the_entry_that_asked_it() {
+    let mut paces = PaceTable::default();
+    assert!(paces.note("i-1", 4.0, 0));
+    assert!(!paces.note("i-1", 3.0, 100));
+    paces.take_over("i-2", 2.0, 100);
+    assert_eq!(paces.factor("i-1", 200), 3.0);
+    assert_eq!(paces.factor("i-2", 200), 2.0);
+    assert_eq!(paces.asked(200).collect::<Vec<_>>(), [("i-1", 3.0)]);
+    assert_eq!(paces.factor("i-2", 100 + PACE_AGE), 1.0);
+    assert!(paces.note("i-1", 1.0, 300));
+    assert_eq!(paces.factor("i-1", 300), 1.0);
+}
