A fault soak: relays as processes, faults from outside, promises checked from what callers and replicas see

Relays and stand-in replicas run as processes; loopback proxies delay, reset, silence or cut links one way; signals kill, pause and stop; the store refuses, is silent or forgets; keys go, versions come. 12 promises are held against what callers got and replicas ran; each check is shown able to fail by a table. The stand-in engine takes orders, loads layers and runs over paths.

--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,253 @@
+//! The promises that a run is held against.
+//!
+//! Each check is a function of what callers and replicas saw. Promises with a time bound count only where
+//! no fault was near; the one on removed keys counts always.
+
+use std::collections::{HashMap, HashSet};
+
+use derive_more::Display;
+
+use crate::record::{
+    CallAnswer, CallEnd, CallRecord, DisruptionKind, Micros, RunHistory, RunRecord,
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 30;
+
+/// Time from a key's removal to the last request that may run with it, in microseconds.
+pub const REVOKE_TIME: Micros = 5_000_000;
+
+/// Time for which a leaving replica may get requests, in microseconds.
+pub const DRAIN_TIME: Micros = 2_000_000;
+
+/// Time after a fault for which time bounds do not count, in microseconds.
+pub const CONTACT_TIME: Micros = 3_000_000;
+
+/// Most memory of a relay, in KB.
+pub const MOST_MEMORY_KB: u64 = 128 * 1_024;
+
+/// Most replicas that one request may run on.
+const MOST_ATTEMPTS: usize = 2;
+
+/// Requests that may run on more replicas: those whose replica ended meanwhile are not told apart.
+const EXCUSED_ATTEMPTS: usize = 3;
+
+/// A promise that may be broken.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Promise {
+    /// An answer is whole and the replica's own, and belongs to its request.
+    #[display("own-answer")]
+    OwnAnswer,
+    /// A stream has each event once, in order.
+    #[display("event-order")]
+    EventOrder,
+    /// What may run once does.
+    #[display("at-most-once")]
+    AtMostOnce,
+    /// "Not run" is true.
+    #[display("true-refusal")]
+    TrueRefusal,
+    /// Only what callers sent runs, unchanged, and for their organisation.
+    #[display("as-asked")]
+    AsAsked,
+    /// A removed key runs nothing after its bound.
+    #[display("removed-key")]
+    RemovedKey,
+    /// A leaving replica is left alone.
+    #[display("leaving-replica")]
+    LeavingReplica,
+    /// A planned stop cuts nothing.
+    #[display("planned-stop")]
+    PlannedStop,
+    /// A request goes to a bounded number of replicas.
+    #[display("most-attempts")]
+    MostAttempts,
+    /// No process ends by itself, or stays when told to stop.
+    #[display("process-end")]
+    ProcessEnd,
+    /// Memory stays within its bound.
+    #[display("memory")]
+    Memory,
+    /// Service comes back after the last fault.
+    #[display("recovery")]
+    Recovery,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{promise}: {what}")]
+pub struct Violation {
+    /// The promise.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+fn broken(promise: Promise, what: impl Into<String>) -> Violation {
+    Violation { promise, what: what.into() }
+}
+
+/// Holds a run against all promises.
+pub fn check(history: &RunHistory, organisation: &str) -> Vec<Violation> {
+    let mut runs: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+    for run in &history.runs {
+        runs.entry(&run.id).or_default().push(run);
+    }
+    let ran = |call: &CallRecord| runs.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
+    let mut violations = Vec::new();
+    for call in &history.calls {
+        violations.extend(check_answer(call));
+        violations.extend(check_runs(call, ran(call)));
+        violations.extend(check_stop(history, call, ran(call)));
+    }
+    violations.extend(check_attempts(history, &runs));
+    violations.extend(check_asked(history, organisation));
+    violations.extend(check_keys(history, &runs));
+    violations.extend(check_leaving(history));
+    violations.extend(check_processes(history));
+    violations
+}
+
+fn check_answer(call: &CallRecord) -> Option<Violation> {
+    let CallEnd::Answered(answer) = &call.end else { return None };
+    if call.kind.is_stream() && answer.status == 200 {
+        return check_events(call, answer);
+    }
+    let wrong = match answer.status {
+        200 => !answer.sealed || answer.whole && answer.body != own_body(&call.id),
+        // A replica fails only in its own words.
+        500 => !answer.sealed,
+        _ => answer.sealed,
+    };
+    let what = || format!("{} got status {} with {:?}", call.id, answer.status, answer.body);
+    wrong.then(|| broken(Promise::OwnAnswer, what()))
+}
+
+/// Body of a plain replica's answer.
+pub fn own_body(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+fn check_events(call: &CallRecord, answer: &CallAnswer) -> Option<Violation> {
+    if !answer.sealed {
+        return Some(broken(Promise::OwnAnswer, format!("{}: a stream without seal", call.id)));
+    }
+    let mut expected = 0;
+    for event in answer.body.split_terminator("\n\n") {
+        let own = format!("id: {expected}\ndata: piece {expected} of {}", call.id);
+        if event != own {
+            let what = format!("{}: {event:?} instead of event {expected}", call.id);
+            return Some(broken(Promise::EventOrder, what));
+        }
+        expected += 1;
+    }
+    let short = answer.whole && expected != EVENTS;
+    short.then(|| broken(Promise::EventOrder, format!("{}: ends after {expected}", call.id)))
+}
+
+fn check_runs(call: &CallRecord, runs: &[&RunRecord]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    if !call.kind.runs_once() {
+        return violations;
+    }
+    let count = runs.iter().filter(|run| run.ran).count();
+    if count > 1 {
+        violations.push(broken(Promise::AtMostOnce, format!("{} ran {count} times", call.id)));
+    }
+    if let CallEnd::Answered(answer) = &call.end
+        && matches!(answer.status, 408 | 421 | 429 | 503)
+        && count > 0
+    {
+        let what = format!("{} got status {} and ran", call.id, answer.status);
+        violations.push(broken(Promise::TrueRefusal, what));
+    }
+    violations
+}
+
+/// A request that a replica ran, taken by a relay that stops as planned, is answered whole.
+fn check_stop(history: &RunHistory, call: &CallRecord, runs: &[&RunRecord]) -> Option<Violation> {
+    let whole = matches!(&call.end, CallEnd::Answered(answer) if answer.whole);
+    let stops = history.disruptions.iter().any(|disruption| {
+        disruption.kind == DisruptionKind::PlannedStop(call.relay)
+            && disruption.from <= call.ended
+            && call.sent <= disruption.to
+    });
+    let ran = runs.iter().any(|run| run.ran);
+    let cut = stops && ran && !whole && history.is_calm(call.sent, call.ended);
+    cut.then(|| broken(Promise::PlannedStop, format!("{} was cut: {:?}", call.id, call.end)))
+}
+
+fn check_attempts(
+    history: &RunHistory,
+    runs: &HashMap<&str, Vec<&RunRecord>>,
+) -> Option<Violation> {
+    let over = history.calls.iter().filter(|call| {
+        let runs = runs.get(call.id.as_str()).into_iter().flatten().filter(|run| run.ran);
+        let replicas: HashSet<&str> = runs.map(|run| run.replica.as_str()).collect();
+        replicas.len() > MOST_ATTEMPTS
+    });
+    let over: Vec<&str> = over.map(|call| call.id.as_str()).collect();
+    let what = || format!("{over:?} ran on more than {MOST_ATTEMPTS} replicas");
+    (over.len() > EXCUSED_ATTEMPTS).then(|| broken(Promise::MostAttempts, what()))
+}
+
+fn check_asked(history: &RunHistory, organisation: &str) -> Vec<Violation> {
+    let known: HashSet<&str> = history.calls.iter().map(|call| call.id.as_str()).collect();
+    let ran = history.runs.iter().filter(|run| run.ran);
+    let odd = ran.filter(|run| {
+        !known.contains(run.id.as_str()) || !run.intact || run.organisation != organisation
+    });
+    odd.map(|run| broken(Promise::AsAsked, format!("{run:?}"))).collect()
+}
+
+fn check_keys(history: &RunHistory, runs: &HashMap<&str, Vec<&RunRecord>>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (key, at) in &history.revoked {
+        let late =
+            history.calls.iter().filter(|call| call.key == *key && call.sent > at + REVOKE_TIME);
+        let ran = late.filter(|call| {
+            let runs = runs.get(call.id.as_str());
+            runs.is_some_and(|runs| runs.iter().any(|run| run.ran))
+        });
+        violations.extend(ran.map(|call| {
+            let after_ms = (call.sent - at) / 1_000;
+            let what = format!("{} ran with {key}, sent {after_ms} ms after its removal", call.id);
+            broken(Promise::RemovedKey, what)
+        }));
+    }
+    violations
+}
+
+fn check_leaving(history: &RunHistory) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (replica, at) in &history.leaving {
+        let late = history.runs.iter().filter(|run| {
+            run.replica == *replica && run.at > at + DRAIN_TIME && history.is_calm(*at, run.at)
+        });
+        violations.extend(late.map(|run| {
+            let after_ms = (run.at - at) / 1_000;
+            let what = format!("{} reached {replica} {after_ms} ms after it said so", run.id);
+            broken(Promise::LeavingReplica, what)
+        }));
+    }
+    violations
+}
+
+fn check_processes(history: &RunHistory) -> Vec<Violation> {
+    let odd = history.odd_ends.iter().map(|end| broken(Promise::ProcessEnd, end.as_str()));
+    let large = history.memory_kb.iter().filter(|kb| **kb > MOST_MEMORY_KB);
+    let large = large.map(|kb| broken(Promise::Memory, format!("a relay holds {kb} KB")));
+    let (calls, served) = history.after_faults;
+    let lost = calls > 0 && served * 4 < calls;
+    let lost = lost.then(|| broken(Promise::Recovery, format!("{served} of {calls} served")));
+    odd.chain(large).chain(lost).collect()
+}
+
+impl RunHistory {
+    /// Whether no fault was near a time span; planned work may have been.
+    fn is_calm(&self, from: Micros, to: Micros) -> bool {
+        let faults = self.disruptions.iter().filter(|one| one.kind == DisruptionKind::Fault);
+        let mut near = faults.filter(|one| one.from <= to && from <= one.to + CONTACT_TIME);
+        near.next().is_none()
+    }
+}
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,149 @@
+//! What callers and replicas saw.
+//!
+//! Times are microseconds since the epoch, by the one clock of the machine that a soak runs on.
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since the epoch.
+pub type Micros = u64;
+
+/// Kind of a call, by its route.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CallKind {
+    /// May run any number of times.
+    Safe,
+    /// Runs at most once.
+    Once,
+    /// A stream that may go on at another replica.
+    Stream,
+    /// A stream that runs at most once.
+    StreamOnce,
+}
+
+impl CallKind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Safe, Self::Once, Self::Stream, Self::StreamOnce];
+
+    /// Beginning of the paths of its route.
+    pub fn prefix(self) -> &'static str {
+        match self {
+            Self::Safe => "/safe/",
+            Self::Once => "/once/",
+            Self::Stream => "/stream/",
+            Self::StreamOnce => "/stream-once/",
+        }
+    }
+
+    /// Whether the answer is a series of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::StreamOnce)
+    }
+
+    /// Whether a request runs once at most.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::StreamOnce)
+    }
+}
+
+/// How a call ended for its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// No connection opened.
+    NotConnected,
+    /// The connection ended without an answer, or the caller gave up.
+    NoAnswer,
+    /// An answer came.
+    Answered(CallAnswer),
+}
+
+/// An answer, as far as it came.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallAnswer {
+    /// Status.
+    pub status: u16,
+    /// Whether it carries a replica's signature.
+    pub sealed: bool,
+    /// Whether its body ended as it should.
+    pub whole: bool,
+    /// Body.
+    pub body: String,
+}
+
+/// A call of a caller.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Id of the request.
+    pub id: String,
+    /// Its kind.
+    pub kind: CallKind,
+    /// Key that it was sent with.
+    pub key: String,
+    /// Relay that took it, by number.
+    pub relay: usize,
+    /// When it was sent.
+    pub sent: Micros,
+    /// When it ended.
+    pub ended: Micros,
+    /// How it ended.
+    pub end: CallEnd,
+}
+
+/// A request as a replica saw it, which it writes as a line before it answers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RunRecord {
+    /// Id of the request.
+    pub id: String,
+    /// Id of this start of the replica.
+    pub replica: String,
+    /// Whether it ran; otherwise it was rejected.
+    pub ran: bool,
+    /// Whether method, path and body are those of the caller.
+    pub intact: bool,
+    /// Organisation that it was handed on for.
+    pub organisation: String,
+    /// When it arrived.
+    pub at: Micros,
+}
+
+/// Something done to the site.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DisruptionKind {
+    /// A planned stop of a relay, by number.
+    PlannedStop(usize),
+    /// Planned work of another sort: a change of the configuration, a replica that leaves.
+    PlannedWork,
+    /// Anything else.
+    Fault,
+}
+
+/// A time span with a disruption.
+#[derive(Clone, Copy, Debug)]
+pub struct Disruption {
+    /// What it is.
+    pub kind: DisruptionKind,
+    /// Its beginning.
+    pub from: Micros,
+    /// Its end.
+    pub to: Micros,
+}
+
+/// Everything that was seen in a run.
+#[derive(Clone, Debug, Default)]
+pub struct RunHistory {
+    /// Calls of callers.
+    pub calls: Vec<CallRecord>,
+    /// Requests at replicas.
+    pub runs: Vec<RunRecord>,
+    /// Keys taken away, with the time at which the store had it.
+    pub revoked: Vec<(String, Micros)>,
+    /// Replicas that said they leave, with the time at which the store had it.
+    pub leaving: Vec<(String, Micros)>,
+    /// Disruptions.
+    pub disruptions: Vec<Disruption>,
+    /// Processes that ended by themselves, or did not end when told to.
+    pub odd_ends: Vec<String>,
+    /// Memory of each relay at the end, in KB.
+    pub memory_kb: Vec<u64>,
+    /// Calls made after all faults were over, and how many of them succeeded.
+    pub after_faults: (usize, usize),
+}
--- /dev/null
+++ b/crates/soak/src/replica.rs
@@ -0,0 +1,182 @@
+//! The stand-in replica as a program of its own, so that it can be killed and paused.
+//!
+//! It writes one line for each request before it answers, and none for the calls of the platform. The
+//! pipe keeps what was written when it is killed.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use clap::{Args, ValueEnum};
+use serde_json::Value;
+use switchfold_kernel::clock::epoch_micros;
+use switchfold_platform::{REPLICA_KIND, objects::ObjectStore};
+use switchfold_platform_standin::{
+    EngineEvent, Reply, SeenRequest, StandinEngine, StandinReplica, answer,
+    samples::{desk_entry, draining, in_data_centre},
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+use crate::{
+    checks::{EVENTS, own_body},
+    record::RunRecord,
+};
+
+/// Time between two writes of its entry to the store.
+pub const HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// Time between the events of a stream.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Time that a plain request takes.
+const WORK: Duration = Duration::from_millis(15);
+
+/// Of plain requests, one in so many fails.
+const FAILS_ONE_IN: usize = 19;
+
+/// Time that a leaving replica serves on after the store has it.
+const LINGER: Duration = Duration::from_millis(2_600);
+
+/// Time that the store has for an answer.
+const STORE_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Service of a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum ServiceKind {
+    /// The plain service.
+    Desk,
+    /// The model.
+    Engine,
+}
+
+/// What a replica is started with.
+#[derive(Clone, Debug, Args)]
+pub struct ReplicaArguments {
+    /// Id of this start.
+    #[arg(long)]
+    pub id: String,
+    /// Its service.
+    #[arg(long, value_enum)]
+    pub service: ServiceKind,
+    /// Address under which others reach it.
+    #[arg(long)]
+    pub advertise: SocketAddr,
+    /// Address of the store.
+    #[arg(long)]
+    pub store: SocketAddr,
+    /// Its data centre.
+    #[arg(long)]
+    pub data_centre: String,
+}
+
+/// First line that a replica writes: where it listens.
+pub const LISTENS: &str = "listens ";
+
+/// Runs a replica until SIGTERM; then it says that it leaves, serves on for a while, and ends.
+///
+/// # Errors
+///
+/// Fails where no port or signal is to be had.
+pub async fn run_replica(arguments: ReplicaArguments) -> std::io::Result<()> {
+    let engine = StandinEngine::default();
+    let replica = match arguments.service {
+        ServiceKind::Desk => start_desk(&arguments).await?,
+        ServiceKind::Engine => start_engine(&arguments, engine.clone()).await?,
+    };
+    println!("{LISTENS}{}", replica.address());
+    let running = engine.clone();
+    tokio::spawn(async move { running.run().await });
+    let mut term = signal(SignalKind::terminate())?;
+    let store = ObjectStore::new(&arguments.store.to_string(), STORE_PATIENCE);
+    let mut told: Option<Instant> = None;
+    let mut leaves = false;
+    while told.is_none_or(|told| told.elapsed() < LINGER) {
+        let entry = entry(&arguments, &engine, leaves);
+        let written = store.replace(REPLICA_KIND, &arguments.id, &entry).await;
+        if leaves && told.is_none() && written.is_ok() {
+            told = Some(Instant::now());
+            println!("{LEAVES}{}", epoch_micros());
+        }
+        tokio::select! {
+            _ = term.recv() => leaves = true,
+            () = sleep(HEARTBEAT) => {}
+        }
+    }
+    Ok(())
+}
+
+/// Line by which a leaving replica says that the store has it, with the time.
+pub const LEAVES: &str = "leaves ";
+
+fn entry(arguments: &ReplicaArguments, engine: &StandinEngine, leaves: bool) -> Value {
+    let entry = match arguments.service {
+        ServiceKind::Desk => desk_entry(arguments.advertise),
+        ServiceKind::Engine => engine.entry(arguments.advertise),
+    };
+    let entry = in_data_centre(entry, &arguments.data_centre);
+    if leaves { draining(entry) } else { entry }
+}
+
+async fn start_desk(arguments: &ReplicaArguments) -> std::io::Result<StandinReplica> {
+    let id = arguments.id.clone();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    StandinReplica::start_at(any, move |request: &SeenRequest| {
+        note(&id, request, true);
+        let attempt = attempt_id(request);
+        let fails = attempt.bytes().map(usize::from).sum::<usize>().is_multiple_of(FAILS_ONE_IN);
+        let status = if fails { 500 } else { 200 };
+        match answer(request, status, &own_body(attempt)) {
+            Reply::Bytes(bytes) => Reply::BytesLater(WORK, bytes),
+            other => other,
+        }
+    })
+    .await
+}
+
+async fn start_engine(
+    arguments: &ReplicaArguments,
+    engine: StandinEngine,
+) -> std::io::Result<StandinReplica> {
+    let id = arguments.id.clone();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    StandinReplica::start_at(any, move |request: &SeenRequest| {
+        engine.answer(request, EVENTS, PAUSE, |event| {
+            note(&id, request, event == EngineEvent::Began);
+        })
+    })
+    .await
+}
+
+fn attempt_id(request: &SeenRequest) -> &str {
+    request.header("x-attempt-id").unwrap_or_default()
+}
+
+/// Body that a caller sends with a request.
+pub fn caller_body(id: &str) -> String {
+    format!("question of {id}")
+}
+
+/// Path that a caller sends a request to.
+pub fn caller_path(prefix: &str, id: &str) -> String {
+    format!("{prefix}{id}?of={id}")
+}
+
+fn note(replica: &str, request: &SeenRequest, ran: bool) {
+    let id = attempt_id(request);
+    let path = request.target.ends_with(&caller_path("/", id));
+    let body = request.body == caller_body(id).as_bytes();
+    let record = RunRecord {
+        id: id.to_owned(),
+        replica: replica.to_owned(),
+        ran,
+        intact: path && body && request.method == "POST",
+        organisation: request.header("x-tenant").unwrap_or_default().to_owned(),
+        at: epoch_micros(),
+    };
+    let line = serde_json::to_string(&record).expect("records are plain data");
+    println!("{line}");
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,211 @@
+//! One run of a seed.
+
+use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
+
+use nix::sys::signal::Signal;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use switchfold_kernel::clock::epoch_micros;
+use switchfold_platform_standin::{StoreMood, samples::ORGANISATION};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::{
+    caller::run_caller,
+    checks::{Violation, check},
+    plan::{Fault, PlannedFault, make_plan},
+    proxy::LinkMood,
+    record::{CallEnd, CallKind, CallRecord, DisruptionKind},
+    site::{GRACE_S, SiteConfig, SoakSite},
+};
+
+/// Time after the last fault until service must be back.
+const RECOVERY_TIME: Duration = Duration::from_secs(8);
+
+/// Time for which service is counted after that.
+const COUNTED_TIME: Duration = Duration::from_secs(3);
+
+/// Time that a killed process is down at least.
+const LEAST_DOWN: Duration = Duration::from_millis(300);
+
+/// Time that a restarted process may need until it serves, counted to the fault that ended it.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
+/// What a run showed.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// Its seed.
+    pub seed: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// How calls ended, by kind and status.
+    pub ends: BTreeMap<String, usize>,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// Calls after the last fault, and those that succeeded.
+    pub after_faults: (usize, usize),
+}
+
+/// Runs a seed for `length`, plus the time that service has to come back.
+///
+/// # Errors
+///
+/// Fails where the site does not start.
+pub async fn run_seed(seed: u64, length: Duration, config: SiteConfig) -> io::Result<SoakReport> {
+    let shape = config.shape;
+    let site = SoakSite::start(config).await?;
+    let callers: Vec<_> = (0..shape.callers)
+        .map(|number| {
+            let random = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + number as u64);
+            tokio::spawn(run_caller(format!("s{seed}c{number}"), site.clone(), random))
+        })
+        .collect();
+    let plan = make_plan(seed, &shape, length);
+    inject(&site, &plan, length).await;
+    sleep(RECOVERY_TIME).await;
+    let counted_from = epoch_micros();
+    sleep(COUNTED_TIME).await;
+    site.end_calls();
+    let mut calls = Vec::new();
+    for caller in callers {
+        calls.extend(caller.await.map_err(io::Error::other)?);
+    }
+    site.end().await;
+    Ok(conclude(&site, seed, plan.len(), calls, counted_from))
+}
+
+fn conclude(
+    site: &SoakSite,
+    seed: u64,
+    faults: usize,
+    calls: Vec<CallRecord>,
+    counted_from: u64,
+) -> SoakReport {
+    let counted = calls.iter().filter(|call| call.sent >= counted_from && site.is_valid(&call.key));
+    let (mut count, mut served) = (0, 0);
+    for call in counted {
+        count += 1;
+        served += usize::from(is_served(call));
+    }
+    let mut ends = BTreeMap::new();
+    for call in &calls {
+        *ends.entry(describe_end(call)).or_default() += 1;
+    }
+    let mut history = site.history();
+    history.calls = calls;
+    history.after_faults = (count, served);
+    let violations = check(&history, ORGANISATION);
+    SoakReport { seed, violations, ends, faults, after_faults: (count, served) }
+}
+
+fn is_served(call: &CallRecord) -> bool {
+    matches!(&call.end, CallEnd::Answered(answer) if answer.sealed && answer.whole)
+}
+
+fn describe_end(call: &CallRecord) -> String {
+    let kind = match call.kind {
+        CallKind::Safe => "safe",
+        CallKind::Once => "once",
+        CallKind::Stream => "stream",
+        CallKind::StreamOnce => "stream-once",
+    };
+    match &call.end {
+        CallEnd::NotConnected => format!("{kind} not connected"),
+        CallEnd::NoAnswer => format!("{kind} no answer"),
+        CallEnd::Answered(answer) if answer.whole => format!("{kind} {}", answer.status),
+        CallEnd::Answered(answer) => format!("{kind} {} cut", answer.status),
+    }
+}
+
+/// Injects a plan, and waits until everything is well again.
+async fn inject(site: &Arc<SoakSite>, plan: &[PlannedFault], length: Duration) {
+    let begun = Instant::now();
+    let mut running = Vec::new();
+    for planned in plan {
+        sleep_until(begun + planned.at).await;
+        running.push(tokio::spawn(carry_out(site.clone(), *planned)));
+    }
+    sleep_until(begun + length).await;
+    for fault in running {
+        // A fault that panicked has left its mark in the site; the checks go on.
+        if let Err(error) = fault.await {
+            eprintln!("a fault was not carried out: {error}");
+        }
+    }
+}
+
+async fn carry_out(site: Arc<SoakSite>, planned: PlannedFault) {
+    let lasts = planned.lasts;
+    let down = lasts.max(LEAST_DOWN);
+    match planned.fault {
+        Fault::KillRelay(number) => {
+            site.note_disruption(DisruptionKind::Fault, down + START_TIME);
+            site.kill_relay(number, down);
+        }
+        Fault::KillRelays => {
+            site.note_disruption(DisruptionKind::Fault, LEAST_DOWN + START_TIME);
+            (0..site.relay_count()).for_each(|number| site.kill_relay(number, LEAST_DOWN));
+        }
+        Fault::StopRelay(number) => {
+            let grace = Duration::from_secs(GRACE_S + 1);
+            site.note_disruption(DisruptionKind::PlannedStop(number), grace);
+            site.stop_relay(number);
+        }
+        Fault::PauseRelay(number) => {
+            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.signal_relay(number, Signal::SIGSTOP);
+            sleep(lasts).await;
+            site.signal_relay(number, Signal::SIGCONT);
+        }
+        Fault::HangUpRelay(number) => {
+            site.note_disruption(DisruptionKind::PlannedWork, lasts);
+            site.signal_relay(number, Signal::SIGHUP);
+        }
+        Fault::KillReplica(number) => {
+            site.note_disruption(DisruptionKind::Fault, down + START_TIME);
+            site.kill_replica(number, down);
+        }
+        Fault::PauseReplica(number) => {
+            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.signal_replica(number, Signal::SIGSTOP);
+            sleep(lasts).await;
+            site.signal_replica(number, Signal::SIGCONT);
+        }
+        Fault::DrainReplica(number) => {
+            site.note_disruption(DisruptionKind::PlannedWork, lasts);
+            site.drain_replica(number);
+        }
+        Fault::DisturbReplica(number, mood) => {
+            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.replica_link(number).set_mood(mood);
+            sleep(lasts).await;
+            site.replica_link(number).set_mood(LinkMood::Well);
+        }
+        Fault::DisturbStore(number, mood) => {
+            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.store_link(number).set_mood(mood);
+            sleep(lasts).await;
+            site.store_link(number).set_mood(LinkMood::Well);
+        }
+        Fault::StoreBusy => disturb_store(&site, StoreMood::Busy, lasts).await,
+        Fault::StoreSilent => disturb_store(&site, StoreMood::Silent, lasts).await,
+        Fault::StoreForgets => {
+            site.note_disruption(DisruptionKind::Fault, Duration::ZERO);
+            site.store().compact();
+        }
+        Fault::NewVersion => {
+            site.note_disruption(DisruptionKind::PlannedWork, lasts);
+            site.write_config(2);
+        }
+        Fault::RemoveKey => {
+            site.note_disruption(DisruptionKind::PlannedWork, lasts);
+            site.remove_key();
+        }
+    }
+}
+
+async fn disturb_store(site: &SoakSite, mood: StoreMood, lasts: Duration) {
+    site.note_disruption(DisruptionKind::Fault, lasts);
+    site.store().set_mood(mood);
+    sleep(lasts).await;
+    site.store().set_mood(StoreMood::Well);
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,205 @@
+//! Each promise can be broken, and is seen to be; what the pages excuse is excused.
+
+use switchfold_soak::{
+    checks::{
+        CONTACT_TIME, DRAIN_TIME, EVENTS, MOST_MEMORY_KB, Promise, REVOKE_TIME, check, own_body,
+    },
+    record::{
+        CallAnswer, CallEnd, CallKind, CallRecord, Disruption, DisruptionKind, RunHistory,
+        RunRecord,
+    },
+};
+
+const ORGANISATION: &str = "fisher";
+
+fn answer(status: u16, sealed: bool, whole: bool, body: &str) -> CallEnd {
+    CallEnd::Answered(CallAnswer { status, sealed, whole, body: body.to_owned() })
+}
+
+fn call(id: &str, kind: CallKind, end: CallEnd) -> CallRecord {
+    CallRecord {
+        id: id.to_owned(),
+        kind,
+        key: "key".to_owned(),
+        relay: 0,
+        sent: 1_000_000,
+        ended: 1_500_000,
+        end,
+    }
+}
+
+fn run(id: &str, replica: &str) -> RunRecord {
+    RunRecord {
+        id: id.to_owned(),
+        replica: replica.to_owned(),
+        ran: true,
+        intact: true,
+        organisation: ORGANISATION.to_owned(),
+        at: 1_100_000,
+    }
+}
+
+fn stream(id: &str, events: impl IntoIterator<Item = u64>) -> String {
+    let events =
+        events.into_iter().map(|event| format!("id: {event}\ndata: piece {event} of {id}\n\n"));
+    events.collect()
+}
+
+fn broken(history: &RunHistory) -> Vec<Promise> {
+    check(history, ORGANISATION).into_iter().map(|violation| violation.promise).collect()
+}
+
+/// One call with its runs.
+fn history(call: CallRecord, runs: Vec<RunRecord>) -> RunHistory {
+    RunHistory { calls: vec![call], runs, ..RunHistory::default() }
+}
+
+#[test]
+fn answers() {
+    use CallKind::{Safe, Stream};
+    let own = own_body("a");
+    let rows = [
+        (Safe, answer(200, true, true, &own), None),
+        (Safe, answer(200, true, false, "answer"), None),
+        (Safe, answer(500, true, true, &own), None),
+        (Safe, answer(502, false, true, ""), None),
+        (Safe, answer(200, false, true, &own), Some(Promise::OwnAnswer)),
+        (Safe, answer(200, true, true, &own_body("b")), Some(Promise::OwnAnswer)),
+        (Safe, answer(500, false, true, ""), Some(Promise::OwnAnswer)),
+        (Safe, answer(503, true, true, ""), Some(Promise::OwnAnswer)),
+        (Stream, answer(200, true, true, &stream("a", 0..EVENTS)), None),
+        (Stream, answer(200, true, false, &stream("a", 0..3)), None),
+        (Stream, answer(200, false, true, &stream("a", 0..EVENTS)), Some(Promise::OwnAnswer)),
+        (Stream, answer(200, true, true, &stream("a", 0..3)), Some(Promise::EventOrder)),
+        (Stream, answer(200, true, false, &stream("a", [0, 2])), Some(Promise::EventOrder)),
+        (Stream, answer(200, true, false, &stream("a", [0, 0])), Some(Promise::EventOrder)),
+        (Stream, answer(200, true, false, &stream("b", 0..3)), Some(Promise::EventOrder)),
+    ];
+    for (kind, end, expected) in rows {
+        let history = history(call("a", kind, end.clone()), vec![run("a", "i-1")]);
+        assert_eq!(broken(&history), Vec::from_iter(expected), "{kind:?} {end:?}");
+    }
+}
+
+#[test]
+fn runs() {
+    use CallKind::{Once, Safe, StreamOnce};
+    let twice = || vec![run("a", "i-1"), run("a", "i-2")];
+    let refused = || answer(503, false, true, "");
+    let rows = [
+        (Safe, answer(200, true, true, &own_body("a")), twice(), None),
+        (Safe, refused(), vec![run("a", "i-1")], None),
+        (Once, CallEnd::NoAnswer, vec![run("a", "i-1")], None),
+        (Once, refused(), vec![], None),
+        (Once, CallEnd::NoAnswer, twice(), Some(Promise::AtMostOnce)),
+        (StreamOnce, CallEnd::NoAnswer, twice(), Some(Promise::AtMostOnce)),
+        (Once, refused(), vec![run("a", "i-1")], Some(Promise::TrueRefusal)),
+        (Once, refused(), vec![RunRecord { ran: false, ..run("a", "i-1") }], None),
+    ];
+    for (kind, end, runs, expected) in rows {
+        let history = history(call("a", kind, end), runs);
+        assert_eq!(broken(&history), Vec::from_iter(expected), "{history:?}");
+    }
+}
+
+#[test]
+fn what_was_not_asked() {
+    let call = call("a", CallKind::Safe, CallEnd::NoAnswer);
+    let odd = [
+        run("b", "i-1"),
+        RunRecord { intact: false, ..run("a", "i-1") },
+        RunRecord { organisation: "other".to_owned(), ..run("a", "i-1") },
+    ];
+    for run in odd {
+        let history = history(call.clone(), vec![run]);
+        assert_eq!(broken(&history), [Promise::AsAsked], "{history:?}");
+    }
+}
+
+/// The bound on removed keys holds whatever happens; the one on leaving replicas only in calm.
+#[test]
+fn bounds_in_time() {
+    let sent = 20_000_000;
+    let late_call = |at: u64| {
+        let call = CallRecord { sent, ..call("a", CallKind::Safe, CallEnd::NoAnswer) };
+        let mut history = history(call, vec![run("a", "i-1")]);
+        history.revoked.push(("key".to_owned(), at));
+        history.disruptions.push(Disruption {
+            kind: DisruptionKind::Fault,
+            from: 0,
+            to: u64::MAX / 2,
+        });
+        history
+    };
+    assert_eq!(broken(&late_call(sent - REVOKE_TIME)), []);
+    assert_eq!(broken(&late_call(sent - REVOKE_TIME - 1)), [Promise::RemovedKey]);
+
+    let leaving = |at: u64, fault: Option<u64>| {
+        let call = call("a", CallKind::Safe, CallEnd::NoAnswer);
+        let mut history = history(call, vec![RunRecord { at: sent, ..run("a", "i-1") }]);
+        history.leaving.push(("i-1".to_owned(), at));
+        let fault = fault.map(|to| Disruption { kind: DisruptionKind::Fault, from: 0, to });
+        history.disruptions.extend(fault);
+        history
+    };
+    let told = sent - DRAIN_TIME - 1;
+    assert_eq!(broken(&leaving(told + 1, None)), []);
+    assert_eq!(broken(&leaving(told, None)), [Promise::LeavingReplica]);
+    assert_eq!(broken(&leaving(told, Some(told - CONTACT_TIME))), []);
+    assert_eq!(broken(&leaving(told, Some(told - CONTACT_TIME - 1))), [Promise::LeavingReplica]);
+}
+
+#[test]
+fn planned_stops() {
+    let stop =
+        |relay| Disruption { kind: DisruptionKind::PlannedStop(relay), from: 0, to: 9_000_000 };
+    let fault = Disruption { kind: DisruptionKind::Fault, from: 0, to: 10 };
+    let cut = || history(call("a", CallKind::Once, CallEnd::NoAnswer), vec![run("a", "i-1")]);
+    let with = |disruptions: &[Disruption]| {
+        let mut history = cut();
+        history.disruptions.extend_from_slice(disruptions);
+        broken(&history)
+    };
+    assert_eq!(with(&[stop(0)]), [Promise::PlannedStop]);
+    assert_eq!(with(&[stop(1)]), []);
+    assert_eq!(with(&[stop(0), fault]), []);
+    let mut not_run = cut();
+    not_run.runs.clear();
+    not_run.disruptions.push(stop(0));
+    assert_eq!(broken(&not_run), []);
+}
+
+#[test]
+fn processes() {
+    let rows = [
+        (
+            RunHistory { odd_ends: vec!["relay 0".to_owned()], ..Default::default() },
+            Promise::ProcessEnd,
+        ),
+        (RunHistory { memory_kb: vec![MOST_MEMORY_KB + 1], ..Default::default() }, Promise::Memory),
+        (RunHistory { after_faults: (100, 24), ..Default::default() }, Promise::Recovery),
+    ];
+    for (history, expected) in rows {
+        assert_eq!(broken(&history), [expected]);
+    }
+    let well = RunHistory {
+        memory_kb: vec![MOST_MEMORY_KB],
+        after_faults: (100, 25),
+        ..RunHistory::default()
+    };
+    assert_eq!(broken(&well), []);
+}
+
+#[test]
+fn more_attempts_than_allowed() {
+    let mut history = RunHistory::default();
+    for number in 0..4 {
+        let id = format!("a{number}");
+        history.runs.extend(["i-1", "i-2", "i-3"].map(|replica| run(&id, replica)));
+        history.calls.push(call(&id, CallKind::Safe, CallEnd::NoAnswer));
+    }
+    assert_eq!(broken(&history), [Promise::MostAttempts]);
+    history.calls.pop();
+    history.runs.truncate(9);
+    assert_eq!(broken(&history), []);
+}
