--- /dev/null
+++ b/crates/relay/src/heads.rs
@@ -0,0 +1,148 @@
+//! Waiting for the beginning of an answer.
+//!
+//! Where it is late, the replicas of the path are probed and the first engine is asked what it waits for.
+//! A request leaves a path only where that can help: it may run again and has another send, or this relay
+//! saw itself that a replica of the path is lost, so that the caller is told at once and comes back.
+
+use std::{rc::Rc, time::Duration};
+
+use http::Response;
+use hyper::body::Incoming;
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::chain::PathPart;
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    admit::Permit,
+    engines::probe_replicas,
+    pool::{BusyLink, SendError},
+    request::CallerRequest,
+    state::{PartState, Relay},
+    stream::{find_stall, note_fault},
+};
+
+/// Time without the head of an answer after which the replicas of the path are probed: twice what a
+/// first event usually takes.
+const PROBE_HEAD: Duration = Duration::from_millis(100);
+
+/// Time without the head of an answer after which the first engine is asked what it waits for: well
+/// above the 50 ms that a first event takes, and early enough for a second try within the objective.
+const QUIET_HEAD: Duration = Duration::from_millis(200);
+
+/// Time without the head of an answer after which another replica is tried although the first one seems
+/// well: its answer may be lost, and callers give up after two seconds.
+const LATE_HEAD: Duration = Duration::from_millis(700);
+
+/// Time between two looks; an engine's report is some hundred milliseconds old.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// An answer's head, and the connection that it came on.
+pub type Sent = (Response<Incoming>, BusyLink);
+
+/// Why no head came.
+#[derive(Debug)]
+pub enum WaitEnd {
+    /// The connection failed.
+    Send(SendError),
+    /// The path is left.
+    Stalled(String),
+    /// The request's time is up.
+    TimeUp,
+}
+
+/// A request that waits for the head of its answer.
+#[derive(Debug)]
+pub struct HeadWait<'a> {
+    /// The relay.
+    pub relay: &'a Rc<Relay>,
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// What lets it in.
+    pub permit: &'a Permit,
+    /// Earlier sends that a replica may have run.
+    pub earlier_sends: u32,
+    /// Its path.
+    pub path: &'a [PathPart],
+}
+
+impl HeadWait<'_> {
+    /// Waits until `sending` gives the head, or the path is to be left.
+    ///
+    /// # Errors
+    ///
+    /// Tells why there is none.
+    pub async fn run(
+        &self,
+        sending: impl Future<Output = Result<Sent, SendError>>,
+    ) -> Result<Sent, WaitEnd> {
+        let begun = Instant::now();
+        tokio::pin!(sending);
+        let mut look_at = Instant::now() + PROBE_HEAD;
+        loop {
+            let left = Duration::from_millis(self.request.time_left(now_millis()));
+            let end = Instant::now() + left;
+            let looked = async {
+                sleep_until(look_at.min(end)).await;
+                self.look(begun.elapsed()).await
+            };
+            tokio::select! {
+                sent = sending.as_mut() => {
+                    return sent.map_err(WaitEnd::Send);
+                }
+                left = looked => left?,
+            }
+            look_at = Instant::now() + LOOK_EVERY;
+        }
+    }
+
+    /// Whether another send is possible.
+    fn has_another(&self) -> bool {
+        let within = self.earlier_sends + 1 < self.permit.route.max_attempts;
+        self.is_repeatable() && within && self.relay.has_repeat(&self.permit.service, now_millis())
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.permit.route.is_repeatable()
+    }
+
+    /// Looks at the path of a request that has waited for a while.
+    async fn look(&self, waited: Duration) -> Result<(), WaitEnd> {
+        if self.request.time_left(now_millis()) == 0 {
+            return Err(WaitEnd::TimeUp);
+        }
+        self.look_at_parts()?;
+        if waited < QUIET_HEAD {
+            probe_replicas(self.relay, self.path.iter().map(|part| part.address));
+            return Ok(());
+        }
+        let first = self.path[0].address;
+        let id = &self.request.marks.attempt_id;
+        if let Some(at_fault) = find_stall(self.relay, first, id).await {
+            let detail = note_fault(self.relay, at_fault, "stalled");
+            if self.is_repeatable() {
+                return Err(WaitEnd::Stalled(detail));
+            }
+        }
+        match waited > LATE_HEAD && self.has_another() {
+            true => Err(WaitEnd::Stalled("no answer for long".to_owned())),
+            false => Ok(()),
+        }
+    }
+
+    /// Leaves a path with a lost replica. A request without another send leaves only on this relay's own
+    /// evidence: what another one heard may be a fault of its link.
+    fn look_at_parts(&self) -> Result<(), WaitEnd> {
+        let now = now_millis();
+        let is_lost = |part: &&PathPart| self.relay.part_state(part) == PartState::Lost;
+        let Some(lost) = self.path.iter().find(is_lost) else { return Ok(()) };
+        let beliefs = self.relay.beliefs.borrow();
+        let is_listed = beliefs.fleet.get(&lost.id).is_some();
+        let own = !is_listed || beliefs.suspects.is_own(&lost.id, now);
+        drop(beliefs);
+        if self.has_another() || (own && self.is_repeatable()) {
+            let detail = format!("a replica of the path is lost ({})", lost.id);
+            return Err(WaitEnd::Stalled(detail));
+        }
+        Ok(())
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! |---|---|
 //! | [`serve`], [`request`], [`admit`] | callers, and what the configuration lets them do |
 //! | [`plain`] | requests to plain services |
-//! | [`stream`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
+//! | [`stream`], [`heads`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
 //! | [`survey`] | which engines are slow |
@@ -22,6 +22,7 @@
 pub mod counts;
 pub mod engines;
 pub mod flow;
+pub mod heads;
 pub mod logs;
 pub mod metrics;
 pub mod news;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,6 @@
     chain::PathPart,
     fleet::ReplicaEntry,
 };
-use tokio::time::{Instant, sleep_until};
 
 use crate::{
     admit::{Permit, admit},
@@ -21,29 +20,15 @@
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
     flow::stream_body,
+    heads::{HeadWait, Sent, WaitEnd},
     paths::{PathWish, RoomGuard, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
     request::{CallerRequest, ReplicaTarget},
-    state::{PartState, Relay},
+    state::Relay,
     stop::FlightGuard,
 };
 
-/// Time without the head of an answer after which the replicas of the path are probed: twice what a
-/// first event usually takes.
-const PROBE_HEAD: Duration = Duration::from_millis(100);
-
-/// Time without the head of an answer after which the first engine is asked what it waits for: well
-/// above the 50 ms that a first event takes, and early enough for a second try within the objective.
-const QUIET_HEAD: Duration = Duration::from_millis(200);
-
-/// Time without the head of an answer after which another replica is tried although the first one seems
-/// well: its answer may be lost, and callers give up after two seconds.
-const LATE_HEAD: Duration = Duration::from_millis(700);
-
-/// Time between two such questions; an engine's report is some hundred milliseconds old.
-const ASK_EVERY: Duration = Duration::from_millis(100);
-
 /// Sends of one request that no engine ran.
 pub const MOST_REJECTED: u32 = 4;
 
@@ -170,16 +155,17 @@
     let fresh = !permit.route.is_repeatable();
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
-        await_head(relay, request, permit, tried.sends, &path, sending).await
+        let wait = HeadWait { relay, request, permit, earlier_sends: tried.sends, path: &path };
+        wait.run(sending).await
     };
     let sent = match sent {
         Ok(sent) => sent,
-        Err(AwaitError::Send(SendError::NotSent { detail })) => {
+        Err(WaitEnd::Send(SendError::NotSent { detail })) => {
             relay.suspect(&first.id, &detail);
             tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::NotSent, detail));
         }
-        Err(AwaitError::Send(SendError::Broken { detail })) => {
+        Err(WaitEnd::Send(SendError::Broken { detail })) => {
             // Not a reason to keep others away: an answer that is garbled or cut says little of the next.
             // A replica that is gone shows in a probe.
             probe_replicas(relay, std::iter::once(first.address));
@@ -187,12 +173,12 @@
             tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
-        Err(AwaitError::Stalled(detail)) => {
+        Err(WaitEnd::Stalled(detail)) => {
             tried.sends += 1;
             tried.avoid.push(first.id);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
-        Err(AwaitError::TimeUp) => {
+        Err(WaitEnd::TimeUp) => {
             tried.sends += 1;
             return Some(OpenEnd::Failed(AttemptEnd::Broken, "time is up".to_owned()));
         }
@@ -200,72 +186,6 @@
     Some(read_head(relay, request, tried, first, sent, (path, room)).await)
 }
 
-enum AwaitError {
-    Send(SendError),
-    Stalled(String),
-    TimeUp,
-}
-
-type Sent = (Response<Incoming>, BusyLink);
-
-/// Waits for the head of an answer. Where it is late, the replicas of the path are probed, and the first
-/// engine is asked what it waits for. A request that may run again is given up at once where it waits for a lost replica, and after a while
-/// where it has another send; one that may not is waited for, since the engine may still say that it
-/// did not run.
-async fn await_head(
-    relay: &Rc<Relay>,
-    request: &CallerRequest,
-    permit: &Permit,
-    earlier_sends: u32,
-    path: &[PathPart],
-    sending: impl Future<Output = Result<Sent, SendError>>,
-) -> Result<Sent, AwaitError> {
-    let repeatable = permit.route.is_repeatable();
-    let may_leave = || {
-        let within = earlier_sends + 1 < permit.route.max_attempts;
-        repeatable && within && relay.has_repeat(&permit.service, now_millis())
-    };
-    tokio::pin!(sending);
-    let begun = Instant::now();
-    let mut ask_at = begun + PROBE_HEAD;
-    loop {
-        let left = Duration::from_millis(request.time_left(now_millis()));
-        let end = Instant::now() + left;
-        tokio::select! {
-            sent = sending.as_mut() => return sent.map_err(AwaitError::Send),
-            () = sleep_until(ask_at.min(end)) => {}
-        }
-        if request.time_left(now_millis()) == 0 {
-            return Err(AwaitError::TimeUp);
-        }
-        ask_at = Instant::now() + ASK_EVERY;
-        let lost = path.iter().find(|part| relay.part_state(part) == PartState::Lost);
-        if let Some(lost) = lost.filter(|_| repeatable) {
-            return Err(AwaitError::Stalled(format!(
-                "a replica of the path is lost ({})",
-                lost.id
-            )));
-        }
-        if begun.elapsed() < QUIET_HEAD {
-            probe_replicas(relay, path.iter().map(|part| part.address));
-            continue;
-        }
-        let stalled_at = tokio::select! {
-            sent = sending.as_mut() => return sent.map_err(AwaitError::Send),
-            stalled_at = find_stall(relay, path[0].address, &request.marks.attempt_id) => stalled_at,
-        };
-        if let Some(at_fault) = stalled_at {
-            let detail = note_fault(relay, at_fault, "stalled");
-            if repeatable {
-                return Err(AwaitError::Stalled(detail));
-            }
-        }
-        if begun.elapsed() > LATE_HEAD && may_leave() {
-            return Err(AwaitError::Stalled("no answer for long".to_owned()));
-        }
-    }
-}
-
 /// Asks the first engine of a path what a request waits for; gives the replica that holds it up, which
 /// is the first one itself where that does not answer.
 pub async fn find_stall(relay: &Relay, first: SocketAddr, attempt_id: &str) -> Option<SocketAddr> {
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -20,6 +20,8 @@
 struct Suspicion {
     until: Millis,
     time_out: Millis,
+    /// Whether this entry saw a failure itself.
+    own: bool,
 }
 
 /// Suspicions by replica.
@@ -34,19 +36,22 @@
     pub fn note_failure(&mut self, id: &str, now: Millis) -> Option<Millis> {
         let known = self.suspicions.get(id).copied();
         let time_out = match known {
-            Some(known) if now < known.until => return None,
+            Some(known) if now < known.until => {
+                self.suspicions.insert(id.to_owned(), Suspicion { own: true, ..known });
+                return None;
+            }
             Some(known) if now < known.until + FORGET => (known.time_out * 2).min(LONGEST_TIME_OUT),
             _ => FIRST_TIME_OUT,
         };
         let until = now + time_out;
-        self.suspicions.insert(id.to_owned(), Suspicion { until, time_out });
+        self.suspicions.insert(id.to_owned(), Suspicion { until, time_out, own: true });
         Some(until)
     }
 
     /// Takes over a suspicion from another entry.
     pub fn take_over(&mut self, id: &str, until: Millis) {
         let entry = self.suspicions.entry(id.to_owned());
-        let suspicion = entry.or_insert(Suspicion { until, time_out: FIRST_TIME_OUT });
+        let suspicion = entry.or_insert(Suspicion { until, time_out: FIRST_TIME_OUT, own: false });
         suspicion.until = suspicion.until.max(until);
     }
 
@@ -60,6 +65,11 @@
         self.suspicions.get(id).is_some_and(|suspicion| now < suspicion.until)
     }
 
+    /// Whether a replica is kept away from for a failure that this entry saw itself.
+    pub fn is_own(&self, id: &str, now: Millis) -> bool {
+        self.suspicions.get(id).is_some_and(|suspicion| suspicion.own && now < suspicion.until)
+    }
+
     /// Suspicions in force: ids, with the milliseconds that they still last.
     pub fn current(&self, now: Millis) -> impl Iterator<Item = (&str, Millis)> {
         let all = self.suspicions.iter();
--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -17,6 +17,8 @@
     site::SiteConfig,
 };
 
+use tokio::signal::unix::{SignalKind, signal};
+
 /// Exit code where a promise was broken.
 const BROKEN: u8 = 1;
 
@@ -115,6 +117,17 @@
     }
 }
 
+/// Runs until the end or a signal; dropping the runs ends all their processes.
+async fn run_until_told(arguments: RunArguments) -> io::Result<bool> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        outcome = run(arguments) => outcome,
+        _ = term.recv() => Err(io::Error::other("told to end")),
+        _ = interrupt.recv() => Err(io::Error::other("interrupted")),
+    }
+}
+
 async fn run(arguments: RunArguments) -> io::Result<bool> {
     let own = std::env::current_exe()?;
     let seeds = arguments.seeds()?;
@@ -158,7 +171,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let outcome = match SoakArguments::parse().verb {
-        SoakVerb::Run(arguments) => run(arguments).await,
+        SoakVerb::Run(arguments) => run_until_told(arguments).await,
         SoakVerb::Replica(arguments) => run_replica(arguments).await.map(|()| true),
     };
     match outcome {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -38,7 +38,8 @@
         Ok(Self { child: command.spawn()? })
     }
 
-    /// Starts a program whose output is read line by line.
+    /// Starts a program whose output is read line by line, and that ends when its input does: also where
+    /// this process is killed and cannot end it.
     ///
     /// # Errors
     ///
@@ -48,7 +49,7 @@
         arguments: &[&str],
     ) -> io::Result<(Self, Lines<BufReader<ChildStdout>>)> {
         let mut command = Command::new(program);
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).kill_on_drop(true);
+        command.args(arguments).stdin(Stdio::piped()).stdout(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
         let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
         Ok((Self { child }, BufReader::new(output).lines()))
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -82,6 +82,7 @@
 ///
 /// Fails where no port or signal is to be had.
 pub async fn run_replica(arguments: ReplicaArguments) -> std::io::Result<()> {
+    end_when_abandoned();
     let engine = StandinEngine::default();
     let replica = match arguments.service {
         ServiceKind::Desk => start_desk(&arguments).await?,
@@ -109,6 +110,15 @@
     Ok(())
 }
 
+/// Ends the process once the soak that started it is gone: its end of the input is closed then.
+fn end_when_abandoned() {
+    std::thread::spawn(|| {
+        // A failed read says the same as an end.
+        let _ended = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// Line by which a leaving replica says that the store has it, with the time.
 pub const LEAVES: &str = "leaves ";
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -221,20 +221,14 @@
     /// Tells a relay to stop; it is killed after the grace time.
     pub fn stop_relay(&self, number: usize) {
         let mut slot = lock(&self.relays[number].slot);
-        slot.told = true;
-        slot.kill_at = slot.kill_at.or(Some(Instant::now() + Duration::from_secs(GRACE_S)));
-        if let Some(process) = &slot.process {
-            process.signal(Signal::SIGTERM);
+        if slot.tell(Signal::SIGTERM) {
+            slot.kill_at = slot.kill_at.or(Some(Instant::now() + Duration::from_secs(GRACE_S)));
         }
     }
 
     /// Tells a replica to leave.
     pub fn drain_replica(&self, number: usize) {
-        let mut slot = lock(&self.replicas[number].slot);
-        slot.told = true;
-        if let Some(process) = &slot.process {
-            process.signal(Signal::SIGTERM);
-        }
+        lock(&self.replicas[number].slot).tell(Signal::SIGTERM);
     }
 
     /// Writes a new version of the configuration, `step` above the last one.
@@ -444,6 +438,14 @@
         None
     }
 
+    /// Tells the process to end, where there is one; tells whether there is.
+    fn tell(&mut self, signal: Signal) -> bool {
+        let Some(process) = &self.process else { return false };
+        process.signal(signal);
+        self.told = true;
+        true
+    }
+
     fn is_due(&self) -> bool {
         self.process.is_none() && self.down_until.is_none_or(|until| Instant::now() >= until)
     }
@@ -535,9 +537,7 @@
 
 fn kill_slot(slot: &Mutex<ProcessSlot>, down: Duration) {
     let mut slot = lock(slot);
-    slot.told = true;
-    slot.down_until = Some(Instant::now() + down);
-    if let Some(process) = &slot.process {
-        process.signal(Signal::SIGKILL);
+    if slot.tell(Signal::SIGKILL) {
+        slot.down_until = Some(Instant::now() + down);
     }
 }
