Forget relays whose VMs are gone, and remove their objects from the store

A relay that was silent for 60 s is gone: the one that gives orders removes its object, the others forget it once it is not listed. A relay whose own object is missing writes it again. Reports and probes of replicas that are gone are dropped as well. Test: a_relay_that_is_gone_is_forgotten, which cannot be built without the change.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -74,6 +74,12 @@
 }
 
 impl ReportCache {
+    /// Forgets what a replica told that is gone.
+    pub fn forget(&self, address: SocketAddr) {
+        self.reports.borrow_mut().remove(&address);
+        self.probed.borrow_mut().remove(&address);
+    }
+
     /// When a replica was last probed because requests over it were quiet.
     pub fn last_probe(&self) -> Option<Millis> {
         self.last_probe.get()
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,7 +4,7 @@
 //! datagram costs nothing but the age of some figures. Relays learn of each other from an object each
 //! in the store, and from the datagrams themselves.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use switchfold_kernel::clock::now_millis;
@@ -35,6 +35,9 @@
 /// Time between two readings of the peers' objects; stale reads do, at a tenth of the price.
 const LIST_EVERY: Duration = Duration::from_secs(12);
 
+/// Pause before this relay's address is written again where that failed.
+const REGISTER_AGAIN: Duration = Duration::from_millis(500);
+
 /// Largest datagram that is read.
 const MOST_DATAGRAM: usize = 60_000;
 
@@ -79,7 +82,7 @@
             fleet_digest: news.fleet_digest,
             config_version: news.config_version,
         };
-        beliefs.peers.learn(&news.name, from, &news.data_centre);
+        beliefs.peers.learn(&news.name, from, &news.data_centre, now);
         let (incarnation, time) = news.stamp;
         beliefs.peers.hear(&news.name, state, PeerStamp { incarnation, time }, now);
         if let Some(room) = &news.room {
@@ -221,17 +224,21 @@
 
 /// Leaves this relay's address in the store, and reads those of the others now and then.
 async fn find(relay: &Relay) {
-    while let Err(error) = register(relay).await {
-        tracing::info!(event = "registration-failed", %error);
-        sleep(Duration::from_millis(500)).await;
-    }
+    register_for_good(relay).await;
     let mut stale = false;
     loop {
         match relay.store.list(ENTRY_KIND, stale).await {
             Ok(list) => {
-                for item in list.items {
+                for item in &list.items {
                     learn_peer(relay, &item.metadata.name, &item.spec);
                 }
+                let names: BTreeSet<&str> =
+                    list.items.iter().map(|item| item.metadata.name.as_str()).collect();
+                forget_gone(relay, &names).await;
+                if stale && !names.contains(relay.settings.name.as_str()) {
+                    tracing::warn!(event = "registration-missing");
+                    register_for_good(relay).await;
+                }
                 stale = true;
             }
             Err(error) => tracing::info!(event = "peers-unread", %error),
@@ -240,6 +247,35 @@
     }
 }
 
+async fn register_for_good(relay: &Relay) {
+    while let Err(error) = register(relay).await {
+        tracing::info!(event = "registration-failed", %error);
+        sleep(REGISTER_AGAIN).await;
+    }
+}
+
+/// Forgets relays whose VMs are gone. The relay that gives the orders removes their objects from the
+/// store; the others forget them once these are not listed any more.
+async fn forget_gone(relay: &Relay, listed: &BTreeSet<&str>) {
+    let now = now_millis();
+    let fresh = relay.is_fleet_fresh(now);
+    let gone = relay.beliefs.borrow().peers.gone(now);
+    let removes = relay.beliefs.borrow().peers.is_first(&relay.settings.name, fresh, now);
+    for name in gone {
+        if listed.contains(name.as_str()) {
+            if !removes {
+                continue;
+            }
+            if let Err(error) = relay.store.remove(ENTRY_KIND, &name).await {
+                tracing::info!(event = "peer-not-removed", name, %error);
+                continue;
+            }
+        }
+        relay.beliefs.borrow_mut().peers.forget(&name);
+        tracing::info!(event = "peer-forgotten", name, removes);
+    }
+}
+
 async fn register(relay: &Relay) -> Result<(), StoreError> {
     let settings = &relay.settings;
     let address =
@@ -258,7 +294,8 @@
     }
     match PeerAddress::deserialize(spec) {
         Ok(peer) => {
-            relay.beliefs.borrow_mut().peers.learn(name, peer.address, &peer.data_centre);
+            let mut beliefs = relay.beliefs.borrow_mut();
+            beliefs.peers.learn(name, peer.address, &peer.data_centre, now_millis());
         }
         Err(error) => tracing::warn!(event = "peer-unreadable", name, %error),
     }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -344,6 +344,7 @@
         beliefs.paces.forget(id);
     }
     relay.pool.forget(address);
+    relay.reports.forget(address);
     relay.raise_alarm();
     tracing::info!(event = "replica-gone", replica = id, %address);
 }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -21,6 +21,10 @@
 /// one to two waits of a second old, plus the time between two messages.
 pub const FOLLOWED_AGE: Millis = 2_400;
 
+/// Silence after which a relay is forgotten, in milliseconds: several windows of the shared budget of
+/// repeats, so that one that is only cut off keeps its share; a VM that is replaced has another name.
+pub const PEER_FORGET: Millis = 60_000;
+
 /// A relay's clock at some moment, as it stamps its messages.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeerStamp {
@@ -45,6 +49,7 @@
 struct Peer {
     address: SocketAddr,
     data_centre: String,
+    learnt: Millis,
     heard: Option<Millis>,
     state: PeerState,
     last_stamp: Option<(PeerStamp, Millis)>,
@@ -68,7 +73,7 @@
 }
 
 impl PeerTable {
-    /// Count of relays ever heard of: an upper bound of those that spend a shared budget.
+    /// Count of relays that are not forgotten: an upper bound of those that spend a shared budget.
     pub fn known(&self) -> usize {
         self.peers.len()
     }
@@ -79,10 +84,11 @@
     }
 
     /// Learns where a relay is.
-    pub fn learn(&mut self, name: &str, address: SocketAddr, data_centre: &str) {
+    pub fn learn(&mut self, name: &str, address: SocketAddr, data_centre: &str, now: Millis) {
         let peer = self.peers.entry(name.to_owned()).or_insert_with(|| Peer {
             address,
             data_centre: data_centre.to_owned(),
+            learnt: now,
             heard: None,
             state: PeerState::default(),
             last_stamp: None,
@@ -90,6 +96,20 @@
         peer.address = address;
     }
 
+    /// Relays that were silent for so long that their VMs must be gone.
+    pub fn gone(&self, now: Millis) -> Vec<String> {
+        let gone = self.peers.iter().filter(|(_, peer)| {
+            let last = peer.heard.unwrap_or_default().max(peer.learnt);
+            now.saturating_sub(last) >= PEER_FORGET
+        });
+        gone.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Forgets a relay.
+    pub fn forget(&mut self, name: &str) {
+        self.peers.remove(name);
+    }
+
     /// Notes a message of a relay that was learnt.
     pub fn hear(&mut self, name: &str, state: PeerState, stamp: PeerStamp, now: Millis) {
         if let Some(peer) = self.peers.get_mut(name) {
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -3,13 +3,13 @@
 
 use proptest::prelude::*;
 use switchfold_router::membership::{
-    FOLLOWED_AGE, PEER_SILENCE, PeerStamp, PeerState, PeerTable, proof_time,
+    FOLLOWED_AGE, PEER_FORGET, PEER_SILENCE, PeerStamp, PeerState, PeerTable, proof_time,
 };
 
 fn table(names: &[(&str, &str)], now: u64) -> PeerTable {
     let mut table = PeerTable::default();
     for (name, data_centre) in names {
-        table.learn(name, "10.0.0.1:7000".parse().expect("address"), data_centre);
+        table.learn(name, "10.0.0.1:7000".parse().expect("address"), data_centre, now);
         let state = PeerState { fleet_is_fresh: true, fleet_digest: 7, config_version: 3 };
         table.hear(name, state, PeerStamp::default(), now);
     }
@@ -92,3 +92,18 @@
     assert!(!informed.is_first("a", false, now + PEER_SILENCE), "cut off from all");
     assert!(PeerTable::default().is_first("a", false, now), "alone from the start");
 }
+
+/// Replaced VMs do not take shares of the budget for ever; one that was only learnt has time to be heard.
+#[test]
+fn a_relay_that_is_gone_is_forgotten() {
+    let mut table = table(&[("a", "x"), ("b", "x")], 1_000);
+    table.hear("b", PeerState::default(), PeerStamp::default(), 30_000);
+    table.learn("c", "10.0.0.2:7000".parse().expect("address"), "x", 50_000);
+    // Reading an object of the store again is no sign of life.
+    table.learn("a", "10.0.0.1:7000".parse().expect("address"), "x", 50_000);
+    assert_eq!(table.gone(999 + PEER_FORGET), Vec::<String>::new());
+    assert_eq!(table.gone(1_000 + PEER_FORGET), ["a"]);
+    assert_eq!(table.gone(50_000 + PEER_FORGET), ["a", "b", "c"]);
+    table.forget("a");
+    assert_eq!(table.known(), 2);
+}
