Probe with two questions one after the other; silence of many replicas at once proves nothing

A small VM that probes ten replicas at once, and a new connection for each after 20 ms, needs longer than 50 ms for its own part.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use switchfold_kernel::clock::now_millis;
@@ -22,7 +23,7 @@
 use switchfold_router::{Millis, chain::PathPart, cover::GiveUpRule, fleet::LayerRange};
 use tokio::{
     task::spawn_local,
-    time::{Instant, sleep, timeout},
+    time::{Instant, timeout},
 };
 
 use crate::{counts::count, pool::SendError, state::Relay};
@@ -50,16 +51,12 @@
 /// anyway, and each question has a price.
 const REPORT_AGE: Millis = 80;
 
-/// Time that a probe waits for an answer: fifty times what a link takes, and less than half of the usual
-/// longest pause between events, so that a stream can go on elsewhere in time.
+/// Time that each of a probe's two questions waits for an answer: fifty times what a link takes, and a
+/// quarter of the usual longest pause between events, so that a stream can go on elsewhere in time.
 const PROBE_TIME: Duration = Duration::from_millis(50);
 
-/// Time after which a probe asks once more, over a new connection: a lost packet is sent again only
-/// after 200 ms.
-const PROBE_AGAIN: Duration = Duration::from_millis(20);
-
 /// Lateness of a probe's own timer from which its silence proves nothing: this process stood still.
-const PROBE_LATE: Duration = Duration::from_millis(20);
+const PROBE_LATE: Duration = Duration::from_millis(10);
 
 /// Time between two probes of one replica, in milliseconds: under load many streams are quiet at once,
 /// and each probe has a price.
@@ -80,6 +77,17 @@
         self.probed.borrow_mut().remove(&address);
     }
 
+    /// Notes a probe of a replica where none was made lately; tells whether it is to be made.
+    fn begin_probe(&self, address: SocketAddr, now: Millis) -> bool {
+        let mut probed = self.probed.borrow_mut();
+        let last = probed.get(&address).copied();
+        let due = last.is_none_or(|last| now.saturating_sub(last) >= PROBE_EVERY);
+        if due {
+            probed.insert(address, now);
+        }
+        due
+    }
+
     /// When a replica was last probed because requests over it were quiet.
     pub fn last_probe(&self) -> Option<Millis> {
         self.last_probe.get()
@@ -91,12 +99,18 @@
 enum ProbeEnd {
     /// It answered.
     Reached,
-    /// It did not, and this process was not late.
-    Lost(String),
-    /// This process was late itself.
+    /// Its connection failed.
+    Refused(String),
+    /// It said nothing.
+    Silent,
+    /// It said nothing, and this process was late itself.
     Unclear,
 }
 
+/// Of replicas probed together, one in so many may be silent, and one in any case: where more are, this
+/// process or its link is slow, and their silence proves nothing.
+const SILENT_ONE_IN: usize = 4;
+
 #[derive(Clone, Debug)]
 struct CachedReport {
     asked: Millis,
@@ -183,60 +197,59 @@
 pub fn probe_replicas(relay: &Rc<Relay>, addresses: impl Iterator<Item = SocketAddr>) {
     let now = now_millis();
     relay.reports.last_probe.set(Some(now));
-    for address in addresses {
-        let last = relay.reports.probed.borrow().get(&address).copied();
-        if last.is_some_and(|last| now.saturating_sub(last) < PROBE_EVERY) {
-            continue;
+    let due: Vec<SocketAddr> =
+        addresses.filter(|address| relay.reports.begin_probe(*address, now)).collect();
+    if due.is_empty() {
+        return;
+    }
+    let relay = relay.clone();
+    spawn_local(async move {
+        let ends = join_all(due.iter().map(|address| probe(&relay, *address))).await;
+        let silent = ends.iter().filter(|end| **end == ProbeEnd::Silent).count();
+        let silence_counts = silent <= (due.len() / SILENT_ONE_IN).max(1);
+        for (address, end) in due.into_iter().zip(ends) {
+            take_probe(&relay, address, end, silence_counts);
         }
-        relay.reports.probed.borrow_mut().insert(address, now);
-        let relay = relay.clone();
-        spawn_local(async move {
-            let end = probe(&relay, address).await;
-            if end == ProbeEnd::Reached {
-                return;
-            }
-            let id = relay.beliefs.borrow().fleet.at(address).map(|replica| replica.id.clone());
-            let took_ms = now_millis() - now;
-            tracing::info!(event = "probe-failed", %address, replica = id, ?end, took_ms);
-            if let (Some(id), ProbeEnd::Lost(why)) = (id, end) {
-                relay.suspect(&id, &why);
-            }
-        });
+    });
+}
+
+/// Keeps away from a replica that a probe showed to be lost.
+fn take_probe(relay: &Relay, address: SocketAddr, end: ProbeEnd, silence_counts: bool) {
+    let lost = match &end {
+        ProbeEnd::Reached => return,
+        ProbeEnd::Refused(detail) => Some(detail.as_str()),
+        ProbeEnd::Silent if silence_counts => Some("no answer to a probe"),
+        ProbeEnd::Silent | ProbeEnd::Unclear => None,
+    };
+    let id = relay.beliefs.borrow().fleet.at(address).map(|replica| replica.id.clone());
+    tracing::info!(event = "probe-failed", %address, replica = id, ?end, silence_counts);
+    if let (Some(id), Some(why)) = (id, lost) {
+        relay.suspect(&id, why);
     }
 }
 
 /// Whether a replica answers, as far as a probe can tell.
 pub async fn answers(relay: &Relay, address: SocketAddr) -> bool {
-    !matches!(probe(relay, address).await, ProbeEnd::Lost(_))
+    matches!(probe(relay, address).await, ProbeEnd::Reached | ProbeEnd::Unclear)
 }
 
-/// Asks for a report twice, the second time over a new connection, and waits for either.
+/// Asks for a report, and again over a new connection where none came: a lost packet is sent again only
+/// after 200 ms, and a kept connection may be dead alone.
 async fn probe(relay: &Relay, address: SocketAddr) -> ProbeEnd {
-    let begun = Instant::now();
-    let asking = ask_twice(relay, address);
-    match timeout(PROBE_TIME, asking).await {
-        Ok(Ok(())) => ProbeEnd::Reached,
-        Ok(Err(error)) => ProbeEnd::Lost(error.to_string()),
-        Err(_) if begun.elapsed() > PROBE_TIME + PROBE_LATE => ProbeEnd::Unclear,
-        Err(_) => ProbeEnd::Lost("no answer to a probe".to_owned()),
+    match ask_once(relay, address, false).await {
+        ProbeEnd::Reached => ProbeEnd::Reached,
+        _ => ask_once(relay, address, true).await,
     }
 }
 
-async fn ask_twice(relay: &Relay, address: SocketAddr) -> Result<(), SendError> {
-    let first = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), false);
-    tokio::pin!(first);
-    let answered = tokio::select! {
-        answered = first.as_mut() => Some(answered),
-        () = sleep(PROBE_AGAIN) => None,
-    };
-    let again = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), true);
-    match answered {
-        Some(Ok(_)) => Ok(()),
-        Some(Err(_)) => again.await.map(drop),
-        None => tokio::select! {
-            Ok(_) = first => Ok(()),
-            answered = again => answered.map(drop),
-        },
+async fn ask_once(relay: &Relay, address: SocketAddr, fresh: bool) -> ProbeEnd {
+    let begun = Instant::now();
+    let asking = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), fresh);
+    match timeout(PROBE_TIME, asking).await {
+        Ok(Ok(_)) => ProbeEnd::Reached,
+        Ok(Err(error)) => ProbeEnd::Refused(error.to_string()),
+        Err(_) if begun.elapsed() > PROBE_TIME + PROBE_LATE => ProbeEnd::Unclear,
+        Err(_) => ProbeEnd::Silent,
     }
 }
 
