--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -5,7 +5,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use harness::{RunningRelay, bounds, call, event_ids, listed, request, run_test, wait_until};
@@ -16,7 +16,8 @@
     headers::{EXPECT_REPLICA, LAST_EVENT_ID, PATH},
 };
 use switchfold_platform_standin::{
-    Reply, SeenOrder, SeenRequest, StandinReplica, StreamEnd, answer, events, reject,
+    GateState, Reply, SeenOrder, SeenRequest, StandinReplica, StreamEnd, StreamGate, answer,
+    events, reject,
     samples::{LAYERS, draining, in_data_centre, model_entry, report},
 };
 use switchfold_relay::news::{PeerMessage, StateNews};
@@ -409,3 +410,62 @@
         assert!(called.whole && called.is_sealed());
     });
 }
+
+/// Time in which a relay that takes replicas for lost leaves them.
+const LEAVING_TIME: Duration = Duration::from_millis(300);
+
+/// Where most replicas of a path are silent at once, the relay or its link is slow, not they: the stream
+/// stays where it is.
+#[test]
+fn silence_of_many_replicas_proves_nothing() {
+    run_test(async {
+        let probes = Arc::new(Mutex::new(0_u32));
+        let counted = probes.clone();
+        // The stream goes on a while after each of the four others was asked twice: time enough to leave
+        // it, if it were left.
+        let held = move |request: &SeenRequest| {
+            let mut reply = events(request, EVENTS, PAUSE, StreamEnd::Whole);
+            let counted = counted.clone();
+            let asked = Mutex::new(None);
+            if let Reply::Stream { gate, .. } = &mut reply {
+                *gate = StreamGate::new(move || {
+                    let all = *counted.lock().expect("no script panics") >= 8;
+                    let mut asked = asked.lock().expect("no script panics");
+                    *asked = asked.or_else(|| all.then(Instant::now));
+                    match asked.is_some_and(|asked| asked.elapsed() > LEAVING_TIME) {
+                        true => GateState::Open,
+                        false => GateState::Closed,
+                    }
+                });
+            }
+            reply
+        };
+        let first = StandinReplica::start(engine(0, 2, held)).await;
+        let mut others = Vec::new();
+        for _ in 0..4 {
+            let counted = probes.clone();
+            let silent = move |request: &SeenRequest| {
+                let is_probe = request.target == REPORT_PATH;
+                *counted.lock().expect("no script panics") += u32::from(is_probe);
+                Reply::Silence
+            };
+            others.push(StandinReplica::start(silent).await);
+        }
+        let elsewhere_seen = StandinReplica::start(engine(0, LAYERS, whole_stream)).await;
+        let ranges = [(2, 4), (4, 5), (5, 7), (7, LAYERS)];
+        let ids = ["i-2", "i-3", "i-4", "i-5"];
+        let mut entries = vec![
+            listed("i-1", &first, |address| model_entry(address, 0, 2)),
+            listed("i-6", &elsewhere_seen, elsewhere(whole_model)),
+        ];
+        for ((id, other), (from, to)) in ids.iter().zip(&others).zip(ranges) {
+            entries.push(listed(id, other, |address| model_entry(address, from, to)));
+        }
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let called = relay.get("/stream/a", "a").await;
+        assert!(called.whole);
+        assert_eq!(event_ids(&called.body), (0..EVENTS).collect::<Vec<u64>>());
+        assert_eq!(first.seen().len(), 1);
+        assert_eq!(elsewhere_seen.seen().len(), 0);
+    });
+}
