--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,7 +5,7 @@
 //! relay follows the store; the others hear from it and read for themselves only where its proofs are
 //! old or its state differs from theirs.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -254,13 +254,15 @@
     listed.into_iter().for_each(|replica| keep_replica(relay, replica));
 }
 
-/// Whether a replica that is missing from a list may be back soon. One that does not answer either is
-/// dropped as soon as that shows.
+/// Whether a replica that is missing from a list may be back soon. An engine that does not answer either
+/// is dropped as soon as that shows; plain services know no reports, and are not asked.
 fn is_awaited(relay: &Rc<Relay>, id: &str) -> bool {
     let awaited = relay.beliefs.borrow_mut().lapses.keeps(id, now_millis());
-    let address = relay.beliefs.borrow().fleet.get(id).map(|replica| replica.address);
-    let Some(address) = address.filter(|_| awaited) else { return false };
+    if !awaited {
+        return false;
+    }
     tracing::info!(event = "replica-awaited", replica = id);
+    let Some(address) = engine_address(relay, id) else { return true };
     let (relay, id) = (relay.clone(), id.to_owned());
     spawn_local(async move {
         let answers = answers(&relay, address).await;
@@ -273,6 +275,15 @@
     true
 }
 
+/// Address of a replica that is an engine.
+fn engine_address(relay: &Relay, id: &str) -> Option<SocketAddr> {
+    let config = relay.config()?;
+    let beliefs = relay.beliefs.borrow();
+    let replica = beliefs.fleet.get(id)?;
+    let is_engine = config.services.get(&replica.service)?.engine.is_some();
+    is_engine.then_some(replica.address)
+}
+
 /// Drops replicas that were waited for and did not come back.
 pub fn drop_lapsed(relay: &Relay) {
     let overdue = relay.beliefs.borrow_mut().lapses.take_overdue(now_millis());
--- a/crates/relay/tests/plain.rs
+++ b/crates/relay/tests/plain.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -15,6 +15,7 @@
 use http_body_util::Full;
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
+    engine::REPORT_PATH,
     headers::{ATTEMPT_ID, DEADLINE, EXPECT_REPLICA, ORGANISATION as ORGANISATION_HEADER},
 };
 use switchfold_platform_standin::{
@@ -250,7 +251,13 @@
 #[test]
 fn a_lapsed_entry_is_waited_for() {
     run_test(async {
-        let replica = StandinReplica::start(well).await;
+        let asked = Arc::new(AtomicBool::new(false));
+        let noted = asked.clone();
+        let script = move |request: &SeenRequest| {
+            noted.fetch_or(request.target == REPORT_PATH, Ordering::Relaxed);
+            well(request)
+        };
+        let replica = StandinReplica::start(script).await;
         let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, desk_entry)]).await;
         relay.store.set_mood(StoreMood::Busy);
         // The outage lasts for some tries to read the list: each comes half a second after the last.
@@ -269,6 +276,7 @@
             relay.get("/safe/a", "b").await.status == StatusCode::SERVICE_UNAVAILABLE
         })
         .await;
+        assert!(!asked.load(Ordering::Relaxed), "a plain service was asked for a report");
     });
 }
 
