--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,6 +1,7 @@
 //! A site: a store, relays and replicas as processes, and the links between them.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
@@ -442,14 +443,17 @@
 }
 
 /// Ports that nothing listens on, outside the range that the system draws from for connections, so that
-/// a relay gets them again when it is started again.
+/// a relay gets them again when it is started again. None is given out twice, also not to runs at the same
+/// time.
 fn free_ports<const COUNT: usize>() -> io::Result<[SocketAddr; COUNT]> {
     const PORTS: std::ops::Range<u16> = 12_000..30_000;
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut given = lock(&GIVEN);
     let mut random = ChaCha8Rng::seed_from_u64(epoch_micros());
     let mut found = Vec::new();
     while found.len() < COUNT {
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, random.random_range(PORTS)));
-        if !found.contains(&address) && TcpListener::bind(address).is_ok() {
+        if given.insert(address.port()) && TcpListener::bind(address).is_ok() {
             found.push(address);
         }
     }
