Soak: name headers by the adapter's constants

Two header names of the platform's wire stood in the soak's replica; the adapter has both. No change of behaviour.

--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -11,7 +11,11 @@
 use clap::{Args, ValueEnum};
 use serde_json::Value;
 use switchfold_kernel::clock::epoch_micros;
-use switchfold_platform::{REPLICA_KIND, objects::ObjectStore};
+use switchfold_platform::{
+    REPLICA_KIND,
+    headers::{ATTEMPT_ID, ORGANISATION},
+    objects::ObjectStore,
+};
 use switchfold_platform_standin::{
     EngineEvent, Reply, SeenRequest, StandinEngine, StandinReplica, answer,
     samples::{desk_entry, draining, in_data_centre},
@@ -162,7 +166,7 @@
 }
 
 fn attempt_id(request: &SeenRequest) -> &str {
-    request.header("x-attempt-id").unwrap_or_default()
+    request.header(ATTEMPT_ID.as_str()).unwrap_or_default()
 }
 
 /// Body that a caller sends with a request.
@@ -184,7 +188,7 @@
         replica: replica.to_owned(),
         ran,
         intact: path && body && request.method == "POST",
-        organisation: request.header("x-tenant").unwrap_or_default().to_owned(),
+        organisation: request.header(ORGANISATION.as_str()).unwrap_or_default().to_owned(),
         at: epoch_micros(),
     };
     let line = serde_json::to_string(&record).expect("records are plain data");
