Spend little of the retry allowance in the first window after a start

Cause: an entry that restarts forgets what it spent, and had its whole share of the fixed allowance again. Ruled out: the ratio's part (requests are counted over a slightly longer window than repeats, but 0.8 of it is spent); the count of relays (a property holds for four of them without restarts). Change: in its first window an entry spends a tenth of its share, so that two restarts of all stay below the bound. Test: repeats_stay_within_the_window_over_restarts, failing before.

--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -3,6 +3,10 @@
 //! The platform allows a service, in any window, `ratio` times its requests plus a fixed allowance of
 //! repeats over all entries. Each entry spends the ratio on its own requests and an even part of the
 //! allowance, so the sum stays below the bound whatever the entries hear of each other.
+//!
+//! An entry that restarts does not know what it spent before. For a whole window it therefore spends only
+//! a small part of its share of the allowance: two restarts of every entry within a window stay below the
+//! bound. The trade-off: right after a restart of everything, few requests get a second send.
 
 use std::collections::VecDeque;
 
@@ -14,6 +18,10 @@
 /// Part of the earned repeats that is spent; the rest absorbs requests that never arrived.
 const SPENT_PART: f64 = 0.8;
 
+/// Part of its share of the allowance that an entry spends in its first window: with [`SPENT_PART`] spent
+/// before, two restarts within a window use up the whole share.
+const RESTART_PART: f64 = 0.1;
+
 /// Bounds of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetConfig {
@@ -36,9 +44,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct RepeatBudget {
     buckets: VecDeque<Bucket>,
+    begun: Millis,
 }
 
 impl RepeatBudget {
+    /// Makes the budget of an entry that began at that time and knows nothing from before.
+    pub fn begun_at(begun: Millis) -> Self {
+        Self { buckets: VecDeque::new(), begun }
+    }
+
     /// Notes a request of a caller.
     pub fn note_request(&mut self, now: Millis) {
         self.bucket(now).requests += 1;
@@ -50,7 +64,9 @@
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = config.allowance / entries.max(1) as f64;
-        let most = (f64::from(requests) * config.ratio + share) * SPENT_PART;
+        let is_new = now.saturating_sub(self.begun) < config.window;
+        let share_part = if is_new { RESTART_PART } else { SPENT_PART };
+        let most = f64::from(requests) * config.ratio * SPENT_PART + share * share_part;
         f64::from(repeats) + 1.0 <= most
     }
 
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -48,6 +48,43 @@
         }
     }
 
+    /// The same where entries restart, each twice in a window at most, and forget what they spent. Found by a
+    /// hunt: with 21 entries restarted in turn, 842 repeats came where 835 were allowed.
+    #[test]
+    fn repeats_stay_within_the_window_over_restarts(
+        steps in prop::collection::vec((0usize..4, 0u64..400, 0u32..4, 0u32..60, 0u8..12), 1..200)
+    ) {
+        let begun_long_ago = 0;
+        let mut budgets: Vec<RepeatBudget> = vec![RepeatBudget::begun_at(begun_long_ago); 4];
+        let mut restarts: Vec<Vec<u64>> = vec![Vec::new(); 4];
+        let mut now = BUDGET.window;
+        let (mut requests, mut repeats): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+        for (entry, wait, arrivals, wanted, draw) in steps {
+            now += wait;
+            let lately = restarts[entry].iter().filter(|at| **at + BUDGET.window > now).count();
+            if draw == 0 && lately < 2 {
+                budgets[entry] = RepeatBudget::begun_at(now);
+                restarts[entry].push(now);
+            }
+            for _ in 0..arrivals {
+                budgets[entry].note_request(now);
+                requests.push(now);
+            }
+            for _ in 0..wanted {
+                if budgets[entry].spend(&BUDGET, 4, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for start in &repeats {
+            let within = |time: &&u64| **time >= *start && **time < start + BUDGET.window;
+            let sent = repeats.iter().filter(within).count() as f64;
+            let before = |time: &&u64| **time + BUDGET.window >= *start && **time < start + BUDGET.window;
+            let asked = requests.iter().filter(before).count() as f64;
+            prop_assert!(sent <= asked * BUDGET.ratio + BUDGET.allowance);
+        }
+    }
+
     /// A key is let in only where a read sent after its removal, less the margin, was not missed: the
     /// lease never holds longer than the bound after the last proof, in any order of answers.
     #[test]
