Lay layers out by what a layout carries, now and after the loss of any one replica

Cause: layers went to the largest replicas first with an equal part of memory each. Trimming is gone. Groups are planned again only when something changed, beside the thread that passes events on.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -20,7 +20,10 @@
     cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, plan_group},
     fleet::{LayerRange, ReplicaEntry},
 };
-use tokio::{task::spawn_local, time::sleep};
+use tokio::{
+    task::{spawn_blocking, spawn_local},
+    time::sleep,
+};
 
 use crate::{
     engines::{OrderEnd, ReportState, ask_report, order_layers, recent_report},
@@ -74,6 +77,8 @@
     pending: HashMap<String, PendingOrder>,
     probes: HashMap<String, ProbeEnd>,
     refused: Rc<RefCell<Vec<String>>>,
+    /// Groups that needed no orders when last planned, by service and data centre.
+    settled: HashMap<(String, String), Vec<LayerHolder>>,
     fleet_seen: u64,
     fleet_changed: Millis,
     first_since: Option<Millis>,
@@ -137,7 +142,7 @@
         let Some(config) = relay.config() else { return };
         self.probe_suspects(relay, now).await;
         for (service, engine) in config.engines() {
-            let orders = self.plan(relay, service, engine, now);
+            let orders = self.plan(relay, service, engine, now).await;
             let limit = (engine.loads_at_once as usize).max(1);
             // Before the first request, loads are quick and all may run at once.
             let untouched = relay.counts.requests.get() == 0;
@@ -194,26 +199,62 @@
         self.probes.get(id).is_some_and(|probe| !probe.holds)
     }
 
-    fn plan(
-        &self,
+    /// Plans each group of replicas that changed since it needed no orders. The search takes some
+    /// milliseconds of a whole core, so it runs beside the thread that passes events on.
+    async fn plan(
+        &mut self,
         relay: &Relay,
         service: &str,
         engine: &EngineSpec,
         now: Millis,
     ) -> Vec<PlaceOrder> {
+        let mut groups = self.groups(relay, service, engine, now);
+        groups.retain(|name, holders| self.settled.get(name) != Some(holders));
+        let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
+        let planning = spawn_blocking(move || {
+            let config = CoverConfig::default();
+            let planned = groups.into_iter().map(|(name, holders)| {
+                let orders = plan_group(&holders, model, &config);
+                (name, holders, orders)
+            });
+            planned.collect::<Vec<_>>()
+        });
+        let planned = match planning.await {
+            Ok(planned) => planned,
+            Err(error) => {
+                // The next round plans again.
+                tracing::error!(event = "plan-failed", service, %error);
+                return Vec::new();
+            }
+        };
+        let mut all = Vec::new();
+        for (name, holders, orders) in planned {
+            if orders.is_empty() {
+                self.settled.insert(name, holders);
+            }
+            all.extend(orders);
+        }
+        all
+    }
+
+    /// Replicas of a service that may hold layers, by service and data centre.
+    fn groups(
+        &self,
+        relay: &Relay,
+        service: &str,
+        engine: &EngineSpec,
+        now: Millis,
+    ) -> BTreeMap<(String, String), Vec<LayerHolder>> {
         let beliefs = relay.beliefs.borrow();
-        let mut groups: HashMap<&str, Vec<LayerHolder>> = HashMap::new();
+        let mut groups: BTreeMap<(String, String), Vec<LayerHolder>> = BTreeMap::new();
         for replica in beliefs.fleet.of_service(service).filter(|replica| !replica.draining) {
             let suspect = beliefs.suspects.is_suspect(&replica.id, now);
             let lost = self.is_lost(&replica.id);
             let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
-            groups.entry(&replica.data_centre).or_default().push(holder);
+            let name = (service.to_owned(), replica.data_centre.clone());
+            groups.entry(name).or_default().push(holder);
         }
-        let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
-        let config = CoverConfig::default();
-        let mut names: Vec<&str> = groups.keys().copied().collect();
-        names.sort_unstable();
-        names.into_iter().flat_map(|name| plan_group(&groups[name], model, &config)).collect()
+        groups
     }
 
     fn holder(
@@ -229,6 +270,7 @@
         Some(LayerHolder {
             id: replica.id.clone(),
             memory_mb: kind.memory_mb,
+            layer_ms: kind.pace * engine.step_ms / f64::from(engine.layers.max(1)),
             range: pending.map(|order| order.range).or(held),
             held,
             can_order: pending.is_none() && !suspect,
--- a/crates/router/src/cover/scarcity.rs
+++ b/crates/router/src/cover/scarcity.rs
@@ -5,15 +5,11 @@
 
 use crate::cover::{LayerHolder, ModelShape};
 
-/// Memory for requests that holders, but for one left out, have for one layer, in MB, by layer.
-pub(super) fn room_by_layer(
-    holders: &[LayerHolder],
-    model: ModelShape,
-    left_out: Option<usize>,
-) -> Vec<f64> {
+/// Memory for requests that the holders of each layer have for it, in MB.
+pub(super) fn room_by_layer(holders: &[LayerHolder], model: ModelShape) -> Vec<f64> {
     let mut room = vec![0.0; model.layers as usize];
-    for (index, holder) in holders.iter().enumerate() {
-        let range = holder.range.filter(|range| !range.is_empty() && left_out != Some(index));
+    for holder in holders {
+        let range = holder.range.filter(|range| !range.is_empty());
         let Some(range) = range else { continue };
         let len = f64::from(range.len());
         let free = (holder.memory_mb - len * model.layer_mb).max(0.0) / len;
@@ -24,11 +20,6 @@
     room
 }
 
-/// Sum over all layers of one over the room for one layer, in 1/MB.
-pub(super) fn total_scarcity(room: &[f64]) -> f64 {
-    room.iter().map(|room| 1.0 / room.max(1.0)).sum()
-}
-
 /// How scarce room for requests is at a replica that holds so many layers: the sum over them of one
 /// over the room for one layer, in 1/MB.
 pub(super) fn scarcity(memory_mb: f64, layer_mb: f64, layers: u32) -> f64 {
--- /dev/null
+++ b/crates/router/src/cover/search.rs
@@ -0,0 +1,238 @@
+//! The first layout: a greedy one, improved by a seeded search.
+//!
+//! Before the first request loads cost next to nothing, so the whole group is laid out at once. The
+//! search changes one replica's layers, or moves the boundary between two, keeps what is worth more, and
+//! at first also what is worth a little less. The worst case is `SEARCH_STEPS` weighings of a layout,
+//! fewer for large groups.
+
+use switchfold_core::hash::hash_bytes;
+
+use crate::{
+    cover::{LayerHolder, ModelShape, capacity::LayoutMeter},
+    fleet::LayerRange,
+};
+
+/// Weighings of a layout, for groups of up to [`USUAL_GROUP`] replicas.
+const SEARCH_STEPS: usize = 20_000;
+
+/// Replicas of a usual group; a larger one gets fewer steps, so that its search takes as long. One
+/// weighing takes time in proportion to the cube of the replicas.
+const USUAL_GROUP: usize = 16;
+
+/// Loss of worth that is accepted at the first step; it falls to nothing at the last.
+const FIRST_SLACK: f64 = 0.02;
+
+/// Most layers by which a boundary moves at once.
+const MOST_SHIFT: u64 = 6;
+
+/// Improves the layout of replicas that may all be ordered; `most` tells how many layers each may hold.
+pub(super) fn improve_layout(holders: &mut [LayerHolder], model: ModelShape, most: &[u32]) {
+    let mut meter = LayoutMeter::new(holders, model);
+    let mut draws = DrawSequence::default();
+    let mut worth = meter.worth(holders);
+    let mut best = (worth, holders.to_vec());
+    let steps = search_steps(holders.len());
+    for step in 0..steps {
+        let slack = FIRST_SLACK * (1.0 - step as f64 / steps as f64).powi(2);
+        let before = change(holders, model, most, &mut draws);
+        let Some(changed) = meter.worth_above(holders, worth * (1.0 - slack)) else {
+            before.into_iter().for_each(|(index, range)| holders[index].range = range);
+            continue;
+        };
+        worth = changed;
+        if worth > best.0 {
+            best = (worth, holders.to_vec());
+        }
+    }
+    holders.clone_from_slice(&best.1);
+}
+
+/// Weighings that a group of so many replicas gets, for one decision.
+pub(super) fn search_steps(replicas: usize) -> usize {
+    let larger = (replicas as f64 / USUAL_GROUP as f64).max(1.0);
+    (SEARCH_STEPS as f64 / larger.powi(3)) as usize
+}
+
+/// Layers for one replica, and what the layout is worth with them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BestPlace {
+    pub(super) range: LayerRange,
+    pub(super) worth: f64,
+}
+
+/// What layers are looked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlaceWish {
+    /// Most layers that the replica may hold.
+    pub(super) most: u32,
+    /// Worth of a layout that is to be surpassed.
+    pub(super) least: f64,
+    /// Weighings that are allowed.
+    pub(super) steps: usize,
+}
+
+/// Finds the layers that one replica helps most with, while the others keep theirs. Tried are ranges of
+/// every length that begin or end where another's does.
+pub(super) fn best_place(
+    holders: &mut [LayerHolder],
+    meter: &mut LayoutMeter,
+    model: ModelShape,
+    index: usize,
+    wish: PlaceWish,
+) -> Option<BestPlace> {
+    let before = holders[index].range;
+    let candidates = candidates(holders, model, wish.most.min(model.layers));
+    let skip = candidates.len().div_ceil(wish.steps.max(1));
+    let mut best: Option<BestPlace> = None;
+    for range in candidates.into_iter().step_by(skip.max(1)) {
+        holders[index].range = Some(range);
+        let least = best.map_or(wish.least, |best| best.worth);
+        if let Some(worth) = meter.worth_above(holders, least) {
+            best = Some(BestPlace { range, worth });
+        }
+    }
+    holders[index].range = before;
+    best
+}
+
+fn candidates(holders: &[LayerHolder], model: ModelShape, most: u32) -> Vec<LayerRange> {
+    let ranges = || holders.iter().filter_map(|holder| holder.range);
+    let mut bounds: Vec<u32> = ranges().flat_map(|range| [range.from, range.to]).collect();
+    bounds.extend([0, model.layers]);
+    bounds.sort_unstable();
+    bounds.dedup();
+    let mut found = Vec::new();
+    for len in (1..=most).rev() {
+        for bound in &bounds {
+            let begins = LayerRange { from: *bound, to: bound + len };
+            let ends = LayerRange { from: bound.saturating_sub(len), to: *bound };
+            found.extend(
+                [begins, ends]
+                    .into_iter()
+                    .filter(|range| range.len() == len && range.to <= model.layers),
+            );
+        }
+    }
+    found.sort_unstable();
+    found.dedup();
+    found
+}
+
+/// Ranges before a change, by index.
+type Undo = Vec<(usize, Option<LayerRange>)>;
+
+fn change(
+    holders: &mut [LayerHolder],
+    model: ModelShape,
+    most: &[u32],
+    draws: &mut DrawSequence,
+) -> Undo {
+    let index = draws.below(holders.len() as u64) as usize;
+    let range = holders[index].range.unwrap_or_default();
+    let undo = vec![(index, holders[index].range)];
+    let shift = 1 + draws.below(MOST_SHIFT) as u32;
+    let most_here = most[index].min(model.layers).max(1);
+    match draws.below(6) {
+        0 => {
+            // Anywhere, at any length.
+            let len = 1 + draws.below(u64::from(most_here)) as u32;
+            let from = draws.below(u64::from(model.layers - len) + 1) as u32;
+            holders[index].range = Some(LayerRange { from, to: from + len });
+            undo
+        }
+        1 => {
+            // Longer or shorter at its end; whoever begins there moves along.
+            let grows = draws.below(2) == 0;
+            let to = match grows {
+                true => range.to + shift,
+                false => range.to.saturating_sub(shift),
+            };
+            move_bound(holders, model, most, index, to, undo)
+        }
+        2 => {
+            // A little to the left or right.
+            let len = range.len().clamp(1, most_here);
+            let from = match draws.below(2) == 0 {
+                true => range.from + shift,
+                false => range.from.saturating_sub(shift),
+            };
+            let from = from.min(model.layers - len);
+            holders[index].range = Some(LayerRange { from, to: from + len });
+            undo
+        }
+        3 => {
+            // Longer or shorter alone, at either side.
+            let (mut from, mut to) = (range.from, range.to);
+            match draws.below(4) {
+                0 => from = from.saturating_sub(shift),
+                1 => from = (from + shift).min(to.saturating_sub(1)),
+                2 => to = (to + shift).min(model.layers),
+                _ => to = to.saturating_sub(shift).max(from + 1),
+            }
+            if to > from && to - from <= most_here {
+                holders[index].range = Some(LayerRange { from, to });
+            }
+            undo
+        }
+        4 => {
+            // The same layers elsewhere.
+            let len = range.len().clamp(1, most_here);
+            let from = draws.below(u64::from(model.layers - len) + 1) as u32;
+            holders[index].range = Some(LayerRange { from, to: from + len });
+            undo
+        }
+        _ => {
+            // Two replicas change places.
+            let other = draws.below(holders.len() as u64) as usize;
+            let mut undo = undo;
+            undo.push((other, holders[other].range));
+            let theirs = holders[other].range.unwrap_or_default();
+            holders[index].range = Some(fit(theirs, most_here));
+            holders[other].range = Some(fit(range, most[other].min(model.layers).max(1)));
+            undo
+        }
+    }
+}
+
+fn fit(range: LayerRange, most: u32) -> LayerRange {
+    LayerRange { from: range.from, to: range.to.min(range.from + most) }
+}
+
+/// Moves the end of a replica's range, and with it the beginning of those that begin there.
+fn move_bound(
+    holders: &mut [LayerHolder],
+    model: ModelShape,
+    most: &[u32],
+    index: usize,
+    to: u32,
+    mut undo: Undo,
+) -> Undo {
+    let range = holders[index].range.unwrap_or_default();
+    let to = to.clamp(
+        range.from + 1,
+        (range.from + most[index].max(1)).min(model.layers).max(range.from + 1),
+    );
+    for next in 0..holders.len() {
+        let Some(other) = holders[next].range else { continue };
+        let fits = to < other.to && other.to - to <= most[next];
+        if next != index && other.from == range.to && fits {
+            undo.push((next, Some(other)));
+            holders[next].range = Some(LayerRange { from: to, to: other.to });
+        }
+    }
+    holders[index].range = Some(LayerRange { from: range.from, to: to.min(model.layers) });
+    undo
+}
+
+/// Draws that are the same at every relay.
+#[derive(Default)]
+struct DrawSequence {
+    count: u64,
+}
+
+impl DrawSequence {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.count += 1;
+        hash_bytes(self.count, b"layout") % bound.max(1)
+    }
+}
--- a/crates/router/src/cover/tiling.rs
+++ b/crates/router/src/cover/tiling.rs
@@ -30,10 +30,6 @@
 pub(super) const URGENT: TilingCosts =
     TilingCosts { load: 1.0, give_up: 0.3, first_layer: 30.0, room: 400.0 };
 
-/// Nothing may be loaded: overlaps alone are dealt out.
-pub(super) const WITHOUT_LOADS: TilingCosts =
-    TilingCosts { load: f64::INFINITY, give_up: 0.0, first_layer: 1.0, room: 400.0 };
-
 /// Parts that cover the model, by the index of their holder; holders that are not needed have none.
 /// Where the holders cannot cover everything, as much as they can from the first layer on is covered.
 pub(super) fn tile(
