Leave new callers to other relays where this one alone lost the store

Cause: a relay that loses the store goes on until the configuration is 3.5 s old, and then refuses all keys. Change: readiness goes off, and answers close their connections, once the last proof is 1.3 s old after a failed read (2.6 s otherwise), if another relay tells a younger proof, or none can be heard. Where all lost the store nobody steps aside. Test: a_relay_that_lost_the_store_alone_steps_aside.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -81,6 +81,7 @@
             fleet_is_fresh: news.fleet_is_fresh,
             fleet_digest: news.fleet_digest,
             config_version: news.config_version,
+            config_age: news.config_age,
         };
         beliefs.peers.learn(&news.name, from, &news.data_centre, now);
         let (incarnation, time) = news.stamp;
@@ -126,6 +127,7 @@
     beliefs.peers.prove(config, fleet);
     if let Some(proved) = config {
         beliefs.config_lease.prove(proved);
+        beliefs.config_lost = false;
     }
     if let Some(proved) = fleet {
         beliefs.fleet_lease.prove(proved);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -187,7 +187,7 @@
         }
         Err(refusal) => refuse(&relay, &id, refusal, arrived),
     };
-    if relay.stop.is_raised() {
+    if relay.stop.is_raised() || relay.steps_aside(now_millis()) {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -147,10 +147,15 @@
 }
 
 /// A relay is ready while it can let requests in: it knows the configuration and the replicas, and is
-/// not stopping. One that lost the store stays ready as long as keys may be let in.
+/// not stopping. One that lost the store stays ready as long as keys may be let in, unless others still
+/// have the store: the balancer needs two seconds to move new callers to them.
 pub fn is_ready(relay: &Relay) -> bool {
+    let now = now_millis();
+    if relay.steps_aside(now) {
+        return false;
+    }
     let beliefs = relay.beliefs.borrow();
     let knows = beliefs.config.get().is_some() && !beliefs.fleet.is_empty();
     let bound = relay.bounds.borrow().revoke_ms;
-    knows && !relay.stop.is_raised() && beliefs.config_lease.holds(bound, now_millis())
+    knows && !relay.stop.is_raised() && beliefs.config_lease.holds(bound, now)
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -55,6 +55,8 @@
     pub config: ConfigSlot<Rc<RoutingConfig>>,
     /// When the configuration was last proved.
     pub config_lease: FreshnessLease,
+    /// Whether the last read of the configuration failed.
+    pub config_lost: bool,
     /// Replicas that are listed.
     pub fleet: FleetView,
     /// When the list of replicas was last proved.
@@ -209,6 +211,13 @@
         }
     }
 
+    /// Whether new callers are to be left to other relays, since this one can soon let no keys in.
+    pub fn steps_aside(&self, now: Millis) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let age = beliefs.config_lease.age(now);
+        age.is_some_and(|age| beliefs.peers.should_step_aside(age, beliefs.config_lost, now))
+    }
+
     /// Whether the list of replicas is recent, as far as this relay can tell.
     pub fn is_fleet_fresh(&self, now: Millis) -> bool {
         let beliefs = self.beliefs.borrow();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -82,8 +82,12 @@
             let kept = changes.iter().filter(|change| !change.gone);
             kept.for_each(|change| take_config(relay, &change.object));
         },
-        prove: |relay, sent| relay.beliefs.borrow_mut().config_lease.prove(sent),
-        lose: |_| {},
+        prove: |relay, sent| {
+            let mut beliefs = relay.beliefs.borrow_mut();
+            beliefs.config_lease.prove(sent);
+            beliefs.config_lost = false;
+        },
+        lose: |relay| relay.beliefs.borrow_mut().config_lost = true,
         is_covered: |relay, now| {
             let beliefs = relay.beliefs.borrow();
             let version = beliefs.config.get().map_or(0, |config| config.version);
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -21,6 +21,14 @@
 /// one to two waits of a second old, plus the time between two messages.
 pub const FOLLOWED_AGE: Millis = 2_400;
 
+/// Age of its own proof of the configuration from which a relay leaves new callers to others that have a
+/// younger one, in milliseconds: above what a relay has that others follow the store for, and a second
+/// before keys are refused at a usual bound of 5 s.
+pub const STEP_ASIDE_AGE: Millis = 2_600;
+
+/// The same for a relay whose last read of the configuration failed.
+pub const LOST_ASIDE_AGE: Millis = 1_300;
+
 /// Silence after which a relay is forgotten, in milliseconds: several windows of the shared budget of
 /// repeats, so that one that is only cut off keeps its share; a VM that is replaced has another name.
 pub const PEER_FORGET: Millis = 60_000;
@@ -43,6 +51,8 @@
     pub fleet_digest: u64,
     /// Version of its configuration.
     pub config_version: u64,
+    /// Age of its proof of the configuration, in milliseconds; nothing where it has none.
+    pub config_age: Option<Millis>,
 }
 
 #[derive(Clone, Debug)]
@@ -191,6 +201,23 @@
         same
     }
 
+    /// Whether callers are served better elsewhere: this relay's proof of the configuration is `own_age`
+    /// old, `is_lost` tells that its last read failed, and another relay has a younger proof, or this one
+    /// hears none of those it knows and is cut off itself. Where all have lost the store nobody steps
+    /// aside.
+    pub fn should_step_aside(&self, own_age: Millis, is_lost: bool, now: Millis) -> bool {
+        let most = if is_lost { LOST_ASIDE_AGE } else { STEP_ASIDE_AGE };
+        if own_age < most || self.peers.is_empty() {
+            return false;
+        }
+        let mut live = self.peers.values().filter(|peer| peer.is_live(now)).peekable();
+        if live.peek().is_none() {
+            return is_lost;
+        }
+        let proofs = live.filter_map(|peer| peer.config_age(now));
+        proofs.min().is_some_and(|age| age + YOUNGER_BY <= own_age)
+    }
+
     /// Whether no live relay of the data centre comes before this one by name.
     pub fn is_first_near(&self, own: &str, data_centre: &str, now: Millis) -> bool {
         self.earlier(own, data_centre, now).next().is_none()
@@ -210,6 +237,9 @@
     }
 }
 
+/// Time by which another relay's proof must be younger for callers to be left to it, in milliseconds.
+const YOUNGER_BY: Millis = 300;
+
 /// Time for which two lists of replicas may differ, in milliseconds: a change is told at once, and a
 /// lost message shows in the next two.
 const DIGEST_GRACE: Millis = 500;
@@ -219,6 +249,11 @@
 }
 
 impl Peer {
+    /// Age of its proof of the configuration by now.
+    fn config_age(&self, now: Millis) -> Option<Millis> {
+        Some(self.state.config_age? + now.saturating_sub(self.heard?))
+    }
+
     fn is_live(&self, now: Millis) -> bool {
         self.heard.is_some_and(|heard| now.saturating_sub(heard) < PEER_SILENCE)
     }
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -3,14 +3,20 @@
 
 use proptest::prelude::*;
 use switchfold_router::membership::{
-    FOLLOWED_AGE, PEER_FORGET, PEER_SILENCE, PeerStamp, PeerState, PeerTable, proof_time,
+    FOLLOWED_AGE, LOST_ASIDE_AGE, PEER_FORGET, PEER_SILENCE, PeerStamp, PeerState, PeerTable,
+    STEP_ASIDE_AGE, proof_time,
 };
 
 fn table(names: &[(&str, &str)], now: u64) -> PeerTable {
     let mut table = PeerTable::default();
     for (name, data_centre) in names {
         table.learn(name, "10.0.0.1:7000".parse().expect("address"), data_centre, now);
-        let state = PeerState { fleet_is_fresh: true, fleet_digest: 7, config_version: 3 };
+        let state = PeerState {
+            fleet_is_fresh: true,
+            fleet_digest: 7,
+            config_version: 3,
+            config_age: Some(500),
+        };
         table.hear(name, state, PeerStamp::default(), now);
     }
     table
@@ -107,3 +113,24 @@
     table.forget("a");
     assert_eq!(table.known(), 2);
 }
+
+/// A relay that lost the store alone leaves new callers to the others before keys are refused; where all
+/// lost it, and where none is known, it goes on.
+#[test]
+fn a_relay_that_lost_the_store_alone_steps_aside() {
+    let now = 10_000;
+    let peers = table(&[("b", "north"), ("c", "south")], now);
+    assert!(peers.should_step_aside(STEP_ASIDE_AGE, false, now));
+    assert!(peers.should_step_aside(LOST_ASIDE_AGE, true, now));
+    assert!(!peers.should_step_aside(LOST_ASIDE_AGE, false, now), "a usual age");
+    assert!(!peers.should_step_aside(LOST_ASIDE_AGE - 1, true, now), "one failed read");
+    assert!(!PeerTable::default().should_step_aside(STEP_ASIDE_AGE, true, now), "it is alone");
+    let all_lost = now + STEP_ASIDE_AGE;
+    let mut old = table(&[("b", "north")], all_lost);
+    let state = PeerState { config_age: Some(STEP_ASIDE_AGE), ..PeerState::default() };
+    old.hear("b", state, PeerStamp::default(), all_lost);
+    assert!(!old.should_step_aside(STEP_ASIDE_AGE + 100, true, all_lost), "nobody has the store");
+    let silent = now + PEER_SILENCE;
+    assert!(peers.should_step_aside(LOST_ASIDE_AGE, true, silent), "it is cut off from all");
+    assert!(!peers.should_step_aside(STEP_ASIDE_AGE, false, silent), "the store answers it");
+}
