switchfold-ctl account: why requests were late, refused or failed, from the relays' lines

Each attempt gets one cause, summed over all and by time; explain then tells of single requests. The line of a dispatch names the route's objective and longest pause, which the cause depends on. Reading of log lines stands in one module for both verbs.

--- a/crates/ctl/src/bin/switchfold-ctl.rs
+++ b/crates/ctl/src/bin/switchfold-ctl.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand};
 use sha2::{Digest, Sha256};
 use switchfold_ctl::{
+    account::account_files,
     ask::{AskError, AskRequest, ask},
     check::{SettingsKind, check_settings},
     explain::explain_files,
@@ -21,7 +22,7 @@
 #[derive(Debug, Parser)]
 #[command(
     version,
-    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl check relay --settings examples/relay/relay.json\n  switchfold-ctl explain 9c41d07be2a35f68 --logs relay-1.log relay-2.log\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
+    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl check relay --settings examples/relay/relay.json\n  switchfold-ctl explain 9c41d07be2a35f68 --logs relay-1.log relay-2.log\n  switchfold-ctl account --logs relay-1.log relay-2.log\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
 )]
 struct CtlArguments {
     #[command(subcommand)]
@@ -71,6 +72,15 @@
         #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
         logs: Vec<PathBuf>,
     },
+    /// Count why requests were late, refused or failed, from the relays' logs.
+    Account {
+        /// Log files, of one process each or of several put together.
+        #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
+        logs: Vec<PathBuf>,
+        /// Milliseconds of a row of the table by time.
+        #[arg(long, default_value_t = 2_000)]
+        every: u64,
+    },
     /// Read a token from standard input and print its SHA-256, for settings and organisations.
     HashToken,
 }
@@ -158,6 +168,9 @@
         CtlAction::Explain { request, logs } => {
             explain_files(&request, &logs).map_err(|error| error.to_string())
         }
+        CtlAction::Account { logs, every } => {
+            account_files(&logs, every).map_err(|error| error.to_string())
+        }
         CtlAction::HashToken => hash_token().map_err(|error| error.to_string()),
     };
     match done {
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -3,23 +3,20 @@
 //! Reads structured log lines, puts those of one request in order of time, names the line that decided
 //! its end, and shows what the process that wrote it came to believe shortly before.
 
-use std::{fs, path::PathBuf};
+use std::path::PathBuf;
 
-use derive_more::{Display, Error};
-use serde_json::{Map, Value};
+use derive_more::{Display, Error, From};
+
+use crate::logs::{LogLine, LogsError, millis, read_logs, sorted_lines};
 
 /// Why a request could not be explained.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Display, Error, From)]
 pub enum ExplainError {
     /// A log file cannot be read.
-    #[display("{}: {source}", path.display())]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// What the system said.
-        source: std::io::Error,
-    },
+    #[display("{_0}")]
+    Unreadable(LogsError),
     /// No line names the request.
+    #[from(skip)]
     #[display(
         "no line names request {id:?}: it never arrived, or its lines were left out (see lines_left_out in the lines \"figures\")"
     )]
@@ -29,15 +26,6 @@
     },
 }
 
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct LogLine {
-    source: String,
-    time: String,
-    event: String,
-    fields: Map<String, Value>,
-}
-
 /// Events that end a request, by how much they say of its cause: the first of these that a request
 /// has is the one that decided.
 const DECIDING: [&str; 7] = [
@@ -83,12 +71,7 @@
 ///
 /// Fails where a file cannot be read, or no line names the request.
 pub fn explain_files(id: &str, files: &[PathBuf]) -> Result<String, ExplainError> {
-    let mut logs = Vec::new();
-    for path in files {
-        let text = fs::read_to_string(path)
-            .map_err(|source| ExplainError::Unreadable { path: path.clone(), source })?;
-        logs.push((path.display().to_string(), text));
-    }
+    let logs = read_logs(files)?;
     explain(id, &logs)
 }
 
@@ -98,11 +81,7 @@
 ///
 /// Fails where no line names the request.
 pub fn explain(id: &str, logs: &[(String, String)]) -> Result<String, ExplainError> {
-    let mut lines: Vec<LogLine> = logs
-        .iter()
-        .flat_map(|(source, text)| text.lines().filter_map(|line| read_line(source, line)))
-        .collect();
-    lines.sort_by(|left, right| left.time.cmp(&right.time));
+    let lines = sorted_lines(logs);
     let own: Vec<&LogLine> = lines.iter().filter(|line| line.names(id)).collect();
     let Some(deciding) = deciding_line(&own) else {
         return Err(ExplainError::Unknown { id: id.to_owned() });
@@ -121,27 +100,6 @@
     Ok(text)
 }
 
-/// Reads a line. Whatever stands before the object, such as the process's name where several logs were
-/// put together, tells its source.
-fn read_line(source: &str, line: &str) -> Option<LogLine> {
-    let start = line.find('{')?;
-    let Ok(Value::Object(mut fields)) = serde_json::from_str(&line[start..]) else {
-        return None;
-    };
-    let time = take_text(&mut fields, "timestamp");
-    let event = take_text(&mut fields, "event");
-    let prefix = line[..start].split_whitespace().last();
-    let source = prefix.unwrap_or(source).to_owned();
-    (!event.is_empty()).then_some(LogLine { source, time, event, fields })
-}
-
-fn take_text(fields: &mut Map<String, Value>, name: &str) -> String {
-    match fields.remove(name) {
-        Some(Value::String(text)) => text,
-        _ => String::new(),
-    }
-}
-
 fn deciding_line<'a>(own: &[&'a LogLine]) -> Option<&'a LogLine> {
     let last_of = |event: &&str| own.iter().rev().find(|line| line.event == **event).copied();
     DECIDING.iter().find_map(last_of).or(own.last().copied())
@@ -157,29 +115,3 @@
     let recent: Vec<&LogLine> = recent.collect();
     recent[recent.len().saturating_sub(MOST_BELIEFS)..].to_vec()
 }
-
-/// Milliseconds within the day of a time such as `2026-04-09T08:30:09.614305Z`; 0 where it is none.
-fn millis(time: &str) -> u64 {
-    let clock = time.split('T').nth(1).unwrap_or_default().trim_end_matches('Z');
-    let mut seconds = 0.0;
-    for part in clock.split(':') {
-        seconds = seconds * 60.0 + part.parse::<f64>().unwrap_or(0.0);
-    }
-    (seconds * 1_000.0) as u64
-}
-
-impl LogLine {
-    fn names(&self, id: &str) -> bool {
-        self.fields.get("request").and_then(Value::as_str) == Some(id)
-    }
-
-    fn render(&self) -> String {
-        let shown = self.fields.iter().filter(|(name, _)| *name != "level" && *name != "request");
-        let fields = shown.map(|(name, value)| match value {
-            Value::String(text) => format!("{name}={text}"),
-            value => format!("{name}={value}"),
-        });
-        let fields: Vec<String> = fields.collect();
-        format!("{} {} {} {}", self.time, self.source, self.event, fields.join(" "))
-    }
-}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,8 +4,10 @@
 //! computes what the system would decide from a file, without any process running; [`explain`] goes from a
 //! request's id to its cause.
 
+pub mod account;
 pub mod ask;
 pub mod check;
 pub mod explain;
 pub mod inspect;
+pub mod logs;
 pub mod table;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -129,6 +129,8 @@
             config_age = beliefs.config_lease.age(now),
             replicas_age = beliefs.fleet_lease.age(now),
             waited_ms = now - self.arrived,
+            objective = permit.route.objective,
+            gap = permit.route.event_gap,
             last_event,
             first,
             path = path.map(path_value),
