--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -19,6 +19,8 @@
     pub repaths: Cell<u64>,
     /// Streams taken up at another replica.
     pub resumes: Cell<u64>,
+    /// Times that new callers were left to other relays.
+    pub step_asides: Cell<u64>,
     /// Orders to hold other layers.
     pub orders: Cell<u64>,
     /// Lists read from the store.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -153,6 +153,7 @@
             ("repeats", counts.repeats.get()),
             ("repaths", counts.repaths.get()),
             ("resumes", counts.resumes.get()),
+            ("step_asides", counts.step_asides.get()),
             ("orders", counts.orders.get()),
             ("store_lists", counts.store_lists.get()),
             ("store_watches", counts.store_watches.get()),
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -17,7 +17,7 @@
 use switchfold_router::{
     Millis,
     access::EngineSpec,
-    cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, plan_group},
+    cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
     fleet::{LayerRange, ReplicaEntry},
 };
 use tokio::{
@@ -229,8 +229,9 @@
         };
         let mut all = Vec::new();
         for (name, holders, orders) in planned {
-            if orders.is_empty() {
-                self.settled.insert(name, holders);
+            match orders.is_empty() {
+                true => drop(self.settled.insert(name, holders)),
+                false => log_plan(&name.1, &holders, &orders, model),
             }
             all.extend(orders);
         }
@@ -298,6 +299,23 @@
     }
 }
 
+/// Writes what a group of replicas carries before and after its orders, by the plan's own measure.
+fn log_plan(data_centre: &str, holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) {
+    let mut planned = holders.to_vec();
+    for order in orders {
+        let holder = planned.iter_mut().find(|holder| holder.id == order.id);
+        holder.into_iter().for_each(|holder| holder.range = Some(order.range));
+    }
+    tracing::info!(
+        event = "plan",
+        data_centre,
+        replicas = holders.len(),
+        orders = orders.len(),
+        worth_before = layout_worth(holders, model),
+        worth_after = layout_worth(&planned, model),
+    );
+}
+
 /// Gives an order; tells whether it may be under way.
 async fn carry_out(relay: &Relay, replica: &ReplicaEntry, order: &PlaceOrder) -> bool {
     let range = order.range;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -151,7 +151,9 @@
 /// have the store: the balancer needs two seconds to move new callers to them.
 pub fn is_ready(relay: &Relay) -> bool {
     let now = now_millis();
-    if relay.steps_aside(now) {
+    let aside = relay.steps_aside(now);
+    relay.note_aside(aside, now);
+    if aside {
         return false;
     }
     let beliefs = relay.beliefs.borrow();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -30,7 +30,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    counts::Counts,
+    counts::{Counts, count},
     engines::ReportCache,
     metrics::RelayMetrics,
     peers::tell_state,
@@ -117,6 +117,8 @@
     pub counts: Counts,
     /// Histograms, and what is served on the metrics address.
     pub metrics: RelayMetrics,
+    /// Whether new callers were left to other relays when readiness was last asked for.
+    pub is_aside: Cell<bool>,
     /// Whether it is stopping.
     pub stop: StopState,
     /// Draws for weights and jitter.
@@ -218,6 +220,25 @@
         age.is_some_and(|age| beliefs.peers.should_step_aside(age, beliefs.config_lost, now))
     }
 
+    /// Notes whether new callers are left to other relays, and writes a line where that changed.
+    pub fn note_aside(&self, aside: bool, now: Millis) {
+        if self.is_aside.replace(aside) == aside {
+            return;
+        }
+        let beliefs = self.beliefs.borrow();
+        let config_age = beliefs.config_lease.age(now);
+        let (is_lost, live) = (beliefs.config_lost, beliefs.peers.live(now));
+        match aside {
+            true => {
+                count(&self.counts.step_asides);
+                tracing::warn!(event = "stepped-aside", config_age, is_lost, relays_heard = live);
+            }
+            false => {
+                tracing::info!(event = "stepped-back", config_age, is_lost, relays_heard = live)
+            }
+        }
+    }
+
     /// Whether the list of replicas is recent, as far as this relay can tell.
     pub fn is_fleet_fresh(&self, now: Millis) -> bool {
         let beliefs = self.beliefs.borrow();
