--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -251,7 +251,7 @@
         improve_layout(&mut self.holders, self.model, &most);
         self.orders.clear();
         for index in 0..self.holders.len() {
-            if let Some(range) = self.holders[index].range {
+            if let Some(range) = self.holders[index].range.filter(|range| !range.is_empty()) {
                 self.order(index, range, PlaceReason::Empty);
             }
         }
--- a/crates/router/src/cover/search.rs
+++ b/crates/router/src/cover/search.rs
@@ -158,69 +158,71 @@
     let undo = vec![(index, holders[index].range)];
     let shift = 1 + draws.below(MOST_SHIFT) as u32;
     let most_here = most[index].min(model.layers);
-    match draws.below(6) {
-        0 => {
-            // Anywhere, at any length.
-            let len = 1 + draws.below(u64::from(most_here)) as u32;
-            let from = draws.below(u64::from(model.layers - len) + 1) as u32;
-            holders[index].range = Some(LayerRange { from, to: from + len });
-            undo
-        }
-        1 => {
-            // Longer or shorter at its end; whoever begins there moves along.
-            let grows = draws.below(2) == 0;
-            let to = match grows {
-                true => range.to + shift,
-                false => range.to.saturating_sub(shift),
-            };
-            move_bound(holders, model, most, index, to, undo)
-        }
+    let changed = match draws.below(6) {
+        0 => anywhere(model, 1 + draws.below(u64::from(most_here)) as u32, draws),
+        1 => return move_bound(holders, model, most, index, shifted(range.to, shift, draws), undo),
         2 => {
-            // A little to the left or right.
-            let len = range.len().clamp(1, most_here);
-            let from = match draws.below(2) == 0 {
-                true => range.from + shift,
-                false => range.from.saturating_sub(shift),
-            };
-            let from = from.min(model.layers - len);
-            holders[index].range = Some(LayerRange { from, to: from + len });
-            undo
-        }
-        3 => {
-            // Longer or shorter alone, at either side.
-            let (mut from, mut to) = (range.from, range.to);
-            match draws.below(4) {
-                0 => from = from.saturating_sub(shift),
-                1 => from = (from + shift).min(to.saturating_sub(1)),
-                2 => to = (to + shift).min(model.layers),
-                _ => to = to.saturating_sub(shift).max(from + 1),
-            }
-            if to > from && to - from <= most_here {
-                holders[index].range = Some(LayerRange { from, to });
-            }
-            undo
-        }
-        4 => {
-            // The same layers elsewhere.
             let len = range.len().clamp(1, most_here);
-            let from = draws.below(u64::from(model.layers - len) + 1) as u32;
-            holders[index].range = Some(LayerRange { from, to: from + len });
-            undo
-        }
-        _ => {
-            // Two replicas change places.
-            let mut undo = undo;
-            undo.push((other, holders[other].range));
-            let theirs = holders[other].range.unwrap_or_default();
-            holders[index].range = Some(fit(theirs, most_here));
-            holders[other].range = Some(fit(range, most[other].min(model.layers)));
-            undo
+            let from = shifted(range.from, shift, draws).min(model.layers - len);
+            LayerRange { from, to: from + len }
         }
+        3 => resized(range, model, shift, draws),
+        4 => anywhere(model, range.len().clamp(1, most_here), draws),
+        _ => return swap(holders, model, most, [index, other], undo),
+    };
+    if !changed.is_empty() && changed.len() <= most_here {
+        holders[index].range = Some(changed);
+    }
+    undo
+}
+
+/// A place for `len` layers.
+fn anywhere(model: ModelShape, len: u32, draws: &mut DrawSequence) -> LayerRange {
+    let from = draws.below(u64::from(model.layers - len) + 1) as u32;
+    LayerRange { from, to: from + len }
+}
+
+/// A boundary moved by `shift` to either side.
+fn shifted(bound: u32, shift: u32, draws: &mut DrawSequence) -> u32 {
+    match draws.below(2) == 0 {
+        true => bound + shift,
+        false => bound.saturating_sub(shift),
     }
 }
 
-fn fit(range: LayerRange, most: u32) -> LayerRange {
-    LayerRange { from: range.from, to: range.to.min(range.from + most) }
+/// A range that is longer or shorter by `shift` at one side.
+fn resized(
+    range: LayerRange,
+    model: ModelShape,
+    shift: u32,
+    draws: &mut DrawSequence,
+) -> LayerRange {
+    let LayerRange { from, to } = range;
+    match draws.below(4) {
+        0 => LayerRange { from: from.saturating_sub(shift), to },
+        1 => LayerRange { from: (from + shift).min(to.saturating_sub(1)), to },
+        2 => LayerRange { from, to: (to + shift).min(model.layers) },
+        _ => LayerRange { from, to: to.saturating_sub(shift).max(from + 1) },
+    }
+}
+
+/// Lets two replicas change places, each with as many layers as it may hold.
+fn swap(
+    holders: &mut [LayerHolder],
+    model: ModelShape,
+    most: &[u32],
+    [index, other]: [usize; 2],
+    mut undo: Undo,
+) -> Undo {
+    let fit = |range: LayerRange, most: u32| LayerRange {
+        from: range.from,
+        to: range.to.min(range.from + most.min(model.layers)),
+    };
+    let (mine, theirs) = (holders[index].range, holders[other].range);
+    undo.push((other, theirs));
+    holders[index].range = Some(fit(theirs.unwrap_or_default(), most[index]));
+    holders[other].range = Some(fit(mine.unwrap_or_default(), most[other]));
+    undo
 }
 
 /// Moves the end of a replica's range, and with it the beginning of those that begin there.
@@ -233,8 +235,8 @@
     mut undo: Undo,
 ) -> Undo {
     let range = holders[index].range.unwrap_or_default();
-    let to =
-        to.clamp(range.from + 1, (range.from + most[index]).min(model.layers).max(range.from + 1));
+    let last = (range.from + most[index]).min(model.layers);
+    let to = to.clamp(range.from + 1, last.max(range.from + 1)).min(model.layers);
     for next in 0..holders.len() {
         let Some(other) = holders[next].range else { continue };
         let fits = to < other.to && other.to - to <= most[next];
@@ -243,7 +245,7 @@
             holders[next].range = Some(LayerRange { from: to, to: other.to });
         }
     }
-    holders[index].range = Some(LayerRange { from: range.from, to: to.min(model.layers) });
+    holders[index].range = Some(LayerRange { from: range.from, to });
     undo
 }
 
