Order a greedy layout at once, and search a better one behind it, before the first request

Change: the greedy layout is ordered at once. 0.4 s later one search a group begins, one after the other; its orders are given when the group holds its first layers and no request came to any relay that is heard. Where replicas join meanwhile, it begins anew.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -17,11 +17,13 @@
 use switchfold_router::{
     Millis,
     access::EngineSpec,
-    cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
+    cover::{
+        CoverConfig, LayerHolder, ModelShape, PlaceOrder, improve_group, layout_worth, plan_group,
+    },
     fleet::{LayerRange, ReplicaEntry},
 };
 use tokio::{
-    task::{spawn_blocking, spawn_local},
+    task::{JoinHandle, spawn_blocking, spawn_local},
     time::sleep,
 };
 
@@ -71,6 +73,22 @@
     holds: bool,
 }
 
+/// A service and a data centre, whose replicas are planned together.
+type GroupName = (String, String);
+
+/// A search for a better layout of a group that this relay laid out, and that serves nobody yet.
+#[derive(Debug)]
+struct LayoutSearch {
+    /// The group as it will be once its first orders are carried out.
+    laid_out: Vec<LayerHolder>,
+    ordered: Millis,
+    searching: Option<JoinHandle<Vec<PlaceOrder>>>,
+}
+
+/// Time after the first orders of a group before its search begins, in milliseconds: a search takes what
+/// there is of a small VM's core, and the orders go first.
+const SEARCH_AFTER: Millis = 400;
+
 /// Orders under way, by replica, and what suspected replicas answered.
 #[derive(Debug, Default)]
 struct Placer {
@@ -78,7 +96,9 @@
     probes: HashMap<String, ProbeEnd>,
     refused: Rc<RefCell<Vec<String>>>,
     /// Groups that needed no orders when last planned, by service and data centre.
-    settled: HashMap<(String, String), Vec<LayerHolder>>,
+    settled: HashMap<GroupName, Vec<LayerHolder>>,
+    /// Searches under way.
+    searches: BTreeMap<GroupName, LayoutSearch>,
     fleet_seen: u64,
     fleet_changed: Millis,
     first_since: Option<Millis>,
@@ -145,12 +165,15 @@
             let orders = self.plan(relay, service, engine, now).await;
             let limit = (engine.loads_at_once as usize).max(1);
             // Before the first request, loads are quick and all may run at once.
-            let untouched = relay.counts.requests.get() == 0;
+            let untouched = is_untouched(relay);
             let free = limit.saturating_sub(self.pending.len());
             let now_possible = if untouched { orders.len() } else { free };
             for order in orders.into_iter().take(now_possible) {
                 self.give(relay, engine, order, now).await;
             }
+            for order in self.searched_orders(relay, service, engine, now).await {
+                self.give(relay, engine, order, now).await;
+            }
         }
     }
 
@@ -229,6 +252,11 @@
         };
         let mut all = Vec::new();
         for (name, holders, orders) in planned {
+            if holders.iter().all(|holder| holder.range.is_none()) && is_untouched(relay) {
+                let laid_out = carried_out(&holders, &orders);
+                let search = LayoutSearch { laid_out, ordered: now, searching: None };
+                self.searches.insert(name.clone(), search);
+            }
             match orders.is_empty() {
                 true => drop(self.settled.insert(name, holders)),
                 false => log_plan(&name.1, &holders, &orders, model),
@@ -238,6 +266,76 @@
         all
     }
 
+    /// Searches anew for groups that replicas joined or left meanwhile, once all hold their layers.
+    fn renew_searches(&mut self, groups: &BTreeMap<GroupName, Vec<LayerHolder>>, now: Millis) {
+        for (name, search) in &mut self.searches {
+            let Some(holders) = groups.get(name) else { continue };
+            let is_settled = |holder: &LayerHolder| holder.can_order && holder.range == holder.held;
+            if search.laid_out != *holders && holders.iter().all(is_settled) {
+                let laid_out = holders.clone();
+                *search = LayoutSearch { laid_out, ordered: now, searching: None };
+            }
+        }
+    }
+
+    /// Begins the next search whose turn has come; one runs at a time.
+    fn begin_search(&mut self, model: ModelShape, now: Millis) {
+        let is_running = |search: &LayoutSearch| {
+            search.searching.as_ref().is_some_and(|searching| !searching.is_finished())
+        };
+        if self.searches.values().any(is_running) {
+            return;
+        }
+        let is_due = |search: &&mut LayoutSearch| {
+            search.searching.is_none() && now.saturating_sub(search.ordered) >= SEARCH_AFTER
+        };
+        let Some(search) = self.searches.values_mut().find(is_due) else { return };
+        let group = search.laid_out.clone();
+        let config = CoverConfig::default();
+        search.searching = Some(spawn_blocking(move || improve_group(&group, model, &config)));
+    }
+
+    /// Orders of searches that have ended, once their group holds what it was first ordered to. Where
+    /// requests came first, or the group changed, a search has come too late.
+    async fn searched_orders(
+        &mut self,
+        relay: &Relay,
+        service: &str,
+        engine: &EngineSpec,
+        now: Millis,
+    ) -> Vec<PlaceOrder> {
+        if self.searches.is_empty() {
+            return Vec::new();
+        }
+        if !is_untouched(relay) {
+            self.searches.clear();
+            tracing::info!(event = "search-late", service);
+            return Vec::new();
+        }
+        let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
+        let groups = self.groups(relay, service, engine, now);
+        self.renew_searches(&groups, now);
+        self.begin_search(model, now);
+        let mut all = Vec::new();
+        for (name, holders) in groups {
+            let ready = self.searches.get(&name).is_some_and(|search| {
+                let ended = search.searching.as_ref().is_some_and(JoinHandle::is_finished);
+                ended && search.laid_out == holders
+            });
+            let search = if ready { self.searches.remove(&name) } else { None };
+            let Some(searching) = search.and_then(|search| search.searching) else { continue };
+            match searching.await {
+                Ok(orders) => {
+                    log_plan(&name.1, &holders, &orders, model);
+                    all.extend(orders);
+                }
+                // The group keeps the layout that it has.
+                Err(error) => tracing::error!(event = "plan-failed", service, %error),
+            }
+        }
+        all
+    }
+
     /// Replicas of a service that may hold layers, by service and data centre.
     fn groups(
         &self,
@@ -245,9 +343,9 @@
         service: &str,
         engine: &EngineSpec,
         now: Millis,
-    ) -> BTreeMap<(String, String), Vec<LayerHolder>> {
+    ) -> BTreeMap<GroupName, Vec<LayerHolder>> {
         let beliefs = relay.beliefs.borrow();
-        let mut groups: BTreeMap<(String, String), Vec<LayerHolder>> = BTreeMap::new();
+        let mut groups: BTreeMap<GroupName, Vec<LayerHolder>> = BTreeMap::new();
         for replica in beliefs.fleet.of_service(service).filter(|replica| !replica.draining) {
             let suspect = beliefs.suspects.is_suspect(&replica.id, now);
             let lost = self.is_lost(&replica.id);
@@ -299,13 +397,27 @@
     }
 }
 
-/// Writes what a group of replicas carries before and after its orders, by the plan's own measure.
-fn log_plan(data_centre: &str, holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) {
+/// A group once its orders are carried out.
+fn carried_out(holders: &[LayerHolder], orders: &[PlaceOrder]) -> Vec<LayerHolder> {
     let mut planned = holders.to_vec();
     for order in orders {
         let holder = planned.iter_mut().find(|holder| holder.id == order.id);
-        holder.into_iter().for_each(|holder| holder.range = Some(order.range));
+        if let Some(holder) = holder {
+            holder.range = Some(order.range);
+            holder.held = holder.range;
+        }
     }
+    planned
+}
+
+/// Whether no request came yet, to this relay or to others, as far as it hears.
+fn is_untouched(relay: &Relay) -> bool {
+    relay.counts.requests.get() == 0 && relay.beliefs.borrow().room.is_idle()
+}
+
+/// Writes what a group of replicas carries before and after its orders, by the plan's own measure.
+fn log_plan(data_centre: &str, holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) {
+    let planned = carried_out(holders, orders);
     tracing::info!(
         event = "plan",
         data_centre,
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -6,8 +6,9 @@
 //!
 //! Four steps, each on its own:
 //!
-//! 1. **A new group**, in which nobody holds anything, is laid out as a whole: greedily, and then by a
-//!    search for the layout that carries most requests, now and after the loss of any one replica.
+//! 1. **A new group**, in which nobody holds anything, is laid out greedily at once. While it serves nobody,
+//!    [`improve_group`] searches the layout that carries most requests, now and after the loss of any one
+//!    replica; that takes seconds at a small VM, and the group works without it.
 //! 2. **Empty replicas** of an old group are placed where such a layout gains most.
 //! 3. **Gaps** that remain are closed. Wide ones are given to a replica all of whose layers others hold
 //!    as well; for the rest, all replicas in the order of their layers take over from each other with
@@ -101,6 +102,8 @@
     Move,
     /// The group carries more requests so.
     Balance,
+    /// A search found a layout that carries more, and nobody is served yet.
+    Search,
 }
 
 /// What becomes of running requests that use layers given up.
@@ -119,7 +122,7 @@
     pub fn give_up_rule(self) -> GiveUpRule {
         match self {
             Self::Gap | Self::Move => GiveUpRule::Cut,
-            Self::Empty | Self::Balance => GiveUpRule::Wait,
+            Self::Empty | Self::Balance | Self::Search => GiveUpRule::Wait,
         }
     }
 }
@@ -147,6 +150,27 @@
     group.orders
 }
 
+/// Searches a better layout for a group that serves nobody yet, and gives the orders that lead to it. It
+/// takes long ([`search`] has the worst case); [`plan_group`] lays the group out at once before.
+pub fn improve_group(
+    holders: &[LayerHolder],
+    model: ModelShape,
+    config: &CoverConfig,
+) -> Vec<PlaceOrder> {
+    let group = Group::new(holders, model, config);
+    let most = group.most();
+    let mut improved = group.holders.clone();
+    improve_layout(&mut improved, model, &most);
+    let changed = group.holders.iter().zip(improved).filter(|(before, after)| {
+        after.range.is_some_and(|range| !range.is_empty()) && after.range != before.range
+    });
+    let order = |after: LayerHolder| {
+        let range = after.range.unwrap_or_default();
+        PlaceOrder { id: after.id, range, reason: PlaceReason::Search }
+    };
+    changed.map(|(_, after)| order(after)).collect()
+}
+
 /// What a layout carries, now and on average after the loss of one replica: the measure by which the plan
 /// compares layouts of one group.
 pub fn layout_worth(holders: &[LayerHolder], model: ModelShape) -> f64 {
@@ -238,7 +262,7 @@
         room_by_layer(&self.holders, self.model)
     }
 
-    /// Lays out a group that holds nothing yet: the replicas one after the other, and then all together.
+    /// Lays out a group that holds nothing yet, one replica after the other.
     fn lay_out(&mut self) {
         for index in 0..self.holders.len() {
             let len = self.layers_at(&self.holders[index], self.fill);
@@ -247,14 +271,6 @@
                 self.order(index, LayerRange { from, to: from + len }, PlaceReason::Empty);
             }
         }
-        let most = self.most();
-        improve_layout(&mut self.holders, self.model, &most);
-        self.orders.clear();
-        for index in 0..self.holders.len() {
-            if let Some(range) = self.holders[index].range.filter(|range| !range.is_empty()) {
-                self.order(index, range, PlaceReason::Empty);
-            }
-        }
     }
 
     /// Places empty replicas, each where the layout gains most.
--- a/crates/router/src/cover/search.rs
+++ b/crates/router/src/cover/search.rs
@@ -1,9 +1,11 @@
-//! The first layout: a greedy one, improved by a seeded search.
+//! Better layouts, by a seeded search.
 //!
-//! Before the first request loads cost next to nothing, so the whole group is laid out at once. The
-//! search changes one replica's layers, or moves the boundary between two, keeps what is worth more, and
-//! at first also what is worth a little less. The worst case is `SEARCH_STEPS` weighings of a layout,
-//! fewer for large groups.
+//! Before the first request loads cost next to nothing, so a whole group may change at once. The search
+//! begins with the layout that is there. It changes one replica's layers, or moves the boundary between
+//! two, keeps what is worth more, and at first also what is worth a little less.
+//!
+//! The worst case is [`SEARCH_STEPS`] weighings of a layout, fewer for large groups: 50 ms of a fast core
+//! for 15 replicas, and half a second at an entry's part of a slow one. So nobody waits for it.
 
 use switchfold_core::hash::hash_bytes;
 
@@ -15,10 +17,6 @@
 /// Weighings of a layout, for groups of up to [`USUAL_GROUP`] replicas.
 const SEARCH_STEPS: usize = 20_000;
 
-/// Searches for a first layout. Trial: layouts that one search found were worth 7.64 to 7.89 by its own
-/// measure, and earned 0.615 to 0.650 on the bench in that order.
-const SEARCHES: u64 = 3;
-
 /// Replicas of a usual group; a larger one gets fewer steps, so that its search takes as long. One
 /// weighing takes time in proportion to the cube of the replicas.
 const USUAL_GROUP: usize = 16;
@@ -30,26 +28,8 @@
 const MOST_SHIFT: u64 = 6;
 
 /// Improves the layout of replicas that may all be ordered; `most` tells how many layers each may hold.
-/// The best of several searches is taken, since one alone may end 2% below it.
 pub(super) fn improve_layout(holders: &mut [LayerHolder], model: ModelShape, most: &[u32]) {
-    let mut best = (0.0, holders.to_vec());
-    for seed in 0..SEARCHES {
-        let mut search = holders.to_vec();
-        let worth = search_layout(&mut search, model, most, DrawSequence::new(seed));
-        if worth > best.0 {
-            best = (worth, search);
-        }
-    }
-    holders.clone_from_slice(&best.1);
-}
-
-/// One search from a layout on; gives the worth of the best one that it found.
-fn search_layout(
-    holders: &mut [LayerHolder],
-    model: ModelShape,
-    most: &[u32],
-    mut draws: DrawSequence,
-) -> f64 {
+    let mut draws = DrawSequence::default();
     let able: Vec<usize> = (0..holders.len()).filter(|index| most[*index] > 0).collect();
     let mut meter = LayoutMeter::new(holders, model);
     let mut worth = meter.worth(holders);
@@ -69,7 +49,6 @@
         }
     }
     holders.clone_from_slice(&best.1);
-    best.0
 }
 
 /// Weighings that a group of so many replicas gets, for one decision.
@@ -250,16 +229,12 @@
 }
 
 /// Draws that are the same at every relay.
+#[derive(Default)]
 struct DrawSequence {
-    seed: u64,
     count: u64,
 }
 
 impl DrawSequence {
-    fn new(seed: u64) -> Self {
-        Self { seed: seed << 32, count: 0 }
-    }
-
     /// An index of so many.
     fn index(&mut self, count: usize) -> usize {
         self.below(count as u64) as usize
@@ -268,6 +243,6 @@
     /// A whole number below `bound`.
     fn below(&mut self, bound: u64) -> u64 {
         self.count += 1;
-        hash_bytes(self.seed + self.count, b"layout") % bound.max(1)
+        hash_bytes(self.count, b"layout") % bound.max(1)
     }
 }
--- a/crates/router/src/room.rs
+++ b/crates/router/src/room.rs
@@ -52,6 +52,11 @@
         self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < PEER_AGE);
     }
 
+    /// Whether nobody promised any room: no request runs, as far as is known.
+    pub fn is_idle(&self) -> bool {
+        self.own.is_empty() && self.peers.values().all(|peer| peer.promised.is_empty())
+    }
+
     /// What this entry promised.
     pub fn own(&self) -> &HashMap<String, f64> {
         &self.own
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -3,7 +3,8 @@
 use proptest::prelude::*;
 use switchfold_router::{
     cover::{
-        CoverConfig, LayerHolder, ModelShape, PlaceReason, layout_worth, plan_group, widest_gap,
+        CoverConfig, LayerHolder, ModelShape, PlaceOrder, PlaceReason, improve_group, layout_worth,
+        plan_group, widest_gap,
     },
     fleet::LayerRange,
 };
@@ -41,8 +42,17 @@
 
 /// The group once its orders are carried out.
 fn carried_out(holders: &[LayerHolder]) -> Vec<LayerHolder> {
+    apply(holders, plan_group(holders, MODEL, &CoverConfig::default()))
+}
+
+/// The group once a search improved it.
+fn searched(holders: &[LayerHolder]) -> Vec<LayerHolder> {
+    apply(holders, improve_group(holders, MODEL, &CoverConfig::default()))
+}
+
+fn apply(holders: &[LayerHolder], orders: Vec<PlaceOrder>) -> Vec<LayerHolder> {
     let mut holders = holders.to_vec();
-    for order in plan_group(&holders, MODEL, &CoverConfig::default()) {
+    for order in orders {
         let holder = holders.iter_mut().find(|holder| holder.id == order.id).expect("a holder");
         holder.range = Some(order.range);
         holder.held = holder.range;
@@ -79,7 +89,7 @@
 
 #[test]
 fn a_searched_layout_carries_more_than_a_greedy_one() {
-    let searched = carried_out(&empty_group(2, 4, 4));
+    let searched = searched(&carried_out(&empty_group(2, 4, 4)));
     assert_eq!(gap(&searched), None);
     let (greedy, searched) =
         (layout_worth(&greedy_layout(), MODEL), layout_worth(&searched, MODEL));
@@ -130,7 +140,7 @@
 /// gives the layers to those that can serve them.
 #[test]
 fn a_stretched_replica_is_relieved() {
-    let mut holders = carried_out(&empty_group(1, 6, 6));
+    let mut holders = searched(&carried_out(&empty_group(1, 6, 6)));
     let stretched = holders.iter().position(|holder| holder.memory_mb == SLOW.0).expect("one");
     let range = holders[stretched].range.expect("it holds layers");
     let from = range.from.saturating_sub(11 - range.len());
@@ -149,7 +159,7 @@
 fn an_accelerator_below_one_layer_gets_none() {
     let mut group = empty_group(2, 4, 4);
     group.push(holder(90, (1_700.0, 1.0), None));
-    let planned = carried_out(&group);
+    let planned = searched(&carried_out(&group));
     assert_eq!(planned.last().and_then(|holder| holder.range), None);
     assert_eq!(gap(&planned), None);
     assert_eq!(plan_group(&group[10..], MODEL, &CoverConfig::default()), []);
@@ -158,7 +168,7 @@
 /// A large group is planned in bounded steps, and whole.
 #[test]
 fn a_large_group_is_covered() {
-    let planned = carried_out(&empty_group(20, 90, 70));
+    let planned = searched(&carried_out(&empty_group(20, 90, 70)));
     assert_eq!(gap(&planned), None);
 }
 
@@ -172,8 +182,11 @@
         let group = empty_group(large, small, slow);
         let most: f64 = group.iter().map(|holder| (holder.memory_mb * 0.6 / MODEL.layer_mb).floor()).sum();
         prop_assume!(most >= 80.0);
-        let mut holders = carried_out(&group);
-        prop_assert_eq!(&holders, &carried_out(&group));
+        let greedy = carried_out(&group);
+        prop_assert_eq!(gap(&greedy), None);
+        let mut holders = searched(&greedy);
+        prop_assert_eq!(&holders, &searched(&greedy));
+        prop_assert!(layout_worth(&holders, MODEL) >= layout_worth(&greedy, MODEL));
         prop_assert_eq!(gap(&holders), None);
         for _ in 0..30 {
             let orders = plan_group(&holders, MODEL, &CoverConfig::default());
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -212,7 +212,7 @@
     for reason in [PlaceReason::Gap, PlaceReason::Move] {
         assert_eq!(reason.give_up_rule(), GiveUpRule::Cut);
     }
-    for reason in [PlaceReason::Empty, PlaceReason::Balance] {
+    for reason in [PlaceReason::Empty, PlaceReason::Balance, PlaceReason::Search] {
         assert_eq!(reason.give_up_rule(), GiveUpRule::Wait);
     }
 }
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -115,6 +115,19 @@
     }
 }
 
+#[test]
+fn room_is_idle_while_nobody_promises() {
+    let mut room = RoomLedger::default();
+    room.hear("b", HashMap::new(), 0);
+    assert!(room.is_idle());
+    room.hear("b", HashMap::from([("x".to_owned(), 5.0)]), 0);
+    assert!(!room.is_idle());
+    room.forget(PEER_AGE);
+    assert!(room.is_idle());
+    room.promise("x", 5.0);
+    assert!(!room.is_idle());
+}
+
 #[test]
 fn room_adds_up_over_entries_and_forgets_the_gone() {
     let mut ledger = RoomLedger::default();
