--- /dev/null
+++ b/crates/router/benches/plans.rs
@@ -0,0 +1,106 @@
+//! Time of the planner's decisions and of a path choice, for groups up to the size to design for.
+//!
+//! Run it with `cargo bench -p switchfold-router`. A data centre of today has 13 replicas; 2,200 over 12
+//! data centres make 180 each.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use switchfold_router::{
+    chain::{ChainCosts, PartOffer, PathRequest, choose_path},
+    cover::{CoverConfig, LayerHolder, ModelShape, improve_group, plan_group},
+};
+
+const MODEL: ModelShape = ModelShape { layers: 80, layer_mb: 1_750.0 };
+
+/// Replicas of a data centre: today's, a grown one's, a tenth and a twelfth of the size to design for.
+const GROUPS: [usize; 4] = [13, 20, 44, 180];
+
+fn empty_group(count: usize) -> Vec<LayerHolder> {
+    let kinds = [(72_000.0, 2.4), (14_400.0, 5.3), (21_600.0, 16.0)];
+    let holder = |index: usize| {
+        let (memory_mb, pace) = kinds[if index.is_multiple_of(10) { 0 } else { 1 + index % 2 }];
+        LayerHolder {
+            id: format!("r{index:03}"),
+            memory_mb,
+            layer_ms: 1.02 * pace / f64::from(MODEL.layers),
+            range: None,
+            held: None,
+            can_order: true,
+        }
+    };
+    (0..count).map(holder).collect()
+}
+
+fn laid_out(count: usize) -> Vec<LayerHolder> {
+    let mut holders = empty_group(count);
+    for order in plan_group(&holders, MODEL, &CoverConfig::default()) {
+        let holder = holders.iter_mut().find(|holder| holder.id == order.id).expect("a holder");
+        holder.range = Some(order.range);
+        holder.held = holder.range;
+    }
+    holders
+}
+
+fn plans(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("plan_group");
+    group.sample_size(10);
+    for count in GROUPS {
+        let settled = laid_out(count);
+        let mut lost = settled.clone();
+        lost.remove(count / 2);
+        for (name, holders) in [("new", empty_group(count)), ("settled", settled), ("lost", lost)] {
+            group.bench_function(BenchmarkId::new(name, count), |bencher| {
+                bencher.iter(|| plan_group(black_box(&holders), MODEL, &CoverConfig::default()));
+            });
+        }
+    }
+    group.finish();
+}
+
+fn searches(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("improve_group");
+    group.sample_size(10);
+    for count in GROUPS {
+        let holders = laid_out(count);
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| improve_group(black_box(&holders), MODEL, &CoverConfig::default()));
+        });
+    }
+    group.finish();
+}
+
+fn paths(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_path");
+    for (data_centres, count) in [(3, 13), (12, 180)] {
+        let offers: Vec<PartOffer> =
+            (0..data_centres).flat_map(|place| offers(place, count)).collect();
+        let request = PathRequest {
+            layers: MODEL.layers,
+            tokens: 1_000.0,
+            home: 0,
+            data_centres,
+            may_cross: false,
+            first: None,
+        };
+        group.bench_function(BenchmarkId::from_parameter(data_centres * count), |bencher| {
+            bencher.iter(|| choose_path(&request, black_box(&offers), &ChainCosts::default()));
+        });
+    }
+    group.finish();
+}
+
+fn offers(data_centre: usize, count: usize) -> Vec<PartOffer> {
+    let offer = |holder: LayerHolder| PartOffer {
+        id: format!("{data_centre}-{}", holder.id),
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        data_centre,
+        range: holder.range.unwrap_or_default(),
+        layer_cost: holder.layer_ms,
+        room: 1e7,
+    };
+    laid_out(count).into_iter().map(offer).collect()
+}
+
+criterion_group!(benches, plans, searches, paths);
+criterion_main!(benches);
