--- a/crates/ctl/src/account.rs
+++ b/crates/ctl/src/account.rs
@@ -1,6 +1,6 @@
 //! Why requests were late, refused or failed, by the relays' own logs.
 //!
-//! Each attempt of a caller gets one cause, the first that applies in [`cause_of`]. The account adds them
+//! Each attempt of a caller gets one cause, the first that applies in `cause_of`. The account adds them
 //! up, over all and in steps of time, so that the worst cause of a bad hour is seen first; `explain` then
 //! tells of single requests. A caller that comes back counts as another attempt, since its id is new.
 
