--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -17,16 +17,17 @@
 use switchfold_router::{
     Millis,
     access::EngineSpec,
-    cover::{
-        CoverConfig, LayerHolder, ModelShape, PlaceOrder, improve_group, layout_worth, plan_group,
-    },
+    cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
     fleet::{LayerRange, ReplicaEntry},
 };
 use tokio::{
-    task::{JoinHandle, spawn_blocking, spawn_local},
+    task::{spawn_blocking, spawn_local},
     time::sleep,
 };
 
+mod searches;
+
+use self::searches::LayoutSearches;
 use crate::{
     engines::{OrderEnd, ReportState, ask_report, order_layers, recent_report},
     state::Relay,
@@ -76,19 +77,6 @@
 /// A service and a data centre, whose replicas are planned together.
 type GroupName = (String, String);
 
-/// A search for a better layout of a group that this relay laid out, and that serves nobody yet.
-#[derive(Debug)]
-struct LayoutSearch {
-    /// The group as it will be once its first orders are carried out.
-    laid_out: Vec<LayerHolder>,
-    ordered: Millis,
-    searching: Option<JoinHandle<Vec<PlaceOrder>>>,
-}
-
-/// Time after the first orders of a group before its search begins, in milliseconds: a search takes what
-/// there is of a small VM's core, and the orders go first.
-const SEARCH_AFTER: Millis = 400;
-
 /// Orders under way, by replica, and what suspected replicas answered.
 #[derive(Debug, Default)]
 struct Placer {
@@ -97,8 +85,8 @@
     refused: Rc<RefCell<Vec<String>>>,
     /// Groups that needed no orders when last planned, by service and data centre.
     settled: HashMap<GroupName, Vec<LayerHolder>>,
-    /// Searches under way.
-    searches: BTreeMap<GroupName, LayoutSearch>,
+    /// Searches for better first layouts.
+    searches: LayoutSearches,
     fleet_seen: u64,
     fleet_changed: Millis,
     first_since: Option<Millis>,
@@ -254,8 +242,7 @@
         for (name, holders, orders) in planned {
             if holders.iter().all(|holder| holder.range.is_none()) && is_untouched(relay) {
                 let laid_out = carried_out(&holders, &orders);
-                let search = LayoutSearch { laid_out, ordered: now, searching: None };
-                self.searches.insert(name.clone(), search);
+                self.searches.add(name.clone(), laid_out, now);
             }
             match orders.is_empty() {
                 true => drop(self.settled.insert(name, holders)),
@@ -266,37 +253,7 @@
         all
     }
 
-    /// Searches anew for groups that replicas joined or left meanwhile, once all hold their layers.
-    fn renew_searches(&mut self, groups: &BTreeMap<GroupName, Vec<LayerHolder>>, now: Millis) {
-        for (name, search) in &mut self.searches {
-            let Some(holders) = groups.get(name) else { continue };
-            let is_settled = |holder: &LayerHolder| holder.can_order && holder.range == holder.held;
-            if search.laid_out != *holders && holders.iter().all(is_settled) {
-                let laid_out = holders.clone();
-                *search = LayoutSearch { laid_out, ordered: now, searching: None };
-            }
-        }
-    }
-
-    /// Begins the next search whose turn has come; one runs at a time.
-    fn begin_search(&mut self, model: ModelShape, now: Millis) {
-        let is_running = |search: &LayoutSearch| {
-            search.searching.as_ref().is_some_and(|searching| !searching.is_finished())
-        };
-        if self.searches.values().any(is_running) {
-            return;
-        }
-        let is_due = |search: &&mut LayoutSearch| {
-            search.searching.is_none() && now.saturating_sub(search.ordered) >= SEARCH_AFTER
-        };
-        let Some(search) = self.searches.values_mut().find(is_due) else { return };
-        let group = search.laid_out.clone();
-        let config = CoverConfig::default();
-        search.searching = Some(spawn_blocking(move || improve_group(&group, model, &config)));
-    }
-
-    /// Orders of searches that have ended, once their group holds what it was first ordered to. Where
-    /// requests came first, or the group changed, a search has come too late.
+    /// Orders of searches that have ended in time.
     async fn searched_orders(
         &mut self,
         relay: &Relay,
@@ -308,30 +265,15 @@
             return Vec::new();
         }
         if !is_untouched(relay) {
-            self.searches.clear();
-            tracing::info!(event = "search-late", service);
+            self.searches.drop_all();
             return Vec::new();
         }
         let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
         let groups = self.groups(relay, service, engine, now);
-        self.renew_searches(&groups, now);
-        self.begin_search(model, now);
         let mut all = Vec::new();
-        for (name, holders) in groups {
-            let ready = self.searches.get(&name).is_some_and(|search| {
-                let ended = search.searching.as_ref().is_some_and(JoinHandle::is_finished);
-                ended && search.laid_out == holders
-            });
-            let search = if ready { self.searches.remove(&name) } else { None };
-            let Some(searching) = search.and_then(|search| search.searching) else { continue };
-            match searching.await {
-                Ok(orders) => {
-                    log_plan(&name.1, &holders, &orders, model);
-                    all.extend(orders);
-                }
-                // The group keeps the layout that it has.
-                Err(error) => tracing::error!(event = "plan-failed", service, %error),
-            }
+        for (name, orders) in self.searches.advance(&groups, model, now).await {
+            log_plan(&name.1, &groups[&name], &orders, model);
+            all.extend(orders);
         }
         all
     }
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -16,6 +16,18 @@
 
 const BUDGET: BudgetConfig = BudgetConfig { ratio: 0.2, allowance: 200.0, window: 10_000 };
 
+/// Whether the repeats in each window stay below the ratio of the requests, counted in that window or the one
+/// before, and the allowance.
+fn is_within_budget(requests: &[u64], repeats: &[u64]) -> bool {
+    repeats.iter().all(|start| {
+        let end = start + BUDGET.window;
+        let sent = repeats.iter().filter(|time| **time >= *start && **time < end).count();
+        let counted = |time: &&u64| **time + BUDGET.window >= *start && **time < end;
+        let asked = requests.iter().filter(counted).count();
+        sent as f64 <= asked as f64 * BUDGET.ratio + BUDGET.allowance
+    })
+}
+
 proptest! {
     /// However requests and repeats come, all entries together stay within the bound in any window.
     #[test]
@@ -38,14 +50,7 @@
                 }
             }
         }
-        for start in &repeats {
-            let within = |time: &&u64| **time >= *start && **time < start + BUDGET.window;
-            let sent = repeats.iter().filter(within).count() as f64;
-            // Requests are counted in this window or the one before.
-            let before = |time: &&u64| **time + BUDGET.window >= *start && **time < start + BUDGET.window;
-            let asked = requests.iter().filter(before).count() as f64;
-            prop_assert!(sent <= asked * BUDGET.ratio + BUDGET.allowance);
-        }
+        prop_assert!(is_within_budget(&requests, &repeats));
     }
 
     /// The same where entries restart, each twice in a window at most, and forget what they spent. Found by a
@@ -76,13 +81,7 @@
                 }
             }
         }
-        for start in &repeats {
-            let within = |time: &&u64| **time >= *start && **time < start + BUDGET.window;
-            let sent = repeats.iter().filter(within).count() as f64;
-            let before = |time: &&u64| **time + BUDGET.window >= *start && **time < start + BUDGET.window;
-            let asked = requests.iter().filter(before).count() as f64;
-            prop_assert!(sent <= asked * BUDGET.ratio + BUDGET.allowance);
-        }
+        prop_assert!(is_within_budget(&requests, &repeats));
     }
 
     /// A key is let in only where a read sent after its removal, less the margin, was not missed: the
