Tiling: no case for loads that may not happen

Trimming alone forbade loads, by an infinite cost, and it is gone. The costs in use are finite, so nothing changes; the router's tests pass.

--- a/crates/router/src/cover/tiling.rs
+++ b/crates/router/src/cover/tiling.rs
@@ -101,11 +101,10 @@
         let loads = (part.from..part.to)
             .filter(|layer| !held.is_some_and(|range| range.contains(*layer)))
             .count();
-        let may_load = self.holder.can_order && self.costs.load.is_finite();
-        if loads > 0 && !may_load {
+        if loads > 0 && !self.holder.can_order {
             return None;
         }
-        let load = if loads > 0 { loads as f64 * self.costs.load } else { 0.0 };
+        let load = loads as f64 * self.costs.load;
         let scarcity = scarcity(self.holder.memory_mb, self.model.layer_mb, part.len());
         Some(load + scarcity * self.costs.room + self.give_up_cost(part))
     }
