Relay: what is told of replicas is taken over in a module of its own

Only moved: following the store (watch) and taking over what it says of replicas (replicas) are two jobs.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`heads`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
-//! | [`watch`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
+//! | [`watch`], [`replicas`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
 //! | [`survey`] | which engines are slow |
 //! | [`placer`] | orders to engines to hold layers |
 //! | [`stop`], [`run`], [`reload`], [`settings`], [`logs`], [`counts`], [`metrics`] | the process |
@@ -32,6 +32,7 @@
 pub mod plain;
 pub mod pool;
 pub mod reload;
+pub mod replicas;
 pub mod request;
 pub mod run;
 pub mod serve;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,8 +18,8 @@
 
 use crate::{
     news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
+    replicas::{drop_lapsed, drop_replica, keep_replica},
     state::Relay,
-    watch::{drop_lapsed, drop_replica, keep_replica},
 };
 
 /// Time between two messages within a data centre. A request holds its room for seconds, so figures a
