--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -39,12 +39,16 @@
 ];
 
 /// Events that change what a process believes.
-const BELIEFS: [&str; 16] = [
+const BELIEFS: [&str; 20] = [
     "suspect",
     "suspect-heard",
     "replica-full",
     "replica-draining",
+    "replica-returned",
     "replica-gone",
+    "replica-listed",
+    "replica-awaited",
+    "change-passed",
     "store-lost",
     "store-regained",
     "history-gone",
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -27,6 +27,12 @@
     pub store_lists: Cell<u64>,
     /// Watches of the store.
     pub store_watches: Cell<u64>,
+    /// News of a replica that was older than what was held of it.
+    pub older_news: Cell<u64>,
+    /// Replicas that were leaving, and by later news were not.
+    pub returned: Cell<u64>,
+    /// Changes that a list told and that a watch had passed by.
+    pub passed_changes: Cell<u64>,
 }
 
 /// Adds one.
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Serialize};
 use switchfold_router::{
     Millis,
-    fleet::{LayerRange, ReplicaEntry},
+    fleet::{LayerRange, ReplicaEntry, ReplicaNews},
 };
 
 /// Version of the form.
-const FORM: u8 = 2;
+const FORM: u8 = 3;
 
 /// A message between relays.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -55,13 +55,22 @@
 /// Replicas that changed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct FleetNews {
-    /// Replicas as they are now; those that are gone have no record.
-    pub changes: Vec<(String, Option<ReplicaRecord>)>,
+    /// What the store said last of some replicas.
+    pub changes: Vec<ReplicaRecord>,
 }
 
-/// A replica's entry.
+/// What the store said of a replica at a revision.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReplicaRecord {
+    id: String,
+    revision: u64,
+    /// Nothing where it is listed no more.
+    entry: Option<EntryRecord>,
+}
+
+/// A replica's entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct EntryRecord {
     service: String,
     address: SocketAddr,
     data_centre: String,
@@ -71,24 +80,39 @@
     layers: Option<(u32, u32)>,
 }
 
-impl ReplicaRecord {
-    /// Record of an entry.
-    pub fn new(entry: &ReplicaEntry) -> Self {
+impl From<ReplicaNews> for ReplicaRecord {
+    fn from(news: ReplicaNews) -> Self {
+        let ReplicaNews { id, revision, entry } = news;
+        Self { id, revision, entry: entry.map(EntryRecord::from) }
+    }
+}
+
+impl From<ReplicaRecord> for ReplicaNews {
+    fn from(record: ReplicaRecord) -> Self {
+        let ReplicaRecord { id, revision, entry } = record;
+        let entry = entry.map(|entry| entry.into_entry(&id));
+        Self { id, revision, entry }
+    }
+}
+
+impl From<ReplicaEntry> for EntryRecord {
+    fn from(entry: ReplicaEntry) -> Self {
         Self {
-            service: entry.service.clone(),
+            service: entry.service,
             address: entry.address,
-            data_centre: entry.data_centre.clone(),
+            data_centre: entry.data_centre,
             slots: entry.slots,
             draining: entry.draining,
-            kind: entry.kind.clone(),
+            kind: entry.kind,
             layers: entry.layers.map(|range| (range.from, range.to)),
         }
     }
+}
 
-    /// The entry, under the id that it was told with.
-    pub fn into_entry(self, id: String) -> ReplicaEntry {
+impl EntryRecord {
+    fn into_entry(self, id: &str) -> ReplicaEntry {
         ReplicaEntry {
-            id,
+            id: id.to_owned(),
             service: self.service,
             address: self.address,
             data_centre: self.data_centre,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,6 +11,7 @@
 use switchfold_platform::ENTRY_KIND;
 use switchfold_router::{
     Millis,
+    fleet::ReplicaNews,
     membership::{PeerStamp, PeerState, PeerTable, proof_time},
 };
 use switchfold_store::StoreError;
@@ -18,7 +19,7 @@
 
 use crate::{
     news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
-    replicas::{drop_lapsed, drop_replica, keep_replica},
+    replicas::{NewsSource, drop_lapsed, take_news},
     state::Relay,
 };
 
@@ -65,7 +66,7 @@
         };
         match PeerMessage::decode(&buffer[..len]) {
             Some(PeerMessage::State(news)) => take_state(relay, &news, from),
-            Some(PeerMessage::Fleet(news)) => take_fleet(relay, news),
+            Some(PeerMessage::Fleet(news)) => take_fleet(relay, news, from),
             None => tracing::warn!(event = "peer-unreadable", %from, len),
         }
     }
@@ -136,23 +137,16 @@
     }
 }
 
-fn take_fleet(relay: &Relay, news: FleetNews) {
-    for (id, record) in news.changes {
-        match record {
-            Some(record) => keep_replica(relay, record.into_entry(id)),
-            None => drop_replica(relay, &id),
-        }
+fn take_fleet(relay: &Relay, news: FleetNews, from: SocketAddr) {
+    for record in news.changes {
+        take_news(relay, record.into(), NewsSource::Relay(from));
     }
 }
 
 /// Tells the relays of the data centre of replicas that changed.
-pub fn tell_fleet(relay: &Relay, ids: &[String]) {
+pub fn tell_fleet(relay: &Relay, changes: Vec<ReplicaNews>) {
     let beliefs = relay.beliefs.borrow();
-    let record = |id: &String| {
-        let entry = beliefs.fleet.get(id);
-        (id.clone(), entry.map(ReplicaRecord::new))
-    };
-    let news = FleetNews { changes: ids.iter().map(record).collect() };
+    let news = FleetNews { changes: changes.into_iter().map(ReplicaRecord::from).collect() };
     let datagram = PeerMessage::Fleet(news).encode();
     for (_, address, _) in near_peers(relay, &beliefs.peers) {
         // A relay that misses this sees another digest in the next state.
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -5,48 +5,96 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use derive_more::Display;
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
-    objects::{ListedObject, ObjectChange},
+    objects::{ListedObject, ObjectChange, ObjectList, ObjectMetadata},
     replicas::decode_replica,
 };
-use switchfold_router::fleet::{FleetChange, ReplicaEntry};
+use switchfold_router::fleet::{FleetChange, ReplicaNews};
 use tokio::task::spawn_local;
 
-use crate::{engines::answers, peers::tell_fleet, state::Relay};
+use crate::{counts::count, engines::answers, peers::tell_fleet, state::Relay};
 
-/// Takes over a whole list of the store.
-pub fn take_replica_list(relay: &Rc<Relay>, items: Vec<ListedObject>) {
-    let listed: Vec<ReplicaEntry> = items.iter().filter_map(readable_replica).collect();
+/// Where news of a replica came from, as the lines of the log tell it.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum NewsSource {
+    /// A list of the store.
+    #[display("list")]
+    List,
+    /// A watch of the store.
+    #[display("watch")]
+    Watch,
+    /// Another relay of the data centre, by its address.
+    #[display("relay {_0}")]
+    Relay(SocketAddr),
+    /// Nothing: it was waited for in vain after an outage of the store.
+    #[display("lapse")]
+    Lapse,
+    /// A later start at the same address.
+    #[display("successor")]
+    Successor,
+}
+
+/// Takes over a whole list of the store, read at the revision `at`.
+pub fn take_replica_list(relay: &Rc<Relay>, list: ObjectList) {
+    let at = list.at;
+    let listed: Vec<ReplicaNews> = list.items.iter().filter_map(readable_news).collect();
+    note_passed_changes(relay, &listed);
     let missing = relay.beliefs.borrow().fleet.missing_from(&listed);
-    missing.iter().filter(|id| !is_awaited(relay, id)).for_each(|id| drop_replica(relay, id));
+    for id in missing {
+        if !is_awaited(relay, &id, at) {
+            take_news(relay, gone(id, at), NewsSource::List);
+        }
+    }
     if relay.beliefs.borrow().fleet.is_empty() {
-        tracing::info!(event = "replicas-listed", count = listed.len());
+        tracing::info!(event = "replicas-listed", count = listed.len(), at);
         let mut beliefs = relay.beliefs.borrow_mut();
-        for replica in listed {
-            beliefs.fleet.upsert(replica);
+        for news in listed {
+            beliefs.fleet.take(news, now_millis());
         }
         return;
     }
-    listed.into_iter().for_each(|replica| keep_replica(relay, replica));
+    listed.into_iter().for_each(|news| take_news(relay, news, NewsSource::List));
 }
 
-/// Whether a replica that is missing from a list may be back soon. An engine that does not answer either
-/// is dropped as soon as that shows; plain services know no reports, and are not asked.
-fn is_awaited(relay: &Rc<Relay>, id: &str) -> bool {
-    let awaited = relay.beliefs.borrow_mut().lapses.keeps(id, now_millis());
+/// Writes a line for each change that a watch should have told and did not: this relay had gone on
+/// beyond its revision.
+fn note_passed_changes(relay: &Relay, listed: &[ReplicaNews]) {
+    let watched = relay.replicas_watched.get();
+    let beliefs = relay.beliefs.borrow();
+    for news in listed.iter().filter(|news| news.revision <= watched) {
+        let held = beliefs.fleet.revision(&news.id);
+        if held.is_none_or(|held| held < news.revision) {
+            count(&relay.counts.passed_changes);
+            let (replica, revision) = (&news.id, news.revision);
+            tracing::warn!(event = "change-passed", replica, revision, held, watched);
+        }
+    }
+}
+
+fn gone(id: String, revision: u64) -> ReplicaNews {
+    ReplicaNews { id, revision, entry: None }
+}
+
+/// Whether a replica that is missing from a list read at the revision `at` may be back soon. An engine
+/// that does not answer either is dropped as soon as that shows; plain services know no reports, and are
+/// not asked.
+fn is_awaited(relay: &Rc<Relay>, id: &str, at: u64) -> bool {
+    let awaited = relay.beliefs.borrow_mut().lapses.keeps(id, at, now_millis());
     if !awaited {
         return false;
     }
-    tracing::info!(event = "replica-awaited", replica = id);
+    tracing::info!(event = "replica-awaited", replica = id, at);
     let Some(address) = engine_address(relay, id) else { return true };
     let (relay, id) = (relay.clone(), id.to_owned());
     spawn_local(async move {
         let answers = answers(&relay, address).await;
         let still_missing = relay.beliefs.borrow().lapses.is_awaited(&id);
         if !answers && still_missing {
-            drop_replica(&relay, &id);
-            tell_fleet(&relay, &[id]);
+            let news = gone(id, at);
+            tell_fleet(&relay, vec![news.clone()]);
+            take_news(&relay, news, NewsSource::Lapse);
         }
     });
     true
@@ -64,76 +112,100 @@
 /// Drops replicas that were waited for and did not come back.
 pub fn drop_lapsed(relay: &Relay) {
     let overdue = relay.beliefs.borrow_mut().lapses.take_overdue(now_millis());
-    overdue.iter().for_each(|id| drop_replica(relay, id));
-    if !overdue.is_empty() {
-        tell_fleet(relay, &overdue);
+    let overdue: Vec<ReplicaNews> = overdue.into_iter().map(|(id, at)| gone(id, at)).collect();
+    if overdue.is_empty() {
+        return;
     }
+    tell_fleet(relay, overdue.clone());
+    overdue.into_iter().for_each(|news| take_news(relay, news, NewsSource::Lapse));
 }
 
 /// Takes over what a watch of the store told, and tells the relays of the data centre.
 pub fn take_replica_changes(relay: &Relay, changes: Vec<ObjectChange>) {
-    let ids: Vec<String> =
-        changes.iter().map(|change| change.object.metadata.name.clone()).collect();
-    for change in changes {
-        if change.gone {
-            drop_replica(relay, &change.object.metadata.name);
-        } else if let Some(replica) = readable_replica(&change.object) {
-            keep_replica(relay, replica);
-        }
+    let news: Vec<ReplicaNews> = changes.into_iter().filter_map(change_news).collect();
+    if news.is_empty() {
+        return;
     }
-    if !ids.is_empty() {
-        tell_fleet(relay, &ids);
+    tell_fleet(relay, news.clone());
+    news.into_iter().for_each(|news| take_news(relay, news, NewsSource::Watch));
+}
+
+fn change_news(change: ObjectChange) -> Option<ReplicaNews> {
+    match change.gone {
+        true => Some(gone(change.object.metadata.name, change.object.metadata.revision)),
+        false => readable_news(&change.object),
     }
 }
 
-fn readable_replica(object: &ListedObject) -> Option<ReplicaEntry> {
-    let decoded = decode_replica(&object.metadata.name, &object.spec);
-    if let Err(error) = &decoded {
-        tracing::error!(event = "replica-unreadable", replica = object.metadata.name, %error);
+fn readable_news(object: &ListedObject) -> Option<ReplicaNews> {
+    let ObjectMetadata { name, revision } = &object.metadata;
+    match decode_replica(name, &object.spec) {
+        Ok(entry) => {
+            Some(ReplicaNews { id: name.clone(), revision: *revision, entry: Some(entry) })
+        }
+        Err(error) => {
+            tracing::error!(event = "replica-unreadable", replica = name, revision, %error);
+            None
+        }
     }
-    decoded.ok()
 }
 
-/// Takes over a replica's entry, from the store or from another relay.
-pub fn keep_replica(relay: &Relay, replica: ReplicaEntry) {
-    let (id, address) = (replica.id.clone(), replica.address);
-    let layers = format!("{:?}", replica.layers.map(|range| (range.from, range.to)));
-    let change = {
+/// Takes over news of a replica, from the store or from another relay, and writes a line where that
+/// changed something: with the revision, what was held before, and where the news came from.
+pub fn take_news(relay: &Relay, news: ReplicaNews, source: NewsSource) {
+    let id = news.id.clone();
+    let (revision, layers) = (news.revision, news.entry.as_ref().and_then(|entry| entry.layers));
+    let layers = format!("{:?}", layers.map(|range| (range.from, range.to)));
+    let (held, change, address) = {
         let mut beliefs = relay.beliefs.borrow_mut();
-        beliefs.lapses.note_listed(&id);
-        beliefs.fleet.upsert(replica)
+        let held = beliefs.fleet.revision(&id);
+        let old = beliefs.fleet.get(&id).map(|entry| entry.address);
+        let address = news.entry.as_ref().map(|entry| entry.address).or(old);
+        if news.entry.is_some() {
+            beliefs.lapses.note_listed(&id);
+        }
+        (held, beliefs.fleet.take(news, now_millis()), address)
     };
+    if held.is_some_and(|held| revision < held) {
+        count(&relay.counts.older_news);
+    }
+    let Some(address) = address else { return };
     match change {
-        FleetChange::Unchanged => {}
+        FleetChange::Unchanged => return,
         FleetChange::Joined => {
-            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers);
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers, revision, %source);
             let predecessors = relay.beliefs.borrow().fleet.predecessors(&id, address);
-            predecessors.iter().for_each(|old| drop_replica(relay, old));
+            for old in predecessors {
+                take_news(relay, gone(old, revision), NewsSource::Successor);
+            }
+            return;
         }
         FleetChange::Draining => {
-            relay.raise_alarm();
-            tracing::info!(event = "replica-draining", replica = id, %address);
+            tracing::info!(event = "replica-draining", replica = id, %address, revision, held, %source);
+        }
+        FleetChange::Gone => {
+            forget_replica(relay, &id, address);
+            tracing::info!(event = "replica-gone", replica = id, %address, revision, held, %source);
+        }
+        FleetChange::Returned => {
+            count(&relay.counts.returned);
+            tracing::warn!(event = "replica-returned", replica = id, %address, layers, revision, held, %source);
         }
-        change => {
-            relay.raise_alarm();
-            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers);
+        FleetChange::Updated => {
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers, revision, held, %source);
         }
     }
+    relay.raise_alarm();
 }
 
-/// Drops a replica, as the store or another relay told.
-pub fn drop_replica(relay: &Relay, id: &str) {
-    let address = relay.beliefs.borrow().fleet.get(id).map(|replica| replica.address);
-    let Some(address) = address else { return };
+/// Forgets what was learnt of a replica that is gone.
+fn forget_replica(relay: &Relay, id: &str, address: SocketAddr) {
     {
         let mut beliefs = relay.beliefs.borrow_mut();
-        beliefs.fleet.remove(id);
         beliefs.suspects.clear(id);
         beliefs.loads.forget(id);
         beliefs.paces.forget(id);
     }
     relay.pool.forget(address);
     relay.reports.forget(address);
-    relay.raise_alarm();
-    tracing::info!(event = "replica-gone", replica = id, %address);
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -162,6 +162,7 @@
         settings,
         beliefs: RefCell::new(Beliefs::default()),
         pool: EndpointPool::default(),
+        replicas_watched: Cell::new(0),
         reports: ReportCache::default(),
         peer_socket,
         incarnation: random.random(),
@@ -203,6 +204,9 @@
         orders,
         store_lists,
         store_watches,
+        older_news,
+        returned,
+        passed_changes,
     } = &relay.counts;
     tracing::info!(
         event = "figures",
@@ -217,6 +221,9 @@
         orders = orders.get(),
         store_lists = store_lists.get(),
         store_watches = store_watches.get(),
+        older_news = older_news.get(),
+        returned = returned.get(),
+        passed_changes = passed_changes.get(),
         in_flight = relay.stop.in_flight(),
         idle_links = relay.pool.idle_count(),
         replicas = relay.beliefs.borrow().fleet.len(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -105,6 +105,8 @@
     pub beliefs: RefCell<Beliefs>,
     /// Connections to replicas.
     pub pool: EndpointPool,
+    /// Revision of the store up to which its reads of the list of replicas have come.
+    pub replicas_watched: Cell<u64>,
     /// Latest reports of engines.
     pub reports: ReportCache,
     /// The platform's object store.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -14,7 +14,7 @@
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
     config::{decode_config, decode_version},
-    objects::{ListedObject, ObjectChange, ObjectStore},
+    objects::{ListedObject, ObjectChange, ObjectList, ObjectStore},
 };
 use switchfold_router::Millis;
 use switchfold_store::StoreError;
@@ -62,9 +62,9 @@
     wait: Duration,
     gather: Duration,
     gather_covered: Duration,
-    take_list: fn(&Rc<Relay>, Vec<ListedObject>),
+    take_list: fn(&Rc<Relay>, ObjectList),
     take_changes: fn(&Relay, Vec<ObjectChange>),
-    prove: fn(&Relay, Millis),
+    prove: fn(&Relay, Millis, u64),
     lose: fn(&Relay),
     is_covered: fn(&Relay, Millis) -> bool,
 }
@@ -76,12 +76,12 @@
         wait: CONFIG_WAIT,
         gather: Duration::ZERO,
         gather_covered: GATHER_VERSIONS,
-        take_list: |relay, items| items.iter().for_each(|item| take_config(relay, item)),
+        take_list: |relay, list| list.items.iter().for_each(|item| take_config(relay, item)),
         take_changes: |relay, changes| {
             let kept = changes.iter().filter(|change| !change.gone);
             kept.for_each(|change| take_config(relay, &change.object));
         },
-        prove: |relay, sent| {
+        prove: |relay, sent, _| {
             let mut beliefs = relay.beliefs.borrow_mut();
             beliefs.config_lease.prove(sent);
             beliefs.config_lost = false;
@@ -106,7 +106,8 @@
         gather_covered: Duration::ZERO,
         take_list: take_replica_list,
         take_changes: take_replica_changes,
-        prove: |relay, sent| {
+        prove: |relay, sent, at| {
+            relay.replicas_watched.set(at);
             let mut beliefs = relay.beliefs.borrow_mut();
             beliefs.fleet_lease.prove(sent);
             beliefs.fleet_lost = false;
@@ -153,7 +154,7 @@
         let moved = matches!((&outcome, revision), (Ok(at), Some(after)) if *at > after);
         match outcome {
             Ok(at) => {
-                (followed.prove)(&relay, sent);
+                (followed.prove)(&relay, sent, at);
                 if let Some(lost) = lost_at.take() {
                     let out_ms = now_millis() - lost;
                     tracing::info!(event = "store-regained", kind = followed.kind, out_ms, at);
@@ -201,8 +202,10 @@
 ) -> Result<u64, StoreError> {
     count(&relay.counts.store_lists);
     let list = store.list(followed.kind, false).await?;
-    (followed.take_list)(relay, list.items);
-    Ok(list.at)
+    let at = list.at;
+    tracing::debug!(event = "store-read", kind = followed.kind, at, items = list.items.len());
+    (followed.take_list)(relay, list);
+    Ok(at)
 }
 
 async fn watch_once(
@@ -213,8 +216,10 @@
 ) -> Result<u64, StoreError> {
     count(&relay.counts.store_watches);
     let changes = store.watch(followed.kind, after, followed.wait).await?;
+    let (at, changed) = (changes.at, changes.events.len());
+    tracing::debug!(event = "store-watched", kind = followed.kind, after, at, changed);
     (followed.take_changes)(relay, changes.events);
-    Ok(changes.at.max(after))
+    Ok(at.max(after))
 }
 
 fn take_config(relay: &Relay, object: &ListedObject) {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -4,6 +4,8 @@
 
 use switchfold_core::hash::hash_bytes;
 
+use crate::Millis;
+
 /// Layers `from..to` of the model.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LayerRange {
@@ -51,6 +53,17 @@
     pub layers: Option<LayerRange>,
 }
 
+/// What the store said of one replica at a revision, whoever passes it on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaNews {
+    /// Id of the replica.
+    pub id: String,
+    /// Revision of the store at which it was so.
+    pub revision: u64,
+    /// Its entry; nothing where it is listed no more.
+    pub entry: Option<ReplicaEntry>,
+}
+
 /// Digest of one entry. Entries are combined by exclusive or, so order does not matter.
 fn replica_digest(replica: &ReplicaEntry) -> u64 {
     let layers = replica.layers.map_or((0, 0), |range| (range.from, range.to));
@@ -58,13 +71,15 @@
     hash_bytes(0, text.as_bytes())
 }
 
-/// What an update of the list changed for one replica.
+/// What news changed for one replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FleetChange {
     /// It was not listed before.
     Joined,
     /// It says that it will leave.
     Draining,
+    /// It was leaving, and is no more.
+    Returned,
     /// It is listed no more.
     Gone,
     /// Anything else.
@@ -73,65 +88,90 @@
     Unchanged,
 }
 
+/// An entry as it is held.
+#[derive(Clone, Debug)]
+struct HeldEntry {
+    entry: ReplicaEntry,
+    revision: u64,
+    taken: Millis,
+}
+
 /// All replicas that are listed, by id.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    replicas: BTreeMap<String, ReplicaEntry>,
+    replicas: BTreeMap<String, HeldEntry>,
     digest: u64,
 }
 
 impl FleetView {
-    /// Takes over a replica's entry.
-    pub fn upsert(&mut self, replica: ReplicaEntry) -> FleetChange {
-        let old = self.replicas.get(&replica.id);
-        let change = match old {
+    /// Takes news of a replica.
+    pub fn take(&mut self, news: ReplicaNews, now: Millis) -> FleetChange {
+        match news.entry {
+            Some(entry) => self.insert(entry, news.revision, now),
+            None => self.remove(&news.id),
+        }
+    }
+
+    fn insert(&mut self, entry: ReplicaEntry, revision: u64, now: Millis) -> FleetChange {
+        let change = match self.get(&entry.id) {
             None => FleetChange::Joined,
-            Some(old) if *old == replica => return FleetChange::Unchanged,
-            Some(old) if replica.draining && !old.draining => FleetChange::Draining,
+            Some(old) if *old == entry => FleetChange::Unchanged,
+            Some(old) if entry.draining && !old.draining => FleetChange::Draining,
+            Some(old) if old.draining && !entry.draining => FleetChange::Returned,
             Some(_) => FleetChange::Updated,
         };
-        self.digest ^= replica_digest(&replica);
-        let old = self.replicas.insert(replica.id.clone(), replica);
-        self.digest ^= old.as_ref().map_or(0, replica_digest);
+        self.digest ^= replica_digest(&entry);
+        let held = HeldEntry { entry, revision, taken: now };
+        let old = self.replicas.insert(held.entry.id.clone(), held);
+        self.digest ^= old.as_ref().map_or(0, |old| replica_digest(&old.entry));
         change
     }
 
+    fn remove(&mut self, id: &str) -> FleetChange {
+        let Some(old) = self.replicas.remove(id) else { return FleetChange::Unchanged };
+        self.digest ^= replica_digest(&old.entry);
+        FleetChange::Gone
+    }
+
+    /// Revision of what is held of a replica.
+    pub fn revision(&self, id: &str) -> Option<u64> {
+        self.replicas.get(id).map(|held| held.revision)
+    }
+
+    /// Time since the last news of a replica, in milliseconds.
+    pub fn age(&self, id: &str, now: Millis) -> Option<Millis> {
+        self.replicas.get(id).map(|held| now.saturating_sub(held.taken))
+    }
+
     /// Other replicas that are listed at an address: earlier starts, which ended there.
     pub fn predecessors(&self, id: &str, address: SocketAddr) -> Vec<String> {
-        let others = self.replicas.values().filter(|other| other.address == address);
+        let others = self.entries().filter(|other| other.address == address);
         others.filter(|other| other.id != id).map(|other| other.id.clone()).collect()
     }
 
-    /// Drops a replica.
-    pub fn remove(&mut self, id: &str) -> FleetChange {
-        match self.replicas.remove(id) {
-            Some(old) => {
-                self.digest ^= replica_digest(&old);
-                FleetChange::Gone
-            }
-            None => FleetChange::Unchanged,
-        }
-    }
-
     /// Ids that are not among `listed`.
-    pub fn missing_from(&self, listed: &[ReplicaEntry]) -> Vec<String> {
-        let is_listed = |id: &String| listed.iter().any(|replica| replica.id == *id);
+    pub fn missing_from(&self, listed: &[ReplicaNews]) -> Vec<String> {
+        let is_listed = |id: &String| listed.iter().any(|news| news.id == *id);
         self.replicas.keys().filter(|id| !is_listed(id)).cloned().collect()
     }
 
     /// Replica of that id.
     pub fn get(&self, id: &str) -> Option<&ReplicaEntry> {
-        self.replicas.get(id)
+        self.replicas.get(id).map(|held| &held.entry)
     }
 
     /// Replica at that address.
     pub fn at(&self, address: SocketAddr) -> Option<&ReplicaEntry> {
-        self.replicas.values().find(|replica| replica.address == address)
+        self.entries().find(|replica| replica.address == address)
     }
 
     /// Replicas of a service.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaEntry> {
-        self.replicas.values().filter(move |replica| replica.service == service)
+        self.entries().filter(move |replica| replica.service == service)
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &ReplicaEntry> {
+        self.replicas.values().map(|held| &held.entry)
     }
 
     /// Digest of the whole list: the same for two relays that know the same.
--- a/crates/router/src/lapse.rs
+++ b/crates/router/src/lapse.rs
@@ -16,12 +16,20 @@
 /// Time after the store's return for which a missing entry is waited for, in milliseconds.
 pub const LAPSE_GRACE: Millis = 2_300;
 
+/// An entry that is waited for.
+#[derive(Clone, Copy, Debug)]
+struct AwaitedEntry {
+    since: Millis,
+    /// Revision of the list that it was missing from first.
+    missing_at: u64,
+}
+
 /// Missing entries that are waited for.
 #[derive(Clone, Debug, Default)]
 pub struct LapseGrace {
     lost: Option<Millis>,
     returned: Option<Millis>,
-    awaited: HashMap<String, Millis>,
+    awaited: HashMap<String, AwaitedEntry>,
 }
 
 impl LapseGrace {
@@ -38,12 +46,14 @@
         }
     }
 
-    /// Whether an entry that is missing from a list is to be kept for now.
-    pub fn keeps(&mut self, id: &str, now: Millis) -> bool {
+    /// Whether an entry that is missing from a list read at the revision `at` is to be kept for now.
+    pub fn keeps(&mut self, id: &str, at: u64, now: Millis) -> bool {
         let away = self.lost.is_some_and(|lost| now.saturating_sub(lost) >= LEAST_OUTAGE);
         let returned = self.returned.is_some_and(|at| now.saturating_sub(at) < LAPSE_GRACE);
         if away || returned {
-            self.awaited.entry(id.to_owned()).or_insert(now);
+            self.awaited
+                .entry(id.to_owned())
+                .or_insert(AwaitedEntry { since: now, missing_at: at });
         }
         self.awaited.contains_key(id)
     }
@@ -58,9 +68,11 @@
         self.awaited.remove(id);
     }
 
-    /// Takes the entries that have been missing for too long.
-    pub fn take_overdue(&mut self, now: Millis) -> Vec<String> {
-        let is_overdue = |since: &Millis| now.saturating_sub(*since) >= LAPSE_GRACE;
-        self.awaited.extract_if(|_, since| is_overdue(since)).map(|(id, _)| id).collect()
+    /// Takes the entries that have been missing for too long, with the revision of the list that each
+    /// was missing from first.
+    pub fn take_overdue(&mut self, now: Millis) -> Vec<(String, u64)> {
+        let overdue =
+            self.awaited.extract_if(|_, entry| now.saturating_sub(entry.since) >= LAPSE_GRACE);
+        overdue.map(|(id, entry)| (id, entry.missing_at)).collect()
     }
 }
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -204,15 +204,15 @@
 #[test]
 fn missing_entries_are_kept_after_an_outage_alone() {
     let mut lapses = LapseGrace::default();
-    assert!(!lapses.keeps("calm", 0));
+    assert!(!lapses.keeps("calm", 1, 0));
     lapses.note_lost(1_000);
-    assert!(!lapses.keeps("short", 1_500));
-    assert!(lapses.keeps("gone", 4_000));
-    assert!(lapses.keeps("back", 4_000));
+    assert!(!lapses.keeps("short", 1, 1_500));
+    assert!(lapses.keeps("gone", 7, 4_000));
+    assert!(lapses.keeps("back", 7, 4_000));
     lapses.note_answer(4_000);
     lapses.note_listed("back");
-    assert!(lapses.keeps("late", 4_000 + LAPSE_GRACE - 1));
-    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE - 1), Vec::<String>::new());
-    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE), ["gone"]);
-    assert!(!lapses.keeps("gone", 4_000 + LAPSE_GRACE));
+    assert!(lapses.keeps("late", 8, 4_000 + LAPSE_GRACE - 1));
+    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE - 1), []);
+    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE), [("gone".to_owned(), 7)]);
+    assert!(!lapses.keeps("gone", 9, 4_000 + LAPSE_GRACE));
 }
