--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -15,6 +15,7 @@
 use switchfold_core::hash::hash_bytes;
 use switchfold_kernel::{clock::epoch_micros, metrics::MetricsError, shutdown::ShutdownSignal};
 use switchfold_platform::objects::ObjectStore;
+use switchfold_router::follow::STORE_PATIENCE;
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -37,7 +38,7 @@
     state::{Beliefs, Relay},
     stop::StopState,
     survey::survey_engines,
-    watch::{STORE_PATIENCE, follow_config, follow_replicas},
+    watch::{follow_config, follow_replicas},
 };
 
 /// Why a relay could not start.
@@ -153,7 +154,8 @@
 }
 
 fn new_relay(settings: RelaySettings, peer_socket: UdpSocket, metrics: RelayMetrics) -> Relay {
-    let store = ObjectStore::new(&settings.platform.to_string(), STORE_PATIENCE);
+    let store =
+        ObjectStore::new(&settings.platform.to_string(), Duration::from_millis(STORE_PATIENCE));
     let seed = hash_bytes(epoch_micros(), settings.name.as_bytes());
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     Relay {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -18,10 +18,10 @@
 };
 use switchfold_router::{
     Millis,
-    follow::{FollowPauses, FollowStep, StoreFollower},
+    follow::{CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, STORE_PATIENCE, StoreFollower},
 };
 use switchfold_store::StoreError;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     counts::count,
@@ -30,38 +30,13 @@
     state::Relay,
 };
 
-/// Time that a watch of the configuration waits. Its lease is as old as two waits at most, which
-/// leaves half of the usual bound of 5 s on removed keys.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Time that a watch of the replicas waits. A leaving replica must be left alone within the 2 s that it
-/// goes on serving, also where the watch was cut without a word.
-const REPLICA_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Pause after an answer that held changes, so that changes in series cost one call together, in
-/// milliseconds.
-const GATHER: Millis = 150;
-
-/// Time that the store has for an answer beyond the wait asked of it. It answers in 4 ms, and 60 times
-/// slower in a disruption.
-pub const STORE_PATIENCE: Duration = Duration::from_millis(800);
-
-/// Longest pause between tries of the relay that follows for its data centre: a store that comes back is
-/// used again within half a second.
-const LONGEST_PAUSE: Millis = 400;
-
-/// Longest pause between tries of the others, which hear from that one. Refused calls have their price.
-const LONGEST_PAUSE_OTHERS: Millis = 1_600;
-
-/// Time that a follower waits after it hears of a newer configuration before it reads it, so that
-/// versions in quick succession cost one read, in milliseconds.
-const GATHER_VERSIONS: Millis = 300;
+/// Longest time that the store has for any answer.
+const MOST_PATIENCE: Duration = Duration::from_millis(REPLICA_TIMES.wait + STORE_PATIENCE);
 
 /// What is followed, and how its objects are taken over.
 struct Followed {
     kind: &'static str,
-    wait: Duration,
-    pauses: FollowPauses,
+    times: FollowTimes,
     take_list: fn(&Rc<Relay>, ObjectList),
     take_changes: fn(&Relay, Vec<ObjectChange>),
     prove: fn(&Relay, Millis, u64),
@@ -73,8 +48,7 @@
 pub async fn follow_config(relay: Rc<Relay>) {
     let followed = Followed {
         kind: CONFIG_KIND,
-        wait: CONFIG_WAIT,
-        pauses: FollowPauses { gather: 0, gather_covered: GATHER_VERSIONS },
+        times: CONFIG_TIMES,
         take_list: |relay, list| list.items.iter().for_each(|item| take_config(relay, item)),
         take_changes: |relay, changes| {
             let kept = changes.iter().filter(|change| !change.gone);
@@ -100,8 +74,7 @@
 pub async fn follow_replicas(relay: Rc<Relay>) {
     let followed = Followed {
         kind: REPLICA_KIND,
-        wait: REPLICA_WAIT,
-        pauses: FollowPauses { gather: GATHER, gather_covered: 0 },
+        times: REPLICA_TIMES,
         take_list: take_replica_list,
         take_changes: take_replica_changes,
         prove: |relay, sent, at| {
@@ -117,11 +90,10 @@
 }
 
 async fn follow(relay: Rc<Relay>, followed: Followed) {
-    let patience = followed.wait + STORE_PATIENCE;
-    let store = ObjectStore::new(&relay.settings.platform.to_string(), patience);
+    let store = ObjectStore::new(&relay.settings.platform.to_string(), MOST_PATIENCE);
     let seed = hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.as_bytes());
     let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
-    let mut follower = StoreFollower::new(followed.pauses, backoff);
+    let mut follower = StoreFollower::new(followed.times, backoff);
     let mut lost_at: Option<Millis> = None;
     loop {
         let sent = now_millis();
@@ -130,8 +102,13 @@
                 sleep(Duration::from_millis(pause)).await;
                 continue;
             }
-            FollowStep::List => list_once(&relay, &store, &followed).await,
-            FollowStep::Watch(after) => watch_once(&relay, &store, &followed, after).await,
+            FollowStep::List { patience } => {
+                within(patience, list_once(&relay, &store, &followed)).await
+            }
+            FollowStep::Watch { after, wait, patience } => {
+                let wait = Duration::from_millis(wait);
+                within(patience, watch_once(&relay, &store, &followed, after, wait)).await
+            }
         };
         match outcome {
             Ok(at) => {
@@ -149,7 +126,7 @@
             }
             Err(error) => {
                 (followed.lose)(&relay);
-                follower.note_failure(longest_pause(&relay));
+                follower.note_failure(is_first_near(&relay));
                 if lost_at.is_none() {
                     lost_at = Some(sent);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
@@ -159,13 +136,18 @@
     }
 }
 
-fn longest_pause(relay: &Relay) -> Millis {
+/// Gives up a read that takes too long.
+async fn within(
+    patience: Millis,
+    read: impl Future<Output = Result<u64, StoreError>>,
+) -> Result<u64, StoreError> {
+    let late = |_| StoreError::Unavailable { detail: format!("no answer in {patience} ms") };
+    timeout(Duration::from_millis(patience), read).await.map_err(late)?
+}
+
+fn is_first_near(relay: &Relay) -> bool {
     let RelaySettings { name, data_centre, .. } = &relay.settings;
-    let beliefs = relay.beliefs.borrow();
-    match beliefs.peers.is_first_near(name, data_centre, now_millis()) {
-        true => LONGEST_PAUSE,
-        false => LONGEST_PAUSE_OTHERS,
-    }
+    relay.beliefs.borrow().peers.is_first_near(name, data_centre, now_millis())
 }
 
 async fn list_once(
@@ -186,9 +168,10 @@
     store: &ObjectStore,
     followed: &Followed,
     after: u64,
+    wait: Duration,
 ) -> Result<u64, StoreError> {
     count(&relay.counts.store_watches);
-    let changes = store.watch(followed.kind, after, followed.wait).await?;
+    let changes = store.watch(followed.kind, after, wait).await?;
     let (at, changed) = (changes.at, changes.events.len());
     tracing::debug!(event = "store-watched", kind = followed.kind, after, at, changed);
     (followed.take_changes)(relay, changes.events);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -12,30 +12,70 @@
 /// Time between two looks at whether another relay still follows for this one, in milliseconds.
 pub const COVER_EVERY: Millis = 100;
 
-/// What is done next.
+/// What is done next; times in milliseconds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FollowStep {
-    /// Nothing, for so many milliseconds.
+    /// Nothing, for a while.
     Rest(Millis),
     /// A list is read.
-    List,
+    List {
+        /// Time that the store has for the answer.
+        patience: Millis,
+    },
     /// Changes after a revision are waited for.
-    Watch(u64),
+    Watch {
+        /// The revision.
+        after: u64,
+        /// Time for which the store waits for one.
+        wait: Millis,
+        /// Time that the store has for the answer.
+        patience: Millis,
+    },
 }
 
-/// Pauses of a follower, in milliseconds.
+/// Times of a follower, in milliseconds.
 #[derive(Clone, Copy, Debug)]
-pub struct FollowPauses {
-    /// After an answer that moved on, so that changes in series cost one call together.
+pub struct FollowTimes {
+    /// Wait of a watch.
+    pub wait: Millis,
+    /// Time that the store has for a list.
+    pub list_patience: Millis,
+    /// Pause after an answer that moved on, so that changes in series cost one call together.
     pub gather: Millis,
-    /// Before the first read once another relay no longer follows for this one.
+    /// Pause before the first read once another relay no longer follows for this one.
     pub gather_covered: Millis,
+    /// Longest pause between tries of a relay that follows for its data centre.
+    pub longest_pause: Millis,
+    /// The same for the others.
+    pub longest_pause_others: Millis,
 }
 
+/// Time that the store has for an answer beyond the wait asked of it, in milliseconds. It answers in 4 ms,
+/// and 60 times slower in a disruption.
+pub const STORE_PATIENCE: Millis = 800;
+
+/// How the configuration is followed. A watch waits for a second: the lease is as old as two waits at
+/// most, which leaves half of the usual bound of 5 s on removed keys. A relay that hears of a newer
+/// version waits before it reads that, so that versions in quick succession cost one read.
+pub const CONFIG_TIMES: FollowTimes =
+    FollowTimes { gather: 0, gather_covered: 300, ..REPLICA_TIMES };
+
+/// How the list of replicas is followed. A leaving replica must be left alone within the 2 s that it goes
+/// on serving, also where a watch was cut without a word. A store that comes back is used again within
+/// half a second; relays that hear from another one ask less often, since refused calls have their price.
+pub const REPLICA_TIMES: FollowTimes = FollowTimes {
+    wait: 1_000,
+    list_patience: 1_000 + STORE_PATIENCE,
+    gather: 150,
+    gather_covered: 0,
+    longest_pause: 400,
+    longest_pause_others: 1_600,
+};
+
 /// Follows one kind of object.
 #[derive(Debug)]
 pub struct StoreFollower<R> {
-    pauses: FollowPauses,
+    times: FollowTimes,
     backoff: Backoff<R>,
     revision: Option<u64>,
     pause: Option<Millis>,
@@ -45,8 +85,8 @@
 
 impl<R: Rng> StoreFollower<R> {
     /// Makes a follower that read nothing yet.
-    pub fn new(pauses: FollowPauses, backoff: Backoff<R>) -> Self {
-        Self { pauses, backoff, revision: None, pause: None, is_listed: false, is_covered: false }
+    pub fn new(times: FollowTimes, backoff: Backoff<R>) -> Self {
+        Self { times, backoff, revision: None, pause: None, is_listed: false, is_covered: false }
     }
 
     /// Revision from which it watches; nothing where it is to list.
@@ -66,11 +106,15 @@
         }
         if self.is_covered {
             self.is_covered = false;
-            if self.pauses.gather_covered > 0 {
-                return FollowStep::Rest(self.pauses.gather_covered);
+            if self.times.gather_covered > 0 {
+                return FollowStep::Rest(self.times.gather_covered);
             }
         }
-        self.revision.map_or(FollowStep::List, FollowStep::Watch)
+        let FollowTimes { wait, list_patience, .. } = self.times;
+        match self.revision {
+            None => FollowStep::List { patience: list_patience },
+            Some(after) => FollowStep::Watch { after, wait, patience: wait + STORE_PATIENCE },
+        }
     }
 
     /// Notes an answer that reached the revision `at`.
@@ -79,7 +123,7 @@
         self.revision = Some(self.revision.map_or(at, |after| after.max(at)));
         self.is_listed = true;
         self.backoff.reset();
-        self.pause = moved.then_some(self.pauses.gather);
+        self.pause = moved.then_some(self.times.gather);
     }
 
     /// Notes that the store no longer has the history that was asked for.
@@ -87,11 +131,13 @@
         self.revision = None;
     }
 
-    /// Notes a read without an answer; the next one follows after `longest_pause` at most. A store that
-    /// cuts a watch may have dropped its history, and says so to a new watch only when that ends; a
-    /// list tells at once what the watch did not.
-    pub fn note_failure(&mut self, longest_pause: Millis) {
+    /// Notes a read without an answer; `is_first` tells whether this relay follows for its data centre. A
+    /// store that cuts a watch may have dropped its history, and says so to a new watch only when that
+    /// ends; a list tells at once what the watch did not.
+    pub fn note_failure(&mut self, is_first: bool) {
+        let FollowTimes { longest_pause, longest_pause_others, .. } = self.times;
+        let longest = if is_first { longest_pause } else { longest_pause_others };
         self.revision = None;
-        self.pause = Some(self.backoff.next_wait().min(longest_pause));
+        self.pause = Some(self.backoff.next_wait().min(longest));
     }
 }
--- /dev/null
+++ b/crates/router/tests/interleavings.rs
@@ -0,0 +1,147 @@
+//! Relays that read one store at unlike speeds and tell each other: none in touch may hold old state.
+
+mod model;
+
+use proptest::prelude::*;
+
+use self::model::{Broken, Change, Day, RELAYS, REPLICAS, Timed, Trouble, play};
+
+/// Length of a drawn day, in milliseconds.
+const LENGTH: u64 = 22_000;
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let relay = 0..RELAYS.len();
+    prop_oneof![
+        3 => (relay.clone(), any::<bool>())
+            .prop_map(|(relay, silent)| Trouble::TurnedAway { relay, silent }),
+        1 => any::<bool>().prop_map(|silent| Trouble::Outage { silent }),
+        1 => Just(Trouble::Slow),
+        1 => Just(Trouble::Compaction),
+        2 => relay.clone().prop_map(|relay| Trouble::Paused { relay }),
+        1 => relay.prop_map(|relay| Trouble::Deaf { relay }),
+    ]
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        2 => (0..REPLICAS - 1).prop_map(Change::Leave),
+        1 => (0..REPLICAS).prop_map(Change::Reload),
+        2 => Just(Change::Configure),
+    ]
+}
+
+/// Where in time something is put: anywhere, or beside a trouble, since faults that matter come together.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Anywhere(u64),
+    /// Begins beside the beginning of a trouble.
+    Beginning(prop::sample::Index, u64),
+    /// Ends beside the end of a trouble.
+    End(prop::sample::Index, u64),
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    let beside = 0..1_200_u64;
+    prop_oneof![
+        (3_500..LENGTH - 3_000).prop_map(Place::Anywhere),
+        (any::<prop::sample::Index>(), beside.clone())
+            .prop_map(|(which, beside)| Place::Beginning(which, beside)),
+        (any::<prop::sample::Index>(), beside)
+            .prop_map(|(which, beside)| Place::End(which, beside)),
+    ]
+}
+
+impl Place {
+    /// Beginning of something that lasts so long, among the troubles before it.
+    fn resolve(self, lasts: u64, before: &[Timed<Trouble>]) -> u64 {
+        const HALF: u64 = 600;
+        let earliest = 3_100;
+        let at = match self {
+            Place::Anywhere(at) => at,
+            Place::Beginning(..) | Place::End(..) if before.is_empty() => 6_000,
+            Place::Beginning(which, beside) => which.get(before).at + beside - HALF,
+            Place::End(which, beside) => {
+                let other = which.get(before);
+                (other.at + other.lasts + beside).saturating_sub(lasts + HALF)
+            }
+        };
+        at.max(earliest)
+    }
+}
+
+fn day() -> impl Strategy<Value = Day> {
+    let troubles = prop::collection::vec((place(), 100..9_000_u64, trouble()), 0..5);
+    let changes = prop::collection::vec((place(), change()), 1..8);
+    (troubles, changes).prop_map(|(drawn, changes)| {
+        let mut troubles: Vec<Timed<Trouble>> = Vec::new();
+        for (place, lasts, what) in drawn {
+            let at = place.resolve(lasts, &troubles);
+            troubles.push(Timed { at, lasts, what });
+        }
+        let changes = changes.into_iter().map(|(place, what)| Timed {
+            at: place.resolve(0, &troubles),
+            lasts: 0,
+            what,
+        });
+        Day { changes: changes.collect(), troubles, length: LENGTH }
+    })
+}
+
+/// Enough that each fault that these days ever found shows well before the last one.
+fn config() -> ProptestConfig {
+    ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// However relays are turned away, paused and cut off from each other: one in touch offers no replica
+    /// that said it leaves longer ago than the bound, and lacks none that lives and is listed.
+    #[test]
+    fn no_relay_in_touch_holds_old_replicas(day in day()) {
+        let Broken { leaving, lacking, .. } = play(&day);
+        prop_assert!(leaving.is_empty(), "{:?}", leaving.first());
+        prop_assert!(lacking.is_empty(), "{:?}", lacking.first());
+    }
+
+    /// The same for the configuration.
+    #[test]
+    fn no_relay_in_touch_holds_an_old_configuration(day in day()) {
+        let Broken { config, .. } = play(&day);
+        prop_assert!(config.is_empty(), "{:?}", config.first());
+    }
+}
+
+fn lasting<T>(at: u64, lasts: u64, what: T) -> Timed<T> {
+    Timed { at, lasts, what }
+}
+
+#[test]
+fn a_calm_day_breaks_nothing() {
+    let changes = vec![
+        lasting(5_000, 0, Change::Leave(0)),
+        lasting(5_050, 0, Change::Reload(1)),
+        lasting(6_000, 0, Change::Configure),
+    ];
+    let Broken { leaving, config, lacking } =
+        play(&Day { troubles: Vec::new(), changes, length: 12_000 });
+    assert_eq!((leaving, config, lacking), (vec![], vec![], vec![]));
+}
+
+/// The users' record, in its own times: a relay alone in its data centre does not hear that a replica leaves,
+/// since the store turns it away; then the store is down for all, and the entry lapses. Back in touch at
+/// 20.06 s, the relay must not go by the entry of before.
+#[test]
+fn a_leaving_is_not_missed_behind_a_lapsed_entry() {
+    const BACK: u64 = 17_060;
+    let alone = RELAYS.len() - 1;
+    let turned_away =
+        lasting(7_900, BACK - 7_900, Trouble::TurnedAway { relay: alone, silent: true });
+    for down_at in (9_000..13_400).step_by(50) {
+        let outage = lasting(down_at, BACK - down_at, Trouble::Outage { silent: true });
+        let changes = vec![lasting(8_005, 0, Change::Leave(2))];
+        let Broken { leaving, .. } =
+            play(&Day { troubles: vec![turned_away, outage], changes, length: 24_000 });
+        assert_eq!(leaving.first(), None, "the store is down from {down_at} ms on");
+    }
+}
--- /dev/null
+++ b/crates/router/tests/model/mod.rs
@@ -0,0 +1,309 @@
+//! Relays that follow one store and tell each other, in virtual time.
+//!
+//! The decisions are the product's own: what is read next, what news changes, who follows for whom. Here
+//! stand only the store, the links and the clock. A run is a pure function of a [`Day`].
+
+mod relay;
+mod store;
+
+use switchfold_router::{Millis, fleet::LayerRange};
+
+pub(crate) use self::relay::ModelRelay;
+use self::{
+    relay::{Message, RelayWorld},
+    store::ModelStore,
+};
+
+/// Step of the clock, in milliseconds.
+pub(crate) const TICK: Millis = 5;
+
+/// Replicas; the last one of them never leaves.
+pub(crate) const REPLICAS: usize = 4;
+
+/// Names of the relays with their data centres.
+pub(crate) const RELAYS: [(&str, &str); 4] =
+    [("a-1", "a"), ("a-2", "a"), ("a-3", "a"), ("b-1", "b")];
+
+/// Time without trouble after which a relay counts as in touch, in milliseconds: the users' bound.
+pub(crate) const CONTACT: Millis = 3_000;
+
+/// Time for which a leaving replica may be offered, and an old configuration be in force, in milliseconds:
+/// the users' bounds.
+pub(crate) const BOUND: Millis = 2_000;
+
+/// Heartbeats of silence after which an entry lapses, in milliseconds.
+const LAPSE: Millis = 3_600;
+
+/// Time within which lapsed entries are back after the store's return, in milliseconds.
+const BACK: Millis = 2_000;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Trouble {
+    /// The store turns a relay away: by silence, or by refusals.
+    TurnedAway {
+        /// The relay.
+        relay: usize,
+        /// Whether it hears nothing.
+        silent: bool,
+    },
+    /// The store is down for all.
+    Outage {
+        /// Whether it says nothing.
+        silent: bool,
+    },
+    /// The store answers fifty times slower.
+    Slow,
+    /// Watches hear nothing for a second while changes are made; then history is dropped, and they are cut.
+    Compaction,
+    /// A relay's process stands still; what comes meanwhile waits.
+    Paused {
+        /// The relay.
+        relay: usize,
+    },
+    /// Messages to a relay are lost.
+    Deaf {
+        /// The relay.
+        relay: usize,
+    },
+}
+
+/// What the store is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Change {
+    /// A replica says that it leaves.
+    Leave(usize),
+    /// A replica holds other layers.
+    Reload(usize),
+    /// The operator writes a version of the configuration.
+    Configure,
+}
+
+/// Something with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Timed<T> {
+    /// When it begins.
+    pub(crate) at: Millis,
+    /// How long it lasts, where it does.
+    pub(crate) lasts: Millis,
+    /// What it is.
+    pub(crate) what: T,
+}
+
+/// What happens in a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Day {
+    /// Troubles.
+    pub(crate) troubles: Vec<Timed<Trouble>>,
+    /// Changes.
+    pub(crate) changes: Vec<Timed<Change>>,
+    /// Length.
+    pub(crate) length: Millis,
+}
+
+/// What is wrong at a moment.
+pub(crate) struct Weather<'a> {
+    troubles: &'a [Timed<Trouble>],
+    now: Millis,
+}
+
+impl Weather<'_> {
+    fn any(&self, since: Millis, is_it: impl Fn(Trouble) -> bool) -> bool {
+        self.troubles.iter().any(|one| {
+            let lasts = if one.what == Trouble::Compaction { 1_000 } else { one.lasts };
+            is_it(one.what) && one.at <= self.now && self.now < one.at + lasts + since
+        })
+    }
+
+    /// Whether it is so now.
+    pub(crate) fn has(&self, trouble: Trouble) -> bool {
+        self.any(0, |other| other == trouble)
+    }
+
+    /// Whether the store has been stable for the contact time.
+    fn is_stable(&self) -> bool {
+        let of_store = |trouble| {
+            matches!(trouble, Trouble::Outage { .. } | Trouble::Slow | Trouble::Compaction)
+        };
+        self.now >= CONTACT && !self.any(CONTACT, of_store)
+    }
+
+    /// Whether a relay has been in touch for the contact time.
+    fn is_in_touch(&self, relay: usize) -> bool {
+        let own = |trouble| match trouble {
+            Trouble::TurnedAway { relay: who, .. } => who == relay,
+            Trouble::Paused { relay: who } | Trouble::Deaf { relay: who } => who == relay,
+            _ => false,
+        };
+        self.is_stable() && !self.any(CONTACT, own)
+    }
+
+    /// Whether the store answers a relay: nothing where it says nothing, else whether it serves.
+    pub(crate) fn serves(&self, relay: usize) -> Option<bool> {
+        let silent = self.has(Trouble::Outage { silent: true })
+            || self.has(Trouble::TurnedAway { relay, silent: true });
+        let refuses = self.has(Trouble::Outage { silent: false })
+            || self.has(Trouble::TurnedAway { relay, silent: false });
+        (!silent).then_some(!refuses)
+    }
+}
+
+/// What a run broke: old state that a relay in touch held.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Broken {
+    /// Leaving replicas that were offered.
+    pub(crate) leaving: Vec<String>,
+    /// Old configurations in force.
+    pub(crate) config: Vec<String>,
+    /// Replicas that live and are listed, and were not offered.
+    pub(crate) lacking: Vec<String>,
+}
+
+struct World<'a> {
+    day: &'a Day,
+    store: ModelStore,
+    relays: Vec<ModelRelay>,
+    messages: Vec<Message>,
+    /// When each replica said that it leaves, and whether the store was stable then.
+    left: [Option<(Millis, bool)>; REPLICAS],
+    /// When each version was written, and whether the store was stable then.
+    versions: Vec<(Millis, bool)>,
+    /// When a replica's lapsed entry is written again.
+    back_at: [Option<Millis>; REPLICAS],
+}
+
+/// Id of a replica.
+pub(crate) fn replica_id(number: usize) -> String {
+    format!("i-{number}")
+}
+
+/// Plays a day.
+pub(crate) fn play(day: &Day) -> Broken {
+    let mut world = World {
+        day,
+        store: ModelStore::new(REPLICAS),
+        relays: (0..RELAYS.len()).map(ModelRelay::new).collect(),
+        messages: Vec::new(),
+        left: [None; REPLICAS],
+        versions: Vec::new(),
+        back_at: [None; REPLICAS],
+    };
+    let mut broken = Broken::default();
+    let mut now = 0;
+    while now < day.length {
+        let weather = Weather { troubles: &day.troubles, now };
+        world.change(&weather);
+        world.lapse(&weather);
+        for number in 0..RELAYS.len() {
+            if !weather.has(Trouble::Paused { relay: number }) {
+                let mut relay_world =
+                    RelayWorld { store: &mut world.store, messages: &mut world.messages };
+                world.relays[number].advance(&weather, &mut relay_world, now);
+            }
+        }
+        world.check(&weather, &mut broken);
+        now += TICK;
+    }
+    broken
+}
+
+impl World<'_> {
+    fn change(&mut self, weather: &Weather<'_>) {
+        let now = weather.now;
+        let due = self.day.changes.iter().filter(|change| change.at / TICK == now / TICK);
+        for change in due {
+            let down = weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. }));
+            if down {
+                continue;
+            }
+            match change.what {
+                Change::Leave(number) if self.left[number].is_none() => {
+                    if self.store.update(number, |entry| entry.draining = true) {
+                        self.left[number] = Some((now, weather.is_stable()));
+                    }
+                }
+                Change::Leave(_) => {}
+                Change::Reload(number) => {
+                    self.store.update(number, |entry| {
+                        let from = entry.layers.map_or(0, |range| (range.from + 1) % 70);
+                        entry.layers = Some(LayerRange { from, to: from + 10 });
+                    });
+                }
+                Change::Configure => {
+                    self.store.configure();
+                    self.versions.push((now, weather.is_stable()));
+                }
+            }
+        }
+    }
+
+    /// Entries lapse in a long outage, and are written again after it.
+    fn lapse(&mut self, weather: &Weather<'_>) {
+        let now = weather.now;
+        for one in weather.troubles.iter().filter(|one| matches!(one.what, Trouble::Outage { .. }))
+        {
+            let end = one.at + one.lasts;
+            if one.lasts > LAPSE && now / TICK == (one.at + LAPSE) / TICK {
+                for number in 0..REPLICAS {
+                    self.store.remove(number);
+                    // Some are back soon, some late; replicas that leave need not be back at all.
+                    let back = end + BACK * (number as Millis * 2 + 1) / (2 * REPLICAS as Millis);
+                    let stays_away = self.left[number].is_some() && number.is_multiple_of(2);
+                    self.back_at[number] = (!stays_away).then_some(back);
+                }
+            }
+        }
+        let down = weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. }));
+        for number in 0..REPLICAS {
+            if !down && self.back_at[number].is_some_and(|back| now >= back) {
+                self.back_at[number] = None;
+                self.store.restore(number);
+            }
+        }
+    }
+
+    fn check(&self, weather: &Weather<'_>, broken: &mut Broken) {
+        for (number, relay) in self.relays.iter().enumerate() {
+            if !weather.is_in_touch(number) {
+                continue;
+            }
+            self.check_leaving(weather.now, relay, broken);
+            self.check_config(weather.now, relay, broken);
+            self.check_lacking(weather, relay, broken);
+        }
+    }
+
+    fn check_leaving(&self, now: Millis, relay: &ModelRelay, broken: &mut Broken) {
+        for (number, left) in self.left.iter().enumerate() {
+            let Some((at, true)) = *left else { continue };
+            if now > at + BOUND && relay.offers(number) {
+                let what = format!("{} offers i-{number} {} ms after", relay.name(), now - at);
+                broken.leaving.push(what);
+            }
+        }
+    }
+
+    fn check_config(&self, now: Millis, relay: &ModelRelay, broken: &mut Broken) {
+        for (index, (at, stable)) in self.versions.iter().enumerate() {
+            let version = index as u64 + 2;
+            if *stable && now > at + BOUND && relay.config_version() < version {
+                let late = now - at;
+                let what = format!("{} has no version {version} {late} ms after", relay.name());
+                broken.config.push(what);
+            }
+        }
+    }
+
+    fn check_lacking(&self, weather: &Weather<'_>, relay: &ModelRelay, broken: &mut Broken) {
+        let calm = !weather.any(CONTACT + BOUND, |_| true);
+        for number in (0..REPLICAS).filter(|number| self.left[*number].is_none()) {
+            if calm && weather.now > CONTACT + BOUND && !relay.offers(number) {
+                broken.lacking.push(format!(
+                    "{} lacks i-{number} at {}",
+                    relay.name(),
+                    weather.now
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/model/relay.rs
@@ -0,0 +1,294 @@
+//! One relay: the product's decisions, driven by the model's store and links.
+
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use switchfold_core::retry::Backoff;
+use switchfold_router::{
+    Millis,
+    access::ConfigSlot,
+    fleet::ReplicaNews,
+    follow::{CONFIG_TIMES, FollowStep, REPLICA_TIMES, StoreFollower},
+    freshness::FreshnessLease,
+    membership::{OwnState, PeerStamp, PeerState, PeerTable},
+    replicas::{FleetBelief, NewsSource},
+};
+
+use super::{
+    RELAYS, Trouble, Weather, replica_id,
+    store::{Call, Kind, ModelStore, Reply},
+};
+
+/// Time between two messages of a relay, and time that a message takes, in milliseconds.
+const TELL_EVERY: Millis = 200;
+const MESSAGE: Millis = 5;
+
+/// A message to a relay.
+#[derive(Clone, Debug)]
+pub(crate) struct Message {
+    to: usize,
+    from: usize,
+    arrives: Millis,
+    body: Body,
+}
+
+#[derive(Clone, Debug)]
+enum Body {
+    State { state: PeerState, stamp: PeerStamp, echo: Option<(PeerStamp, Millis)> },
+    Fleet(Vec<ReplicaNews>),
+}
+
+/// What surrounds a relay.
+pub(crate) struct RelayWorld<'a> {
+    pub(crate) store: &'a mut ModelStore,
+    pub(crate) messages: &'a mut Vec<Message>,
+}
+
+struct Following {
+    kind: Kind,
+    follower: StoreFollower<ChaCha8Rng>,
+    rests_until: Millis,
+    call: Option<Call>,
+}
+
+/// A relay.
+pub(crate) struct ModelRelay {
+    number: usize,
+    fleet: FleetBelief,
+    config: ConfigSlot<u64>,
+    config_lease: FreshnessLease,
+    peers: PeerTable,
+    following: Vec<Following>,
+    next_tell: Millis,
+}
+
+fn address(number: usize) -> SocketAddr {
+    format!("10.1.0.{}:7000", number + 1).parse().expect("an address")
+}
+
+impl ModelRelay {
+    pub(crate) fn new(number: usize) -> Self {
+        let mut peers = PeerTable::default();
+        for (other, (name, data_centre)) in RELAYS.iter().enumerate() {
+            if other != number {
+                peers.learn(name, address(other), data_centre, 0);
+            }
+        }
+        let following = [(Kind::Replicas, REPLICA_TIMES), (Kind::Config, CONFIG_TIMES)];
+        let following = following.map(|(kind, times)| {
+            let seed = number as u64 * 2 + u64::from(kind == Kind::Config);
+            let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
+            let follower = StoreFollower::new(times, backoff);
+            Following { kind, follower, rests_until: 0, call: None }
+        });
+        Self {
+            number,
+            fleet: FleetBelief::default(),
+            config: ConfigSlot::new(),
+            config_lease: FreshnessLease::default(),
+            peers,
+            following: following.into(),
+            next_tell: number as Millis * 40,
+        }
+    }
+
+    pub(crate) fn name(&self) -> &'static str {
+        RELAYS[self.number].0
+    }
+
+    fn data_centre(&self) -> &'static str {
+        RELAYS[self.number].1
+    }
+
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.get().copied().unwrap_or(0)
+    }
+
+    /// Whether it would send requests to a replica.
+    pub(crate) fn offers(&self, number: usize) -> bool {
+        self.fleet.view.get(&replica_id(number)).is_some_and(|entry| !entry.draining)
+    }
+
+    /// Lets it run for a moment.
+    pub(crate) fn advance(
+        &mut self,
+        weather: &Weather<'_>,
+        world: &mut RelayWorld<'_>,
+        now: Millis,
+    ) {
+        self.hear(weather, world.messages, now);
+        if now >= self.next_tell {
+            self.next_tell = now + TELL_EVERY;
+            let lapsed = self.fleet.lapsed(now);
+            self.tell_and_take(lapsed, NewsSource::Lapse, world.messages, now);
+            self.tell_state(world.messages, now);
+        }
+        for index in 0..self.following.len() {
+            self.follow(index, weather, world, now);
+        }
+    }
+
+    fn follow(
+        &mut self,
+        index: usize,
+        weather: &Weather<'_>,
+        world: &mut RelayWorld<'_>,
+        now: Millis,
+    ) {
+        if let Some(mut call) = self.following[index].call.take() {
+            world.store.serve(&mut call, weather, now);
+            match call.reply.clone() {
+                Some((arrives, reply)) if arrives <= now => {
+                    self.end_call(index, &call, reply, world.messages, now);
+                }
+                _ if now >= call.deadline() => self.fail(index, now),
+                _ => {
+                    self.following[index].call = Some(call);
+                    return;
+                }
+            }
+        }
+        if now < self.following[index].rests_until {
+            return;
+        }
+        let kind = self.following[index].kind;
+        let covered = self.is_covered(kind, now);
+        match self.following[index].follower.next_step(covered) {
+            FollowStep::Rest(pause) => self.following[index].rests_until = now + pause,
+            step => {
+                let relay = self.number;
+                let call = Call { relay, kind, step, sent: now, reply: None, is_lost: false };
+                self.following[index].call = Some(call);
+            }
+        }
+    }
+
+    fn is_covered(&self, kind: Kind, now: Millis) -> bool {
+        let (name, data_centre) = (self.name(), self.data_centre());
+        match kind {
+            Kind::Replicas => self.peers.covers_fleet(name, data_centre, now),
+            Kind::Config => self.peers.covers_config(name, data_centre, self.config_version(), now),
+        }
+    }
+
+    fn fail(&mut self, index: usize, now: Millis) {
+        if self.following[index].kind == Kind::Replicas {
+            self.fleet.note_lost(now);
+        }
+        let is_first = self.peers.is_first_near(self.name(), self.data_centre(), now);
+        self.following[index].follower.note_failure(is_first);
+    }
+
+    fn end_call(
+        &mut self,
+        index: usize,
+        call: &Call,
+        reply: Reply,
+        messages: &mut Vec<Message>,
+        now: Millis,
+    ) {
+        let at = match reply {
+            Reply::Refused => return self.fail(index, now),
+            Reply::Gap => return self.following[index].follower.note_gap(),
+            Reply::List(list) => {
+                let at = list.at;
+                self.fleet.take_list(list, now);
+                at
+            }
+            Reply::Changes(news, at) => {
+                self.tell_and_take(news, NewsSource::Watch, messages, now);
+                at
+            }
+            Reply::Config(version, at) => {
+                if let Some(version) = version {
+                    self.config.merge(version, version);
+                }
+                at
+            }
+        };
+        match call.kind {
+            Kind::Replicas => self.fleet.note_read(call.sent, at, now),
+            Kind::Config => self.config_lease.prove(call.sent),
+        }
+        self.following[index].follower.note_answer(at);
+    }
+
+    fn hear(&mut self, weather: &Weather<'_>, messages: &mut Vec<Message>, now: Millis) {
+        let own = self.number;
+        let arrived = messages.extract_if(.., |one| one.to == own && one.arrives <= now);
+        let deaf = weather.has(Trouble::Deaf { relay: own });
+        for message in arrived.filter(|_| !deaf).collect::<Vec<_>>() {
+            match message.body {
+                Body::Fleet(news) => {
+                    let source = NewsSource::Relay(address(message.from));
+                    self.fleet.take_all(news, source, now);
+                }
+                Body::State { state, stamp, echo } => {
+                    let (name, data_centre) = RELAYS[message.from];
+                    self.peers.hear(name, state, stamp, now);
+                    if data_centre == self.data_centre() {
+                        self.take_proofs(&state, echo, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_proofs(&mut self, state: &PeerState, echo: Option<(PeerStamp, Millis)>, now: Millis) {
+        let own = OwnState {
+            name: self.name(),
+            data_centre: self.data_centre(),
+            incarnation: self.number as u32,
+            config_version: self.config_version(),
+            fleet_digest: self.fleet.view.digest(),
+        };
+        let proofs = self.peers.read_proofs(own, state, echo, now);
+        if let Some(proved) = proofs.config {
+            self.config_lease.prove(proved);
+        }
+        if let Some(proved) = proofs.fleet {
+            self.fleet.note_proof(proved, now);
+        }
+    }
+
+    fn tell_and_take(
+        &mut self,
+        news: Vec<ReplicaNews>,
+        source: NewsSource,
+        messages: &mut Vec<Message>,
+        now: Millis,
+    ) {
+        if news.is_empty() {
+            return;
+        }
+        for to in self.near() {
+            self.send(to, Body::Fleet(news.clone()), messages, now);
+        }
+        self.fleet.take_all(news, source, now);
+    }
+
+    fn near(&self) -> impl Iterator<Item = usize> + use<> {
+        let (own, home) = (self.number, self.data_centre());
+        (0..RELAYS.len()).filter(move |other| *other != own && RELAYS[*other].1 == home)
+    }
+
+    fn send(&self, to: usize, body: Body, messages: &mut Vec<Message>, now: Millis) {
+        messages.push(Message { to, from: self.number, arrives: now + MESSAGE, body });
+    }
+
+    fn tell_state(&self, messages: &mut Vec<Message>, now: Millis) {
+        let state = PeerState {
+            fleet_is_fresh: self.fleet.is_fresh(now),
+            fleet_digest: self.fleet.view.digest(),
+            config_version: self.config_version(),
+            config_age: self.config_lease.age(now),
+            fleet_age: self.fleet.age(now),
+        };
+        let stamp = PeerStamp { incarnation: self.number as u32, time: now };
+        for to in self.near() {
+            let echo = self.peers.echo(RELAYS[to].0, now);
+            self.send(to, Body::State { state, stamp, echo }, messages, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/model/store.rs
@@ -0,0 +1,204 @@
+//! The store: replicas and configuration under one counter of revisions.
+
+use std::collections::BTreeMap;
+
+use switchfold_router::{
+    Millis,
+    fleet::{LayerRange, ReplicaEntry, ReplicaNews},
+    follow::FollowStep,
+    replicas::FleetList,
+};
+
+use super::{Trouble, Weather, replica_id};
+
+/// Time from a call to its answer, in milliseconds, and the same of a slow store.
+const ANSWER: Millis = 5;
+const SLOW_ANSWER: Millis = 200;
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    Replicas,
+    Config,
+}
+
+/// What the store answered.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    List(FleetList),
+    Changes(Vec<ReplicaNews>, u64),
+    Config(Option<u64>, u64),
+    Gap,
+    Refused,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) relay: usize,
+    pub(crate) kind: Kind,
+    pub(crate) step: FollowStep,
+    pub(crate) sent: Millis,
+    pub(crate) reply: Option<(Millis, Reply)>,
+    /// Whether its answer will never come: the connection went silent.
+    pub(crate) is_lost: bool,
+}
+
+impl Call {
+    /// When the caller gives up.
+    pub(crate) fn deadline(&self) -> Millis {
+        match self.step {
+            FollowStep::Rest(_) => self.sent,
+            FollowStep::List { patience } | FollowStep::Watch { patience, .. } => {
+                self.sent + patience
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct ModelStore {
+    revision: u64,
+    entries: BTreeMap<usize, (u64, ReplicaEntry)>,
+    /// Entries as their replicas know them, listed or not.
+    known: Vec<ReplicaEntry>,
+    history: Vec<ReplicaNews>,
+    forgotten: u64,
+    config: (u64, u64),
+}
+
+impl ModelStore {
+    pub(crate) fn new(replicas: usize) -> Self {
+        let mut store = Self {
+            revision: 1,
+            entries: BTreeMap::new(),
+            known: (0..replicas).map(entry).collect(),
+            history: Vec::new(),
+            forgotten: 0,
+            config: (1, 1),
+        };
+        (0..replicas).for_each(|number| store.restore(number));
+        store
+    }
+
+    /// Changes a replica's entry, where it is listed; tells whether it is.
+    pub(crate) fn update(&mut self, number: usize, change: impl Fn(&mut ReplicaEntry)) -> bool {
+        let listed = self.entries.contains_key(&number);
+        if listed {
+            change(&mut self.known[number]);
+            self.restore(number);
+        }
+        listed
+    }
+
+    /// Writes a replica's entry as the replica knows it.
+    pub(crate) fn restore(&mut self, number: usize) {
+        self.revision += 1;
+        let entry = self.known[number].clone();
+        self.entries.insert(number, (self.revision, entry.clone()));
+        self.note(number, Some(entry));
+    }
+
+    /// Removes a replica's entry.
+    pub(crate) fn remove(&mut self, number: usize) {
+        if self.entries.remove(&number).is_some() {
+            self.revision += 1;
+            self.note(number, None);
+        }
+    }
+
+    /// Writes a newer configuration.
+    pub(crate) fn configure(&mut self) {
+        self.revision += 1;
+        self.config = (self.revision, self.config.1 + 1);
+    }
+
+    fn note(&mut self, number: usize, entry: Option<ReplicaEntry>) {
+        let id = replica_id(number);
+        self.history.push(ReplicaNews { id, revision: self.revision, entry });
+    }
+
+    /// Lets a call go on: it may get its answer, or lose it.
+    pub(crate) fn serve(&mut self, call: &mut Call, weather: &Weather<'_>, now: Millis) {
+        let delay = if weather.has(Trouble::Slow) { SLOW_ANSWER } else { ANSWER };
+        if call.reply.is_some() || call.is_lost || now < call.sent + delay / 2 {
+            return;
+        }
+        match weather.serves(call.relay) {
+            None => call.is_lost = true,
+            Some(false) => call.reply = Some((now + delay / 2, Reply::Refused)),
+            Some(true) => {
+                let reply = self.answer(call, weather, now);
+                call.reply = reply.map(|reply| (now + delay / 2, reply));
+            }
+        }
+    }
+
+    fn answer(&mut self, call: &Call, weather: &Weather<'_>, now: Millis) -> Option<Reply> {
+        let (after, wait) = match call.step {
+            FollowStep::Rest(_) => return None,
+            FollowStep::List { .. } => return Some(self.list(call.kind)),
+            FollowStep::Watch { after, wait, .. } => (after, wait),
+        };
+        let over = now >= call.sent + wait;
+        if weather.has(Trouble::Compaction) {
+            // Nothing is heard, and the revision of nothing is not told.
+            return over.then(|| self.empty(call.kind, after));
+        }
+        let cut = weather.troubles.iter().any(|one| {
+            one.what == Trouble::Compaction && one.at + 1_000 <= now && call.sent < one.at + 1_000
+        });
+        if cut {
+            self.forgotten = self.forgotten.max(self.revision);
+            return Some(Reply::Refused);
+        }
+        if after < self.forgotten {
+            return Some(Reply::Gap);
+        }
+        self.changes(call.kind, after)
+            .or_else(|| over.then(|| self.empty(call.kind, self.revision)))
+    }
+
+    fn list(&self, kind: Kind) -> Reply {
+        let at = self.revision;
+        if kind == Kind::Config {
+            return Reply::Config(Some(self.config.1), at);
+        }
+        let listed = self.entries.iter().map(|(number, (revision, entry))| ReplicaNews {
+            id: replica_id(*number),
+            revision: *revision,
+            entry: Some(entry.clone()),
+        });
+        Reply::List(FleetList { listed: listed.collect(), at })
+    }
+
+    fn changes(&self, kind: Kind, after: u64) -> Option<Reply> {
+        if kind == Kind::Config {
+            let newer = self.config.0 > after;
+            return newer.then_some(Reply::Config(Some(self.config.1), self.revision));
+        }
+        let news = self.history.iter().filter(|news| news.revision > after);
+        let news: Vec<ReplicaNews> = news.cloned().collect();
+        (!news.is_empty()).then_some(Reply::Changes(news, self.revision))
+    }
+
+    fn empty(&self, kind: Kind, at: u64) -> Reply {
+        match kind {
+            Kind::Replicas => Reply::Changes(Vec::new(), at),
+            Kind::Config => Reply::Config(None, at),
+        }
+    }
+}
+
+fn entry(number: usize) -> ReplicaEntry {
+    ReplicaEntry {
+        id: replica_id(number),
+        service: "model".to_owned(),
+        address: format!("10.0.0.{}:80", number + 1).parse().expect("an address"),
+        data_centre: "a".to_owned(),
+        slots: 8,
+        draining: false,
+        kind: "small".to_owned(),
+        layers: Some(LayerRange { from: 0, to: 10 }),
+    }
+}
