--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -121,14 +121,16 @@
 /// Writes a line where news changed something: with its revision, what was held before, and where it
 /// came from. Running streams then look at their paths.
 fn note_taken(relay: &Relay, taken: &TakenNews) {
-    if taken.is_older() {
-        count(&relay.counts.older_news);
-    }
     let TakenNews { id, address, layers, change, revision, held, source } = taken;
     let Some(address) = *address else { return };
     let layers = format!("{:?}", layers.map(|range| (range.from, range.to)));
     match change {
         FleetChange::Unchanged => return,
+        FleetChange::Older => {
+            count(&relay.counts.older_news);
+            tracing::debug!(event = "older-news", replica = id, revision, held, %source);
+            return;
+        }
         FleetChange::Joined => {
             tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers, revision, %source);
             return;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -64,11 +64,10 @@
     pub entry: Option<ReplicaEntry>,
 }
 
-/// Digest of one entry. Entries are combined by exclusive or, so order does not matter.
-fn replica_digest(replica: &ReplicaEntry) -> u64 {
-    let layers = replica.layers.map_or((0, 0), |range| (range.from, range.to));
-    let text = format!("{} {} {} {layers:?}", replica.id, replica.address, replica.draining);
-    hash_bytes(0, text.as_bytes())
+/// Digest of one entry. Entries are combined by exclusive or, so order does not matter. With the revision,
+/// two relays that hold the same digest hold what the store said at the same revisions.
+fn entry_digest(held: &HeldEntry) -> u64 {
+    hash_bytes(held.revision, held.entry.id.as_bytes())
 }
 
 /// What news changed for one replica.
@@ -86,6 +85,8 @@
     Updated,
     /// Nothing.
     Unchanged,
+    /// Nothing: the news is older than what is known, whoever passed it on.
+    Older,
 }
 
 /// An entry as it is held.
@@ -96,23 +97,49 @@
     taken: Millis,
 }
 
+/// Replicas that are gone whose last revisions are kept. News of one that is older comes from a process
+/// that stood still at most for minutes; 160 replicas are replaced on an ordinary day.
+const MOST_GONE: usize = 1_024;
+
 /// All replicas that are listed, by id.
+///
+/// Of two news of a replica the one of the higher revision counts, in whatever order and from whomever
+/// they come. So all relays that hear of the same news hold the same, and none goes back.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     replicas: BTreeMap<String, HeldEntry>,
+    /// Revisions at which replicas were gone.
+    gone: BTreeMap<String, u64>,
     digest: u64,
 }
 
 impl FleetView {
-    /// Takes news of a replica.
+    /// Takes news of a replica, where it is newer than what is known.
     pub fn take(&mut self, news: ReplicaNews, now: Millis) -> FleetChange {
+        if self.newest(&news.id).is_some_and(|known| news.revision < known) {
+            return FleetChange::Older;
+        }
         match news.entry {
             Some(entry) => self.insert(entry, news.revision, now),
-            None => self.remove(&news.id),
+            None => self.remove(news.id, news.revision),
         }
     }
 
+    /// Highest revision that is known of a replica, also of one that is gone.
+    fn newest(&self, id: &str) -> Option<u64> {
+        self.revision(id).max(self.gone.get(id).copied())
+    }
+
     fn insert(&mut self, entry: ReplicaEntry, revision: u64, now: Millis) -> FleetChange {
+        let is_over = self.gone.get(&entry.id).is_some_and(|gone| revision <= *gone);
+        let successor = |held: &HeldEntry| {
+            held.entry.address == entry.address
+                && held.entry.id != entry.id
+                && held.revision > revision
+        };
+        if is_over || self.replicas.values().any(successor) {
+            return FleetChange::Older;
+        }
         let change = match self.get(&entry.id) {
             None => FleetChange::Joined,
             Some(old) if *old == entry => FleetChange::Unchanged,
@@ -120,19 +147,31 @@
             Some(old) if old.draining && !entry.draining => FleetChange::Returned,
             Some(_) => FleetChange::Updated,
         };
-        self.digest ^= replica_digest(&entry);
+        self.gone.remove(&entry.id);
         let held = HeldEntry { entry, revision, taken: now };
+        self.digest ^= entry_digest(&held);
         let old = self.replicas.insert(held.entry.id.clone(), held);
-        self.digest ^= old.as_ref().map_or(0, |old| replica_digest(&old.entry));
+        self.digest ^= old.as_ref().map_or(0, entry_digest);
         change
     }
 
-    fn remove(&mut self, id: &str) -> FleetChange {
-        let Some(old) = self.replicas.remove(id) else { return FleetChange::Unchanged };
-        self.digest ^= replica_digest(&old.entry);
+    fn remove(&mut self, id: String, revision: u64) -> FleetChange {
+        let old = self.replicas.remove(&id);
+        self.note_gone(id, revision);
+        let Some(old) = old else { return FleetChange::Unchanged };
+        self.digest ^= entry_digest(&old);
         FleetChange::Gone
     }
 
+    fn note_gone(&mut self, id: String, revision: u64) {
+        self.gone.insert(id, revision);
+        if self.gone.len() > MOST_GONE {
+            let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.gone.remove(&id));
+        }
+    }
+
     /// Revision of what is held of a replica.
     pub fn revision(&self, id: &str) -> Option<u64> {
         self.replicas.get(id).map(|held| held.revision)
@@ -143,16 +182,19 @@
         self.replicas.get(id).map(|held| now.saturating_sub(held.taken))
     }
 
-    /// Other replicas that are listed at an address: earlier starts, which ended there.
+    /// Other replicas that are listed at an address: earlier starts, which ended there. A later start is
+    /// never among them, since no older entry is taken beside it.
     pub fn predecessors(&self, id: &str, address: SocketAddr) -> Vec<String> {
         let others = self.entries().filter(|other| other.address == address);
         others.filter(|other| other.id != id).map(|other| other.id.clone()).collect()
     }
 
-    /// Ids that are not among `listed`.
-    pub fn missing_from(&self, listed: &[ReplicaNews]) -> Vec<String> {
+    /// Ids that a list read at the revision `at` lacks. What is held at a higher revision was written after
+    /// it was read.
+    pub fn missing_from(&self, listed: &[ReplicaNews], at: u64) -> Vec<String> {
         let is_listed = |id: &String| listed.iter().any(|news| news.id == *id);
-        self.replicas.keys().filter(|id| !is_listed(id)).cloned().collect()
+        let older = self.replicas.iter().filter(|(_, held)| held.revision <= at);
+        older.map(|(id, _)| id).filter(|id| !is_listed(id)).cloned().collect()
     }
 
     /// Replica of that id.
--- a/crates/router/src/lapse.rs
+++ b/crates/router/src/lapse.rs
@@ -63,8 +63,16 @@
         self.awaited.contains_key(id)
     }
 
-    /// Notes an entry that is listed.
-    pub fn note_listed(&mut self, id: &str) {
+    /// Notes that an entry was listed at a revision: it is back where that is newer than the list that it
+    /// was missing from.
+    pub fn note_listed(&mut self, id: &str, revision: u64) {
+        if self.awaited.get(id).is_some_and(|entry| entry.missing_at < revision) {
+            self.awaited.remove(id);
+        }
+    }
+
+    /// Notes that an entry is gone.
+    pub fn note_gone(&mut self, id: &str) {
         self.awaited.remove(id);
     }
 
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -35,7 +35,7 @@
     Successor,
 }
 
-/// News that was taken over, with what it changed.
+/// News that came, with what it changed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TakenNews {
     /// Id of the replica.
@@ -54,13 +54,6 @@
     pub source: NewsSource,
 }
 
-impl TakenNews {
-    /// Whether it was older than what was held.
-    pub fn is_older(&self) -> bool {
-        self.held.is_some_and(|held| self.revision < held)
-    }
-}
-
 /// A whole list, as the store told it.
 #[derive(Clone, Debug)]
 pub struct FleetList {
@@ -106,7 +99,7 @@
     pub fn take_list(&mut self, list: FleetList, now: Millis) -> TakenList {
         let FleetList { listed, at } = list;
         let mut result = TakenList { passed: self.passed_by(&listed), ..TakenList::default() };
-        for id in self.view.missing_from(&listed) {
+        for id in self.view.missing_from(&listed, at) {
             match self.lapses.keeps(&id, at, now) {
                 true => result.awaited.push(id),
                 false => {
@@ -125,7 +118,7 @@
         with_held.filter(|(news, held)| held.is_none_or(|held| held < news.revision)).collect()
     }
 
-    /// Takes over news in order of arrival.
+    /// Takes over news; what is older than what is known changes nothing.
     pub fn take_all(
         &mut self,
         news: Vec<ReplicaNews>,
@@ -153,10 +146,12 @@
         let known = self.view.get(&id).map(|entry| entry.address);
         let address = news.entry.as_ref().map(|entry| entry.address).or(known);
         let held = self.view.revision(&id);
-        if news.entry.is_some() {
-            self.lapses.note_listed(&id);
-        }
         let change = self.view.take(news, now);
+        match change {
+            FleetChange::Older => {}
+            FleetChange::Gone => self.lapses.note_gone(&id),
+            _ => self.lapses.note_listed(&id, revision),
+        }
         TakenNews { id, address, layers, change, revision, held, source }
     }
 
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -210,7 +210,9 @@
     assert!(lapses.keeps("gone", 7, 4_000));
     assert!(lapses.keeps("back", 7, 4_000));
     lapses.note_answer(4_000);
-    lapses.note_listed("back");
+    lapses.note_listed("back", 7);
+    assert!(lapses.is_awaited("back"), "that was told before it was missing");
+    lapses.note_listed("back", 8);
     assert!(lapses.keeps("late", 8, 4_000 + LAPSE_GRACE - 1));
     assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE - 1), []);
     assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE), [("gone".to_owned(), 7)]);
