--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -134,7 +134,7 @@
         beliefs.config_lost = false;
     }
     if let Some(proved) = proofs.fleet {
-        beliefs.fleet.note_proof(proved, now);
+        beliefs.fleet.note_proof(proved);
     }
 }
 
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -11,6 +11,7 @@
     replicas::decode_replica,
 };
 use switchfold_router::{
+    Millis,
     fleet::{FleetChange, ReplicaNews},
     replicas::{FleetList, NewsSource, TakenList, TakenNews},
 };
@@ -18,8 +19,8 @@
 
 use crate::{counts::count, engines::answers, peers::tell_fleet, state::Relay};
 
-/// Takes over a whole list of the store.
-pub fn take_replica_list(relay: &Rc<Relay>, list: ObjectList) {
+/// Takes over a whole list of the store, sent for at `sent`.
+pub fn take_replica_list(relay: &Rc<Relay>, list: ObjectList, sent: Millis) {
     let at = list.at;
     let listed: Vec<ReplicaNews> = list.items.iter().filter_map(readable_news).collect();
     let is_first = relay.beliefs.borrow().fleet.view.is_empty();
@@ -28,7 +29,7 @@
     }
     let list = FleetList { listed, at };
     let TakenList { taken, awaited, passed } =
-        relay.beliefs.borrow_mut().fleet.take_list(list, now_millis());
+        relay.beliefs.borrow_mut().fleet.take_list(list, sent, now_millis());
     for (news, held) in passed {
         count(&relay.counts.passed_changes);
         tracing::warn!(
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -21,7 +21,7 @@
     follow::{CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, STORE_PATIENCE, StoreFollower},
 };
 use switchfold_store::StoreError;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
     counts::count,
@@ -30,17 +30,14 @@
     state::Relay,
 };
 
-/// Longest time that the store has for any answer.
-const MOST_PATIENCE: Duration = Duration::from_millis(REPLICA_TIMES.wait + STORE_PATIENCE);
-
 /// What is followed, and how its objects are taken over.
 struct Followed {
     kind: &'static str,
     times: FollowTimes,
-    take_list: fn(&Rc<Relay>, ObjectList),
+    take_list: fn(&Rc<Relay>, ObjectList, Millis),
     take_changes: fn(&Relay, Vec<ObjectChange>),
     prove: fn(&Relay, Millis, u64),
-    lose: fn(&Relay),
+    lose: fn(&Relay, Millis),
     is_covered: fn(&Relay, Millis) -> bool,
 }
 
@@ -49,7 +46,7 @@
     let followed = Followed {
         kind: CONFIG_KIND,
         times: CONFIG_TIMES,
-        take_list: |relay, list| list.items.iter().for_each(|item| take_config(relay, item)),
+        take_list: |relay, list, _| list.items.iter().for_each(|item| take_config(relay, item)),
         take_changes: |relay, changes| {
             let kept = changes.iter().filter(|change| !change.gone);
             kept.for_each(|change| take_config(relay, &change.object));
@@ -59,7 +56,7 @@
             beliefs.config_lease.prove(sent);
             beliefs.config_lost = false;
         },
-        lose: |relay| relay.beliefs.borrow_mut().config_lost = true,
+        lose: |relay, _| relay.beliefs.borrow_mut().config_lost = true,
         is_covered: |relay, now| {
             let beliefs = relay.beliefs.borrow();
             let version = beliefs.config.get().map_or(0, |config| config.version);
@@ -78,9 +75,9 @@
         take_list: take_replica_list,
         take_changes: take_replica_changes,
         prove: |relay, sent, at| {
-            relay.beliefs.borrow_mut().fleet.note_read(sent, at, now_millis());
+            relay.beliefs.borrow_mut().fleet.note_read(sent, at);
         },
-        lose: |relay| relay.beliefs.borrow_mut().fleet.note_lost(now_millis()),
+        lose: |relay, sent| relay.beliefs.borrow_mut().fleet.note_lost(sent),
         is_covered: |relay, now| {
             let RelaySettings { name, data_centre, .. } = &relay.settings;
             relay.beliefs.borrow().peers.covers_fleet(name, data_centre, now)
@@ -90,7 +87,10 @@
 }
 
 async fn follow(relay: Rc<Relay>, followed: Followed) {
-    let store = ObjectStore::new(&relay.settings.platform.to_string(), MOST_PATIENCE);
+    let FollowTimes { wait, list_patience, .. } = followed.times;
+    let platform = relay.settings.platform.to_string();
+    let lists = ObjectStore::new(&platform, Duration::from_millis(list_patience));
+    let watches = ObjectStore::new(&platform, Duration::from_millis(wait + STORE_PATIENCE));
     let seed = hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.as_bytes());
     let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
     let mut follower = StoreFollower::new(followed.times, backoff);
@@ -102,13 +102,8 @@
                 sleep(Duration::from_millis(pause)).await;
                 continue;
             }
-            FollowStep::List { patience } => {
-                within(patience, list_once(&relay, &store, &followed)).await
-            }
-            FollowStep::Watch { after, wait, patience } => {
-                let wait = Duration::from_millis(wait);
-                within(patience, watch_once(&relay, &store, &followed, after, wait)).await
-            }
+            FollowStep::List => list_once(&relay, &lists, &followed, sent).await,
+            FollowStep::Watch(after) => watch_once(&relay, &watches, &followed, after).await,
         };
         match outcome {
             Ok(at) => {
@@ -125,8 +120,8 @@
                 follower.note_gap();
             }
             Err(error) => {
-                (followed.lose)(&relay);
-                follower.note_failure(is_first_near(&relay));
+                (followed.lose)(&relay, sent);
+                follower.note_failure(now_millis() - sent);
                 if lost_at.is_none() {
                     lost_at = Some(sent);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
@@ -136,30 +131,17 @@
     }
 }
 
-/// Gives up a read that takes too long.
-async fn within(
-    patience: Millis,
-    read: impl Future<Output = Result<u64, StoreError>>,
-) -> Result<u64, StoreError> {
-    let late = |_| StoreError::Unavailable { detail: format!("no answer in {patience} ms") };
-    timeout(Duration::from_millis(patience), read).await.map_err(late)?
-}
-
-fn is_first_near(relay: &Relay) -> bool {
-    let RelaySettings { name, data_centre, .. } = &relay.settings;
-    relay.beliefs.borrow().peers.is_first_near(name, data_centre, now_millis())
-}
-
 async fn list_once(
     relay: &Rc<Relay>,
     store: &ObjectStore,
     followed: &Followed,
+    sent: Millis,
 ) -> Result<u64, StoreError> {
     count(&relay.counts.store_lists);
     let list = store.list(followed.kind, false).await?;
     let at = list.at;
     tracing::debug!(event = "store-read", kind = followed.kind, at, items = list.items.len());
-    (followed.take_list)(relay, list);
+    (followed.take_list)(relay, list, sent);
     Ok(at)
 }
 
@@ -168,9 +150,9 @@
     store: &ObjectStore,
     followed: &Followed,
     after: u64,
-    wait: Duration,
 ) -> Result<u64, StoreError> {
     count(&relay.counts.store_watches);
+    let wait = Duration::from_millis(followed.times.wait);
     let changes = store.watch(followed.kind, after, wait).await?;
     let (at, changed) = (changes.at, changes.events.len());
     tracing::debug!(event = "store-watched", kind = followed.kind, after, at, changed);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -12,25 +12,15 @@
 /// Time between two looks at whether another relay still follows for this one, in milliseconds.
 pub const COVER_EVERY: Millis = 100;
 
-/// What is done next; times in milliseconds.
+/// What is done next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FollowStep {
-    /// Nothing, for a while.
+    /// Nothing, for so many milliseconds.
     Rest(Millis),
     /// A list is read.
-    List {
-        /// Time that the store has for the answer.
-        patience: Millis,
-    },
+    List,
     /// Changes after a revision are waited for.
-    Watch {
-        /// The revision.
-        after: u64,
-        /// Time for which the store waits for one.
-        wait: Millis,
-        /// Time that the store has for the answer.
-        patience: Millis,
-    },
+    Watch(u64),
 }
 
 /// Times of a follower, in milliseconds.
@@ -38,21 +28,20 @@
 pub struct FollowTimes {
     /// Wait of a watch.
     pub wait: Millis,
-    /// Time that the store has for a list.
+    /// Time that the store has for each page of a list.
     pub list_patience: Millis,
     /// Pause after an answer that moved on, so that changes in series cost one call together.
     pub gather: Millis,
     /// Pause before the first read once another relay no longer follows for this one.
     pub gather_covered: Millis,
-    /// Longest pause between tries of a relay that follows for its data centre.
+    /// Longest time from one try to the next while the store does not answer.
     pub longest_pause: Millis,
-    /// The same for the others.
-    pub longest_pause_others: Millis,
 }
 
 /// Time that the store has for an answer beyond the wait asked of it, in milliseconds. It answers in 4 ms,
-/// and 60 times slower in a disruption.
-pub const STORE_PATIENCE: Millis = 800;
+/// and 60 times slower in a disruption. A call that is lost is given up then, so this is also how late the
+/// store's return may be noticed.
+pub const STORE_PATIENCE: Millis = 600;
 
 /// How the configuration is followed. A watch waits for a second: the lease is as old as two waits at
 /// most, which leaves half of the usual bound of 5 s on removed keys. A relay that hears of a newer
@@ -62,14 +51,13 @@
 
 /// How the list of replicas is followed. A leaving replica must be left alone within the 2 s that it goes
 /// on serving, also where a watch was cut without a word. A store that comes back is used again within
-/// half a second; relays that hear from another one ask less often, since refused calls have their price.
+/// half a second by every relay, whatever others in its data centre can reach.
 pub const REPLICA_TIMES: FollowTimes = FollowTimes {
     wait: 1_000,
-    list_patience: 1_000 + STORE_PATIENCE,
+    list_patience: STORE_PATIENCE,
     gather: 150,
     gather_covered: 0,
     longest_pause: 400,
-    longest_pause_others: 1_600,
 };
 
 /// Follows one kind of object.
@@ -110,11 +98,7 @@
                 return FollowStep::Rest(self.times.gather_covered);
             }
         }
-        let FollowTimes { wait, list_patience, .. } = self.times;
-        match self.revision {
-            None => FollowStep::List { patience: list_patience },
-            Some(after) => FollowStep::Watch { after, wait, patience: wait + STORE_PATIENCE },
-        }
+        self.revision.map_or(FollowStep::List, FollowStep::Watch)
     }
 
     /// Notes an answer that reached the revision `at`.
@@ -131,13 +115,12 @@
         self.revision = None;
     }
 
-    /// Notes a read without an answer; `is_first` tells whether this relay follows for its data centre. A
-    /// store that cuts a watch may have dropped its history, and says so to a new watch only when that
-    /// ends; a list tells at once what the watch did not.
-    pub fn note_failure(&mut self, is_first: bool) {
-        let FollowTimes { longest_pause, longest_pause_others, .. } = self.times;
-        let longest = if is_first { longest_pause } else { longest_pause_others };
+    /// Notes a read without an answer, given up `took` milliseconds after it was sent. A store that cuts a
+    /// watch may have dropped its history, and says so to a new watch only when that ends; a list tells at
+    /// once what the watch did not.
+    pub fn note_failure(&mut self, took: Millis) {
         self.revision = None;
-        self.pause = Some(self.backoff.next_wait().min(longest));
+        let pause = self.backoff.next_wait().min(self.times.longest_pause);
+        self.pause = Some(pause.saturating_sub(took));
     }
 }
--- a/crates/router/src/lapse.rs
+++ b/crates/router/src/lapse.rs
@@ -4,6 +4,10 @@
 //! seconds of its return. So a replica that is missing from the first list after an outage is kept for
 //! that long, and taken as gone only if it is still missing then. Whoever keeps one asks it as well: one
 //! that does not answer need not be waited for.
+//!
+//! What is kept is the entry as of before the outage: the replica may have said meanwhile that it
+//! leaves. So keeping ends by the earliest moment at which the store may have been back, which is when the last
+//! read without an answer was sent. An entry that comes back later than that joins anew.
 
 use std::collections::HashMap;
 
@@ -13,13 +17,19 @@
 /// a heartbeat of the three that they may miss.
 const LEAST_OUTAGE: Millis = 1_000;
 
-/// Time after the store's return for which a missing entry is waited for, in milliseconds.
-pub const LAPSE_GRACE: Millis = 2_300;
+/// Time after the first read that the store answered for which a missing entry is waited for, in
+/// milliseconds: the two seconds in which entries are back, and the way of their news.
+pub const LAPSE_GRACE: Millis = 2_100;
+
+/// Longest time after the last read without an answer was sent for which one is, in milliseconds: the
+/// least of the users' times after which a relay counts as in touch is 3 s, and whoever looks for overdue
+/// entries does so every 200 ms.
+pub const LONGEST_KEPT: Millis = 2_700;
 
 /// An entry that is waited for.
 #[derive(Clone, Copy, Debug)]
 struct AwaitedEntry {
-    since: Millis,
+    until: Millis,
     /// Revision of the list that it was missing from first.
     missing_at: u64,
 }
@@ -27,37 +37,48 @@
 /// Missing entries that are waited for.
 #[derive(Clone, Debug, Default)]
 pub struct LapseGrace {
+    /// When the first read without an answer was sent, while the store is away.
     lost: Option<Millis>,
+    /// When the last read without an answer was sent.
+    last_lost: Millis,
+    /// When the first read that was answered after an outage was sent.
     returned: Option<Millis>,
     awaited: HashMap<String, AwaitedEntry>,
 }
 
 impl LapseGrace {
-    /// Notes that the store does not answer.
-    pub fn note_lost(&mut self, now: Millis) {
-        self.lost = self.lost.or(Some(now));
+    /// Notes that a read sent at `sent` got no answer.
+    pub fn note_lost(&mut self, sent: Millis) {
+        self.lost = self.lost.or(Some(sent));
+        self.last_lost = sent;
     }
 
-    /// Notes that it does.
-    pub fn note_answer(&mut self, now: Millis) {
+    /// Notes that one did.
+    pub fn note_answer(&mut self, sent: Millis) {
         let Some(lost) = self.lost.take() else { return };
-        if now.saturating_sub(lost) >= LEAST_OUTAGE {
-            self.returned = Some(now);
+        if sent.saturating_sub(lost) >= LEAST_OUTAGE {
+            self.returned = Some(sent);
         }
     }
 
-    /// Whether an entry that is missing from a list read at the revision `at` is to be kept for now.
-    pub fn keeps(&mut self, id: &str, at: u64, now: Millis) -> bool {
-        let away = self.lost.is_some_and(|lost| now.saturating_sub(lost) >= LEAST_OUTAGE);
-        let returned = self.returned.is_some_and(|at| now.saturating_sub(at) < LAPSE_GRACE);
-        if away || returned {
-            self.awaited
-                .entry(id.to_owned())
-                .or_insert(AwaitedEntry { since: now, missing_at: at });
+    /// Whether an entry that is missing from a list, sent for at `sent` and read at the revision `at`, is to
+    /// be kept for now.
+    pub fn keeps(&mut self, id: &str, at: u64, sent: Millis) -> bool {
+        let away = self.lost.is_some_and(|lost| sent.saturating_sub(lost) >= LEAST_OUTAGE);
+        let returned = self.returned.filter(|returned| sent < self.kept_until(*returned));
+        if away || returned.is_some() {
+            let until = self.kept_until(returned.unwrap_or(sent));
+            let entry = AwaitedEntry { until, missing_at: at };
+            self.awaited.entry(id.to_owned()).or_insert(entry);
         }
         self.awaited.contains_key(id)
     }
 
+    /// Until when missing entries are kept, where the first answered read was sent at `returned`.
+    fn kept_until(&self, returned: Millis) -> Millis {
+        (returned + LAPSE_GRACE).min(self.last_lost + LONGEST_KEPT)
+    }
+
     /// Whether an entry is waited for.
     pub fn is_awaited(&self, id: &str) -> bool {
         self.awaited.contains_key(id)
@@ -79,8 +100,7 @@
     /// Takes the entries that have been missing for too long, with the revision of the list that each
     /// was missing from first.
     pub fn take_overdue(&mut self, now: Millis) -> Vec<(String, u64)> {
-        let overdue =
-            self.awaited.extract_if(|_, entry| now.saturating_sub(entry.since) >= LAPSE_GRACE);
+        let overdue = self.awaited.extract_if(|_, entry| now >= entry.until);
         overdue.map(|(id, entry)| (id, entry.missing_at)).collect()
     }
 }
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -95,12 +95,12 @@
 pub const TOLD_FLEET: Millis = 3_500;
 
 impl FleetBelief {
-    /// Takes over a whole list.
-    pub fn take_list(&mut self, list: FleetList, now: Millis) -> TakenList {
+    /// Takes over a whole list, sent for at `sent`.
+    pub fn take_list(&mut self, list: FleetList, sent: Millis, now: Millis) -> TakenList {
         let FleetList { listed, at } = list;
         let mut result = TakenList { passed: self.passed_by(&listed), ..TakenList::default() };
         for id in self.view.missing_from(&listed, at) {
-            match self.lapses.keeps(&id, at, now) {
+            match self.lapses.keeps(&id, at, sent) {
                 true => result.awaited.push(id),
                 false => {
                     let news = ReplicaNews { id, revision: at, entry: None };
@@ -156,22 +156,22 @@
     }
 
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
-    pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
+    pub fn note_read(&mut self, sent: Millis, at: u64) {
         self.watched = at;
-        self.note_proof(sent, now);
+        self.note_proof(sent);
     }
 
     /// Notes that the list held is as of `proved` at least, by a read or by another relay's word.
-    pub fn note_proof(&mut self, proved: Millis, now: Millis) {
+    pub fn note_proof(&mut self, proved: Millis) {
         self.lease.prove(proved);
         self.is_lost = false;
-        self.lapses.note_answer(now);
+        self.lapses.note_answer(proved);
     }
 
-    /// Notes a read without an answer.
-    pub fn note_lost(&mut self, now: Millis) {
+    /// Notes that a read sent at `sent` got no answer.
+    pub fn note_lost(&mut self, sent: Millis) {
         self.is_lost = true;
-        self.lapses.note_lost(now);
+        self.lapses.note_lost(sent);
     }
 
     /// Takes the news of replicas that were waited for too long: they are gone.
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -9,7 +9,7 @@
     Millis,
     access::ConfigSlot,
     fleet::ReplicaNews,
-    follow::{CONFIG_TIMES, FollowStep, REPLICA_TIMES, StoreFollower},
+    follow::{CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, StoreFollower},
     freshness::FreshnessLease,
     membership::{OwnState, PeerStamp, PeerState, PeerTable},
     replicas::{FleetBelief, NewsSource},
@@ -47,6 +47,7 @@
 
 struct Following {
     kind: Kind,
+    times: FollowTimes,
     follower: StoreFollower<ChaCha8Rng>,
     rests_until: Millis,
     call: Option<Call>,
@@ -80,7 +81,7 @@
             let seed = number as u64 * 2 + u64::from(kind == Kind::Config);
             let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
             let follower = StoreFollower::new(times, backoff);
-            Following { kind, follower, rests_until: 0, call: None }
+            Following { kind, times, follower, rests_until: 0, call: None }
         });
         Self {
             number,
@@ -142,7 +143,7 @@
                 Some((arrives, reply)) if arrives <= now => {
                     self.end_call(index, &call, reply, world.messages, now);
                 }
-                _ if now >= call.deadline() => self.fail(index, now),
+                _ if now >= call.deadline() => self.fail(index, call.sent, now),
                 _ => {
                     self.following[index].call = Some(call);
                     return;
@@ -157,8 +158,9 @@
         match self.following[index].follower.next_step(covered) {
             FollowStep::Rest(pause) => self.following[index].rests_until = now + pause,
             step => {
-                let relay = self.number;
-                let call = Call { relay, kind, step, sent: now, reply: None, is_lost: false };
+                let (relay, times) = (self.number, self.following[index].times);
+                let call =
+                    Call { relay, kind, times, step, sent: now, reply: None, is_lost: false };
                 self.following[index].call = Some(call);
             }
         }
@@ -172,12 +174,11 @@
         }
     }
 
-    fn fail(&mut self, index: usize, now: Millis) {
+    fn fail(&mut self, index: usize, sent: Millis, now: Millis) {
         if self.following[index].kind == Kind::Replicas {
-            self.fleet.note_lost(now);
+            self.fleet.note_lost(sent);
         }
-        let is_first = self.peers.is_first_near(self.name(), self.data_centre(), now);
-        self.following[index].follower.note_failure(is_first);
+        self.following[index].follower.note_failure(now - sent);
     }
 
     fn end_call(
@@ -189,11 +190,11 @@
         now: Millis,
     ) {
         let at = match reply {
-            Reply::Refused => return self.fail(index, now),
+            Reply::Refused => return self.fail(index, call.sent, now),
             Reply::Gap => return self.following[index].follower.note_gap(),
             Reply::List(list) => {
                 let at = list.at;
-                self.fleet.take_list(list, now);
+                self.fleet.take_list(list, call.sent, now);
                 at
             }
             Reply::Changes(news, at) => {
@@ -208,7 +209,7 @@
             }
         };
         match call.kind {
-            Kind::Replicas => self.fleet.note_read(call.sent, at, now),
+            Kind::Replicas => self.fleet.note_read(call.sent, at),
             Kind::Config => self.config_lease.prove(call.sent),
         }
         self.following[index].follower.note_answer(at);
@@ -248,7 +249,7 @@
             self.config_lease.prove(proved);
         }
         if let Some(proved) = proofs.fleet {
-            self.fleet.note_proof(proved, now);
+            self.fleet.note_proof(proved);
         }
     }
 
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -5,7 +5,7 @@
 use switchfold_router::{
     Millis,
     fleet::{LayerRange, ReplicaEntry, ReplicaNews},
-    follow::FollowStep,
+    follow::{FollowStep, FollowTimes, STORE_PATIENCE},
     replicas::FleetList,
 };
 
@@ -37,6 +37,7 @@
 pub(crate) struct Call {
     pub(crate) relay: usize,
     pub(crate) kind: Kind,
+    pub(crate) times: FollowTimes,
     pub(crate) step: FollowStep,
     pub(crate) sent: Millis,
     pub(crate) reply: Option<(Millis, Reply)>,
@@ -47,11 +48,11 @@
 impl Call {
     /// When the caller gives up.
     pub(crate) fn deadline(&self) -> Millis {
+        let FollowTimes { wait, list_patience, .. } = self.times;
         match self.step {
             FollowStep::Rest(_) => self.sent,
-            FollowStep::List { patience } | FollowStep::Watch { patience, .. } => {
-                self.sent + patience
-            }
+            FollowStep::List => self.sent + list_patience,
+            FollowStep::Watch(_) => self.sent + wait + STORE_PATIENCE,
         }
     }
 }
@@ -135,12 +136,12 @@
     }
 
     fn answer(&mut self, call: &Call, weather: &Weather<'_>, now: Millis) -> Option<Reply> {
-        let (after, wait) = match call.step {
+        let after = match call.step {
             FollowStep::Rest(_) => return None,
-            FollowStep::List { .. } => return Some(self.list(call.kind)),
-            FollowStep::Watch { after, wait, .. } => (after, wait),
+            FollowStep::List => return Some(self.list(call.kind)),
+            FollowStep::Watch(after) => after,
         };
-        let over = now >= call.sent + wait;
+        let over = now >= call.sent + call.times.wait;
         if weather.has(Trouble::Compaction) {
             // Nothing is heard, and the revision of nothing is not told.
             return over.then(|| self.empty(call.kind, after));
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -7,7 +7,7 @@
     access::ConfigSlot,
     budget::{BudgetConfig, RepeatBudget},
     freshness::{FreshnessLease, LEASE_MARGIN},
-    lapse::{LAPSE_GRACE, LapseGrace},
+    lapse::{LAPSE_GRACE, LONGEST_KEPT, LapseGrace},
     pace::{PACE_AGE, PaceTable},
     pipe::PipeShare,
     room::{PEER_AGE, RoomLedger},
@@ -207,14 +207,31 @@
     assert!(!lapses.keeps("calm", 1, 0));
     lapses.note_lost(1_000);
     assert!(!lapses.keeps("short", 1, 1_500));
+    lapses.note_lost(3_400);
     assert!(lapses.keeps("gone", 7, 4_000));
     assert!(lapses.keeps("back", 7, 4_000));
     lapses.note_answer(4_000);
     lapses.note_listed("back", 7);
     assert!(lapses.is_awaited("back"), "that was told before it was missing");
     lapses.note_listed("back", 8);
-    assert!(lapses.keeps("late", 8, 4_000 + LAPSE_GRACE - 1));
-    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE - 1), []);
-    assert_eq!(lapses.take_overdue(4_000 + LAPSE_GRACE), [("gone".to_owned(), 7)]);
-    assert!(!lapses.keeps("gone", 9, 4_000 + LAPSE_GRACE));
+    let end = 4_000 + LAPSE_GRACE;
+    assert!(lapses.keeps("late", 8, end - 1));
+    assert_eq!(lapses.take_overdue(end - 1), []);
+    let mut overdue = lapses.take_overdue(end);
+    overdue.sort();
+    assert_eq!(overdue, [("gone".to_owned(), 7), ("late".to_owned(), 8)]);
+    assert!(!lapses.keeps("gone", 9, end));
+}
+
+/// What is kept is as of before the outage, so keeping ends by the earliest moment at which the store may
+/// have been back: that at which the last read without an answer was sent.
+#[test]
+fn keeping_ends_by_the_earliest_return() {
+    let mut lapses = LapseGrace::default();
+    lapses.note_lost(1_000);
+    lapses.note_lost(2_500);
+    assert!(lapses.keeps("missing", 7, 4_100));
+    lapses.note_answer(4_100);
+    assert_eq!(lapses.take_overdue(2_500 + LONGEST_KEPT - 1), []);
+    assert_eq!(lapses.take_overdue(2_500 + LONGEST_KEPT), [("missing".to_owned(), 7)]);
 }
