--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -165,7 +165,7 @@
             ("replicas", beliefs.fleet.view.len() as u64),
             ("suspects", beliefs.suspects.current(now).count() as u64),
             ("live_relays", beliefs.peers.live(now) as u64),
-            ("config_version", beliefs.config.get().map_or(0, |config| config.version)),
+            ("config_version", beliefs.config_version()),
         ];
         for (name, value) in figures {
             self.figures.record(value, &[KeyValue::new("name", name)]);
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -36,12 +36,16 @@
     pub echo: Option<((u32, Millis), Millis)>,
     /// Whether its list of replicas is recent.
     pub fleet_is_fresh: bool,
+    /// Whether its last read of that list failed.
+    pub fleet_is_lost: bool,
     /// Age of its proof of that list.
     pub fleet_age: Option<Millis>,
     /// Digest of that list.
     pub fleet_digest: u64,
     /// Version of its configuration.
     pub config_version: u64,
+    /// Whether its last read of the configuration failed.
+    pub config_is_lost: bool,
     /// Age of its proof of the configuration.
     pub config_age: Option<Millis>,
     /// Room promised, by replica, in tokens times layers; nothing where this message leaves it out.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -109,6 +109,8 @@
 fn peer_state(news: &StateNews) -> PeerState {
     PeerState {
         fleet_is_fresh: news.fleet_is_fresh,
+        fleet_is_lost: news.fleet_is_lost,
+        config_is_lost: news.config_is_lost,
         fleet_digest: news.fleet_digest,
         config_version: news.config_version,
         config_age: news.config_age,
@@ -124,7 +126,7 @@
         name: &relay.settings.name,
         data_centre: &relay.settings.data_centre,
         incarnation: relay.incarnation,
-        config_version: beliefs.config.get().map_or(0, |config| config.version),
+        config_version: beliefs.config_version(),
         fleet_digest: beliefs.fleet.view.digest(),
     };
     let echo = news.echo.map(|((incarnation, time), held)| (PeerStamp { incarnation, time }, held));
@@ -208,9 +210,11 @@
         stamp: (relay.incarnation, now),
         echo: None,
         fleet_is_fresh,
+        fleet_is_lost: beliefs.fleet.is_lost(),
+        config_is_lost: beliefs.config_lost,
         fleet_age: beliefs.fleet.age(now),
         fleet_digest: beliefs.fleet.view.digest(),
-        config_version: beliefs.config.get().map_or(0, |config| config.version),
+        config_version: beliefs.config_version(),
         config_age: beliefs.config_lease.age(now),
         room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
         paces: paces.map(|(id, factor)| (id.to_owned(), (factor * 100.0) as u32)).collect(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -68,6 +68,13 @@
     pub peers: PeerTable,
 }
 
+impl Beliefs {
+    /// Version of the configuration in force, or 0.
+    pub fn config_version(&self) -> u64 {
+        self.config.get().map_or(0, |config| config.version)
+    }
+}
+
 /// State of a part of a running request's path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PartState {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     counts::count,
+    peers::tell_state,
     replicas::{take_replica_changes, take_replica_list},
     settings::RelaySettings,
     state::Relay,
@@ -39,6 +40,7 @@
     prove: fn(&Relay, Millis, u64),
     lose: fn(&Relay, Millis),
     is_covered: fn(&Relay, Millis) -> bool,
+    hears_newer: fn(&Relay, Millis) -> bool,
 }
 
 /// Follows the configuration for good.
@@ -59,9 +61,13 @@
         lose: |relay, _| relay.beliefs.borrow_mut().config_lost = true,
         is_covered: |relay, now| {
             let beliefs = relay.beliefs.borrow();
-            let version = beliefs.config.get().map_or(0, |config| config.version);
             let RelaySettings { name, data_centre, .. } = &relay.settings;
-            beliefs.peers.covers_config(name, data_centre, version, now)
+            beliefs.peers.covers_config(name, data_centre, beliefs.config_version(), now)
+        },
+        hears_newer: |relay, now| {
+            let beliefs = relay.beliefs.borrow();
+            let RelaySettings { name, data_centre, .. } = &relay.settings;
+            beliefs.peers.hears_newer_config(name, data_centre, beliefs.config_version(), now)
         },
     };
     follow(relay, followed).await;
@@ -82,6 +88,7 @@
             let RelaySettings { name, data_centre, .. } = &relay.settings;
             relay.beliefs.borrow().peers.covers_fleet(name, data_centre, now)
         },
+        hears_newer: |_, _| false,
     };
     follow(relay, followed).await;
 }
@@ -97,7 +104,9 @@
     let mut lost_at: Option<Millis> = None;
     loop {
         let sent = now_millis();
-        let outcome = match follower.next_step((followed.is_covered)(&relay, sent)) {
+        let is_covered = (followed.is_covered)(&relay, sent);
+        let hears_newer = (followed.hears_newer)(&relay, sent);
+        let outcome = match follower.next_step(is_covered, hears_newer) {
             FollowStep::Rest(pause) => {
                 sleep(Duration::from_millis(pause)).await;
                 continue;
@@ -124,6 +133,8 @@
                 follower.note_failure(now_millis() - sent);
                 if lost_at.is_none() {
                     lost_at = Some(sent);
+                    // Those that this relay follows for read for themselves from now on.
+                    tell_state(&relay, false, false);
                     tracing::warn!(event = "store-lost", kind = followed.kind, %error);
                 }
             }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -32,7 +32,7 @@
     pub list_patience: Millis,
     /// Pause after an answer that moved on, so that changes in series cost one call together.
     pub gather: Millis,
-    /// Pause before the first read once another relay no longer follows for this one.
+    /// Pause of a relay for which another one follows before it reads something newer that it hears of.
     pub gather_covered: Millis,
     /// Longest time from one try to the next while the store does not answer.
     pub longest_pause: Millis,
@@ -82,8 +82,9 @@
         self.revision
     }
 
-    /// What to do next; `is_covered` tells whether another relay follows for this one.
-    pub fn next_step(&mut self, is_covered: bool) -> FollowStep {
+    /// What to do next; `is_covered` tells whether another relay follows for this one, `hears_newer` whether
+    /// one tells of something newer, which more may follow.
+    pub fn next_step(&mut self, is_covered: bool, hears_newer: bool) -> FollowStep {
         if let Some(pause) = self.pause.take() {
             return FollowStep::Rest(pause);
         }
@@ -94,7 +95,7 @@
         }
         if self.is_covered {
             self.is_covered = false;
-            if self.times.gather_covered > 0 {
+            if hears_newer && self.times.gather_covered > 0 {
                 return FollowStep::Rest(self.times.gather_covered);
             }
         }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -17,9 +17,11 @@
 /// Silence after which a relay is taken for gone, in milliseconds: three messages in a row were lost.
 pub const PEER_SILENCE: Millis = 1_600;
 
-/// Age up to which what a peer proved spares a relay its own reads, in milliseconds. A peer's proof is
-/// one to two waits of a second old, plus the time between two messages.
-pub const FOLLOWED_AGE: Millis = 2_400;
+/// Age up to which what a peer proved spares a relay its own reads, in milliseconds. A proof is up to a wait
+/// of a second, a pause of 150 ms and the time between two messages old, 1,350 ms; above that one more message may
+/// be lost. Below, the least of the users' bounds on old state is 2 s: a tenth of a second passes until
+/// the age is looked at, and the read itself takes its time.
+pub const FOLLOWED_AGE: Millis = 1_600;
 
 /// Age of its own proof of the configuration from which a relay leaves new callers to others that have a
 /// younger one, in milliseconds: above what a relay has that others follow the store for, and a second
@@ -47,8 +49,12 @@
 pub struct PeerState {
     /// Whether its list of replicas is recent.
     pub fleet_is_fresh: bool,
+    /// Whether its last read of that list failed: it follows for nobody.
+    pub fleet_is_lost: bool,
     /// Digest of its list of replicas.
     pub fleet_digest: u64,
+    /// Whether its last read of the configuration failed.
+    pub config_is_lost: bool,
     /// Version of its configuration.
     pub config_version: u64,
     /// Age of its proof of the configuration, in milliseconds; nothing where it has none.
@@ -220,20 +226,33 @@
     }
 
     /// Whether another relay of the data centre follows the configuration for this one, which has
-    /// `version`.
+    /// `version`. One that says that it lost the store ends that at once, whatever it proved before.
     pub fn covers_config(&self, own: &str, data_centre: &str, version: u64, now: Millis) -> bool {
-        let proved = is_recent(self.config_proof, now);
-        let newer =
-            self.earlier(own, data_centre, now).any(|peer| peer.state.config_version > version);
-        proved && !newer && self.earlier(own, data_centre, now).next().is_some()
+        let newer = self.hears_newer_config(own, data_centre, version, now);
+        let mut followed =
+            self.earlier(own, data_centre, now).filter(|peer| !peer.state.config_is_lost);
+        is_recent(self.config_proof, now) && !newer && followed.next().is_some()
     }
 
-    /// Whether another relay of the data centre follows the list of replicas for this one.
+    /// Whether a relay of the data centre that may follow for this one has a newer configuration.
+    pub fn hears_newer_config(
+        &self,
+        own: &str,
+        data_centre: &str,
+        version: u64,
+        now: Millis,
+    ) -> bool {
+        self.earlier(own, data_centre, now).any(|peer| peer.state.config_version > version)
+    }
+
+    /// Whether another relay of the data centre follows the list of replicas for this one; as
+    /// [`PeerTable::covers_config`].
     pub fn covers_fleet(&self, own: &str, data_centre: &str, now: Millis) -> bool {
         let same = self.digest_differs_since.is_none_or(|since| now - since < DIGEST_GRACE);
+        let mut followed = self.earlier(own, data_centre, now);
         is_recent(self.fleet_proof, now)
             && same
-            && self.earlier(own, data_centre, now).any(|peer| peer.state.fleet_is_fresh)
+            && followed.any(|peer| peer.state.fleet_is_fresh && !peer.state.fleet_is_lost)
     }
 
     /// Compares this relay's list of replicas with that of the one that it follows; tells whether they
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -190,6 +190,11 @@
         self.lease.age(now)
     }
 
+    /// Whether the last word of the store, by an own read or another relay's, was none.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
     /// Whether the list is recent, as far as can be told.
     pub fn is_fresh(&self, now: Millis) -> bool {
         let most = if self.is_lost { TOLD_FLEET } else { FRESH_FLEET };
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -25,6 +25,7 @@
 fn change() -> impl Strategy<Value = Change> {
     prop_oneof![
         2 => (0..REPLICAS - 1).prop_map(Change::Leave),
+        1 => (0..REPLICAS - 1).prop_map(Change::Vanish),
         1 => (0..REPLICAS).prop_map(Change::Reload),
         2 => Just(Change::Configure),
     ]
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -13,7 +13,9 @@
         table.learn(name, "10.0.0.1:7000".parse().expect("address"), data_centre, now);
         let state = PeerState {
             fleet_is_fresh: true,
+            fleet_is_lost: false,
             fleet_digest: 7,
+            config_is_lost: false,
             config_version: 3,
             config_age: Some(500),
             fleet_age: Some(500),
@@ -135,3 +137,27 @@
     assert!(peers.should_step_aside(LOST_ASIDE_AGE, true, silent), "it is cut off from all");
     assert!(!peers.should_step_aside(STEP_ASIDE_AGE, false, silent), "the store answers it");
 }
+
+/// What covers a follower ends with the word of the one that it follows, not when its last proof is old.
+#[test]
+fn a_relay_that_lost_the_store_covers_nobody() {
+    let now = 10_000;
+    let lost = |fleet_is_lost, config_is_lost| PeerState {
+        fleet_is_fresh: true,
+        fleet_is_lost,
+        config_is_lost,
+        ..PeerState::default()
+    };
+    let mut peers = table(&[("a", "x")], now);
+    peers.prove(Some(now), Some(now));
+    peers.hear("a", lost(false, true), PeerStamp::default(), now);
+    assert!(!peers.covers_config("c", "x", 3, now));
+    assert!(peers.covers_fleet("c", "x", now), "each kind is followed for itself");
+    peers.hear("a", lost(true, false), PeerStamp::default(), now);
+    assert!(!peers.covers_fleet("c", "x", now));
+    assert!(peers.covers_config("c", "x", 3, now));
+    let next = "b";
+    peers.learn(next, "10.0.0.2:7000".parse().expect("address"), "x", now);
+    peers.hear(next, lost(false, false), PeerStamp::default(), now);
+    assert!(peers.covers_fleet("c", "x", now), "the next one follows");
+}
--- a/crates/router/tests/model/mod.rs
+++ b/crates/router/tests/model/mod.rs
@@ -73,6 +73,8 @@
 pub(crate) enum Change {
     /// A replica says that it leaves.
     Leave(usize),
+    /// A replica's entry goes without a word, and it serves on for a while.
+    Vanish(usize),
     /// A replica holds other layers.
     Reload(usize),
     /// The operator writes a version of the configuration.
@@ -222,7 +224,12 @@
                         self.left[number] = Some((now, weather.is_stable()));
                     }
                 }
-                Change::Leave(_) => {}
+                Change::Vanish(number) if self.left[number].is_none() => {
+                    if self.store.remove(number) {
+                        self.left[number] = Some((now, weather.is_stable()));
+                    }
+                }
+                Change::Leave(_) | Change::Vanish(_) => {}
                 Change::Reload(number) => {
                     self.store.update(number, |entry| {
                         let from = entry.layers.map_or(0, |range| (range.from + 1) % 70);
@@ -245,11 +252,11 @@
             let end = one.at + one.lasts;
             if one.lasts > LAPSE && now / TICK == (one.at + LAPSE) / TICK {
                 for number in 0..REPLICAS {
-                    self.store.remove(number);
                     // Some are back soon, some late; replicas that leave need not be back at all.
                     let back = end + BACK * (number as Millis * 2 + 1) / (2 * REPLICAS as Millis);
                     let stays_away = self.left[number].is_some() && number.is_multiple_of(2);
-                    self.back_at[number] = (!stays_away).then_some(back);
+                    let comes_back = self.store.remove(number) || self.back_at[number].is_some();
+                    self.back_at[number] = (comes_back && !stays_away).then_some(back);
                 }
             }
         }
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -59,6 +59,7 @@
     fleet: FleetBelief,
     config: ConfigSlot<u64>,
     config_lease: FreshnessLease,
+    config_is_lost: bool,
     peers: PeerTable,
     following: Vec<Following>,
     next_tell: Millis,
@@ -88,6 +89,7 @@
             fleet: FleetBelief::default(),
             config: ConfigSlot::new(),
             config_lease: FreshnessLease::default(),
+            config_is_lost: false,
             peers,
             following: following.into(),
             next_tell: number as Millis * 40,
@@ -143,7 +145,7 @@
                 Some((arrives, reply)) if arrives <= now => {
                     self.end_call(index, &call, reply, world.messages, now);
                 }
-                _ if now >= call.deadline() => self.fail(index, call.sent, now),
+                _ if now >= call.deadline() => self.fail(index, call.sent, world.messages, now),
                 _ => {
                     self.following[index].call = Some(call);
                     return;
@@ -155,7 +157,8 @@
         }
         let kind = self.following[index].kind;
         let covered = self.is_covered(kind, now);
-        match self.following[index].follower.next_step(covered) {
+        let newer = kind == Kind::Config && self.hears_newer(now);
+        match self.following[index].follower.next_step(covered, newer) {
             FollowStep::Rest(pause) => self.following[index].rests_until = now + pause,
             step => {
                 let (relay, times) = (self.number, self.following[index].times);
@@ -174,9 +177,22 @@
         }
     }
 
-    fn fail(&mut self, index: usize, sent: Millis, now: Millis) {
-        if self.following[index].kind == Kind::Replicas {
-            self.fleet.note_lost(sent);
+    fn hears_newer(&self, now: Millis) -> bool {
+        let (name, data_centre) = (self.name(), self.data_centre());
+        self.peers.hears_newer_config(name, data_centre, self.config_version(), now)
+    }
+
+    fn fail(&mut self, index: usize, sent: Millis, messages: &mut Vec<Message>, now: Millis) {
+        let first = match self.following[index].kind {
+            Kind::Replicas => {
+                let first = !self.fleet.is_lost();
+                self.fleet.note_lost(sent);
+                first
+            }
+            Kind::Config => !std::mem::replace(&mut self.config_is_lost, true),
+        };
+        if first {
+            self.tell_state(messages, now);
         }
         self.following[index].follower.note_failure(now - sent);
     }
@@ -190,7 +206,7 @@
         now: Millis,
     ) {
         let at = match reply {
-            Reply::Refused => return self.fail(index, call.sent, now),
+            Reply::Refused => return self.fail(index, call.sent, messages, now),
             Reply::Gap => return self.following[index].follower.note_gap(),
             Reply::List(list) => {
                 let at = list.at;
@@ -210,7 +226,10 @@
         };
         match call.kind {
             Kind::Replicas => self.fleet.note_read(call.sent, at),
-            Kind::Config => self.config_lease.prove(call.sent),
+            Kind::Config => {
+                self.config_lease.prove(call.sent);
+                self.config_is_lost = false;
+            }
         }
         self.following[index].follower.note_answer(at);
     }
@@ -247,6 +266,7 @@
         let proofs = self.peers.read_proofs(own, state, echo, now);
         if let Some(proved) = proofs.config {
             self.config_lease.prove(proved);
+            self.config_is_lost = false;
         }
         if let Some(proved) = proofs.fleet {
             self.fleet.note_proof(proved);
@@ -281,6 +301,8 @@
     fn tell_state(&self, messages: &mut Vec<Message>, now: Millis) {
         let state = PeerState {
             fleet_is_fresh: self.fleet.is_fresh(now),
+            fleet_is_lost: self.fleet.is_lost(),
+            config_is_lost: self.config_is_lost,
             fleet_digest: self.fleet.view.digest(),
             config_version: self.config_version(),
             config_age: self.config_lease.age(now),
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -100,12 +100,14 @@
         self.note(number, Some(entry));
     }
 
-    /// Removes a replica's entry.
-    pub(crate) fn remove(&mut self, number: usize) {
-        if self.entries.remove(&number).is_some() {
+    /// Removes a replica's entry; tells whether it was listed.
+    pub(crate) fn remove(&mut self, number: usize) -> bool {
+        let listed = self.entries.remove(&number).is_some();
+        if listed {
             self.revision += 1;
             self.note(number, None);
         }
+        listed
     }
 
     /// Writes a newer configuration.
