--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -29,6 +29,8 @@
     pub store_watches: Cell<u64>,
     /// News of a replica that was older than what was held of it.
     pub older_news: Cell<u64>,
+    /// Messages of other relays that were overtaken by later ones.
+    pub older_states: Cell<u64>,
     /// Replicas that were leaving, and by later news were not.
     pub returned: Cell<u64>,
     /// Changes that a list told and that a watch had passed by.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -158,6 +158,7 @@
             ("store_lists", counts.store_lists.get()),
             ("store_watches", counts.store_watches.get()),
             ("older_news", counts.older_news.get()),
+            ("older_states", counts.older_states.get()),
             ("returned", counts.returned.get()),
             ("passed_changes", counts.passed_changes.get()),
             ("in_flight", relay.stop.in_flight() as u64),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    counts::count,
     news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
     replicas::{drop_lapsed, take_news},
     state::Relay,
@@ -82,7 +83,11 @@
         let beliefs = &mut *guard;
         beliefs.peers.learn(&news.name, from, &news.data_centre, now);
         let (incarnation, time) = news.stamp;
-        beliefs.peers.hear(&news.name, state, PeerStamp { incarnation, time }, now);
+        let stamp = PeerStamp { incarnation, time };
+        if !beliefs.peers.hear(&news.name, state, stamp, now) {
+            count(&relay.counts.older_states);
+            return;
+        }
         if let Some(room) = &news.room {
             let room = room.iter().map(|(id, amount)| (id.clone(), f64::from(*amount)));
             beliefs.room.hear(&news.name, room.collect(), now);
@@ -202,7 +207,7 @@
     let mut beliefs = relay.beliefs.borrow_mut();
     beliefs.room.forget(now);
     let room = beliefs.room.own().iter();
-    let suspects = beliefs.suspects.current(now);
+    let suspects = beliefs.suspects.own(now);
     let paces = beliefs.paces.asked(now);
     StateNews {
         name: relay.settings.name.clone(),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -206,6 +206,7 @@
         store_lists,
         store_watches,
         older_news,
+        older_states,
         returned,
         passed_changes,
     } = &relay.counts;
@@ -223,6 +224,7 @@
         store_lists = store_lists.get(),
         store_watches = store_watches.get(),
         older_news = older_news.get(),
+        older_states = older_states.get(),
         returned = returned.get(),
         passed_changes = passed_changes.get(),
         in_flight = relay.stop.in_flight(),
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -44,6 +44,14 @@
     pub time: Millis,
 }
 
+impl PeerStamp {
+    /// Whether it was made before another one of the same start. Stamps of two starts have no order; a
+    /// relay that is heard again soon sets that right.
+    fn is_before(self, other: Self) -> bool {
+        self.incarnation == other.incarnation && self.time < other.time
+    }
+}
+
 /// What a relay says of itself.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeerState {
@@ -158,13 +166,17 @@
         self.peers.remove(name);
     }
 
-    /// Notes a message of a relay that was learnt.
-    pub fn hear(&mut self, name: &str, state: PeerState, stamp: PeerStamp, now: Millis) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.heard = Some(now);
-            peer.state = state;
-            peer.last_stamp = Some((stamp, now));
+    /// Notes a message of a relay that was learnt; tells whether it was news. One that was stamped before
+    /// another that came earlier was overtaken on its way, and says nothing of now.
+    pub fn hear(&mut self, name: &str, state: PeerState, stamp: PeerStamp, now: Millis) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        if peer.last_stamp.is_some_and(|(last, _)| stamp.is_before(last)) {
+            return false;
         }
+        peer.heard = Some(now);
+        peer.state = state;
+        peer.last_stamp = Some((stamp, now));
+        true
     }
 
     /// Newest stamp of a relay, and how long it has been held.
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -70,6 +70,13 @@
         self.suspicions.get(id).is_some_and(|suspicion| suspicion.own && now < suspicion.until)
     }
 
+    /// Suspicions in force for failures that this entry saw itself, as [`SuspectList::current`]: what it only
+    /// heard is not its to repeat. Each way takes its time, so entries that repeat each other's would keep
+    /// a suspicion for longer than any of them meant.
+    pub fn own(&self, now: Millis) -> impl Iterator<Item = (&str, Millis)> {
+        self.current(now).filter(move |(id, _)| self.is_own(id, now))
+    }
+
     /// Suspicions in force: ids, with the milliseconds that they still last.
     pub fn current(&self, now: Millis) -> impl Iterator<Item = (&str, Millis)> {
         let all = self.suspicions.iter();
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -161,3 +161,18 @@
     peers.hear(next, lost(false, false), PeerStamp::default(), now);
     assert!(peers.covers_fleet("c", "x", now), "the next one follows");
 }
+
+/// A message that another one overtook does not bring back what its sender said before.
+#[test]
+fn an_overtaken_message_is_no_news() {
+    let now = 10_000;
+    let mut peers = table(&[("a", "x")], now);
+    let at = |incarnation, time| PeerStamp { incarnation, time };
+    let version = |config_version| PeerState { config_version, ..PeerState::default() };
+    assert!(peers.hear("a", version(5), at(1, 700), now));
+    assert!(!peers.hear("a", version(4), at(1, 500), now));
+    assert!(peers.hears_newer_config("b", "x", 4, now));
+    assert!(peers.hear("a", version(4), at(2, 100), now), "it started again");
+    assert!(!peers.hears_newer_config("b", "x", 4, now));
+    assert!(!peers.hear("unknown", version(9), at(1, 1), now));
+}
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -235,3 +235,33 @@
     assert_eq!(lapses.take_overdue(2_500 + LONGEST_KEPT - 1), []);
     assert_eq!(lapses.take_overdue(2_500 + LONGEST_KEPT), [("missing".to_owned(), 7)]);
 }
+
+proptest! {
+    /// Entries that tell each other their suspicions keep one no longer than whoever saw the failure, and
+    /// the way of its message.
+    #[test]
+    fn a_suspicion_ends_everywhere(delays in prop::collection::vec(1u64..900, 30)) {
+        const TELL_EVERY: u64 = 200;
+        const LONGEST_WAY: u64 = 900;
+        let mut entries = vec![SuspectList::default(); 3];
+        entries[0].note_failure("x", 0);
+        let mut on_the_way: Vec<(u64, usize, u64)> = Vec::new();
+        for (round, delay) in (0u64..).zip(&delays) {
+            let now = round * TELL_EVERY;
+            for (_, to, lasts) in on_the_way.extract_if(.., |(arrives, ..)| *arrives <= now) {
+                if !entries[to].is_suspect("x", now) {
+                    entries[to].take_over("x", now + lasts);
+                }
+            }
+            for from in 0..entries.len() {
+                let told: Vec<u64> = entries[from].own(now).map(|(_, lasts)| lasts).collect();
+                let others = (0..entries.len()).filter(|to| *to != from);
+                let sent = others.flat_map(|to| told.iter().map(move |lasts| (now + delay, to, *lasts)));
+                on_the_way.extend(sent);
+            }
+            let over = now > FIRST_TIME_OUT + LONGEST_WAY + TELL_EVERY;
+            let kept = entries.iter().any(|entry| entry.is_suspect("x", now));
+            prop_assert!(!(over && kept), "still suspected at {}", now);
+        }
+    }
+}
