--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -22,7 +22,8 @@
 /// Takes over a whole list of the store, sent for at `sent`.
 pub fn take_replica_list(relay: &Rc<Relay>, list: ObjectList, sent: Millis) {
     let at = list.at;
-    let listed: Vec<ReplicaNews> = list.items.iter().filter_map(readable_news).collect();
+    let listed: Vec<ReplicaNews> =
+        list.items.iter().filter_map(|item| read_news(relay, item)).collect();
     let is_first = relay.beliefs.borrow().fleet.view.is_empty();
     if is_first {
         tracing::info!(event = "replicas-listed", count = listed.len(), at);
@@ -82,7 +83,7 @@
 
 /// Takes over what a watch of the store told, and tells the relays of the data centre.
 pub fn take_replica_changes(relay: &Relay, changes: Vec<ObjectChange>) {
-    let news = changes.into_iter().filter_map(change_news).collect();
+    let news = changes.into_iter().filter_map(|change| change_news(relay, change)).collect();
     tell_and_take(relay, news, NewsSource::Watch);
 }
 
@@ -93,14 +94,14 @@
     }
 }
 
-fn change_news(change: ObjectChange) -> Option<ReplicaNews> {
+fn change_news(relay: &Relay, change: ObjectChange) -> Option<ReplicaNews> {
     match change.gone {
         true => Some(gone(change.object.metadata.name, change.object.metadata.revision)),
-        false => readable_news(&change.object),
+        false => read_news(relay, &change.object),
     }
 }
 
-fn readable_news(object: &ListedObject) -> Option<ReplicaNews> {
+fn read_news(relay: &Relay, object: &ListedObject) -> Option<ReplicaNews> {
     let ObjectMetadata { name, revision } = &object.metadata;
     match decode_replica(name, &object.spec) {
         Ok(entry) => {
@@ -108,7 +109,7 @@
         }
         Err(error) => {
             tracing::error!(event = "replica-unreadable", replica = name, revision, %error);
-            None
+            relay.beliefs.borrow().fleet.unreadable(name, *revision)
         }
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -48,6 +48,8 @@
     pub config_lease: FreshnessLease,
     /// Whether the last read of the configuration failed.
     pub config_lost: bool,
+    /// Whether the newest configuration could not be read, so that none proves the one in force.
+    pub config_unreadable: bool,
     /// The replicas.
     pub fleet: FleetBelief,
     /// Memory for requests promised at each replica.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -55,7 +55,9 @@
         },
         prove: |relay, sent, _| {
             let mut beliefs = relay.beliefs.borrow_mut();
-            beliefs.config_lease.prove(sent);
+            if !beliefs.config_unreadable {
+                beliefs.config_lease.prove(sent);
+            }
             beliefs.config_lost = false;
         },
         lose: |relay, _| relay.beliefs.borrow_mut().config_lost = true,
@@ -176,22 +178,29 @@
         return;
     }
     let current = relay.config().map_or(0, |config| config.version);
-    match decode_version(&object.spec) {
-        Ok(version) if version <= current => return,
-        Ok(_) => {}
-        Err(error) => {
-            tracing::error!(event = "config-unreadable", %error, revision = object.metadata.revision);
+    let decoded = match decode_version(&object.spec) {
+        Ok(version) if version <= current => {
+            // What is in force stands in the store again.
+            relay.beliefs.borrow_mut().config_unreadable &= version < current;
             return;
         }
-    }
-    let config = match decode_config(&object.spec) {
+        Ok(_) => decode_config(&object.spec),
+        Err(error) => Err(error),
+    };
+    let revision = object.metadata.revision;
+    let config = match decoded {
         Ok(config) => Rc::new(config),
         Err(error) => {
-            tracing::error!(event = "config-unreadable", %error, revision = object.metadata.revision);
+            relay.beliefs.borrow_mut().config_unreadable = true;
+            tracing::error!(event = "config-unreadable", %error, revision);
             return;
         }
     };
     let (version, routes) = (config.version, config.route_count());
-    relay.beliefs.borrow_mut().config.merge(version, config);
-    tracing::info!(event = "config-taken", version, routes, revision = object.metadata.revision);
+    {
+        let mut beliefs = relay.beliefs.borrow_mut();
+        beliefs.config.merge(version, config);
+        beliefs.config_unreadable = false;
+    }
+    tracing::info!(event = "config-taken", version, routes, revision);
 }
--- a/crates/relay/tests/plain.rs
+++ b/crates/relay/tests/plain.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -13,6 +14,7 @@
 use harness::{RunningRelay, bounds, call, listed, request, run_test, wait_until};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use serde_json::{Value, json};
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
     engine::REPORT_PATH,
@@ -23,6 +25,7 @@
     samples::{self, KEY, ORGANISATION, desk_entry, draining},
     short_answer, surplus_answer,
 };
+use switchfold_relay::settings::BoundSettings;
 use tokio::time::sleep;
 
 type Script = fn(&SeenRequest) -> Reply;
@@ -221,8 +224,7 @@
         run_test(async move {
             let replica = StandinReplica::start(well).await;
             // A lease of half a second.
-            let bounds = harness::bounds();
-            let bounds = switchfold_relay::settings::BoundSettings { revoke_ms: 3_800, ..bounds };
+            let bounds = BoundSettings { revoke_ms: 3_800, ..bounds() };
             let relay = RunningRelay::start(bounds, &[listed("i-1", &replica, desk_entry)]).await;
             relay.store.set_mood(mood);
             wait_until(async || {
@@ -297,28 +299,56 @@
 
 #[test]
 fn a_leaving_replica_gets_nothing_more() {
+    run_test(async { gets_nothing_more(|address| draining(desk_entry(address))).await });
+}
+
+/// What cannot be read may say that the replica leaves.
+#[test]
+fn a_replica_whose_entry_cannot_be_read_gets_nothing_more() {
+    run_test(async { gets_nothing_more(|_| json!({"service": 4})).await });
+}
+
+/// Changes the entry of one of two replicas, after which that one must be left alone.
+async fn gets_nothing_more(changed: fn(SocketAddr) -> Value) {
+    let leaves = StandinReplica::start(well).await;
+    let stays = StandinReplica::start(well).await;
+    let entries = [listed("i-1", &leaves, desk_entry), listed("i-2", &stays, desk_entry)];
+    let relay = RunningRelay::start(bounds(), &entries).await;
+    relay.store.put(REPLICA_KIND, "i-1", changed(leaves.address()));
+    let mut number = 0;
+    wait_until(async || {
+        // Until the relay knows, either may be asked; then only the one that stays is.
+        let before = leaves.seen().len();
+        for _ in 0..6 {
+            number += 1;
+            relay.get("/safe/a", &format!("a{number}")).await;
+        }
+        leaves.seen().len() == before
+    })
+    .await;
+    let before = leaves.seen().len();
+    for id in 0..20 {
+        assert_eq!(relay.get("/safe/a", &format!("b{id}")).await.status, StatusCode::OK);
+    }
+    assert_eq!(leaves.seen().len(), before);
+}
+
+/// A configuration that cannot be read may have taken a key away: the lease on keys ends, and begins
+/// again with one that can be read.
+#[test]
+fn keys_are_refused_while_the_configuration_cannot_be_read() {
     run_test(async {
-        let leaves = StandinReplica::start(well).await;
-        let stays = StandinReplica::start(well).await;
-        let entries = [listed("i-1", &leaves, desk_entry), listed("i-2", &stays, desk_entry)];
-        let relay = RunningRelay::start(bounds(), &entries).await;
-        relay.store.put(REPLICA_KIND, "i-1", draining(desk_entry(leaves.address())));
-        let mut number = 0;
+        let replica = StandinReplica::start(well).await;
+        let bounds = BoundSettings { revoke_ms: 3_800, ..bounds() };
+        let relay = RunningRelay::start(bounds, &[listed("i-1", &replica, desk_entry)]).await;
+        relay.store.put(CONFIG_KIND, CONFIG_NAME, json!({"version": 2, "routes": 7}));
         wait_until(async || {
-            // Until the relay knows, either may be asked; then only the one that stays is.
-            let before = leaves.seen().len();
-            for _ in 0..6 {
-                number += 1;
-                relay.get("/safe/a", &format!("a{number}")).await;
-            }
-            leaves.seen().len() == before
+            relay.get("/safe/a", "a").await.status == StatusCode::SERVICE_UNAVAILABLE
         })
         .await;
-        let before = leaves.seen().len();
-        for id in 0..20 {
-            assert_eq!(relay.get("/safe/a", &format!("b{id}")).await.status, StatusCode::OK);
-        }
-        assert_eq!(leaves.seen().len(), before);
+        let next = samples::config(3, &harness::ROUTES, &[KEY]);
+        relay.store.put(CONFIG_KIND, CONFIG_NAME, next);
+        wait_until(async || relay.get("/safe/a", "b").await.status == StatusCode::OK).await;
     });
 }
 
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -155,6 +155,14 @@
         TakenNews { id, address, layers, change, revision, held, source }
     }
 
+    /// News of a replica whose entry cannot be read: it may say that the replica leaves, so it is taken so.
+    /// Nothing where the replica is not known; it is not used then.
+    pub fn unreadable(&self, id: &str, revision: u64) -> Option<ReplicaNews> {
+        let mut entry = self.view.get(id)?.clone();
+        entry.draining = true;
+        Some(ReplicaNews { id: id.to_owned(), revision, entry: Some(entry) })
+    }
+
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
     pub fn note_read(&mut self, sent: Millis, at: u64) {
         self.watched = at;
