Relay: news of many replicas goes in several datagrams

A datagram above 60,000 bytes was dropped without a word: some 600 changes at once, far from today's lists, not from the 2,200 replicas to design for.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -41,6 +41,10 @@
 /// Pause before this relay's address is written again where that failed.
 const REGISTER_AGAIN: Duration = Duration::from_millis(500);
 
+/// Most replicas that one datagram tells of: an entry takes some 100 bytes, and small datagrams are lost
+/// less often.
+const MOST_RECORDS: usize = 64;
+
 /// Largest datagram that is read.
 const MOST_DATAGRAM: usize = 60_000;
 
@@ -153,11 +157,13 @@
 /// Tells the relays of the data centre of replicas that changed.
 pub fn tell_fleet(relay: &Relay, changes: Vec<ReplicaNews>) {
     let beliefs = relay.beliefs.borrow();
-    let news = FleetNews { changes: changes.into_iter().map(ReplicaRecord::from).collect() };
-    let datagram = PeerMessage::Fleet(news).encode();
-    for (_, address, _) in near_peers(relay, &beliefs.peers) {
-        // A relay that misses this sees another digest in the next state.
-        let _lost = relay.peer_socket.try_send_to(&datagram, address);
+    let records: Vec<ReplicaRecord> = changes.into_iter().map(ReplicaRecord::from).collect();
+    for part in records.chunks(MOST_RECORDS) {
+        let datagram = PeerMessage::Fleet(FleetNews { changes: part.to_vec() }).encode();
+        for (_, address, _) in near_peers(relay, &beliefs.peers) {
+            // A relay that misses this sees another digest in the next state.
+            let _lost = relay.peer_socket.try_send_to(&datagram, address);
+        }
     }
 }
 
