--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// State of the sender, told regularly.
-    State(StateNews),
+    State(Box<StateNews>),
     /// Replicas that changed, told at once within a data centre.
     Fleet(FleetNews),
 }
@@ -40,6 +40,8 @@
     pub fleet_is_lost: bool,
     /// Age of its proof of that list.
     pub fleet_age: Option<Millis>,
+    /// Time since the store last answered for it.
+    pub fleet_answer_age: Option<Millis>,
     /// Digest of that list.
     pub fleet_digest: u64,
     /// Version of its configuration.
@@ -48,6 +50,8 @@
     pub config_is_lost: bool,
     /// Age of its proof of the configuration.
     pub config_age: Option<Millis>,
+    /// Time since the store last answered for it.
+    pub config_answer_age: Option<Millis>,
     /// Room promised, by replica, in tokens times layers; nothing where this message leaves it out.
     pub room: Option<Vec<(String, u32)>>,
     /// Replicas kept away from, with the milliseconds that it still lasts.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -124,6 +124,8 @@
         config_version: news.config_version,
         config_age: news.config_age,
         fleet_age: news.fleet_age,
+        config_answer_age: news.config_answer_age,
+        fleet_answer_age: news.fleet_answer_age,
     }
 }
 
@@ -140,13 +142,14 @@
     };
     let echo = news.echo.map(|((incarnation, time), held)| (PeerStamp { incarnation, time }, held));
     let proofs = beliefs.peers.read_proofs(own, state, echo, now);
-    if let Some(proved) = proofs.config {
+    if let Some(answered) = proofs.config.answered {
+        beliefs.config_lease.note_answer(answered);
+    }
+    if let Some(proved) = proofs.config.proved {
         beliefs.config_lease.prove(proved);
         beliefs.config_lost = false;
     }
-    if let Some(proved) = proofs.fleet {
-        beliefs.fleet.note_proof(proved);
-    }
+    beliefs.fleet.note_proof(proofs.fleet);
 }
 
 fn take_fleet(relay: &Relay, news: FleetNews, from: SocketAddr) {
@@ -202,7 +205,7 @@
         } else if !far_room {
             news.room = None;
         }
-        let datagram = PeerMessage::State(news).encode();
+        let datagram = PeerMessage::State(Box::new(news)).encode();
         // A peer that cannot be reached now is told again soon.
         let _lost = relay.peer_socket.try_send_to(&datagram, address);
     }
@@ -224,9 +227,11 @@
         fleet_is_lost: beliefs.fleet.is_lost(),
         config_is_lost: beliefs.config_lost,
         fleet_age: beliefs.fleet.age(now),
+        fleet_answer_age: beliefs.fleet.answer_age(now),
         fleet_digest: beliefs.fleet.view.digest(),
         config_version: beliefs.config_version(),
         config_age: beliefs.config_lease.age(now),
+        config_answer_age: beliefs.config_lease.answer_age(now),
         room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
         paces: paces.map(|(id, factor)| (id.to_owned(), (factor * 100.0) as u32)).collect(),
         suspects: suspects.map(|(id, left)| (id.to_owned(), left as u32)).collect(),
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -57,6 +57,7 @@
             let mut beliefs = relay.beliefs.borrow_mut();
             if !beliefs.config_unreadable {
                 beliefs.config_lease.prove(sent);
+                beliefs.config_lease.note_answer(now_millis());
             }
             beliefs.config_lost = false;
         },
@@ -83,7 +84,7 @@
         take_list: take_replica_list,
         take_changes: take_replica_changes,
         prove: |relay, sent, at| {
-            relay.beliefs.borrow_mut().fleet.note_read(sent, at);
+            relay.beliefs.borrow_mut().fleet.note_read(sent, at, now_millis());
         },
         lose: |relay, sent| relay.beliefs.borrow_mut().fleet.note_lost(sent),
         is_covered: |relay, now| {
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -399,7 +399,7 @@
             suspects: vec![("i-1".to_owned(), 2_000)],
             ..StateNews::default()
         };
-        let datagram = PeerMessage::State(news).encode();
+        let datagram = PeerMessage::State(Box::new(news)).encode();
         let telling = async {
             wait_until(async || !replica.seen().is_empty()).await;
             let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -11,10 +11,11 @@
 /// second before it drops its history, and half a second for the request to reach the replica.
 pub const LEASE_MARGIN: Millis = 1_500;
 
-/// When the configuration was last proved to be in force.
+/// When the configuration was last proved to be in force, and when the store last answered for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FreshnessLease {
     proved: Option<Millis>,
+    answered: Option<Millis>,
 }
 
 impl FreshnessLease {
@@ -23,6 +24,17 @@
         self.proved = self.proved.max(Some(sent));
     }
 
+    /// Notes that the store answered at `now`.
+    pub fn note_answer(&mut self, now: Millis) {
+        self.answered = self.answered.max(Some(now));
+    }
+
+    /// Time since the store last answered, in milliseconds: a sign that it is there, which a read sent
+    /// long before proves as well; what was proved says how old the state may be.
+    pub fn answer_age(&self, now: Millis) -> Option<Millis> {
+        self.answered.map(|answered| now.saturating_sub(answered))
+    }
+
     /// Whether keys may be let in under a bound of `bound` milliseconds.
     pub fn holds(&self, bound: Millis, now: Millis) -> bool {
         let most = bound.saturating_sub(LEASE_MARGIN);
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -17,10 +17,10 @@
 /// Silence after which a relay is taken for gone, in milliseconds: three messages in a row were lost.
 pub const PEER_SILENCE: Millis = 1_600;
 
-/// Age up to which what a peer proved spares a relay its own reads, in milliseconds. A proof is up to a wait
-/// of a second, a pause of 150 ms and the time between two messages old, 1,350 ms; above that one more message may
-/// be lost. Below, the least of the users' bounds on old state is 2 s: a tenth of a second passes until
-/// the age is looked at, and the read itself takes its time.
+/// Time since another relay's last answer of the store up to which it spares a relay its own reads, in
+/// milliseconds. The one that follows has an answer every wait of a second and pause of 150 ms, and tells it
+/// within 200 ms; that leaves one message to be lost. The least of the users' bounds on old state is 2 s: a tenth
+/// of a second passes until the age is looked at, and the read itself takes its time.
 pub const FOLLOWED_AGE: Millis = 1_600;
 
 /// Age of its own proof of the configuration from which a relay leaves new callers to others that have a
@@ -69,6 +69,11 @@
     pub config_age: Option<Millis>,
     /// Age of its proof of its list of replicas, in milliseconds; nothing where it has none.
     pub fleet_age: Option<Millis>,
+    /// Time since the store last answered for the configuration, to it or to one that it follows, in
+    /// milliseconds.
+    pub config_answer_age: Option<Millis>,
+    /// The same for the list of replicas.
+    pub fleet_answer_age: Option<Millis>,
 }
 
 /// What a relay holds itself, to be compared with what another one proves.
@@ -86,13 +91,22 @@
     pub fleet_digest: u64,
 }
 
-/// Times, by a relay's own clock, as of which another one proved what it holds itself.
+/// Times, by a relay's own clock, that another one proves of something that both hold alike.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerProof {
+    /// As of when it held.
+    pub proved: Option<Millis>,
+    /// When the store last answered for it.
+    pub answered: Option<Millis>,
+}
+
+/// What a message of another relay proves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeerProofs {
     /// Of the configuration.
-    pub config: Option<Millis>,
+    pub config: PeerProof,
     /// Of the list of replicas.
-    pub fleet: Option<Millis>,
+    pub fleet: PeerProof,
 }
 
 #[derive(Clone, Debug)]
@@ -109,8 +123,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<String, Peer>,
-    config_proof: Option<Millis>,
-    fleet_proof: Option<Millis>,
+    config_answered: Option<Millis>,
+    fleet_answered: Option<Millis>,
     digest_differs_since: Option<Millis>,
 }
 
@@ -196,20 +210,24 @@
     ) -> PeerProofs {
         self.compare_digest(own.name, own.data_centre, own.fleet_digest, now);
         let Some((stamp, held)) = echo else { return PeerProofs::default() };
-        let proof = |age| proof_time(stamp, own.incarnation, held, age);
-        let config = state.config_age.and_then(proof);
-        let config = config.filter(|_| own.config_version >= state.config_version);
-        let fleet = state.fleet_age.and_then(proof);
-        let same_fleet = state.fleet_is_fresh && own.fleet_digest == state.fleet_digest;
-        let fleet = fleet.filter(|_| same_fleet);
-        self.prove(config, fleet);
-        PeerProofs { config, fleet }
+        let time = |age: Option<Millis>| proof_time(stamp, own.incarnation, held, age?);
+        let mut proofs = PeerProofs::default();
+        if own.config_version >= state.config_version {
+            let (proved, answered) = (time(state.config_age), time(state.config_answer_age));
+            proofs.config = PeerProof { proved, answered };
+        }
+        if state.fleet_is_fresh && own.fleet_digest == state.fleet_digest {
+            let (proved, answered) = (time(state.fleet_age), time(state.fleet_answer_age));
+            proofs.fleet = PeerProof { proved, answered };
+        }
+        self.note_answers(proofs.config.answered, proofs.fleet.answered);
+        proofs
     }
 
-    /// Notes what a peer proved of the configuration and the list of replicas.
-    pub fn prove(&mut self, config: Option<Millis>, fleet: Option<Millis>) {
-        self.config_proof = self.config_proof.max(config);
-        self.fleet_proof = self.fleet_proof.max(fleet);
+    /// Notes when the store answered another relay for the configuration and for the list of replicas.
+    pub fn note_answers(&mut self, config: Option<Millis>, fleet: Option<Millis>) {
+        self.config_answered = self.config_answered.max(config);
+        self.fleet_answered = self.fleet_answered.max(fleet);
     }
 
     /// Relays to tell, with whether each is in the data centre given.
@@ -243,7 +261,7 @@
         let newer = self.hears_newer_config(own, data_centre, version, now);
         let mut followed =
             self.earlier(own, data_centre, now).filter(|peer| !peer.state.config_is_lost);
-        is_recent(self.config_proof, now) && !newer && followed.next().is_some()
+        is_recent(self.config_answered, now) && !newer && followed.next().is_some()
     }
 
     /// Whether a relay of the data centre that may follow for this one has a newer configuration.
@@ -262,7 +280,7 @@
     pub fn covers_fleet(&self, own: &str, data_centre: &str, now: Millis) -> bool {
         let same = self.digest_differs_since.is_none_or(|since| now - since < DIGEST_GRACE);
         let mut followed = self.earlier(own, data_centre, now);
-        is_recent(self.fleet_proof, now)
+        is_recent(self.fleet_answered, now)
             && same
             && followed.any(|peer| peer.state.fleet_is_fresh && !peer.state.fleet_is_lost)
     }
@@ -328,8 +346,8 @@
 /// lost message shows in the next two.
 const DIGEST_GRACE: Millis = 500;
 
-fn is_recent(proof: Option<Millis>, now: Millis) -> bool {
-    proof.is_some_and(|proof| now.saturating_sub(proof) < FOLLOWED_AGE)
+fn is_recent(answered: Option<Millis>, now: Millis) -> bool {
+    answered.is_some_and(|answered| now.saturating_sub(answered) < FOLLOWED_AGE)
 }
 
 impl Peer {
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -13,6 +13,7 @@
     fleet::{FleetChange, FleetView, LayerRange, ReplicaNews},
     freshness::FreshnessLease,
     lapse::LapseGrace,
+    membership::PeerProof,
 };
 
 /// Where news of a replica came from.
@@ -164,18 +165,25 @@
     }
 
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
-    pub fn note_read(&mut self, sent: Millis, at: u64) {
+    pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
         self.watched = at;
-        self.note_proof(sent);
+        self.note_proof(PeerProof { proved: Some(sent), answered: Some(now) });
     }
 
-    /// Notes that the list held is as of `proved` at least, by a read or by another relay's word.
-    pub fn note_proof(&mut self, proved: Millis) {
+    /// Notes how recent the list held is, by a read or by another relay's word.
+    pub fn note_proof(&mut self, proof: PeerProof) {
+        proof.answered.into_iter().for_each(|answered| self.lease.note_answer(answered));
+        let Some(proved) = proof.proved else { return };
         self.lease.prove(proved);
         self.is_lost = false;
         self.lapses.note_answer(proved);
     }
 
+    /// Time since the store last answered for the list, in milliseconds.
+    pub fn answer_age(&self, now: Millis) -> Option<Millis> {
+        self.lease.answer_age(now)
+    }
+
     /// Notes that a read sent at `sent` got no answer.
     pub fn note_lost(&mut self, sent: Millis) {
         self.is_lost = true;
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -19,6 +19,8 @@
             config_version: 3,
             config_age: Some(500),
             fleet_age: Some(500),
+            config_answer_age: Some(100),
+            fleet_answer_age: Some(100),
         };
         table.hear(name, state, PeerStamp::default(), now);
     }
@@ -61,19 +63,19 @@
 fn one_relay_follows_for_a_data_centre() {
     let now = 10_000;
     let mut first = table(&[("b", "x"), ("c", "y")], now);
-    first.prove(Some(now), Some(now));
+    first.note_answers(Some(now), Some(now));
     assert!(!first.covers_config("a", "x", 3, now));
     assert!(!first.covers_fleet("a", "x", now));
     let mut second = table(&[("a", "x"), ("c", "y")], now);
     assert!(!second.covers_config("b", "x", 3, now), "nothing proved yet");
-    second.prove(Some(now), Some(now));
+    second.note_answers(Some(now), Some(now));
     assert!(second.covers_config("b", "x", 3, now));
     assert!(second.covers_fleet("b", "x", now));
     assert!(!second.covers_config("b", "x", 2, now), "the other has a newer version");
     assert!(!second.covers_config("b", "x", 3, now + FOLLOWED_AGE), "the proof is old");
     assert!(!second.covers_fleet("b", "x", now + PEER_SILENCE), "the other is silent");
     let mut other = table(&[("a", "y")], now);
-    other.prove(Some(now), Some(now));
+    other.note_answers(Some(now), Some(now));
     assert!(!other.covers_config("b", "x", 3, now), "it is in another data centre");
 }
 
@@ -81,7 +83,7 @@
 fn lists_that_stay_different_end_the_cover() {
     let now = 10_000;
     let mut table = table(&[("a", "x")], now);
-    table.prove(Some(now), Some(now));
+    table.note_answers(Some(now), Some(now));
     assert!(!table.compare_digest("b", "x", 8, now));
     assert!(table.covers_fleet("b", "x", now + 100), "a change may be on its way");
     assert!(!table.compare_digest("b", "x", 8, now + 600));
@@ -149,7 +151,7 @@
         ..PeerState::default()
     };
     let mut peers = table(&[("a", "x")], now);
-    peers.prove(Some(now), Some(now));
+    peers.note_answers(Some(now), Some(now));
     peers.hear("a", lost(false, true), PeerStamp::default(), now);
     assert!(!peers.covers_config("c", "x", 3, now));
     assert!(peers.covers_fleet("c", "x", now), "each kind is followed for itself");
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -225,9 +225,10 @@
             }
         };
         match call.kind {
-            Kind::Replicas => self.fleet.note_read(call.sent, at),
+            Kind::Replicas => self.fleet.note_read(call.sent, at, now),
             Kind::Config => {
                 self.config_lease.prove(call.sent);
+                self.config_lease.note_answer(now);
                 self.config_is_lost = false;
             }
         }
@@ -264,13 +265,14 @@
             fleet_digest: self.fleet.view.digest(),
         };
         let proofs = self.peers.read_proofs(own, state, echo, now);
-        if let Some(proved) = proofs.config {
+        if let Some(answered) = proofs.config.answered {
+            self.config_lease.note_answer(answered);
+        }
+        if let Some(proved) = proofs.config.proved {
             self.config_lease.prove(proved);
             self.config_is_lost = false;
         }
-        if let Some(proved) = proofs.fleet {
-            self.fleet.note_proof(proved);
-        }
+        self.fleet.note_proof(proofs.fleet);
     }
 
     fn tell_and_take(
@@ -307,6 +309,8 @@
             config_version: self.config_version(),
             config_age: self.config_lease.age(now),
             fleet_age: self.fleet.age(now),
+            config_answer_age: self.config_lease.answer_age(now),
+            fleet_answer_age: self.fleet.answer_age(now),
         };
         let stamp = PeerStamp { incarnation: self.number as u32, time: now };
         for to in self.near() {
