Soak: a leaving that a data centre's relays do not hear of; leavings are held against each relay by itself

Now it counts what the users count: the store stable when it took the leaving, the sending relay in touch when it sends. Faults name what they harm. Each run ends with a leaving while the relays of a data centre are turned away and an outage in which the entry lapses; replicas of odd numbers serve on for 8 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -20,9 +20,6 @@
 /// Time for which a leaving replica may get requests, in microseconds.
 pub const DRAIN_TIME: Micros = 2_000_000;
 
-/// Time after a fault for which time bounds do not count, in microseconds.
-pub const CONTACT_TIME: Micros = 3_000_000;
-
 /// Most memory of a relay, in KB.
 pub const MOST_MEMORY_KB: u64 = 128 * 1_024;
 
@@ -218,11 +215,19 @@
     violations
 }
 
+/// A leaving replica is left alone by each relay that is in touch when it sends, whatever was before: one
+/// that did not hear of it must know once it is back in touch.
 fn check_leaving(history: &RunHistory) -> Vec<Violation> {
+    let relays: HashMap<&str, usize> =
+        history.calls.iter().map(|call| (call.id.as_str(), call.relay)).collect();
     let mut violations = Vec::new();
     for (replica, at) in &history.leaving {
         let late = history.runs.iter().filter(|run| {
-            run.replica == *replica && run.at > at + DRAIN_TIME && history.is_calm(*at, run.at)
+            let relay = relays.get(run.id.as_str());
+            run.replica == *replica
+                && run.at > at + DRAIN_TIME
+                && history.is_store_stable(*at)
+                && relay.is_some_and(|relay| history.is_in_touch(*relay, run.at))
         });
         violations.extend(late.map(|run| {
             let after_ms = (run.at - at) / 1_000;
@@ -242,12 +247,3 @@
     let lost = lost.then(|| broken(Promise::Recovery, format!("{served} of {calls} served")));
     odd.chain(large).chain(lost).collect()
 }
-
-impl RunHistory {
-    /// Whether no fault was near a time span; planned work may have been.
-    fn is_calm(&self, from: Micros, to: Micros) -> bool {
-        let faults = self.disruptions.iter().filter(|one| one.kind == DisruptionKind::Fault);
-        let mut near = faults.filter(|one| one.from <= to && from <= one.to + CONTACT_TIME);
-        near.next().is_none()
-    }
-}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -112,10 +112,31 @@
     PlannedStop(usize),
     /// Planned work of another sort: a change of the configuration, a replica that leaves.
     PlannedWork,
+    /// A fault of one relay, or of its way to the store, by number.
+    RelayFault(usize),
+    /// A fault of the store.
+    StoreFault,
     /// Anything else.
     Fault,
 }
 
+impl DisruptionKind {
+    /// Whether it is a fault, of whatever.
+    pub fn is_fault(self) -> bool {
+        !matches!(self, Self::PlannedStop(_) | Self::PlannedWork)
+    }
+
+    /// Whether the store cannot be relied on meanwhile.
+    fn harms_store(self) -> bool {
+        matches!(self, Self::StoreFault | Self::Fault)
+    }
+
+    /// Whether a relay cannot be relied on meanwhile.
+    fn harms_relay(self, relay: usize) -> bool {
+        self.harms_store() || [Self::RelayFault(relay), Self::PlannedStop(relay)].contains(&self)
+    }
+}
+
 /// A time span with a disruption.
 #[derive(Clone, Copy, Debug)]
 pub struct Disruption {
@@ -147,3 +168,29 @@
     /// Calls made after all faults were over, and how many of them succeeded.
     pub after_faults: (usize, usize),
 }
+
+impl RunHistory {
+    /// Whether no fault was near a time span; planned work may have been.
+    pub fn is_calm(&self, from: Micros, to: Micros) -> bool {
+        !self.any_near(from, to, DisruptionKind::is_fault)
+    }
+
+    /// Whether the store had been well for the contact time.
+    pub fn is_store_stable(&self, at: Micros) -> bool {
+        !self.any_near(at, at, DisruptionKind::harms_store)
+    }
+
+    /// Whether a relay and its way to the store had been well for the contact time.
+    pub fn is_in_touch(&self, relay: usize, at: Micros) -> bool {
+        !self.any_near(at, at, |kind| kind.harms_relay(relay))
+    }
+
+    fn any_near(&self, from: Micros, to: Micros, counts: impl Fn(DisruptionKind) -> bool) -> bool {
+        let counted = self.disruptions.iter().filter(|one| counts(one.kind));
+        let mut near = counted.filter(|one| one.from <= to && from <= one.to + CONTACT_TIME);
+        near.next().is_some()
+    }
+}
+
+/// Time after a fault for which time bounds do not count, in microseconds.
+pub const CONTACT_TIME: Micros = 3_000_000;
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -43,7 +43,13 @@
 const FAILS_ONE_IN: usize = 19;
 
 /// Time that a leaving replica serves on after the store has it.
-const LINGER: Duration = Duration::from_millis(2_600);
+pub const LINGER: Duration = Duration::from_millis(2_600);
+
+/// The same of a replica that stays for long.
+pub const LONG_LINGER: Duration = Duration::from_millis(8_000);
+
+/// Time after its leaving for which a replica keeps its entry alive.
+const SILENT_AFTER: Duration = Duration::from_millis(600);
 
 /// Time that the store has for an answer.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
@@ -75,6 +81,9 @@
     /// Its data centre.
     #[arg(long)]
     pub data_centre: String,
+    /// Time that it serves on after the store has taken that it leaves, in milliseconds.
+    #[arg(long)]
+    pub linger_ms: u64,
 }
 
 /// First line that a replica writes: where it listens.
@@ -99,7 +108,12 @@
     let store = ObjectStore::new(&arguments.store.to_string(), STORE_PATIENCE);
     let mut told: Option<Instant> = None;
     let mut leaves = false;
-    while told.is_none_or(|told| told.elapsed() < LINGER) {
+    let linger = Duration::from_millis(arguments.linger_ms);
+    while told.is_none_or(|told| told.elapsed() < linger) {
+        if told.is_some_and(|told| told.elapsed() > SILENT_AFTER) {
+            sleep(HEARTBEAT).await;
+            continue;
+        }
         let entry = entry(&arguments, &engine, leaves);
         let written = store.replace(REPLICA_KIND, &arguments.id, &entry).await;
         if leaves && told.is_none() && written.is_ok() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use nix::sys::signal::Signal;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_kernel::clock::epoch_micros;
 use switchfold_platform_standin::{StoreMood, samples::ORGANISATION};
@@ -61,6 +61,8 @@
         .collect();
     let plan = make_plan(seed, &shape, length);
     inject(&site, &plan, length).await;
+    sleep(CALM_TIME).await;
+    leave_unheard(&site, seed).await;
     sleep(RECOVERY_TIME).await;
     let counted_from = epoch_micros();
     sleep(COUNTED_TIME).await;
@@ -138,7 +140,7 @@
     let down = lasts.max(LEAST_DOWN);
     match planned.fault {
         Fault::KillRelay(number) => {
-            site.note_disruption(DisruptionKind::Fault, down + START_TIME);
+            site.note_disruption(DisruptionKind::RelayFault(number), down + START_TIME);
             site.kill_relay(number, down);
         }
         Fault::KillRelays => {
@@ -151,7 +153,7 @@
             site.stop_relay(number);
         }
         Fault::PauseRelay(number) => {
-            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.note_disruption(DisruptionKind::RelayFault(number), lasts);
             site.signal_relay(number, Signal::SIGSTOP);
             sleep(lasts).await;
             site.signal_relay(number, Signal::SIGCONT);
@@ -181,7 +183,7 @@
             site.replica_link(number).set_mood(LinkMood::Well);
         }
         Fault::DisturbStore(number, mood) => {
-            site.note_disruption(DisruptionKind::Fault, lasts);
+            site.note_disruption(DisruptionKind::RelayFault(number), lasts);
             site.store_link(number).set_mood(mood);
             sleep(lasts).await;
             site.store_link(number).set_mood(LinkMood::Well);
@@ -189,7 +191,7 @@
         Fault::StoreBusy => disturb_store(&site, StoreMood::Busy, lasts).await,
         Fault::StoreSilent => disturb_store(&site, StoreMood::Silent, lasts).await,
         Fault::StoreForgets => {
-            site.note_disruption(DisruptionKind::Fault, Duration::ZERO);
+            site.note_disruption(DisruptionKind::StoreFault, Duration::ZERO);
             site.store().compact();
         }
         Fault::NewVersion => {
@@ -204,8 +206,37 @@
 }
 
 async fn disturb_store(site: &SoakSite, mood: StoreMood, lasts: Duration) {
-    site.note_disruption(DisruptionKind::Fault, lasts);
+    site.note_disruption(DisruptionKind::StoreFault, lasts);
     site.store().set_mood(mood);
     sleep(lasts).await;
     site.store().set_mood(StoreMood::Well);
 }
+
+/// Time after the drawn faults until all relays are in touch again, and the store is stable.
+const CALM_TIME: Duration = Duration::from_millis(3_500);
+
+/// Time from the relays' loss of the store to a replica's leaving, and from that to the store's loss for all:
+/// a replica says within a heartbeat that it leaves.
+const UNHEARD_STEP: Duration = Duration::from_millis(500);
+
+/// Time for which the store is then away for all: entries lapse after three heartbeats.
+const UNHEARD_OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// Lets a replica leave while the relays of a data centre are turned away by the store, and its entry lapse in
+/// an outage before they are back: they must know once they are in touch. Replicas of odd numbers serve on for
+/// long.
+async fn leave_unheard(site: &SoakSite, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let relays = site.relays_beside(random.random_range(0..site.relay_count()));
+    let replica = random.random_range(0..site.replica_count() / 2) * 2 + 1;
+    let lasts = UNHEARD_STEP * 2 + UNHEARD_OUTAGE;
+    for relay in &relays {
+        site.note_disruption(DisruptionKind::RelayFault(*relay), lasts);
+        site.store_link(*relay).set_mood(LinkMood::Silent);
+    }
+    sleep(UNHEARD_STEP).await;
+    site.drain_replica(replica);
+    sleep(UNHEARD_STEP).await;
+    disturb_store(site, StoreMood::Silent, UNHEARD_OUTAGE).await;
+    relays.iter().for_each(|relay| site.store_link(*relay).set_mood(LinkMood::Well));
+}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -35,7 +35,7 @@
     process::SoakProcess,
     proxy::LinkProxy,
     record::{CallKind, Disruption, DisruptionKind, RunHistory, RunRecord},
-    replica::{HEARTBEAT, LEAVES, LISTENS},
+    replica::{HEARTBEAT, LEAVES, LINGER, LISTENS, LONG_LINGER},
     slot::ProcessSlot,
 };
 
@@ -152,11 +152,22 @@
         Ok(site)
     }
 
-    /// Numbers of relays.
+    /// Count of relays.
     pub fn relay_count(&self) -> usize {
         self.relays.len()
     }
 
+    /// Relays of the data centre of a relay, that one among them.
+    pub fn relays_beside(&self, number: usize) -> Vec<usize> {
+        let home = number % DATA_CENTRES.len();
+        (0..self.relays.len()).filter(|other| other % DATA_CENTRES.len() == home).collect()
+    }
+
+    /// Count of replicas.
+    pub fn replica_count(&self) -> usize {
+        self.replicas.len()
+    }
+
     /// The store.
     pub fn store(&self) -> &StandinStore {
         &self.store
@@ -341,6 +352,8 @@
         let id = format!("i-{number}-{}", slot.starts);
         let advertise = replica.link.address().to_string();
         let store = self.store.address().to_string();
+        let linger = if number.is_multiple_of(2) { LINGER } else { LONG_LINGER };
+        let linger = linger.as_millis().to_string();
         let arguments = [
             "replica",
             "--id",
@@ -353,6 +366,8 @@
             &store,
             "--data-centre",
             replica.data_centre,
+            "--linger-ms",
+            &linger,
         ];
         replica.link.set_target(None);
         match SoakProcess::start_read(&self.config.replica, &arguments) {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,12 +1,10 @@
 //! Each promise can be broken, and is seen to be; what the pages excuse is excused.
 
 use switchfold_soak::{
-    checks::{
-        CONTACT_TIME, DRAIN_TIME, EVENTS, MOST_MEMORY_KB, Promise, REVOKE_TIME, check, own_body,
-    },
+    checks::{DRAIN_TIME, EVENTS, MOST_MEMORY_KB, Promise, REVOKE_TIME, check, own_body},
     record::{
-        CallAnswer, CallEnd, CallKind, CallRecord, Disruption, DisruptionKind, RunHistory,
-        RunRecord,
+        CONTACT_TIME, CallAnswer, CallEnd, CallKind, CallRecord, Disruption, DisruptionKind,
+        RunHistory, RunRecord,
     },
 };
 
@@ -149,6 +147,31 @@
     assert_eq!(broken(&leaving(told, Some(told - CONTACT_TIME - 1))), [Promise::LeavingReplica]);
 }
 
+/// A relay that was turned away when a replica said that it leaves must know of it once it is in touch.
+#[test]
+fn a_leaving_that_was_not_heard() {
+    let sent = 20_000_000;
+    let told = sent - 12_060_000;
+    let with = |kind: DisruptionKind, from: u64, to: u64| {
+        let call = call("a", CallKind::Safe, CallEnd::NoAnswer);
+        let mut history = history(call, vec![RunRecord { at: sent, ..run("a", "i-1") }]);
+        history.leaving.push(("i-1".to_owned(), told));
+        history.disruptions.push(Disruption { kind, from, to });
+        broken(&history)
+    };
+    let back = sent - CONTACT_TIME - 1;
+    let late = vec![Promise::LeavingReplica];
+    assert_eq!(with(DisruptionKind::RelayFault(0), told - 1, back), late);
+    assert_eq!(with(DisruptionKind::RelayFault(0), told - 1, back + 1), []);
+    assert_eq!(with(DisruptionKind::RelayFault(1), told - 1, sent), late, "another relay's");
+    assert_eq!(with(DisruptionKind::StoreFault, told + 1, back), late);
+    assert_eq!(
+        with(DisruptionKind::StoreFault, told - 1, told),
+        [],
+        "the store did not take it well"
+    );
+}
+
 #[test]
 fn planned_stops() {
     let stop =
