--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -147,7 +147,6 @@
     }
     if let Some(proved) = proofs.config.proved {
         beliefs.config_lease.prove(proved);
-        beliefs.config_lost = false;
     }
     beliefs.fleet.note_proof(proofs.fleet);
 }
@@ -225,7 +224,7 @@
         echo: None,
         fleet_is_fresh,
         fleet_is_lost: beliefs.fleet.is_lost(),
-        config_is_lost: beliefs.config_lost,
+        config_is_lost: beliefs.config_lease.is_lost(),
         fleet_age: beliefs.fleet.age(now),
         fleet_answer_age: beliefs.fleet.answer_age(now),
         fleet_digest: beliefs.fleet.view.digest(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -46,8 +46,6 @@
     pub config: ConfigSlot<Rc<RoutingConfig>>,
     /// When the configuration was last proved.
     pub config_lease: FreshnessLease,
-    /// Whether the last read of the configuration failed.
-    pub config_lost: bool,
     /// Whether the newest configuration could not be read, so that none proves the one in force.
     pub config_unreadable: bool,
     /// The replicas.
@@ -211,7 +209,9 @@
     pub fn steps_aside(&self, now: Millis) -> bool {
         let beliefs = self.beliefs.borrow();
         let age = beliefs.config_lease.age(now);
-        age.is_some_and(|age| beliefs.peers.should_step_aside(age, beliefs.config_lost, now))
+        age.is_some_and(|age| {
+            beliefs.peers.should_step_aside(age, beliefs.config_lease.is_lost(), now)
+        })
     }
 
     /// Notes whether new callers are left to other relays, and writes a line where that changed.
@@ -221,7 +221,7 @@
         }
         let beliefs = self.beliefs.borrow();
         let config_age = beliefs.config_lease.age(now);
-        let (is_lost, live) = (beliefs.config_lost, beliefs.peers.live(now));
+        let (is_lost, live) = (beliefs.config_lease.is_lost(), beliefs.peers.live(now));
         match aside {
             true => {
                 count(&self.counts.step_asides);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -59,9 +59,8 @@
                 beliefs.config_lease.prove(sent);
                 beliefs.config_lease.note_answer(now_millis());
             }
-            beliefs.config_lost = false;
         },
-        lose: |relay, _| relay.beliefs.borrow_mut().config_lost = true,
+        lose: |relay, sent| relay.beliefs.borrow_mut().config_lease.note_lost(sent),
         is_covered: |relay, now| {
             let beliefs = relay.beliefs.borrow();
             let RelaySettings { name, data_centre, .. } = &relay.settings;
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -16,6 +16,7 @@
 pub struct FreshnessLease {
     proved: Option<Millis>,
     answered: Option<Millis>,
+    lost: Option<Millis>,
 }
 
 impl FreshnessLease {
@@ -35,6 +36,17 @@
         self.answered.map(|answered| now.saturating_sub(answered))
     }
 
+    /// Notes that a read sent at `sent` got no answer.
+    pub fn note_lost(&mut self, sent: Millis) {
+        self.lost = self.lost.max(Some(sent));
+    }
+
+    /// Whether the last read, by the time at which it was sent, got no answer. Another relay's proof of
+    /// before that does not undo it.
+    pub fn is_lost(&self) -> bool {
+        self.lost > self.proved
+    }
+
     /// Whether keys may be let in under a bound of `bound` milliseconds.
     pub fn holds(&self, bound: Millis, now: Millis) -> bool {
         let most = bound.saturating_sub(LEASE_MARGIN);
--- a/crates/router/src/lapse.rs
+++ b/crates/router/src/lapse.rs
@@ -53,8 +53,12 @@
         self.last_lost = sent;
     }
 
-    /// Notes that one did.
+    /// Notes that one sent at `sent` did, by this relay or by another one; what was sent before the last loss
+    /// says nothing of the store's return.
     pub fn note_answer(&mut self, sent: Millis) {
+        if self.lost.is_some() && sent <= self.last_lost {
+            return;
+        }
         let Some(lost) = self.lost.take() else { return };
         if sent.saturating_sub(lost) >= LEAST_OUTAGE {
             self.returned = Some(sent);
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -83,7 +83,6 @@
     pub view: FleetView,
     lapses: LapseGrace,
     lease: FreshnessLease,
-    is_lost: bool,
     watched: u64,
 }
 
@@ -175,7 +174,6 @@
         proof.answered.into_iter().for_each(|answered| self.lease.note_answer(answered));
         let Some(proved) = proof.proved else { return };
         self.lease.prove(proved);
-        self.is_lost = false;
         self.lapses.note_answer(proved);
     }
 
@@ -186,7 +184,7 @@
 
     /// Notes that a read sent at `sent` got no answer.
     pub fn note_lost(&mut self, sent: Millis) {
-        self.is_lost = true;
+        self.lease.note_lost(sent);
         self.lapses.note_lost(sent);
     }
 
@@ -206,14 +204,14 @@
         self.lease.age(now)
     }
 
-    /// Whether the last word of the store, by an own read or another relay's, was none.
+    /// Whether the last read of the list got no answer, and no other relay proved it since.
     pub fn is_lost(&self) -> bool {
-        self.is_lost
+        self.lease.is_lost()
     }
 
     /// Whether the list is recent, as far as can be told.
     pub fn is_fresh(&self, now: Millis) -> bool {
-        let most = if self.is_lost { TOLD_FLEET } else { FRESH_FLEET };
+        let most = if self.is_lost() { TOLD_FLEET } else { FRESH_FLEET };
         self.age(now).is_some_and(|age| age < most)
     }
 }
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -59,7 +59,6 @@
     fleet: FleetBelief,
     config: ConfigSlot<u64>,
     config_lease: FreshnessLease,
-    config_is_lost: bool,
     peers: PeerTable,
     following: Vec<Following>,
     next_tell: Millis,
@@ -89,7 +88,6 @@
             fleet: FleetBelief::default(),
             config: ConfigSlot::new(),
             config_lease: FreshnessLease::default(),
-            config_is_lost: false,
             peers,
             following: following.into(),
             next_tell: number as Millis * 40,
@@ -189,7 +187,11 @@
                 self.fleet.note_lost(sent);
                 first
             }
-            Kind::Config => !std::mem::replace(&mut self.config_is_lost, true),
+            Kind::Config => {
+                let first = !self.config_lease.is_lost();
+                self.config_lease.note_lost(sent);
+                first
+            }
         };
         if first {
             self.tell_state(messages, now);
@@ -229,7 +231,6 @@
             Kind::Config => {
                 self.config_lease.prove(call.sent);
                 self.config_lease.note_answer(now);
-                self.config_is_lost = false;
             }
         }
         self.following[index].follower.note_answer(at);
@@ -270,7 +271,6 @@
         }
         if let Some(proved) = proofs.config.proved {
             self.config_lease.prove(proved);
-            self.config_is_lost = false;
         }
         self.fleet.note_proof(proofs.fleet);
     }
@@ -304,7 +304,7 @@
         let state = PeerState {
             fleet_is_fresh: self.fleet.is_fresh(now),
             fleet_is_lost: self.fleet.is_lost(),
-            config_is_lost: self.config_is_lost,
+            config_is_lost: self.config_lease.is_lost(),
             fleet_digest: self.fleet.view.digest(),
             config_version: self.config_version(),
             config_age: self.config_lease.age(now),
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -265,3 +265,22 @@
         }
     }
 }
+
+/// A relay that lost the store says so until a read sent later is answered, by it or by another relay: proofs
+/// that were on their way prove nothing of now.
+#[test]
+fn an_older_proof_does_not_undo_a_loss() {
+    let mut lease = FreshnessLease::default();
+    lease.prove(1_000);
+    lease.note_lost(2_000);
+    assert!(lease.is_lost());
+    lease.prove(1_900);
+    assert!(lease.is_lost());
+    lease.prove(2_100);
+    assert!(!lease.is_lost());
+    let mut lapses = LapseGrace::default();
+    lapses.note_lost(1_000);
+    lapses.note_lost(3_000);
+    lapses.note_answer(2_900);
+    assert!(lapses.keeps("missing", 7, 3_300), "the outage is not over");
+}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -30,8 +30,10 @@
     Reset,
     /// Bytes arrive at the other side, and nothing comes back.
     OneWay,
-    /// Nothing arrives on either side.
+    /// Nothing arrives on either side, and what is sent meanwhile arrives later.
     Silent,
+    /// Nothing arrives on either side, and connections that were used meanwhile never say anything again.
+    Dead,
 }
 
 /// Direction of bytes on a link.
@@ -86,6 +88,9 @@
 
     async fn carry(&self, stream: TcpStream) {
         let mut mood = self.mood.subscribe();
+        if *mood.borrow_and_update() == LinkMood::Dead {
+            return std::future::pending().await;
+        }
         // A connection that opens in silence gets no further before the link is well again.
         while matches!(*mood.borrow_and_update(), LinkMood::Silent) {
             if mood.changed().await.is_err() {
@@ -158,6 +163,7 @@
                 return true;
             }
             (LinkMood::Reset, _) => return false,
+            (LinkMood::Dead, _) => std::future::pending::<()>().await,
             (LinkMood::OneWay, LinkSide::Back) | (LinkMood::Silent, _) => {}
         }
         if mood.changed().await.is_err() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -222,17 +222,16 @@
 /// Time for which the store is then away for all: entries lapse after three heartbeats.
 const UNHEARD_OUTAGE: Duration = Duration::from_millis(1_500);
 
-/// Lets a replica leave while the relays of a data centre are turned away by the store, and its entry lapse in
-/// an outage before they are back: they must know once they are in touch. Replicas of odd numbers serve on for
-/// long.
+/// Lets a replica of the plain service leave while the relays of a data centre are turned away by the store, and its entry lapse in
+/// an outage before they are back: they must know once they are in touch.
 async fn leave_unheard(site: &SoakSite, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let relays = site.relays_beside(random.random_range(0..site.relay_count()));
-    let replica = random.random_range(0..site.replica_count() / 2) * 2 + 1;
+    let replica = site.lingering_desk();
     let lasts = UNHEARD_STEP * 2 + UNHEARD_OUTAGE;
     for relay in &relays {
         site.note_disruption(DisruptionKind::RelayFault(*relay), lasts);
-        site.store_link(*relay).set_mood(LinkMood::Silent);
+        site.store_link(*relay).set_mood(LinkMood::Dead);
     }
     sleep(UNHEARD_STEP).await;
     site.drain_replica(replica);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -163,9 +163,14 @@
         (0..self.relays.len()).filter(|other| other % DATA_CENTRES.len() == home).collect()
     }
 
-    /// Count of replicas.
-    pub fn replica_count(&self) -> usize {
-        self.replicas.len()
+    /// A replica of the plain service that serves on for long once it leaves.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the site has fewer than two replicas of that service.
+    pub fn lingering_desk(&self) -> usize {
+        let mut desks = self.config.shape.engines..self.replicas.len();
+        desks.find(|number| lingers(*number)).expect("one of two neighbours has an odd number")
     }
 
     /// The store.
@@ -352,7 +357,7 @@
         let id = format!("i-{number}-{}", slot.starts);
         let advertise = replica.link.address().to_string();
         let store = self.store.address().to_string();
-        let linger = if number.is_multiple_of(2) { LINGER } else { LONG_LINGER };
+        let linger = if lingers(number) { LONG_LINGER } else { LINGER };
         let linger = linger.as_millis().to_string();
         let arguments = [
             "replica",
@@ -457,6 +462,11 @@
     }
 }
 
+/// Whether a replica serves on for long once it leaves.
+fn lingers(number: usize) -> bool {
+    !number.is_multiple_of(2)
+}
+
 /// Ports that nothing listens on, outside the range that the system draws from for connections, so that
 /// a relay gets them again when it is started again. None is given out twice, also not to runs at the same
 /// time.
