Relay: no work for entries that did not change; older news counts also of replicas that are gone

A list formatted the layers of each entry before it knew that nothing had changed, and copied each entry that its watch had reached before it knew whether one was passed by; both now come after the question. News of a replica that is gone and older than its end was not counted in older_news. Lines and decisions are as before. watch's page says what ends a cover now.

--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -124,17 +124,16 @@
 /// came from. Running streams then look at their paths.
 fn note_taken(relay: &Relay, taken: &TakenNews) {
     let TakenNews { id, address, layers, change, revision, held, source } = taken;
+    if *change == FleetChange::Older {
+        count(&relay.counts.older_news);
+        tracing::debug!(event = "older-news", replica = id, revision, held, %source);
+    }
     let Some(address) = *address else { return };
-    let layers = format!("{:?}", layers.map(|range| (range.from, range.to)));
+    let layers = layers.map(|range| (range.from, range.to));
     match change {
-        FleetChange::Unchanged => return,
-        FleetChange::Older => {
-            count(&relay.counts.older_news);
-            tracing::debug!(event = "older-news", replica = id, revision, held, %source);
-            return;
-        }
+        FleetChange::Unchanged | FleetChange::Older => return,
         FleetChange::Joined => {
-            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers, revision, %source);
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, ?layers, revision, %source);
             return;
         }
         FleetChange::Draining => {
@@ -146,10 +145,10 @@
         }
         FleetChange::Returned => {
             count(&relay.counts.returned);
-            tracing::warn!(event = "replica-returned", replica = id, %address, layers, revision, held, %source);
+            tracing::warn!(event = "replica-returned", replica = id, %address, ?layers, revision, held, %source);
         }
         FleetChange::Updated => {
-            tracing::info!(event = "replica-listed", replica = id, %address, ?change, layers, revision, held, %source);
+            tracing::info!(event = "replica-listed", replica = id, %address, ?change, ?layers, revision, held, %source);
         }
     }
     relay.raise_alarm();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -2,8 +2,8 @@
 //!
 //! Each is listed once, then watched from the revision that the list told. What renews a freshness
 //! lease is the time at which a read was sent, never when its answer came. In each data centre one
-//! relay follows the store; the others hear from it and read for themselves only where its proofs are
-//! old or its state differs from theirs.
+//! relay follows the store; the others hear from it and read for themselves only where its last answer
+//! of the store is old, it says that it lost the store, or its state differs from theirs.
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::Millis;
 
 /// Time between two looks at whether another relay still follows for this one, in milliseconds.
-pub const COVER_EVERY: Millis = 100;
+const COVER_EVERY: Millis = 100;
 
 /// What is done next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -114,8 +114,9 @@
 
     fn passed_by(&self, listed: &[ReplicaNews]) -> Vec<(ReplicaNews, Option<u64>)> {
         let due = listed.iter().filter(|news| news.revision <= self.watched);
-        let with_held = due.map(|news| (news.clone(), self.view.revision(&news.id)));
-        with_held.filter(|(news, held)| held.is_none_or(|held| held < news.revision)).collect()
+        let with_held = due.map(|news| (news, self.view.revision(&news.id)));
+        let passed = with_held.filter(|(news, held)| held.is_none_or(|held| held < news.revision));
+        passed.map(|(news, held)| (news.clone(), held)).collect()
     }
 
     /// Takes over news; what is older than what is known changes nothing.
