--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -21,12 +21,14 @@
     headers::read_answer,
 };
 use switchfold_router::{Millis, chain::PathPart, cover::GiveUpRule, fleet::LayerRange};
-use tokio::{
-    task::spawn_local,
-    time::{Instant, timeout},
-};
+use tokio::{task::spawn_local, time::timeout};
 
-use crate::{counts::count, pool::SendError, state::Relay};
+use crate::{
+    counts::count,
+    pool::SendError,
+    probes::{ProbeEnd, ask_twice, silence_counts},
+    state::Relay,
+};
 
 /// Time for a report or an order: links take under a millisecond, a busy engine answers all the same.
 const CALL_TIME: Duration = Duration::from_millis(300);
@@ -51,13 +53,6 @@
 /// anyway, and each question has a price.
 const REPORT_AGE: Millis = 80;
 
-/// Time that each of a probe's two questions waits for an answer: fifty times what a link takes, and a
-/// quarter of the usual longest pause between events, so that a stream can go on elsewhere in time.
-const PROBE_TIME: Duration = Duration::from_millis(50);
-
-/// Lateness of a probe's own timer from which its silence proves nothing: this process stood still.
-const PROBE_LATE: Duration = Duration::from_millis(10);
-
 /// Time between two probes of one replica by the relays of a data centre together, in milliseconds: under
 /// load many streams are quiet at once, and each probe has a price. What one of them finds lost, it tells
 /// the others at once, so each probes less often the more they are.
@@ -96,23 +91,6 @@
     }
 }
 
-/// What a probe of a replica showed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum ProbeEnd {
-    /// It answered.
-    Reached,
-    /// Its connection failed.
-    Refused(String),
-    /// It said nothing.
-    Silent,
-    /// It said nothing, and this process was late itself.
-    Unclear,
-}
-
-/// Of replicas probed together, one in so many may be silent, and one in any case: where more are, this
-/// process or its link is slow, and their silence proves nothing.
-const SILENT_ONE_IN: usize = 4;
-
 #[derive(Clone, Debug)]
 struct CachedReport {
     asked: Millis,
@@ -209,8 +187,7 @@
     let relay = relay.clone();
     spawn_local(async move {
         let ends = join_all(due.iter().map(|address| probe(&relay, *address))).await;
-        let silent = ends.iter().filter(|end| **end == ProbeEnd::Silent).count();
-        let silence_counts = silent <= (due.len() / SILENT_ONE_IN).max(1);
+        let silence_counts = silence_counts(&ends);
         for (address, end) in due.into_iter().zip(ends) {
             take_probe(&relay, address, end, silence_counts);
         }
@@ -237,24 +214,11 @@
     matches!(probe(relay, address).await, ProbeEnd::Reached | ProbeEnd::Unclear)
 }
 
-/// Asks for a report, and again over a new connection where none came: a lost packet is sent again only
-/// after 200 ms, and a kept connection may be dead alone.
 async fn probe(relay: &Relay, address: SocketAddr) -> ProbeEnd {
-    match ask_once(relay, address, false).await {
-        ProbeEnd::Reached => ProbeEnd::Reached,
-        _ => ask_once(relay, address, true).await,
-    }
-}
-
-async fn ask_once(relay: &Relay, address: SocketAddr, fresh: bool) -> ProbeEnd {
-    let begun = Instant::now();
-    let asking = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), fresh);
-    match timeout(PROBE_TIME, asking).await {
-        Ok(Ok(_)) => ProbeEnd::Reached,
-        Ok(Err(error)) => ProbeEnd::Refused(error.to_string()),
-        Err(_) if begun.elapsed() > PROBE_TIME + PROBE_LATE => ProbeEnd::Unclear,
-        Err(_) => ProbeEnd::Silent,
-    }
+    ask_twice(async |fresh| {
+        exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), fresh).await.map(drop)
+    })
+    .await
 }
 
 async fn call(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod placer;
 pub mod plain;
 pub mod pool;
+pub mod probes;
 pub mod reload;
 pub mod replicas;
 pub mod request;
