Settings: every amount that the platform hands may have a fraction

Cause: the platform sets some bounds in proportion to a deployment's size; at a small size retry_slack is 57.35, and no relay started (bounds.retry_allowance: expected a whole number).

Change: all five bounds are amounts, rounded to the side that breaks no bound. A reload with a fault keeps all settings.

Tests: tables over every bound and every amount (fraction, zero, huge, negative, missing, wrong type), red before; a reload with one field at fault.

--- a/crates/relay/src/reload.rs
+++ b/crates/relay/src/reload.rs
@@ -4,6 +4,7 @@
 //! names the process or its sockets takes a restart, which the log says.
 
 use std::{
+    cell::RefCell,
     path::{Path, PathBuf},
     rc::Rc,
     time::{Duration, SystemTime},
@@ -12,7 +13,10 @@
 use switchfold_kernel::settings::load_settings;
 use tokio::{signal::unix::Signal, time::sleep};
 
-use crate::{settings::RelaySettings, state::Relay};
+use crate::{
+    settings::{BoundSettings, RelaySettings},
+    state::Relay,
+};
 
 /// Time between two looks at the settings file.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
@@ -28,7 +32,7 @@
         let now = modified(&file);
         if asked || now != seen {
             seen = now;
-            reload(&relay, &file);
+            reload(&relay.settings, &relay.bounds, &file);
         }
     }
 }
@@ -37,19 +41,35 @@
     file.metadata().and_then(|metadata| metadata.modified()).ok()
 }
 
-fn reload(relay: &Relay, file: &Path) {
-    let settings: RelaySettings = match load_settings(file) {
-        Ok(settings) => settings,
+/// What came of reading the settings file again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReloadEnd {
+    /// A field is at fault: all settings stay as they were.
+    Kept,
+    /// The bounds of the file are in force.
+    Taken {
+        /// Whether a bound changed.
+        changed: bool,
+        /// Whether something else changed that takes a restart.
+        needs_restart: bool,
+    },
+}
+
+/// Reads the settings file again, and puts its bounds in force where no field is at fault.
+pub fn reload(settings: &RelaySettings, bounds: &RefCell<BoundSettings>, file: &Path) -> ReloadEnd {
+    let read: RelaySettings = match load_settings(file) {
+        Ok(read) => read,
         Err(error) => {
             tracing::error!(event = "reload-failed", %error);
-            return;
+            return ReloadEnd::Kept;
         }
     };
-    let needs_restart = settings.listen != relay.settings.listen
-        || settings.peer_listen != relay.settings.peer_listen
-        || settings.platform != relay.settings.platform
-        || settings.name != relay.settings.name;
-    let changed = settings.bounds != *relay.bounds.borrow();
+    let needs_restart = read.listen != settings.listen
+        || read.peer_listen != settings.peer_listen
+        || read.platform != settings.platform
+        || read.name != settings.name;
+    let changed = read.bounds != *bounds.borrow();
     tracing::info!(event = "reload", changed, needs_restart);
-    relay.bounds.replace(settings.bounds);
+    bounds.replace(read.bounds);
+    ReloadEnd::Taken { changed, needs_restart }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -138,7 +138,7 @@
     spawn_local(async move {
         shutdown.raised().await;
         tracing::info!(event = "stopping", in_flight = stopping.stop.in_flight());
-        stopping.stop.raise(stopping.bounds.borrow().grace_s * 1_000);
+        stopping.stop.raise(stopping.bounds.borrow().grace());
     });
     serve_callers(relay.clone(), sockets.callers).await;
     tracing::info!(
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use switchfold_kernel::settings::{CheckedSettings, FieldKind, FieldRule, SettingsFault};
+use switchfold_router::Millis;
 
 /// Settings of a relay, as in its JSON file.
 #[derive(Clone, Debug, Deserialize)]
@@ -29,28 +30,50 @@
     pub bounds: BoundSettings,
 }
 
-/// Bounds that the platform sets, with their units in the names.
+/// Bounds that the platform sets, with their units in the names. All of them are amounts and may have
+/// fractions: the platform sets some of them in proportion to a deployment's size.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
     /// Time from a key's removal to the last request that may run with it.
-    pub revoke_ms: u64,
+    pub revoke_ms: f64,
     /// Time from SIGTERM to SIGKILL.
-    pub grace_s: u64,
+    pub grace_s: f64,
     /// Repeats allowed for each request.
     pub retry_ratio: f64,
     /// Window of the repeats.
-    pub retry_window_s: u64,
+    pub retry_window_s: f64,
     /// Repeats allowed beside the ratio, over all entries.
-    pub retry_allowance: u64,
+    pub retry_allowance: f64,
 }
 
+impl BoundSettings {
+    /// Time from a key's removal to the last request that may run with it; rounded to the strict side, as
+    /// the others are.
+    pub fn revoke(&self) -> Millis {
+        self.revoke_ms.floor() as Millis
+    }
+
+    /// Time from SIGTERM to SIGKILL.
+    pub fn grace(&self) -> Millis {
+        (self.grace_s * 1_000.0).floor() as Millis
+    }
+
+    /// Window of the repeats.
+    pub fn retry_window(&self) -> Millis {
+        (self.retry_window_s * 1_000.0).ceil() as Millis
+    }
+}
+
+/// Shortest window of repeats in seconds: below it, one bucket of the budget is longer than the window.
+const LEAST_WINDOW_S: f64 = 0.5;
+
 const BOUND_RULES: &[FieldRule] = &[
-    rule("revoke_ms", FieldKind::Number(0, 3_600_000), "time until a removed key is refused"),
-    rule("grace_s", FieldKind::Number(1, 3_600), "time from SIGTERM to SIGKILL"),
+    rule("revoke_ms", FieldKind::Decimal(0.0, 3_600_000.0), "time until a removed key is refused"),
+    rule("grace_s", FieldKind::Decimal(0.0, 3_600.0), "time from SIGTERM to SIGKILL"),
     rule("retry_ratio", FieldKind::Decimal(0.0, 10.0), "repeats for each request"),
-    rule("retry_window_s", FieldKind::Number(1, 3_600), "window of the repeats"),
-    rule("retry_allowance", FieldKind::Number(0, 1_000_000), "repeats beside the ratio"),
+    rule("retry_window_s", FieldKind::Decimal(LEAST_WINDOW_S, 3_600.0), "window of the repeats"),
+    rule("retry_allowance", FieldKind::Decimal(0.0, 1_000_000.0), "repeats beside the ratio"),
 ];
 
 const fn rule(name: &'static str, kind: FieldKind, help: &'static str) -> FieldRule {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -132,8 +132,8 @@
         let bounds = self.bounds.borrow();
         BudgetConfig {
             ratio: bounds.retry_ratio,
-            allowance: bounds.retry_allowance as f64,
-            window: bounds.retry_window_s * 1_000,
+            allowance: bounds.retry_allowance,
+            window: bounds.retry_window(),
         }
     }
 
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -98,11 +98,11 @@
 /// Bounds of the tests.
 pub(crate) fn bounds() -> BoundSettings {
     BoundSettings {
-        revoke_ms: 5_000,
-        grace_s: 8,
+        revoke_ms: 5_000.0,
+        grace_s: 8.0,
         retry_ratio: 0.2,
-        retry_window_s: 10,
-        retry_allowance: 200,
+        retry_window_s: 10.0,
+        retry_allowance: 200.0,
     }
 }
 
--- a/crates/relay/tests/plain.rs
+++ b/crates/relay/tests/plain.rs
@@ -224,7 +224,7 @@
         run_test(async move {
             let replica = StandinReplica::start(well).await;
             // A lease of half a second.
-            let bounds = BoundSettings { revoke_ms: 3_800, ..bounds() };
+            let bounds = BoundSettings { revoke_ms: 3_800.0, ..bounds() };
             let relay = RunningRelay::start(bounds, &[listed("i-1", &replica, desk_entry)]).await;
             relay.store.set_mood(mood);
             wait_until(async || {
@@ -339,7 +339,7 @@
 fn keys_are_refused_while_the_configuration_cannot_be_read() {
     run_test(async {
         let replica = StandinReplica::start(well).await;
-        let bounds = BoundSettings { revoke_ms: 3_800, ..bounds() };
+        let bounds = BoundSettings { revoke_ms: 3_800.0, ..bounds() };
         let relay = RunningRelay::start(bounds, &[listed("i-1", &replica, desk_entry)]).await;
         relay.store.put(CONFIG_KIND, CONFIG_NAME, json!({"version": 2, "routes": 7}));
         wait_until(async || {
@@ -393,7 +393,7 @@
         let hung = StandinReplica::start(|_| Reply::Silence).await;
         let whole = |address| samples::model_entry(address, 0, samples::LAYERS);
         let entries = [listed("i-1", &replica, desk_entry), listed("i-2", &hung, whole)];
-        let bounds = switchfold_relay::settings::BoundSettings { grace_s: 5, ..bounds() };
+        let bounds = switchfold_relay::settings::BoundSettings { grace_s: 5.0, ..bounds() };
         let relay = RunningRelay::start(bounds, &entries).await;
         // A stream that does not end keeps the relay going to the end of its grace time.
         let held = tokio::task::spawn_local(call(relay.address, request("/stream-once/a", "held")));
--- a/crates/relay/tests/settings.rs
+++ b/crates/relay/tests/settings.rs
@@ -1,14 +1,20 @@
-//! Settings of a relay: the example, the template, and every fault at once.
+//! Settings of a relay: the example, the template, every fault at once, and reading them again.
 
+use std::{cell::RefCell, fs};
+
+use serde_json::{Value, json};
 use switchfold_kernel::settings::{SettingsError, parse_settings};
-use switchfold_relay::settings::RelaySettings;
+use switchfold_relay::{
+    reload::{ReloadEnd, reload},
+    settings::RelaySettings,
+};
 
 const EXAMPLE: &str = include_str!("../../../examples/relay/relay.json");
 
 #[test]
 fn the_example_is_well_formed() {
     let settings: RelaySettings = parse_settings("example", EXAMPLE.as_bytes()).expect("no faults");
-    assert_eq!(settings.bounds.revoke_ms, 5_000);
+    assert_eq!(settings.bounds.revoke_ms, 5_000.0);
 }
 
 /// The template names the same fields as the example, so that what the platform fills in is checked.
@@ -36,3 +42,79 @@
     let same = EXAMPLE.replace("127.0.0.1:8220", "127.0.0.1:8227");
     assert!(parse_settings::<RelaySettings>("same", same.as_bytes()).is_err());
 }
+
+/// Names of the bounds that the platform sets, with a value above each one's range.
+const BOUNDS: [(&str, f64); 5] = [
+    ("revoke_ms", 1e9),
+    ("grace_s", 1e5),
+    ("retry_ratio", 11.0),
+    ("retry_window_s", 1e5),
+    ("retry_allowance", 1e9),
+];
+
+/// The example with one bound set to something else, or left out.
+fn with_bound(name: &str, value: Option<Value>) -> Result<RelaySettings, SettingsError> {
+    let mut example: Value = serde_json::from_str(EXAMPLE).expect("the example is JSON");
+    let bounds = example["bounds"].as_object_mut().expect("an object");
+    match value {
+        Some(value) => drop(bounds.insert(name.to_owned(), value)),
+        None => drop(bounds.remove(name)),
+    }
+    parse_settings(name, &serde_json::to_vec(&example).expect("JSON"))
+}
+
+fn fault_paths(read: Result<RelaySettings, SettingsError>) -> Vec<String> {
+    match read {
+        Ok(_) => Vec::new(),
+        Err(SettingsError::Faulty { faults, .. }) => {
+            faults.into_iter().map(|fault| fault.path).collect()
+        }
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// The platform hands amounts whole or with fractions, as a deployment's size makes them.
+#[test]
+fn every_bound_takes_whole_and_fractional_numbers() {
+    for (name, above) in BOUNDS {
+        for good in [json!(1), json!(1.0), json!(2.352_941_176_470_588_4)] {
+            assert_eq!(fault_paths(with_bound(name, Some(good.clone()))), [""; 0], "{name} {good}");
+        }
+        let zero = fault_paths(with_bound(name, Some(json!(0))));
+        assert_eq!(zero.is_empty(), name != "retry_window_s", "{name} 0");
+        let bad = [json!(-1), json!(above), json!(1e300), json!("1"), json!(null), json!([1])];
+        for bad in bad.into_iter().map(Some).chain([None]) {
+            let path = format!("bounds.{name}");
+            assert_eq!(fault_paths(with_bound(name, bad.clone())), [path], "{name} {bad:?}");
+        }
+    }
+}
+
+/// Fractions are rounded to the side that breaks no bound.
+#[test]
+fn fractions_are_rounded_to_the_strict_side() {
+    let read = |name, value| with_bound(name, Some(json!(value))).expect("no faults").bounds;
+    assert_eq!(read("revoke_ms", 4_999.9).revoke(), 4_999);
+    assert_eq!(read("grace_s", 7.999_9).grace(), 7_999);
+    assert_eq!(read("retry_window_s", 9.999_9).retry_window(), 10_000);
+}
+
+/// A file with one field at fault changes nothing, also where its other fields changed.
+#[test]
+fn a_reload_with_a_fault_keeps_the_settings() {
+    let settings: RelaySettings = parse_settings("example", EXAMPLE.as_bytes()).expect("no faults");
+    let bounds = RefCell::new(settings.bounds.clone());
+    let file = std::env::temp_dir().join(format!("switchfold-reload-{}.json", std::process::id()));
+    let changed = EXAMPLE.replace("\"grace_s\": 8", "\"grace_s\": 6.5");
+    let rows = [
+        (changed.replace("0.2,", "-1,"), ReloadEnd::Kept, 8_000),
+        ("{".to_owned(), ReloadEnd::Kept, 8_000),
+        (changed, ReloadEnd::Taken { changed: true, needs_restart: false }, 6_500),
+    ];
+    for (text, end, grace) in rows {
+        fs::write(&file, &text).expect("a file");
+        assert_eq!(reload(&settings, &bounds, &file), end, "{text}");
+        assert_eq!(bounds.borrow().grace(), grace, "{text}");
+    }
+    fs::remove_file(&file).expect("the file is there");
+}
