Sight: every call of the store is counted by kind, verb, cause and end

Change: all calls go through CountedStore, which counts each page of a list by kind of object, verb, cause and end: a line store-call, the figures line, the metric switchfold_store_calls; switchfold-ctl calls sums the lines by cause and by second. No call is made or left out by this.

--- a/crates/ctl/src/account.rs
+++ b/crates/ctl/src/account.rs
@@ -145,14 +145,15 @@
 }
 
 /// Causes, the most frequent first.
-fn ranked(causes: &BTreeMap<String, usize>) -> Vec<(&str, usize)> {
+pub(crate) fn ranked(causes: &BTreeMap<String, usize>) -> Vec<(&str, usize)> {
     let mut rows: Vec<(&str, usize)> =
         causes.iter().map(|(cause, count)| (cause.as_str(), *count)).collect();
     rows.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
     rows
 }
 
-fn new_table(header: &[&str]) -> Table {
+/// A table as all of these commands print it.
+pub(crate) fn new_table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_style(presets::ASCII_MARKDOWN);
     table.set_header(header);
--- a/crates/ctl/src/bin/switchfold-ctl.rs
+++ b/crates/ctl/src/bin/switchfold-ctl.rs
@@ -7,6 +7,7 @@
 use switchfold_ctl::{
     account::account_files,
     ask::{AskError, AskRequest, ask},
+    calls::count_call_files,
     check::{SettingsKind, check_settings},
     explain::explain_files,
     inspect::{
@@ -22,7 +23,7 @@
 #[derive(Debug, Parser)]
 #[command(
     version,
-    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl check relay --settings examples/relay/relay.json\n  switchfold-ctl explain 9c41d07be2a35f68 --logs relay-1.log relay-2.log\n  switchfold-ctl account --logs relay-1.log relay-2.log\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
+    after_help = "Examples:\n  switchfold-ctl ask --entry 10.0.0.1:8080 'show waiting by organisation'\n  switchfold-ctl ask --entry 10.0.0.1:8080 'pause event \"dawn\"'\n  switchfold-ctl check entry --settings examples/northcatch/entry-winnipeg.json\n  switchfold-ctl check relay --settings examples/relay/relay.json\n  switchfold-ctl explain 9c41d07be2a35f68 --logs relay-1.log relay-2.log\n  switchfold-ctl account --logs relay-1.log relay-2.log\n  switchfold-ctl calls --logs relay-1.log relay-2.log\n  switchfold-ctl inspect bound --settings examples/northcatch/deployment.json\n  switchfold-ctl hash-token"
 )]
 struct CtlArguments {
     #[command(subcommand)]
@@ -81,6 +82,15 @@
         #[arg(long, default_value_t = 2_000)]
         every: u64,
     },
+    /// Count the relays' calls of the platform's store by cause and by time, from their logs.
+    Calls {
+        /// Log files, of one process each or of several put together.
+        #[arg(long, value_name = "FILE", num_args = 1.., required = true)]
+        logs: Vec<PathBuf>,
+        /// Milliseconds of a row of the table by time.
+        #[arg(long, default_value_t = 1_000)]
+        every: u64,
+    },
     /// Read a token from standard input and print its SHA-256, for settings and organisations.
     HashToken,
 }
@@ -171,6 +181,9 @@
         CtlAction::Account { logs, every } => {
             account_files(&logs, every).map_err(|error| error.to_string())
         }
+        CtlAction::Calls { logs, every } => {
+            count_call_files(&logs, every).map_err(|error| error.to_string())
+        }
         CtlAction::HashToken => hash_token().map_err(|error| error.to_string()),
     };
     match done {
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -23,10 +23,6 @@
     pub step_asides: Cell<u64>,
     /// Orders to hold other layers.
     pub orders: Cell<u64>,
-    /// Lists read from the store.
-    pub store_lists: Cell<u64>,
-    /// Watches of the store.
-    pub store_watches: Cell<u64>,
     /// News of a replica that was older than what was held of it.
     pub older_news: Cell<u64>,
     /// Messages of other relays that were overtaken by later ones.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod settings;
 pub mod state;
 pub mod stop;
+pub mod store_calls;
 pub mod stream;
 pub mod survey;
 pub mod watch;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -44,6 +44,7 @@
     pause: Histogram<f64>,
     outcomes: Counter<u64>,
     attempts: Counter<u64>,
+    store_calls: Gauge<u64>,
     figures: Gauge<u64>,
     ages: Gauge<u64>,
     routes: RefCell<LabelBudget>,
@@ -78,6 +79,10 @@
                 .u64_counter("switchfold_attempts")
                 .with_description("Attempts that did not simply succeed, by end and next step")
                 .build(),
+            store_calls: meter
+                .u64_gauge("switchfold_store_calls")
+                .with_description("Calls of the store by kind of object, verb, cause and end")
+                .build(),
             figures: meter
                 .u64_gauge("switchfold_figures")
                 .with_description("Counts since the start, and present sizes, by name")
@@ -137,6 +142,7 @@
     /// Fails where a metric has no text form.
     pub fn render(&self, relay: &Relay) -> Result<Vec<u8>, MetricsError> {
         self.copy_figures(relay);
+        self.copy_calls(relay);
         self.copy_ages(relay);
         self.hub.render()
     }
@@ -155,8 +161,7 @@
             ("resumes", counts.resumes.get()),
             ("step_asides", counts.step_asides.get()),
             ("orders", counts.orders.get()),
-            ("store_lists", counts.store_lists.get()),
-            ("store_watches", counts.store_watches.get()),
+            ("store_calls", relay.calls.total()),
             ("older_news", counts.older_news.get()),
             ("older_states", counts.older_states.get()),
             ("returned", counts.returned.get()),
@@ -173,6 +178,18 @@
         }
     }
 
+    fn copy_calls(&self, relay: &Relay) {
+        for (call, end, count) in relay.calls.rows() {
+            let labels = [
+                KeyValue::new("kind", call.kind.to_string()),
+                KeyValue::new("verb", call.verb.to_string()),
+                KeyValue::new("cause", call.cause.to_string()),
+                KeyValue::new("end", end.to_string()),
+            ];
+            self.store_calls.record(count, &labels);
+        }
+    }
+
     fn copy_ages(&self, relay: &Relay) {
         let beliefs = relay.beliefs.borrow();
         let now = now_millis();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,7 +8,6 @@
 
 use serde::{Deserialize, Serialize};
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::ENTRY_KIND;
 use switchfold_router::{
     Millis,
     fleet::ReplicaNews,
@@ -23,6 +22,7 @@
     news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
     replicas::{drop_lapsed, take_news},
     state::Relay,
+    store_calls::{CallCause, CallKind, CallVerb},
 };
 
 /// Time between two messages within a data centre. A request holds its room for seconds, so figures a
@@ -240,9 +240,9 @@
 /// Leaves this relay's address in the store, and reads those of the others now and then.
 async fn find(relay: &Relay) {
     register_for_good(relay).await;
-    let mut stale = false;
+    let mut verb = CallVerb::List;
     loop {
-        match relay.store.list(ENTRY_KIND, stale).await {
+        match relay.store.list(CallKind::Relays, verb, CallCause::Peers).await {
             Ok(list) => {
                 for item in &list.items {
                     learn_peer(relay, &item.metadata.name, &item.spec);
@@ -250,11 +250,11 @@
                 let names: BTreeSet<&str> =
                     list.items.iter().map(|item| item.metadata.name.as_str()).collect();
                 forget_gone(relay, &names).await;
-                if stale && !names.contains(relay.settings.name.as_str()) {
+                if verb == CallVerb::StaleList && !names.contains(relay.settings.name.as_str()) {
                     tracing::warn!(event = "registration-missing");
                     register_for_good(relay).await;
                 }
-                stale = true;
+                verb = CallVerb::StaleList;
             }
             Err(error) => tracing::info!(event = "peers-unread", %error),
         }
@@ -281,7 +281,7 @@
             if !removes {
                 continue;
             }
-            if let Err(error) = relay.store.remove(ENTRY_KIND, &name).await {
+            if let Err(error) = relay.store.remove(CallKind::Relays, &name).await {
                 tracing::info!(event = "peer-not-removed", name, %error);
                 continue;
             }
@@ -295,9 +295,9 @@
     let settings = &relay.settings;
     let address =
         PeerAddress { address: settings.peer_listen, data_centre: settings.data_centre.clone() };
-    match relay.store.create(ENTRY_KIND, &settings.name, &address).await {
+    match relay.store.create(CallKind::Relays, &settings.name, &address).await {
         Err(StoreError::Conflict { .. }) => {
-            relay.store.replace(ENTRY_KIND, &settings.name, &address).await
+            relay.store.replace(CallKind::Relays, &settings.name, &address).await
         }
         outcome => outcome,
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -14,7 +14,6 @@
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::hash::hash_bytes;
 use switchfold_kernel::{clock::epoch_micros, metrics::MetricsError, shutdown::ShutdownSignal};
-use switchfold_platform::objects::ObjectStore;
 use switchfold_router::follow::STORE_PATIENCE;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -37,6 +36,7 @@
     settings::RelaySettings,
     state::{Beliefs, Relay},
     stop::StopState,
+    store_calls::CountedStore,
     survey::survey_engines,
     watch::{follow_config, follow_replicas},
 };
@@ -154,12 +154,14 @@
 }
 
 fn new_relay(settings: RelaySettings, peer_socket: UdpSocket, metrics: RelayMetrics) -> Relay {
-    let store =
-        ObjectStore::new(&settings.platform.to_string(), Duration::from_millis(STORE_PATIENCE));
+    let calls = Rc::default();
+    let patience = Duration::from_millis(STORE_PATIENCE);
+    let store = CountedStore::new(&settings.platform.to_string(), patience, &calls);
     let seed = hash_bytes(epoch_micros(), settings.name.as_bytes());
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     Relay {
         store,
+        calls,
         bounds: RefCell::new(settings.bounds.clone()),
         settings,
         beliefs: RefCell::new(Beliefs::default()),
@@ -203,8 +205,6 @@
         resumes,
         step_asides,
         orders,
-        store_lists,
-        store_watches,
         older_news,
         older_states,
         returned,
@@ -221,8 +221,8 @@
         resumes = resumes.get(),
         step_asides = step_asides.get(),
         orders = orders.get(),
-        store_lists = store_lists.get(),
-        store_watches = store_watches.get(),
+        store_calls = relay.calls.total(),
+        store_calls_by = %relay.calls,
         older_news = older_news.get(),
         older_states = older_states.get(),
         returned = returned.get(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -11,7 +11,6 @@
 
 use rand_chacha::ChaCha8Rng;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::objects::ObjectStore;
 use switchfold_router::{
     Millis,
     access::{ConfigSlot, RoutingConfig},
@@ -37,6 +36,7 @@
     pool::EndpointPool,
     settings::{BoundSettings, RelaySettings},
     stop::StopState,
+    store_calls::{CallTally, CountedStore},
 };
 
 /// Beliefs of a relay: each came from somewhere, at some time.
@@ -100,7 +100,9 @@
     /// Latest reports of engines.
     pub reports: ReportCache,
     /// The platform's object store.
-    pub store: ObjectStore,
+    pub store: CountedStore,
+    /// Calls of it, however they were made.
+    pub calls: Rc<CallTally>,
     /// Number drawn at the start, so that stamps of an earlier one are told apart.
     pub incarnation: u32,
     /// Where it hears from the other relays.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -12,28 +12,31 @@
 use switchfold_core::{hash::hash_bytes, retry::Backoff};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
-    CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
+    CONFIG_NAME,
     config::{decode_config, decode_version},
-    objects::{ListedObject, ObjectChange, ObjectList, ObjectStore},
+    objects::{ListedObject, ObjectChange, ObjectList},
 };
 use switchfold_router::{
     Millis,
-    follow::{CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, STORE_PATIENCE, StoreFollower},
+    follow::{
+        CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, ReadCause, STORE_PATIENCE,
+        StoreFollower,
+    },
 };
 use switchfold_store::StoreError;
 use tokio::time::sleep;
 
 use crate::{
-    counts::count,
     peers::tell_state,
     replicas::{take_replica_changes, take_replica_list},
     settings::RelaySettings,
     state::Relay,
+    store_calls::{CallCause, CallKind, CallVerb, CountedStore},
 };
 
 /// What is followed, and how its objects are taken over.
 struct Followed {
-    kind: &'static str,
+    kind: CallKind,
     times: FollowTimes,
     take_list: fn(&Rc<Relay>, ObjectList, Millis),
     take_changes: fn(&Relay, Vec<ObjectChange>),
@@ -46,7 +49,7 @@
 /// Follows the configuration for good.
 pub async fn follow_config(relay: Rc<Relay>) {
     let followed = Followed {
-        kind: CONFIG_KIND,
+        kind: CallKind::Config,
         times: CONFIG_TIMES,
         take_list: |relay, list, _| list.items.iter().for_each(|item| take_config(relay, item)),
         take_changes: |relay, changes| {
@@ -78,7 +81,7 @@
 /// Follows the list of replicas for good.
 pub async fn follow_replicas(relay: Rc<Relay>) {
     let followed = Followed {
-        kind: REPLICA_KIND,
+        kind: CallKind::Replicas,
         times: REPLICA_TIMES,
         take_list: take_replica_list,
         take_changes: take_replica_changes,
@@ -98,9 +101,11 @@
 async fn follow(relay: Rc<Relay>, followed: Followed) {
     let FollowTimes { wait, list_patience, .. } = followed.times;
     let platform = relay.settings.platform.to_string();
-    let lists = ObjectStore::new(&platform, Duration::from_millis(list_patience));
-    let watches = ObjectStore::new(&platform, Duration::from_millis(wait + STORE_PATIENCE));
-    let seed = hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.as_bytes());
+    let lists = CountedStore::new(&platform, Duration::from_millis(list_patience), &relay.calls);
+    let watches =
+        CountedStore::new(&platform, Duration::from_millis(wait + STORE_PATIENCE), &relay.calls);
+    let seed =
+        hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.name().as_bytes());
     let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
     let mut follower = StoreFollower::new(followed.times, backoff);
     let mut lost_at: Option<Millis> = None;
@@ -113,7 +118,7 @@
                 sleep(Duration::from_millis(pause)).await;
                 continue;
             }
-            FollowStep::List => list_once(&relay, &lists, &followed, sent).await,
+            FollowStep::List(cause) => list_once(&relay, &lists, &followed, cause, sent).await,
             FollowStep::Watch(after) => watch_once(&relay, &watches, &followed, after).await,
         };
         match outcome {
@@ -122,12 +127,12 @@
                 follower.note_answer(at);
                 if let Some(lost) = lost_at.take() {
                     let out_ms = now_millis() - lost;
-                    tracing::info!(event = "store-regained", kind = followed.kind, out_ms, at);
+                    tracing::info!(event = "store-regained", kind = %followed.kind, out_ms, at);
                 }
             }
             Err(StoreError::Gap) => {
                 let after = follower.revision();
-                tracing::info!(event = "history-gone", kind = followed.kind, after);
+                tracing::info!(event = "history-gone", kind = %followed.kind, after);
                 follower.note_gap();
             }
             Err(error) => {
@@ -137,7 +142,7 @@
                     lost_at = Some(sent);
                     // Those that this relay follows for read for themselves from now on.
                     tell_state(&relay, false, false);
-                    tracing::warn!(event = "store-lost", kind = followed.kind, %error);
+                    tracing::warn!(event = "store-lost", kind = %followed.kind, %error);
                 }
             }
         }
@@ -146,29 +151,28 @@
 
 async fn list_once(
     relay: &Rc<Relay>,
-    store: &ObjectStore,
+    store: &CountedStore,
     followed: &Followed,
+    cause: ReadCause,
     sent: Millis,
 ) -> Result<u64, StoreError> {
-    count(&relay.counts.store_lists);
-    let list = store.list(followed.kind, false).await?;
+    let list = store.list(followed.kind, CallVerb::List, CallCause::Follow(cause)).await?;
     let at = list.at;
-    tracing::debug!(event = "store-read", kind = followed.kind, at, items = list.items.len());
+    tracing::debug!(event = "store-read", kind = %followed.kind, at, items = list.items.len());
     (followed.take_list)(relay, list, sent);
     Ok(at)
 }
 
 async fn watch_once(
     relay: &Relay,
-    store: &ObjectStore,
+    store: &CountedStore,
     followed: &Followed,
     after: u64,
 ) -> Result<u64, StoreError> {
-    count(&relay.counts.store_watches);
     let wait = Duration::from_millis(followed.times.wait);
     let changes = store.watch(followed.kind, after, wait).await?;
     let (at, changed) = (changes.at, changes.events.len());
-    tracing::debug!(event = "store-watched", kind = followed.kind, after, at, changed);
+    tracing::debug!(event = "store-watched", kind = %followed.kind, after, at, changed);
     (followed.take_changes)(relay, changes.events);
     Ok(at.max(after))
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -4,6 +4,7 @@
 //! one follows the store rests, and reads for itself once that ends. Whoever drives this makes the
 //! calls, and tells what came of each.
 
+use derive_more::Display;
 use rand::Rng;
 use switchfold_core::retry::Backoff;
 
@@ -12,13 +13,36 @@
 /// Time between two looks at whether another relay still follows for this one, in milliseconds.
 const COVER_EVERY: Millis = 100;
 
+/// Why the store is read.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ReadCause {
+    /// Nothing was read since the start.
+    #[display("start")]
+    Start,
+    /// What was read before is followed.
+    #[display("followed")]
+    Followed,
+    /// Another relay, which followed for this one, has something newer.
+    #[display("newer-heard")]
+    NewerHeard,
+    /// No other relay follows for this one any more.
+    #[display("cover-ended")]
+    CoverEnded,
+    /// The last read got no answer.
+    #[display("lost")]
+    Lost,
+    /// The store no longer had the history that was asked for.
+    #[display("gap")]
+    Gap,
+}
+
 /// What is done next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FollowStep {
     /// Nothing, for so many milliseconds.
     Rest(Millis),
     /// A list is read.
-    List,
+    List(ReadCause),
     /// Changes after a revision are waited for.
     Watch(u64),
 }
@@ -69,12 +93,22 @@
     pause: Option<Millis>,
     is_listed: bool,
     is_covered: bool,
+    /// Why the next list is read.
+    cause: ReadCause,
 }
 
 impl<R: Rng> StoreFollower<R> {
     /// Makes a follower that read nothing yet.
     pub fn new(times: FollowTimes, backoff: Backoff<R>) -> Self {
-        Self { times, backoff, revision: None, pause: None, is_listed: false, is_covered: false }
+        Self {
+            times,
+            backoff,
+            revision: None,
+            pause: None,
+            is_listed: false,
+            is_covered: false,
+            cause: ReadCause::Start,
+        }
     }
 
     /// Revision from which it watches; nothing where it is to list.
@@ -95,11 +129,12 @@
         }
         if self.is_covered {
             self.is_covered = false;
+            self.cause = if hears_newer { ReadCause::NewerHeard } else { ReadCause::CoverEnded };
             if hears_newer && self.times.gather_covered > 0 {
                 return FollowStep::Rest(self.times.gather_covered);
             }
         }
-        self.revision.map_or(FollowStep::List, FollowStep::Watch)
+        self.revision.map_or(FollowStep::List(self.cause), FollowStep::Watch)
     }
 
     /// Notes an answer that reached the revision `at`.
@@ -114,6 +149,7 @@
     /// Notes that the store no longer has the history that was asked for.
     pub fn note_gap(&mut self) {
         self.revision = None;
+        self.cause = ReadCause::Gap;
     }
 
     /// Notes a read without an answer, given up `took` milliseconds after it was sent. A store that cuts a
@@ -121,6 +157,7 @@
     /// once what the watch did not.
     pub fn note_failure(&mut self, took: Millis) {
         self.revision = None;
+        self.cause = ReadCause::Lost;
         let pause = self.backoff.next_wait().min(self.times.longest_pause);
         self.pause = Some(pause.saturating_sub(took));
     }
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -51,7 +51,7 @@
         let FollowTimes { wait, list_patience, .. } = self.times;
         match self.step {
             FollowStep::Rest(_) => self.sent,
-            FollowStep::List => self.sent + list_patience,
+            FollowStep::List(_) => self.sent + list_patience,
             FollowStep::Watch(_) => self.sent + wait + STORE_PATIENCE,
         }
     }
@@ -140,7 +140,7 @@
     fn answer(&mut self, call: &Call, weather: &Weather<'_>, now: Millis) -> Option<Reply> {
         let after = match call.step {
             FollowStep::Rest(_) => return None,
-            FollowStep::List => return Some(self.list(call.kind)),
+            FollowStep::List(_) => return Some(self.list(call.kind)),
             FollowStep::Watch(after) => after,
         };
         let over = now >= call.sent + call.times.wait;
