--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -23,6 +23,12 @@
     pub step_asides: Cell<u64>,
     /// Orders to hold other layers.
     pub orders: Cell<u64>,
+    /// Questions to neighbours for what they read from the store.
+    pub snapshots_asked: Cell<u64>,
+    /// Answers to such questions of theirs.
+    pub snapshots_told: Cell<u64>,
+    /// Such questions and answers that could not be read.
+    pub bad_snapshots: Cell<u64>,
     /// News of a replica that was older than what was held of it.
     pub older_news: Cell<u64>,
     /// Messages of other relays that were overtaken by later ones.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod snapshot;
 pub mod state;
 pub mod stop;
 pub mod store_calls;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,7 +12,7 @@
 };
 
 /// Version of the form.
-const FORM: u8 = 3;
+const FORM: u8 = 4;
 
 /// A message between relays.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -42,6 +42,8 @@
     pub fleet_age: Option<Millis>,
     /// Time since the store last answered for it.
     pub fleet_answer_age: Option<Millis>,
+    /// Time since it had an answer of the store for it itself; nothing where another relay follows for it.
+    pub fleet_read_age: Option<Millis>,
     /// Digest of that list.
     pub fleet_digest: u64,
     /// Version of its configuration.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,13 +4,21 @@
 //! datagram costs nothing but the age of some figures. Relays learn of each other from an object each
 //! in the store, and from the datagrams themselves.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use switchfold_kernel::clock::now_millis;
+use switchfold_platform::objects::ListedObject;
 use switchfold_router::{
     Millis,
     fleet::ReplicaNews,
+    follow::{FIRST_PATIENCE, START_PATIENCE, start_patience},
     membership::{OwnState, PeerStamp, PeerState, PeerTable},
     replicas::NewsSource,
 };
@@ -21,7 +29,9 @@
     counts::count,
     news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
     replicas::{drop_lapsed, take_news},
-    state::Relay,
+    settings::RelaySettings,
+    snapshot::take::ask_relays,
+    state::{Beliefs, Relay},
     store_calls::{CallCause, CallKind, CallVerb},
 };
 
@@ -49,7 +59,7 @@
 const MOST_DATAGRAM: usize = 60_000;
 
 /// Where a relay hears from its peers, as its object in the store says.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerAddress {
     /// Address for datagrams.
     pub address: SocketAddr,
@@ -126,6 +136,7 @@
         fleet_age: news.fleet_age,
         config_answer_age: news.config_answer_age,
         fleet_answer_age: news.fleet_answer_age,
+        fleet_read_age: news.fleet_read_age,
     }
 }
 
@@ -227,6 +238,7 @@
         config_is_lost: beliefs.config_lease.is_lost(),
         fleet_age: beliefs.fleet.age(now),
         fleet_answer_age: beliefs.fleet.answer_age(now),
+        fleet_read_age: beliefs.fleet.read_age(now),
         fleet_digest: beliefs.fleet.view.digest(),
         config_version: beliefs.config_version(),
         config_age: beliefs.config_lease.age(now),
@@ -237,35 +249,129 @@
     }
 }
 
-/// Leaves this relay's address in the store, and reads those of the others now and then.
+/// Leaves this relay's address in the store, and learns those of the others now and then. A neighbour that
+/// read them spares it the calls: three at each restart, and one in each round.
 async fn find(relay: &Relay) {
-    register_for_good(relay).await;
+    let mut is_new = true;
+    if relay.settings.first_start {
+        register_for_good(relay).await;
+        is_new = false;
+    }
+    hear_any(relay).await;
     let mut verb = CallVerb::List;
     loop {
-        match relay.store.list(CallKind::Relays, verb, CallCause::Peers).await {
-            Ok(list) => {
-                for item in &list.items {
-                    learn_peer(relay, &item.metadata.name, &item.spec);
-                }
-                let names: BTreeSet<&str> =
-                    list.items.iter().map(|item| item.metadata.name.as_str()).collect();
-                forget_gone(relay, &names).await;
-                if verb == CallVerb::StaleList && !names.contains(relay.settings.name.as_str()) {
-                    tracing::warn!(event = "registration-missing");
-                    register_for_good(relay).await;
-                }
-                verb = CallVerb::StaleList;
+        let listed = match ask_relays(relay).await {
+            Some(relays) => Some(relays),
+            None => {
+                wait_for_store(relay).await;
+                list_relays(relay, verb).await
+            }
+        };
+        if let Some(relays) = listed {
+            let own = relays.get(&relay.settings.name);
+            if own != Some(&own_address(&relay.settings)) {
+                tracing::info!(event = "registration-missing", is_new);
+                register_for_good(relay).await;
             }
-            Err(error) => tracing::info!(event = "peers-unread", %error),
+            (verb, is_new) = (CallVerb::StaleList, false);
+            take_relays(relay, relays).await;
         }
-        sleep(LIST_EVERY).await;
+        sleep(if verb == CallVerb::List { REGISTER_AGAIN } else { LIST_EVERY }).await;
     }
 }
 
+/// Waits while the store is away: whoever follows the configuration tries it.
+async fn wait_for_store(relay: &Relay) {
+    while relay.beliefs.borrow().config_lease.is_lost() {
+        sleep(REGISTER_AGAIN).await;
+    }
+}
+
+/// Waits at the start until a neighbour is heard, for a time that differs from relay to relay: where all start
+/// together, the first to list the relays tells the others of itself.
+async fn hear_any(relay: &Relay) {
+    let RelaySettings { data_centre, first_start, .. } = &relay.settings;
+    let longest = if *first_start { FIRST_PATIENCE / 2 } else { START_PATIENCE * 3 };
+    let patience = relay.random.borrow_mut().random_range(START_PATIENCE / 2..=longest);
+    let until = now_millis() + patience;
+    while now_millis() < until {
+        if relay.beliefs.borrow().peers.live_near(data_centre, now_millis()) > 0 {
+            return;
+        }
+        sleep(START_LOOK).await;
+    }
+}
+
+/// Time between two looks at whether a neighbour was heard, at the start.
+const START_LOOK: Duration = Duration::from_millis(10);
+
+/// Waits at the start until a neighbour can tell what is wanted, for as long as that may take.
+pub async fn wait_at_start(relay: &Relay, can_be_told: impl Fn(&Beliefs, Millis) -> bool) {
+    let RelaySettings { name, data_centre, first_start, .. } = &relay.settings;
+    let begun = now_millis();
+    loop {
+        let now = now_millis();
+        {
+            let beliefs = relay.beliefs.borrow();
+            let before = beliefs.peers.before(name, data_centre, now).live;
+            if can_be_told(&beliefs, now) || now - begun >= start_patience(*first_start, before) {
+                return;
+            }
+        }
+        sleep(START_LOOK).await;
+    }
+}
+
+/// Relays with their addresses, as they stand in the store.
+type ListedRelays = BTreeMap<String, PeerAddress>;
+
+fn own_address(settings: &RelaySettings) -> PeerAddress {
+    PeerAddress { address: settings.peer_listen, data_centre: settings.data_centre.clone() }
+}
+
+async fn list_relays(relay: &Relay, verb: CallVerb) -> Option<ListedRelays> {
+    match relay.store.list(CallKind::Relays, verb, CallCause::Peers).await {
+        Ok(list) => Some(list.items.iter().filter_map(read_relay).collect()),
+        Err(error) => {
+            tracing::info!(event = "peers-unread", %error);
+            None
+        }
+    }
+}
+
+fn read_relay(object: &ListedObject) -> Option<(String, PeerAddress)> {
+    let name = &object.metadata.name;
+    match PeerAddress::deserialize(&object.spec) {
+        Ok(address) => Some((name.clone(), address)),
+        Err(error) => {
+            tracing::warn!(event = "peer-unreadable", name, %error);
+            None
+        }
+    }
+}
+
+/// Takes over where the relays are, and tells the new ones among them of this one at once: they may
+/// be waiting for a neighbour.
+async fn take_relays(relay: &Relay, relays: ListedRelays) {
+    let mut has_new = false;
+    for (name, PeerAddress { address, data_centre }) in &relays {
+        if *name != relay.settings.name {
+            let peers = &mut relay.beliefs.borrow_mut().peers;
+            has_new |= peers.learn(name, *address, data_centre, now_millis());
+        }
+    }
+    if has_new {
+        tell_state(relay, true, false);
+    }
+    forget_gone(relay, &relays.keys().map(String::as_str).collect()).await;
+    relay.beliefs.borrow_mut().listed_relays = Some(relays);
+}
+
 async fn register_for_good(relay: &Relay) {
     while let Err(error) = register(relay).await {
         tracing::info!(event = "registration-failed", %error);
         sleep(REGISTER_AGAIN).await;
+        wait_for_store(relay).await;
     }
 }
 
@@ -293,8 +399,7 @@
 
 async fn register(relay: &Relay) -> Result<(), StoreError> {
     let settings = &relay.settings;
-    let address =
-        PeerAddress { address: settings.peer_listen, data_centre: settings.data_centre.clone() };
+    let address = own_address(settings);
     match relay.store.create(CallKind::Relays, &settings.name, &address).await {
         Err(StoreError::Conflict { .. }) => {
             relay.store.replace(CallKind::Relays, &settings.name, &address).await
@@ -302,16 +407,3 @@
         outcome => outcome,
     }
 }
-
-fn learn_peer(relay: &Relay, name: &str, spec: &serde_json::Value) {
-    if name == relay.settings.name {
-        return;
-    }
-    match PeerAddress::deserialize(spec) {
-        Ok(peer) => {
-            let mut beliefs = relay.beliefs.borrow_mut();
-            beliefs.peers.learn(name, peer.address, &peer.data_centre, now_millis());
-        }
-        Err(error) => tracing::warn!(event = "peer-unreadable", name, %error),
-    }
-}
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -21,16 +21,19 @@
 
 /// Takes over a whole list of the store, sent for at `sent`.
 pub fn take_replica_list(relay: &Rc<Relay>, list: ObjectList, sent: Millis) {
+    let listed = list.items.iter().filter_map(|item| read_news(relay, item)).collect();
+    take_list(relay, FleetList { listed, at: list.at }, NewsSource::List, sent);
+}
+
+/// Takes over a whole list, proved at `sent`; `source` tells how it came.
+pub fn take_list(relay: &Rc<Relay>, list: FleetList, source: NewsSource, sent: Millis) {
     let at = list.at;
-    let listed: Vec<ReplicaNews> =
-        list.items.iter().filter_map(|item| read_news(relay, item)).collect();
     let is_first = relay.beliefs.borrow().fleet.view.is_empty();
     if is_first {
-        tracing::info!(event = "replicas-listed", count = listed.len(), at);
+        tracing::info!(event = "replicas-listed", count = list.listed.len(), at, %source);
     }
-    let list = FleetList { listed, at };
     let TakenList { taken, awaited, passed } =
-        relay.beliefs.borrow_mut().fleet.take_list(list, sent, now_millis());
+        relay.beliefs.borrow_mut().fleet.take_list(list, source, sent, now_millis());
     for (news, held) in passed {
         count(&relay.counts.passed_changes);
         tracing::warn!(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -34,6 +34,7 @@
     reload::follow_settings,
     serve::{serve_callers, serve_metrics, serve_readiness},
     settings::RelaySettings,
+    snapshot::{fetch::new_client, serve::serve_snapshots},
     state::{Beliefs, Relay},
     stop::StopState,
     store_calls::CountedStore,
@@ -77,6 +78,8 @@
     pub metrics: TcpListener,
     /// For messages of other relays.
     pub peers: UdpSocket,
+    /// For questions of neighbours, at the same port.
+    pub neighbours: TcpListener,
 }
 
 impl RelaySockets {
@@ -86,13 +89,13 @@
     ///
     /// Fails where one is not to be had.
     pub async fn bind(settings: &RelaySettings) -> Result<Self, RunError> {
-        let peers = UdpSocket::bind(settings.peer_listen).await;
+        let (peers, neighbours) = bind_peers(settings.peer_listen).await?;
         Ok(Self {
             callers: listen(settings.listen).await?,
             readiness: listen(settings.ready_listen).await?,
             metrics: listen(settings.metrics_listen).await?,
-            peers: peers
-                .map_err(|source| RunError::Listen { address: settings.peer_listen, source })?,
+            peers,
+            neighbours,
         })
     }
 }
@@ -126,6 +129,7 @@
     spawn_local(follow_config(relay.clone()));
     spawn_local(follow_replicas(relay.clone()));
     spawn_local(talk(relay.clone()));
+    spawn_local(serve_snapshots(relay.clone(), sockets.neighbours));
     spawn_local(place_layers(relay.clone()));
     spawn_local(survey_engines(relay.clone()));
     spawn_local(serve_readiness(relay.clone(), sockets.readiness));
@@ -149,6 +153,26 @@
     Ok(())
 }
 
+/// Tries to find a port that is free for datagrams and connections alike, where the settings name none.
+const PORT_TRIES: usize = 16;
+
+/// Binds one port for datagrams and for connections.
+async fn bind_peers(address: SocketAddr) -> Result<(UdpSocket, TcpListener), RunError> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let datagrams = UdpSocket::bind(address).await;
+        let datagrams = datagrams.map_err(|source| RunError::Listen { address, source })?;
+        let bound =
+            datagrams.local_addr().map_err(|source| RunError::Listen { address, source })?;
+        match listen(bound).await {
+            Ok(connections) => return Ok((datagrams, connections)),
+            Err(error) if address.port() != 0 || tries == PORT_TRIES => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })
 }
@@ -162,6 +186,7 @@
     Relay {
         store,
         calls,
+        neighbours: new_client(),
         bounds: RefCell::new(settings.bounds.clone()),
         settings,
         beliefs: RefCell::new(Beliefs::default()),
@@ -205,6 +230,9 @@
         resumes,
         step_asides,
         orders,
+        snapshots_asked,
+        snapshots_told,
+        bad_snapshots,
         older_news,
         older_states,
         returned,
@@ -223,6 +251,9 @@
         orders = orders.get(),
         store_calls = relay.calls.total(),
         store_calls_by = %relay.calls,
+        snapshots_asked = snapshots_asked.get(),
+        snapshots_told = snapshots_told.get(),
+        bad_snapshots = bad_snapshots.get(),
         older_news = older_news.get(),
         older_states = older_states.get(),
         returned = returned.get(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -26,6 +26,10 @@
     pub metrics_listen: SocketAddr,
     /// Address of the platform's object store.
     pub platform: SocketAddr,
+    /// Whether the whole system starts for the first time: relays then let one of each data centre read the
+    /// store first.
+    #[serde(default)]
+    pub first_start: bool,
     /// Bounds that the platform sets.
     pub bounds: BoundSettings,
 }
@@ -37,6 +41,15 @@
 pub struct BoundSettings {
     /// Time from a key's removal to the last request that may run with it.
     pub revoke_ms: f64,
+    /// Time without trouble after which a relay counts as in touch.
+    #[serde(default = "least_contact")]
+    pub contact_ms: f64,
+    /// Time for which a replica serves on once it says that it leaves.
+    #[serde(default = "least_old_state")]
+    pub drain_ms: f64,
+    /// Time after which a configuration must be in force.
+    #[serde(default = "least_old_state")]
+    pub config_apply_ms: f64,
     /// Time from SIGTERM to SIGKILL.
     pub grace_s: f64,
     /// Repeats allowed for each request.
@@ -47,6 +60,16 @@
     pub retry_allowance: f64,
 }
 
+/// Contact time where the platform names none, in milliseconds: the least of those seen.
+fn least_contact() -> f64 {
+    3_000.0
+}
+
+/// Bounds on old state where the platform names none, in milliseconds: the least of those seen.
+fn least_old_state() -> f64 {
+    2_000.0
+}
+
 impl BoundSettings {
     /// Time from a key's removal to the last request that may run with it; rounded to the strict side, as
     /// the others are.
@@ -54,6 +77,16 @@
         self.revoke_ms.floor() as Millis
     }
 
+    /// Time without trouble after which a relay counts as in touch.
+    pub fn contact(&self) -> Millis {
+        self.contact_ms.floor() as Millis
+    }
+
+    /// Time after which no state of the store may be acted on that is older.
+    pub fn old_state(&self) -> Millis {
+        self.drain_ms.min(self.config_apply_ms).floor() as Millis
+    }
+
     /// Time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Millis {
         (self.grace_s * 1_000.0).floor() as Millis
@@ -70,6 +103,17 @@
 
 const BOUND_RULES: &[FieldRule] = &[
     rule("revoke_ms", FieldKind::Decimal(0.0, 3_600_000.0), "time until a removed key is refused"),
+    optional("contact_ms", FieldKind::Decimal(0.0, 3_600_000.0), "time until a VM is in touch"),
+    optional(
+        "drain_ms",
+        FieldKind::Decimal(0.0, 3_600_000.0),
+        "time that a leaving replica serves",
+    ),
+    optional(
+        "config_apply_ms",
+        FieldKind::Decimal(0.0, 3_600_000.0),
+        "time until a change is in force",
+    ),
     rule("grace_s", FieldKind::Decimal(0.0, 3_600.0), "time from SIGTERM to SIGKILL"),
     rule("retry_ratio", FieldKind::Decimal(0.0, 10.0), "repeats for each request"),
     rule("retry_window_s", FieldKind::Decimal(LEAST_WINDOW_S, 3_600.0), "window of the repeats"),
@@ -80,6 +124,10 @@
     FieldRule { name, kind, required: true, help }
 }
 
+const fn optional(name: &'static str, kind: FieldKind, help: &'static str) -> FieldRule {
+    FieldRule { name, kind, required: false, help }
+}
+
 impl CheckedSettings for RelaySettings {
     const RULES: &'static [FieldRule] = &[
         rule("name", FieldKind::Text, "name of the VM"),
@@ -90,6 +138,7 @@
         rule("peer_listen", FieldKind::Address, "where other relays send their figures"),
         rule("metrics_listen", FieldKind::Address, "where metrics are served"),
         rule("platform", FieldKind::Address, "the platform's object store"),
+        optional("first_start", FieldKind::Flag, "whether the whole system starts"),
         rule("bounds", FieldKind::Object(BOUND_RULES), "bounds that the platform sets"),
     ];
 
--- /dev/null
+++ b/crates/relay/src/snapshot/fetch.rs
@@ -0,0 +1,116 @@
+//! Asking a neighbour for what it read from the store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use switchfold_kernel::{clock::now_millis, http::HttpClient};
+use switchfold_router::membership::PeerProof;
+
+use super::{MOST_SNAPSHOT, Snapshot, SnapshotBody, SnapshotKind};
+use crate::{counts::count, state::Relay};
+
+/// Time that a neighbour has for an answer: a list takes a tenth of a second on the link of a small VM where
+/// twenty ask at once. It is lost before the store is asked, so it stays below the store's own patience.
+pub const ASK_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Makes the client for questions to neighbours.
+pub fn new_client() -> HttpClient {
+    HttpClient::new(ASK_PATIENCE, MOST_SNAPSHOT)
+}
+
+/// What a neighbour told.
+#[derive(Clone, Debug)]
+pub struct ToldSnapshot {
+    /// Revision of the store up to which it read.
+    pub at: u64,
+    /// As of when that holds, and when the store answered last, by this relay's clock.
+    pub proof: PeerProof,
+    /// What it holds.
+    pub body: SnapshotBody,
+}
+
+/// Why nothing was told.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum UntoldReason {
+    /// There was no answer.
+    #[display("no answer: {_0}")]
+    NoAnswer(String),
+    /// The neighbour does not know it from the store, or not lately.
+    #[display("it cannot tell")]
+    Unknown,
+    /// The answer cannot be read.
+    #[display("unreadable, {_0} bytes")]
+    Unreadable(usize),
+    /// Another relay answered.
+    #[display("answered by {_0}")]
+    OtherTeller(String),
+}
+
+/// Asks a neighbour, by name and address, for what differs from what `held` stands for. A line tells what
+/// came of it.
+pub async fn fetch_snapshot(
+    relay: &Relay,
+    kind: SnapshotKind,
+    teller: &str,
+    address: SocketAddr,
+    held: u64,
+) -> Option<ToldSnapshot> {
+    count(&relay.counts.snapshots_asked);
+    let asked = now_millis();
+    match ask(relay, kind, teller, address, held).await {
+        Ok((snapshot, len)) => {
+            let took = now_millis() - asked;
+            let Snapshot { at, proved_age, answered_age, .. } = snapshot;
+            tracing::info!(event = "snapshot-told", %kind, teller, at, proved_age, took, len);
+            let proof = PeerProof {
+                proved: Some(asked.saturating_sub(proved_age)),
+                answered: Some(asked.saturating_sub(answered_age)),
+            };
+            Some(ToldSnapshot { at, proof, body: snapshot.body })
+        }
+        Err(reason) => {
+            if matches!(reason, UntoldReason::Unreadable(_) | UntoldReason::OtherTeller(_)) {
+                count(&relay.counts.bad_snapshots);
+            }
+            tracing::info!(event = "snapshot-untold", %kind, teller, %address, %reason);
+            None
+        }
+    }
+}
+
+async fn ask(
+    relay: &Relay,
+    kind: SnapshotKind,
+    teller: &str,
+    address: SocketAddr,
+    held: u64,
+) -> Result<(Snapshot, usize), UntoldReason> {
+    let no_answer = |detail: String| UntoldReason::NoAnswer(detail);
+    let uri = format!("http://{address}{}", kind.target(held));
+    let request = Request::get(uri).body(Full::new(Bytes::new()));
+    let request = request.map_err(|error| no_answer(error.to_string()))?;
+    let answer = relay.neighbours.call(request).await;
+    let answer = answer.map_err(|error| no_answer(error.to_string()))?;
+    if answer.status != StatusCode::OK {
+        return Err(UntoldReason::Unknown);
+    }
+    let len = answer.body.len();
+    let snapshot = Snapshot::decode(&answer.body).ok_or(UntoldReason::Unreadable(len))?;
+    match snapshot.teller == teller && fits(kind, &snapshot.body) {
+        true => Ok((snapshot, len)),
+        false => Err(UntoldReason::OtherTeller(snapshot.teller)),
+    }
+}
+
+fn fits(kind: SnapshotKind, body: &SnapshotBody) -> bool {
+    match (kind, body) {
+        (SnapshotKind::Config, SnapshotBody::Config { .. } | SnapshotBody::Same)
+        | (SnapshotKind::Replicas, SnapshotBody::Replicas(_) | SnapshotBody::Same)
+        | (SnapshotKind::Relays, SnapshotBody::Relays(_)) => true,
+        (_, SnapshotBody::Same | SnapshotBody::Config { .. })
+        | (_, SnapshotBody::Replicas(_) | SnapshotBody::Relays(_)) => false,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/snapshot/take.rs
@@ -0,0 +1,102 @@
+//! Taking over what a neighbour read from the store.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::{
+    fleet::ReplicaNews,
+    follow::TellerPlace,
+    replicas::{FleetList, NewsSource},
+};
+
+use super::{
+    RelayRecord, SnapshotBody, SnapshotKind,
+    fetch::{ToldSnapshot, fetch_snapshot},
+};
+use crate::{
+    counts::count, peers::PeerAddress, replicas::take_list, settings::RelaySettings, state::Relay,
+    watch::take_config,
+};
+
+/// Asks a neighbour for the configuration; gives the revision up to which it read.
+pub async fn ask_config(relay: &Rc<Relay>) -> Option<u64> {
+    let held = relay.beliefs.borrow().config_version();
+    let (teller, address) = config_teller(relay, held)?;
+    let told = fetch_snapshot(relay, SnapshotKind::Config, &teller, address, held).await?;
+    let ToldSnapshot { at, proof, body } = told;
+    if let SnapshotBody::Config { revision, spec } = body {
+        match serde_json::from_slice(&spec) {
+            Ok(spec) => drop(take_config(relay, &spec, revision, at)),
+            Err(error) => {
+                count(&relay.counts.bad_snapshots);
+                tracing::warn!(event = "snapshot-unreadable", teller, revision, %error);
+                return None;
+            }
+        }
+    }
+    let mut guard = relay.beliefs.borrow_mut();
+    let beliefs = &mut *guard;
+    if beliefs.config_unreadable || beliefs.config.get().is_none() {
+        return None;
+    }
+    if let Some(object) = &mut beliefs.config_object {
+        object.at = object.at.max(at);
+    }
+    proof.proved.into_iter().for_each(|proved| beliefs.config_lease.prove(proved));
+    proof.answered.into_iter().for_each(|answered| beliefs.config_lease.note_answer(answered));
+    beliefs.peers.note_answers(proof.answered, None);
+    Some(at)
+}
+
+fn config_teller(relay: &Relay, held: u64) -> Option<(String, SocketAddr)> {
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let beliefs = relay.beliefs.borrow();
+    let teller = beliefs.peers.config_teller(name, data_centre, held, now_millis())?;
+    Some((teller.name.to_owned(), teller.address))
+}
+
+/// Asks a neighbour for the list of replicas; gives the revision up to which it read.
+pub async fn ask_replicas(relay: &Rc<Relay>) -> Option<u64> {
+    let (holds_none, held) = {
+        let view = &relay.beliefs.borrow().fleet.view;
+        (view.is_empty(), view.digest())
+    };
+    let (teller, address) = fleet_teller(relay, holds_none)?;
+    let told = fetch_snapshot(relay, SnapshotKind::Replicas, &teller, address, held).await?;
+    if let SnapshotBody::Replicas(records) = told.body {
+        let listed = records.into_iter().map(ReplicaNews::from).collect();
+        let sent = told.proof.proved.unwrap_or_default();
+        take_list(relay, FleetList { listed, at: told.at }, NewsSource::Told, sent);
+    }
+    let mut beliefs = relay.beliefs.borrow_mut();
+    beliefs.fleet.note_told(told.proof, told.at);
+    beliefs.peers.note_answers(None, told.proof.answered);
+    Some(told.at)
+}
+
+fn fleet_teller(relay: &Relay, holds_none: bool) -> Option<(String, SocketAddr)> {
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let beliefs = relay.beliefs.borrow();
+    let teller = beliefs.peers.fleet_teller(name, data_centre, holds_none, now_millis())?;
+    Some((teller.name.to_owned(), teller.address))
+}
+
+/// Asks the first relay of the data centre for the relays that it found listed. One that comes before the others
+/// and knows some relays lists them itself.
+pub async fn ask_relays(relay: &Relay) -> Option<BTreeMap<String, PeerAddress>> {
+    let first = {
+        let RelaySettings { name, data_centre, .. } = &relay.settings;
+        let beliefs = relay.beliefs.borrow();
+        let first = beliefs.peers.first_near(name, data_centre, now_millis())?;
+        let lists_itself = beliefs.listed_relays.is_some() && first.place == TellerPlace::Behind;
+        (!lists_itself).then(|| (first.name.to_owned(), first.address))
+    };
+    let (teller, address) = first?;
+    let told = fetch_snapshot(relay, SnapshotKind::Relays, &teller, address, 0).await?;
+    let SnapshotBody::Relays(records) = told.body else { return None };
+    let relays = records.into_iter().map(|record| {
+        let RelayRecord { name, address, data_centre } = record;
+        (name, PeerAddress { address, data_centre })
+    });
+    Some(relays.collect())
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,12 +5,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 
+use bytes::Bytes;
 use rand_chacha::ChaCha8Rng;
-use switchfold_kernel::clock::now_millis;
+use switchfold_kernel::{clock::now_millis, http::HttpClient};
 use switchfold_router::{
     Millis,
     access::{ConfigSlot, RoutingConfig},
@@ -31,7 +32,7 @@
     counts::{Counts, count},
     engines::ReportCache,
     metrics::RelayMetrics,
-    peers::tell_state,
+    peers::{PeerAddress, tell_state},
     plain::ServiceLoads,
     pool::EndpointPool,
     settings::{BoundSettings, RelaySettings},
@@ -48,6 +49,10 @@
     pub config_lease: FreshnessLease,
     /// Whether the newest configuration could not be read, so that none proves the one in force.
     pub config_unreadable: bool,
+    /// The object of the configuration in force, for neighbours.
+    pub config_object: Option<ConfigObject>,
+    /// Relays whose addresses stand in the store, as last listed by this one or a neighbour.
+    pub listed_relays: Option<BTreeMap<String, PeerAddress>>,
     /// The replicas.
     pub fleet: FleetBelief,
     /// Memory for requests promised at each replica.
@@ -75,6 +80,17 @@
     }
 }
 
+/// The configuration as it stands in the store.
+#[derive(Clone, Debug)]
+pub struct ConfigObject {
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Revision of the store up to which it was read.
+    pub at: u64,
+    /// Its JSON.
+    pub spec: Bytes,
+}
+
 /// State of a part of a running request's path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PartState {
@@ -103,6 +119,8 @@
     pub store: CountedStore,
     /// Calls of it, however they were made.
     pub calls: Rc<CallTally>,
+    /// Questions to neighbours.
+    pub neighbours: HttpClient,
     /// Number drawn at the start, so that stamps of an earlier one are told apart.
     pub incarnation: u32,
     /// Where it hears from the other relays.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -2,11 +2,12 @@
 //!
 //! Each is listed once, then watched from the revision that the list told. What renews a freshness
 //! lease is the time at which a read was sent, never when its answer came. In each data centre one
-//! relay follows the store; the others hear from it and read for themselves only where its last answer
-//! of the store is old, it says that it lost the store, or its state differs from theirs.
+//! relay follows the store; the others hear from it, ask it for what they lack, and read for themselves only
+//! where none can tell.
 
-use std::{rc::Rc, time::Duration};
+use std::{mem::replace, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::{hash::hash_bytes, retry::Backoff};
@@ -14,23 +15,24 @@
 use switchfold_platform::{
     CONFIG_NAME,
     config::{decode_config, decode_version},
-    objects::{ListedObject, ObjectChange, ObjectList},
+    objects::{ListedObject, ObjectChanges, ObjectList},
 };
 use switchfold_router::{
     Millis,
     follow::{
-        CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, ReadCause, STORE_PATIENCE,
-        StoreFollower,
+        CONFIG_TIMES, FollowSight, FollowStep, FollowTimes, REPLICA_TIMES, ReadCause,
+        STORE_PATIENCE, StoreFollower,
     },
 };
 use switchfold_store::StoreError;
 use tokio::time::sleep;
 
 use crate::{
-    peers::tell_state,
+    peers::{tell_state, wait_at_start},
     replicas::{take_replica_changes, take_replica_list},
     settings::RelaySettings,
-    state::Relay,
+    snapshot::take::{ask_config, ask_replicas},
+    state::{ConfigObject, Relay},
     store_calls::{CallCause, CallKind, CallVerb, CountedStore},
 };
 
@@ -39,11 +41,10 @@
     kind: CallKind,
     times: FollowTimes,
     take_list: fn(&Rc<Relay>, ObjectList, Millis),
-    take_changes: fn(&Relay, Vec<ObjectChange>),
+    take_changes: fn(&Relay, ObjectChanges),
     prove: fn(&Relay, Millis, u64),
     lose: fn(&Relay, Millis),
-    is_covered: fn(&Relay, Millis) -> bool,
-    hears_newer: fn(&Relay, Millis) -> bool,
+    see: fn(&Relay, Millis) -> FollowSight,
 }
 
 /// Follows the configuration for good.
@@ -51,83 +52,131 @@
     let followed = Followed {
         kind: CallKind::Config,
         times: CONFIG_TIMES,
-        take_list: |relay, list, _| list.items.iter().for_each(|item| take_config(relay, item)),
+        take_list: |relay, list, _| {
+            list.items.iter().for_each(|item| read_config(relay, item, list.at))
+        },
         take_changes: |relay, changes| {
-            let kept = changes.iter().filter(|change| !change.gone);
-            kept.for_each(|change| take_config(relay, &change.object));
+            let kept = changes.events.iter().filter(|change| !change.gone);
+            kept.for_each(|change| read_config(relay, &change.object, changes.at));
         },
-        prove: |relay, sent, _| {
+        prove: |relay, sent, at| {
             let mut beliefs = relay.beliefs.borrow_mut();
             if !beliefs.config_unreadable {
                 beliefs.config_lease.prove(sent);
                 beliefs.config_lease.note_answer(now_millis());
             }
+            if let Some(object) = &mut beliefs.config_object {
+                object.at = at;
+            }
         },
-        lose: |relay, sent| relay.beliefs.borrow_mut().config_lease.note_lost(sent),
-        is_covered: |relay, now| {
-            let beliefs = relay.beliefs.borrow();
-            let RelaySettings { name, data_centre, .. } = &relay.settings;
-            beliefs.peers.covers_config(name, data_centre, beliefs.config_version(), now)
-        },
-        hears_newer: |relay, now| {
-            let beliefs = relay.beliefs.borrow();
-            let RelaySettings { name, data_centre, .. } = &relay.settings;
-            beliefs.peers.hears_newer_config(name, data_centre, beliefs.config_version(), now)
+        lose: |relay, sent| {
+            let mut beliefs = relay.beliefs.borrow_mut();
+            beliefs.config_lease.note_lost(sent);
+            beliefs.fleet.note_lost_by_other(sent, now_millis());
         },
+        see: see_config,
     };
     follow(relay, followed).await;
 }
 
+fn see_config(relay: &Relay, now: Millis) -> FollowSight {
+    let beliefs = relay.beliefs.borrow();
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let (peers, version) = (&beliefs.peers, beliefs.config_version());
+    let before = peers.before(name, data_centre, now);
+    FollowSight {
+        is_covered: peers.covers_config(name, data_centre, version, now),
+        hears_newer: peers.hears_newer_config(name, data_centre, version, now),
+        teller: peers.config_teller(name, data_centre, version, now).map(|teller| teller.place),
+        before: before.live,
+        lost_before: before.lost_config,
+        is_tried_by_other: false,
+    }
+}
+
 /// Follows the list of replicas for good.
 pub async fn follow_replicas(relay: Rc<Relay>) {
     let followed = Followed {
         kind: CallKind::Replicas,
         times: REPLICA_TIMES,
         take_list: take_replica_list,
-        take_changes: take_replica_changes,
+        take_changes: |relay, changes| take_replica_changes(relay, changes.events),
         prove: |relay, sent, at| {
             relay.beliefs.borrow_mut().fleet.note_read(sent, at, now_millis());
         },
         lose: |relay, sent| relay.beliefs.borrow_mut().fleet.note_lost(sent),
-        is_covered: |relay, now| {
-            let RelaySettings { name, data_centre, .. } = &relay.settings;
-            relay.beliefs.borrow().peers.covers_fleet(name, data_centre, now)
-        },
-        hears_newer: |_, _| false,
+        see: see_replicas,
     };
     follow(relay, followed).await;
 }
 
+fn see_replicas(relay: &Relay, now: Millis) -> FollowSight {
+    let beliefs = relay.beliefs.borrow();
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let (peers, fleet) = (&beliefs.peers, &beliefs.fleet);
+    let teller = peers.fleet_teller(name, data_centre, fleet.view.is_empty(), now);
+    let before = peers.before(name, data_centre, now);
+    FollowSight {
+        is_covered: peers.covers_fleet(name, data_centre, now),
+        hears_newer: false,
+        teller: teller.map(|teller| teller.place),
+        before: before.live,
+        lost_before: before.lost_fleet,
+        // Both kinds stand in one store: one call tells whether it is back.
+        is_tried_by_other: beliefs.config_lease.is_lost(),
+    }
+}
+
 async fn follow(relay: Rc<Relay>, followed: Followed) {
-    let FollowTimes { wait, list_patience, .. } = followed.times;
+    let times = {
+        let bounds = relay.bounds.borrow();
+        followed.times.within_bounds(bounds.contact(), bounds.old_state())
+    };
     let platform = relay.settings.platform.to_string();
-    let lists = CountedStore::new(&platform, Duration::from_millis(list_patience), &relay.calls);
-    let watches =
-        CountedStore::new(&platform, Duration::from_millis(wait + STORE_PATIENCE), &relay.calls);
-    let seed =
-        hash_bytes(hash_bytes(0, relay.settings.name.as_bytes()), followed.kind.name().as_bytes());
-    let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
-    let mut follower = StoreFollower::new(followed.times, backoff);
+    let lists = Duration::from_millis(times.list_patience);
+    let lists = CountedStore::new(&platform, lists, &relay.calls);
+    let watches = Duration::from_millis(times.wait + STORE_PATIENCE);
+    let watches = CountedStore::new(&platform, watches, &relay.calls);
+    let seed = hash_bytes(relay.settings.name.len() as u64, relay.settings.name.as_bytes());
+    let seed = hash_bytes(seed, followed.kind.name().as_bytes());
+    let mut follower = StoreFollower::new(times, Backoff::new(ChaCha8Rng::seed_from_u64(seed)));
     let mut lost_at: Option<Millis> = None;
+    // Whether the neighbours know that this relay reads the store.
+    let mut is_reader = false;
+    let see = followed.see;
+    wait_at_start(&relay, |_, now| see(&relay, now).teller.is_some()).await;
     loop {
         let sent = now_millis();
-        let is_covered = (followed.is_covered)(&relay, sent);
-        let hears_newer = (followed.hears_newer)(&relay, sent);
-        let outcome = match follower.next_step(is_covered, hears_newer) {
+        let sight = see(&relay, sent);
+        let outcome = match follower.next_step(&sight, sent) {
             FollowStep::Rest(pause) => {
+                is_reader &= !sight.is_covered;
                 sleep(Duration::from_millis(pause)).await;
                 continue;
             }
+            FollowStep::Ask => {
+                is_reader = false;
+                match ask_neighbour(&relay, followed.kind).await {
+                    Some(at) => follower.note_told(at, now_millis()),
+                    None => follower.note_untold(now_millis()),
+                }
+                continue;
+            }
             FollowStep::List(cause) => list_once(&relay, &lists, &followed, cause, sent).await,
             FollowStep::Watch(after) => watch_once(&relay, &watches, &followed, after).await,
         };
         match outcome {
             Ok(at) => {
                 (followed.prove)(&relay, sent, at);
-                follower.note_answer(at);
+                follower.note_answer(at, now_millis());
                 if let Some(lost) = lost_at.take() {
                     let out_ms = now_millis() - lost;
                     tracing::info!(event = "store-regained", kind = %followed.kind, out_ms, at);
+                    is_reader = false;
+                }
+                if !replace(&mut is_reader, true) {
+                    // Neighbours that need the store ask this relay, and do not make a call of their own.
+                    tell_state(&relay, false, false);
                 }
             }
             Err(StoreError::Gap) => {
@@ -137,7 +186,7 @@
             }
             Err(error) => {
                 (followed.lose)(&relay, sent);
-                follower.note_failure(now_millis() - sent);
+                follower.note_failure(sent, see(&relay, now_millis()).lost_before);
                 if lost_at.is_none() {
                     lost_at = Some(sent);
                     // Those that this relay follows for read for themselves from now on.
@@ -149,6 +198,14 @@
     }
 }
 
+async fn ask_neighbour(relay: &Rc<Relay>, kind: CallKind) -> Option<u64> {
+    match kind {
+        CallKind::Config => ask_config(relay).await,
+        CallKind::Replicas => ask_replicas(relay).await,
+        CallKind::Relays => None,
+    }
+}
+
 async fn list_once(
     relay: &Rc<Relay>,
     store: &CountedStore,
@@ -173,38 +230,49 @@
     let changes = store.watch(followed.kind, after, wait).await?;
     let (at, changed) = (changes.at, changes.events.len());
     tracing::debug!(event = "store-watched", kind = %followed.kind, after, at, changed);
-    (followed.take_changes)(relay, changes.events);
+    (followed.take_changes)(relay, changes);
     Ok(at.max(after))
 }
 
-fn take_config(relay: &Relay, object: &ListedObject) {
+fn read_config(relay: &Relay, object: &ListedObject, at: u64) {
     if object.metadata.name != CONFIG_NAME {
         return;
     }
+    if take_config(relay, &object.spec, object.metadata.revision, at) {
+        // Neighbours ask for it once they hear of it.
+        tell_state(relay, false, false);
+    }
+}
+
+/// Takes over a configuration of a revision, read up to the revision `at`, from the store or from a neighbour;
+/// tells whether it is a newer one.
+pub fn take_config(relay: &Relay, spec: &serde_json::Value, revision: u64, at: u64) -> bool {
     let current = relay.config().map_or(0, |config| config.version);
-    let decoded = match decode_version(&object.spec) {
+    let decoded = match decode_version(spec) {
         Ok(version) if version <= current => {
             // What is in force stands in the store again.
             relay.beliefs.borrow_mut().config_unreadable &= version < current;
-            return;
+            return false;
         }
-        Ok(_) => decode_config(&object.spec),
+        Ok(_) => decode_config(spec),
         Err(error) => Err(error),
     };
-    let revision = object.metadata.revision;
     let config = match decoded {
         Ok(config) => Rc::new(config),
         Err(error) => {
             relay.beliefs.borrow_mut().config_unreadable = true;
             tracing::error!(event = "config-unreadable", %error, revision);
-            return;
+            return false;
         }
     };
     let (version, routes) = (config.version, config.route_count());
+    let object = ConfigObject { revision, at, spec: Bytes::from(spec.to_string()) };
     {
         let mut beliefs = relay.beliefs.borrow_mut();
         beliefs.config.merge(version, config);
         beliefs.config_unreadable = false;
+        beliefs.config_object = Some(object);
     }
     tracing::info!(event = "config-taken", version, routes, revision);
+    true
 }
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -19,6 +19,7 @@
     samples::{self, HOST, KEY, RouteSample},
 };
 use switchfold_relay::{
+    news::{PeerMessage, StateNews},
     run::{RelaySockets, run_relay},
     settings::{BoundSettings, RelaySettings},
 };
@@ -99,6 +100,9 @@
 pub(crate) fn bounds() -> BoundSettings {
     BoundSettings {
         revoke_ms: 5_000.0,
+        contact_ms: 3_000.0,
+        drain_ms: 2_000.0,
+        config_apply_ms: 2_000.0,
         grace_s: 8.0,
         retry_ratio: 0.2,
         retry_window_s: 10.0,
@@ -124,9 +128,33 @@
 
     /// Starts a relay beside a store, whatever that holds.
     pub(crate) async fn start_beside(store: StandinStore, bounds: BoundSettings) -> Self {
+        BoundRelay::new("relay-1", store, bounds).await.run()
+    }
+
+    /// Waits until readiness has this status.
+    pub(crate) async fn wait_ready(&self, wanted: StatusCode) {
+        let request = || Request::get("/readyz").body(Full::default()).expect("a request");
+        wait_until(async || call(self.ready, request()).await.status == wanted).await;
+    }
+
+    /// Calls a path of a route with the sample key.
+    pub(crate) async fn get(&self, path: &str, id: &str) -> Called {
+        call(self.address, request(path, id)).await
+    }
+}
+
+/// A relay whose sockets are bound, and that does not run yet: messages to it wait.
+pub(crate) struct BoundRelay {
+    settings: RelaySettings,
+    sockets: RelaySockets,
+    store: StandinStore,
+}
+
+impl BoundRelay {
+    pub(crate) async fn new(name: &str, store: StandinStore, bounds: BoundSettings) -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        let settings = RelaySettings {
-            name: "relay-1".to_owned(),
+        let mut settings = RelaySettings {
+            name: name.to_owned(),
             data_centre: "hall".to_owned(),
             region: "west".to_owned(),
             listen: any,
@@ -134,28 +162,42 @@
             peer_listen: any,
             metrics_listen: any,
             platform: store.address(),
+            first_start: false,
             bounds,
         };
         let sockets = RelaySockets::bind(&settings).await.expect("free loopback ports");
+        settings.peer_listen = sockets.peers.local_addr().expect("bound");
+        Self { settings, sockets, store }
+    }
+
+    /// Where it hears from other relays.
+    pub(crate) fn peers(&self) -> SocketAddr {
+        self.settings.peer_listen
+    }
+
+    /// Makes itself known to another relay, as one does that restarts, and waits for a message of it.
+    pub(crate) async fn meet(&self, other: &RunningRelay) {
+        let news = StateNews {
+            name: self.settings.name.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            ..StateNews::default()
+        };
+        let datagram = PeerMessage::State(Box::new(news)).encode();
+        self.sockets.peers.send_to(&datagram, other.peers).await.expect("loopback takes it");
+        timeout(PATIENCE, self.sockets.peers.readable()).await.expect("in time").expect("bound");
+    }
+
+    /// Runs it.
+    pub(crate) fn run(self) -> RunningRelay {
+        let Self { settings, sockets, store } = self;
         let address = sockets.callers.local_addr().expect("bound");
         let ready = sockets.readiness.local_addr().expect("bound");
         let metrics = sockets.metrics.local_addr().expect("bound");
-        let peers = sockets.peers.local_addr().expect("bound");
+        let peers = settings.peer_listen;
         let shutdown = ShutdownSignal::new();
         let running = run_relay(settings, sockets, None, shutdown.clone());
         let task = spawn_local(async move { running.await.expect("the relay runs") });
-        Self { store, address, ready, metrics, peers, shutdown, task }
-    }
-
-    /// Waits until readiness has this status.
-    pub(crate) async fn wait_ready(&self, wanted: StatusCode) {
-        let request = || Request::get("/readyz").body(Full::default()).expect("a request");
-        wait_until(async || call(self.ready, request()).await.status == wanted).await;
-    }
-
-    /// Calls a path of a route with the sample key.
-    pub(crate) async fn get(&self, path: &str, id: &str) -> Called {
-        call(self.address, request(path, id)).await
+        RunningRelay { store, address, ready, metrics, peers, shutdown, task }
     }
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -209,6 +209,15 @@
         self.entries().find(|replica| replica.address == address)
     }
 
+    /// All that is held, as news for another relay.
+    pub fn news(&self) -> impl Iterator<Item = ReplicaNews> {
+        self.replicas.iter().map(|(id, held)| ReplicaNews {
+            id: id.clone(),
+            revision: held.revision,
+            entry: Some(held.entry.clone()),
+        })
+    }
+
     /// Replicas of a service.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaEntry> {
         self.entries().filter(move |replica| replica.service == service)
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,18 +1,70 @@
 //! What a relay does next to follow one kind of object in the store.
 //!
-//! Each kind is listed once, then watched from the revision that the list told. A relay for which another
-//! one follows the store rests, and reads for itself once that ends. Whoever drives this makes the
-//! calls, and tells what came of each.
+//! There are as many relays as entry VMs, and each call of the store has a price, so a relay calls it only
+//! for what no other relay can tell. Each kind of object is listed once, then watched from the revision that
+//! the list told. A relay for which another one of its data centre follows the store rests. One that needs a
+//! whole list, at its start, after an outage or where its state differs, asks a neighbour that reads the
+//! store, and reads for itself only where none can tell. Whoever drives this makes the calls, and tells what
+//! came of each.
+//!
+//! | load | what would go wrong | what bounds it |
+//! |---|---|---|
+//! | versions in quick succession | every relay reads each | the followed relay reads, the others ask it |
+//! | restarts of many relays | every start lists everything | a neighbour tells within [`START_PATIENCE`] |
+//! | an outage | every relay tries on, for each kind | [`FollowSight::lost_before`], [`FollowSight::is_tried_by_other`] |
+//! | the store's return | every relay lists everything | one that is back says so, the others ask it |
 
 use derive_more::Display;
 use rand::Rng;
 use switchfold_core::retry::Backoff;
 
-use crate::Millis;
+use crate::{Millis, membership::FOLLOWED_AGE};
 
-/// Time between two looks at whether another relay still follows for this one, in milliseconds.
+/// Time between two looks at what the other relays say, in milliseconds.
 const COVER_EVERY: Millis = 100;
 
+/// Time that a relay gives its neighbours at its start to say that they are there, in milliseconds, before it
+/// reads the store itself. Each speaks every 200 ms, so of ten neighbours the first is heard within
+/// 20 ms; where there are few, the store's reading calls are few as well.
+pub const START_PATIENCE: Millis = 60;
+
+/// The same at the first start of the whole system, in milliseconds, for a relay that hears of no other one before
+/// it: processes start within 300 ms of each other, and need a little to find each other.
+pub const FIRST_PATIENCE: Millis = 700;
+
+/// The same for one that hears of another one before it, which is to read first. Callers come ten seconds after
+/// the first start.
+pub const FIRST_PATIENCE_BEHIND: Millis = 2_500;
+
+/// Time between two questions to a neighbour that reads the store, where its word covers nobody: it awaits
+/// entries that its list lacks, or the lists differ. In milliseconds; a leaving replica must be left alone within
+/// two seconds.
+const ASK_EVERY: Millis = 500;
+
+/// Time for which no neighbour is asked after one could not tell, in milliseconds.
+const ASK_AGAIN: Millis = 1_000;
+
+/// Delay of a question for something newer for each relay before this one in its data centre, in
+/// milliseconds: they hear of it at once, and twenty answers together hold up the asked relay's link.
+const ASK_STAGGER: Millis = 5;
+
+/// Time that is left of the users' contact time where a relay behind others tries the store again: the try's own
+/// patience, and the same once more for a second one. In milliseconds.
+const CONTACT_MARGIN: Millis = 2 * STORE_PATIENCE;
+
+/// Doublings of the pause between two tries at most; the longest pause is reached before.
+const MOST_DOUBLINGS: usize = 8;
+
+/// Delay of a read of the store for each relay before this one once none follows for it any more, in
+/// milliseconds: the first to read says so at once, and the others ask it.
+const READ_STAGGER: Millis = 30;
+
+/// Longest such delay in milliseconds, where the users' bounds on old state leave as much.
+const LONGEST_STAGGER: Millis = 450;
+
+/// Time that is left of those bounds for the read itself, in milliseconds.
+const READ_MARGIN: Millis = 300;
+
 /// Why the store is read.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ReadCause {
@@ -41,12 +93,40 @@
 pub enum FollowStep {
     /// Nothing, for so many milliseconds.
     Rest(Millis),
+    /// A neighbour is asked for all that it read.
+    Ask,
     /// A list is read.
     List(ReadCause),
     /// Changes after a revision are waited for.
     Watch(u64),
 }
 
+/// A neighbour that can tell what the store holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TellerPlace {
+    /// It comes before this relay, so that it also follows for it.
+    Before,
+    /// It comes behind.
+    Behind,
+}
+
+/// What is seen of the other relays of the data centre.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FollowSight {
+    /// Whether another relay follows for this one.
+    pub is_covered: bool,
+    /// Whether one tells of something newer.
+    pub hears_newer: bool,
+    /// Whether one that reads the store can tell all that it read.
+    pub teller: Option<TellerPlace>,
+    /// Count of live relays before this one.
+    pub before: usize,
+    /// Count of those that lost the store as well.
+    pub lost_before: usize,
+    /// Whether this relay lost the store, and tries it again for another kind of object.
+    pub is_tried_by_other: bool,
+}
+
 /// Times of a follower, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowTimes {
@@ -56,10 +136,26 @@
     pub list_patience: Millis,
     /// Pause after an answer that moved on, so that changes in series cost one call together.
     pub gather: Millis,
-    /// Pause of a relay for which another one follows before it reads something newer that it hears of.
-    pub gather_covered: Millis,
+    /// Time by which it lets the other kind go first once no relay follows for this one: where the store is away,
+    /// one call tells.
+    pub yields: Millis,
     /// Longest time from one try to the next while the store does not answer.
     pub longest_pause: Millis,
+    /// The same for a relay behind others that lost the store as well: they try for it. It may be turned
+    /// away by itself all the same, and must then use the store again before it counts as in touch.
+    pub longest_behind: Millis,
+    /// Longest delay of a read once no relay follows for this one.
+    pub longest_stagger: Millis,
+}
+
+impl FollowTimes {
+    /// These times where a relay counts as in touch `contact` milliseconds after a trouble, and must then hold no
+    /// state that is older than `old_state` milliseconds.
+    pub fn within_bounds(self, contact: Millis, old_state: Millis) -> Self {
+        let longest_behind = contact.saturating_sub(CONTACT_MARGIN).max(self.longest_pause);
+        let left = old_state.saturating_sub(FOLLOWED_AGE + READ_MARGIN);
+        Self { longest_behind, longest_stagger: left.min(LONGEST_STAGGER), ..self }
+    }
 }
 
 /// Time that the store has for an answer beyond the wait asked of it, in milliseconds. It answers in 4 ms,
@@ -68,29 +164,54 @@
 pub const STORE_PATIENCE: Millis = 600;
 
 /// How the configuration is followed. A watch waits for a second: the lease is as old as two waits at
-/// most, which leaves half of the usual bound of 5 s on removed keys. A relay that hears of a newer
-/// version waits before it reads that, so that versions in quick succession cost one read.
-pub const CONFIG_TIMES: FollowTimes =
-    FollowTimes { gather: 0, gather_covered: 300, ..REPLICA_TIMES };
+/// most, which leaves half of the usual bound of 5 s on removed keys.
+pub const CONFIG_TIMES: FollowTimes = FollowTimes { gather: 0, yields: 0, ..REPLICA_TIMES };
 
 /// How the list of replicas is followed. A leaving replica must be left alone within the 2 s that it goes
 /// on serving, also where a watch was cut without a word. A store that comes back is used again within
-/// half a second by every relay, whatever others in its data centre can reach.
+/// half a second by the first relay of each data centre.
 pub const REPLICA_TIMES: FollowTimes = FollowTimes {
     wait: 1_000,
     list_patience: STORE_PATIENCE,
     gather: 150,
-    gather_covered: 0,
+    yields: 60,
     longest_pause: 400,
+    longest_behind: 1_600,
+    longest_stagger: 100,
 };
 
+/// Time that a relay at its start waits for a neighbour that can tell, in milliseconds: `before` relays of its
+/// data centre were heard that come before it.
+pub fn start_patience(is_first_start: bool, before: usize) -> Millis {
+    match (is_first_start, before) {
+        (false, _) => START_PATIENCE,
+        (true, 0) => FIRST_PATIENCE,
+        (true, _) => FIRST_PATIENCE_BEHIND,
+    }
+}
+
+/// Whether a neighbour may be asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AskState {
+    /// It may.
+    Free,
+    /// It told lately, or may tell soon: neither it nor the store is asked before.
+    RestsUntil(Millis),
+    /// None could tell: the store is asked.
+    BarredUntil(Millis),
+}
+
 /// Follows one kind of object.
 #[derive(Debug)]
 pub struct StoreFollower<R> {
     times: FollowTimes,
     backoff: Backoff<R>,
     revision: Option<u64>,
-    pause: Option<Millis>,
+    /// Until when the store is not called.
+    rests_until: Millis,
+    /// When it is called at the latest after a failure, whoever tries it for another kind of object.
+    tries_by: Millis,
+    asking: AskState,
     is_listed: bool,
     is_covered: bool,
     /// Why the next list is read.
@@ -104,7 +225,9 @@
             times,
             backoff,
             revision: None,
-            pause: None,
+            rests_until: 0,
+            tries_by: 0,
+            asking: AskState::Free,
             is_listed: false,
             is_covered: false,
             cause: ReadCause::Start,
@@ -116,34 +239,75 @@
         self.revision
     }
 
-    /// What to do next; `is_covered` tells whether another relay follows for this one, `hears_newer` whether
-    /// one tells of something newer, which more may follow.
-    pub fn next_step(&mut self, is_covered: bool, hears_newer: bool) -> FollowStep {
-        if let Some(pause) = self.pause.take() {
-            return FollowStep::Rest(pause);
-        }
-        if self.is_listed && is_covered {
+    /// What to do next, by what is seen of the others.
+    pub fn next_step(&mut self, sight: &FollowSight, now: Millis) -> FollowStep {
+        if self.is_listed && sight.is_covered {
             self.revision = None;
             self.is_covered = true;
             return FollowStep::Rest(COVER_EVERY);
         }
         if self.is_covered {
             self.is_covered = false;
-            self.cause = if hears_newer { ReadCause::NewerHeard } else { ReadCause::CoverEnded };
-            if hears_newer && self.times.gather_covered > 0 {
-                return FollowStep::Rest(self.times.gather_covered);
-            }
+            self.end_cover(sight, now);
+        }
+        if let Some(step) = self.next_question(sight, now) {
+            return step;
+        }
+        if now < self.rests_until {
+            return FollowStep::Rest((self.rests_until - now).min(COVER_EVERY));
+        }
+        if sight.is_tried_by_other && now < self.tries_by {
+            return FollowStep::Rest(COVER_EVERY);
         }
         self.revision.map_or(FollowStep::List(self.cause), FollowStep::Watch)
     }
 
-    /// Notes an answer that reached the revision `at`.
-    pub fn note_answer(&mut self, at: u64) {
+    fn end_cover(&mut self, sight: &FollowSight, now: Millis) {
+        self.cause = ReadCause::CoverEnded;
+        let stagger = (READ_STAGGER * sight.before as Millis).min(self.times.longest_stagger);
+        self.rests_until = self.rests_until.max(now + stagger + self.times.yields);
+        self.tries_by = now + self.times.longest_behind;
+        if sight.hears_newer {
+            self.cause = ReadCause::NewerHeard;
+            self.asking = AskState::RestsUntil(now + ASK_STAGGER * sight.before as Millis);
+        }
+    }
+
+    /// What is to be done about a neighbour that reads the store, if anything: it is asked for a whole list,
+    /// and by whoever comes behind it again as long as its word does not cover that one.
+    fn next_question(&self, sight: &FollowSight, now: Millis) -> Option<FollowStep> {
+        let place = sight.teller?;
+        if self.revision.is_some() && place == TellerPlace::Behind {
+            return None;
+        }
+        match self.asking {
+            AskState::RestsUntil(until) if now < until => {
+                Some(FollowStep::Rest((until - now).min(COVER_EVERY)))
+            }
+            AskState::BarredUntil(until) if now < until => None,
+            _ => Some(FollowStep::Ask),
+        }
+    }
+
+    /// Notes that a neighbour told all that it read, up to the revision `at`.
+    pub fn note_told(&mut self, at: u64, now: Millis) {
+        self.revision = Some(at);
+        self.is_listed = true;
+        self.asking = AskState::RestsUntil(now + ASK_EVERY);
+    }
+
+    /// Notes that a neighbour could not tell.
+    pub fn note_untold(&mut self, now: Millis) {
+        self.asking = AskState::BarredUntil(now + ASK_AGAIN);
+    }
+
+    /// Notes an answer of the store that reached the revision `at`.
+    pub fn note_answer(&mut self, at: u64, now: Millis) {
         let moved = self.revision.is_some_and(|after| at > after);
         self.revision = Some(self.revision.map_or(at, |after| after.max(at)));
         self.is_listed = true;
         self.backoff.reset();
-        self.pause = moved.then_some(self.times.gather);
+        self.rests_until = if moved { now + self.times.gather } else { 0 };
     }
 
     /// Notes that the store no longer has the history that was asked for.
@@ -152,13 +316,17 @@
         self.cause = ReadCause::Gap;
     }
 
-    /// Notes a read without an answer, given up `took` milliseconds after it was sent. A store that cuts a
-    /// watch may have dropped its history, and says so to a new watch only when that ends; a list tells at
-    /// once what the watch did not.
-    pub fn note_failure(&mut self, took: Millis) {
+    /// Notes a read without an answer that was sent at `sent`. A store that cuts a watch may have dropped its
+    /// history, and says so to a new watch only when that ends; a list tells at once what the watch did not.
+    pub fn note_failure(&mut self, sent: Millis, lost_before: usize) {
         self.revision = None;
         self.cause = ReadCause::Lost;
-        let pause = self.backoff.next_wait().min(self.times.longest_pause);
-        self.pause = Some(pause.saturating_sub(took));
+        let FollowTimes { longest_pause, longest_behind, .. } = self.times;
+        let pause = match lost_before {
+            0 => self.backoff.next_wait().min(longest_pause),
+            before => (longest_pause << before.min(MOST_DOUBLINGS)).min(longest_behind),
+        };
+        self.rests_until = sent + pause;
+        self.tries_by = sent + longest_behind;
     }
 }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -12,7 +12,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, ops::Bound};
 
-use crate::Millis;
+use crate::{Millis, follow::TellerPlace};
 
 /// Silence after which a relay is taken for gone, in milliseconds: three messages in a row were lost.
 pub const PEER_SILENCE: Millis = 1_600;
@@ -69,6 +69,9 @@
     pub config_age: Option<Millis>,
     /// Age of its proof of its list of replicas, in milliseconds; nothing where it has none.
     pub fleet_age: Option<Millis>,
+    /// Time since it last had an answer of the store for its list of replicas itself, in milliseconds; nothing
+    /// where another relay follows for it.
+    pub fleet_read_age: Option<Millis>,
     /// Time since the store last answered for the configuration, to it or to one that it follows, in
     /// milliseconds.
     pub config_answer_age: Option<Millis>,
@@ -109,6 +112,17 @@
     pub fleet: PeerProof,
 }
 
+/// A relay that can tell what the store holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StateTeller<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Whether it comes before the asking relay, or behind.
+    pub place: TellerPlace,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
@@ -119,6 +133,17 @@
     last_stamp: Option<(PeerStamp, Millis)>,
 }
 
+/// Counts of live relays of a data centre before one of them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeersBefore {
+    /// All of them.
+    pub live: usize,
+    /// Those that lost the store for the configuration.
+    pub lost_config: usize,
+    /// Those that lost the store for the list of replicas.
+    pub lost_fleet: usize,
+}
+
 /// The other relays, by name.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -153,8 +178,15 @@
         near.filter(|peer| peer.is_live(now)).count()
     }
 
-    /// Learns where a relay is.
-    pub fn learn(&mut self, name: &str, address: SocketAddr, data_centre: &str, now: Millis) {
+    /// Learns where a relay is; tells whether it was not known before.
+    pub fn learn(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        data_centre: &str,
+        now: Millis,
+    ) -> bool {
+        let is_new = !self.peers.contains_key(name);
         let peer = self.peers.entry(name.to_owned()).or_insert_with(|| Peer {
             address,
             data_centre: data_centre.to_owned(),
@@ -164,6 +196,7 @@
             last_stamp: None,
         });
         peer.address = address;
+        is_new
     }
 
     /// Relays that were silent for so long that their VMs must be gone.
@@ -320,6 +353,81 @@
         proofs.min().is_some_and(|age| age + YOUNGER_BY <= own_age)
     }
 
+    /// Relay of the data centre that can tell the configuration to one that has `version`: the first by name
+    /// that has a newer one, or that the store answered lately.
+    pub fn config_teller<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        version: u64,
+        now: Millis,
+    ) -> Option<StateTeller<'a>> {
+        self.teller(own, data_centre, now, |peer| {
+            let state = &peer.state;
+            let age = state.config_answer_age.filter(|_| !state.config_is_lost);
+            state.config_version > version
+                || (state.config_version == version && peer.is_within_followed_age(age, now))
+        })
+    }
+
+    /// Relay of the data centre that can tell the list of replicas: the first by name that reads the store itself,
+    /// and that it answered lately. What others hold was told to them, and is as of no one revision; it serves one
+    /// that `holds_none` all the same, which can only be better off.
+    pub fn fleet_teller<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        holds_none: bool,
+        now: Millis,
+    ) -> Option<StateTeller<'a>> {
+        let reads = |peer: &Peer| {
+            let age = peer.state.fleet_read_age.filter(|_| !peer.state.fleet_is_lost);
+            peer.is_within_followed_age(age, now)
+        };
+        let holds = |peer: &Peer| holds_none && peer.state.fleet_age.is_some();
+        let reading = self.teller(own, data_centre, now, reads);
+        reading.or_else(|| self.teller(own, data_centre, now, holds))
+    }
+
+    fn teller<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        now: Millis,
+        can_tell: impl Fn(&Peer) -> bool,
+    ) -> Option<StateTeller<'a>> {
+        let near = self.peers.iter().filter(|(_, peer)| peer.data_centre == data_centre);
+        let mut live = near.filter(|(_, peer)| peer.is_live(now));
+        let (name, peer) = live.find(|(_, peer)| can_tell(peer))?;
+        let place = match name.as_str() < own {
+            true => TellerPlace::Before,
+            false => TellerPlace::Behind,
+        };
+        Some(StateTeller { name, address: peer.address, place })
+    }
+
+    /// Count of live relays of the data centre before this one, and of those among them that lost the store
+    /// for the configuration and for the list of replicas.
+    pub fn before(&self, own: &str, data_centre: &str, now: Millis) -> PeersBefore {
+        let mut before = PeersBefore::default();
+        for peer in self.earlier(own, data_centre, now) {
+            before.live += 1;
+            before.lost_config += usize::from(peer.state.config_is_lost);
+            before.lost_fleet += usize::from(peer.state.fleet_is_lost);
+        }
+        before
+    }
+
+    /// First live relay of the data centre by name, this one apart.
+    pub fn first_near<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        now: Millis,
+    ) -> Option<StateTeller<'a>> {
+        self.teller(own, data_centre, now, |_| true)
+    }
+
     /// Whether no live relay of the data centre comes before this one by name.
     pub fn is_first_near(&self, own: &str, data_centre: &str, now: Millis) -> bool {
         self.earlier(own, data_centre, now).next().is_none()
@@ -356,6 +464,12 @@
         Some(self.state.config_age? + now.saturating_sub(self.heard?))
     }
 
+    /// Whether an age that it told is below [`FOLLOWED_AGE`] by now.
+    fn is_within_followed_age(&self, told: Option<Millis>, now: Millis) -> bool {
+        let since = self.heard.map(|heard| now.saturating_sub(heard));
+        told.zip(since).is_some_and(|(told, since)| told + since < FOLLOWED_AGE)
+    }
+
     fn is_live(&self, now: Millis) -> bool {
         self.heard.is_some_and(|heard| now.saturating_sub(heard) < PEER_SILENCE)
     }
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -13,7 +13,7 @@
     fleet::{FleetChange, FleetView, LayerRange, ReplicaNews},
     freshness::FreshnessLease,
     lapse::LapseGrace,
-    membership::PeerProof,
+    membership::{FOLLOWED_AGE, PeerProof},
 };
 
 /// Where news of a replica came from.
@@ -22,6 +22,9 @@
     /// A list of the store.
     #[display("list")]
     List,
+    /// A list of the store, told by a relay that read it.
+    #[display("told")]
+    Told,
     /// A watch of the store.
     #[display("watch")]
     Watch,
@@ -84,6 +87,8 @@
     lapses: LapseGrace,
     lease: FreshnessLease,
     watched: u64,
+    /// When this relay last had an answer of the store itself.
+    own_answer: Option<Millis>,
 }
 
 /// Age up to which the list of replicas counts as recent, in milliseconds: two waits of its watch, and
@@ -95,8 +100,14 @@
 pub const TOLD_FLEET: Millis = 3_500;
 
 impl FleetBelief {
-    /// Takes over a whole list, sent for at `sent`.
-    pub fn take_list(&mut self, list: FleetList, sent: Millis, now: Millis) -> TakenList {
+    /// Takes over a whole list of the store, sent for at `sent`; `source` tells how it came.
+    pub fn take_list(
+        &mut self,
+        list: FleetList,
+        source: NewsSource,
+        sent: Millis,
+        now: Millis,
+    ) -> TakenList {
         let FleetList { listed, at } = list;
         let mut result = TakenList { passed: self.passed_by(&listed), ..TakenList::default() };
         for id in self.view.missing_from(&listed, at) {
@@ -104,11 +115,11 @@
                 true => result.awaited.push(id),
                 false => {
                     let news = ReplicaNews { id, revision: at, entry: None };
-                    result.taken.push(self.take_one(news, NewsSource::List, now));
+                    result.taken.push(self.take_one(news, source, now));
                 }
             }
         }
-        result.taken.extend(self.take_all(listed, NewsSource::List, now));
+        result.taken.extend(self.take_all(listed, source, now));
         result
     }
 
@@ -167,9 +178,30 @@
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
     pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
         self.watched = at;
+        self.own_answer = Some(now);
         self.note_proof(PeerProof { proved: Some(sent), answered: Some(now) });
     }
 
+    /// Notes that another relay told its whole list, which it read up to the revision `at`.
+    pub fn note_told(&mut self, proof: PeerProof, at: u64) {
+        self.watched = at;
+        self.own_answer = None;
+        self.note_proof(proof);
+    }
+
+    /// Time since the store last answered this relay itself, in milliseconds; nothing where another one follows
+    /// for it, or told it the list.
+    pub fn read_age(&self, now: Millis) -> Option<Millis> {
+        self.own_answer.map(|answered| now.saturating_sub(answered))
+    }
+
+    /// The list as the store told it, for another relay: without entries that it lacks and that are awaited.
+    /// Whoever takes it decides for itself which of its own it awaits.
+    pub fn told_list(&self) -> FleetList {
+        let news = self.view.news().filter(|news| !self.lapses.is_awaited(&news.id));
+        FleetList { listed: news.collect(), at: self.watched }
+    }
+
     /// Notes how recent the list held is, by a read or by another relay's word.
     pub fn note_proof(&mut self, proof: PeerProof) {
         proof.answered.into_iter().for_each(|answered| self.lease.note_answer(answered));
@@ -185,12 +217,26 @@
         answer_age.filter(|_| !self.lapses.awaits_any())
     }
 
+    /// Time since the store last answered for the list as it is held, awaited entries and all, in
+    /// milliseconds.
+    pub fn held_answer_age(&self, now: Millis) -> Option<Millis> {
+        self.lease.answer_age(now)
+    }
+
     /// Notes that a read sent at `sent` got no answer.
     pub fn note_lost(&mut self, sent: Millis) {
         self.lease.note_lost(sent);
         self.lapses.note_lost(sent);
     }
 
+    /// Notes that the store did not answer this relay for another kind of object, which tells the same where
+    /// it does not read the list itself.
+    pub fn note_lost_by_other(&mut self, sent: Millis, now: Millis) {
+        if self.read_age(now).is_none_or(|age| age >= FOLLOWED_AGE) {
+            self.note_lost(sent);
+        }
+    }
+
     /// Takes the news of replicas that were waited for too long: they are gone.
     pub fn lapsed(&mut self, now: Millis) -> Vec<ReplicaNews> {
         let overdue = self.lapses.take_overdue(now).into_iter();
--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -101,7 +101,7 @@
     let mut fleet = FleetBelief::default();
     let source = NewsSource::Relay(([10, 0, 0, 9], 7_000).into());
     fleet.take_all(vec![listed("i-1", 1, 5, false), listed("i-2", 2, 9, false)], source, 0);
-    fleet.take_list(FleetList { listed: Vec::new(), at: 7 }, 0, 0);
+    fleet.take_list(FleetList { listed: Vec::new(), at: 7 }, NewsSource::List, 0, 0);
     assert!(fleet.view.get("i-1").is_none());
     assert!(fleet.view.get("i-2").is_some());
 }
@@ -115,7 +115,7 @@
         listing.sort_by(|left, right| left.id.cmp(&right.id));
         let mut fleet = FleetBelief::default();
         for _ in 0..2 {
-            fleet.take_list(FleetList { listed: listing.clone(), at: 6 }, 0, 0);
+            fleet.take_list(FleetList { listed: listing.clone(), at: 6 }, NewsSource::List, 0, 0);
             assert!(fleet.view.get(new).is_some(), "{new} after {old}");
             assert!(fleet.view.get(old).is_none(), "{old} before {new}");
         }
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -21,6 +21,7 @@
             fleet_age: Some(500),
             config_answer_age: Some(100),
             fleet_answer_age: Some(100),
+            fleet_read_age: None,
         };
         table.hear(name, state, PeerStamp::default(), now);
     }
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -9,10 +9,10 @@
     Millis,
     access::ConfigSlot,
     fleet::ReplicaNews,
-    follow::{CONFIG_TIMES, FollowStep, FollowTimes, REPLICA_TIMES, StoreFollower},
+    follow::{CONFIG_TIMES, FollowSight, FollowStep, FollowTimes, REPLICA_TIMES, StoreFollower},
     freshness::FreshnessLease,
-    membership::{OwnState, PeerStamp, PeerState, PeerTable},
-    replicas::{FleetBelief, NewsSource},
+    membership::{OwnState, PeerProof, PeerStamp, PeerState, PeerTable, StateTeller},
+    replicas::{FleetBelief, FleetList, NewsSource},
 };
 
 use super::{
@@ -24,6 +24,9 @@
 const TELL_EVERY: Millis = 200;
 const MESSAGE: Millis = 5;
 
+/// Time that a neighbour has for an answer, in milliseconds.
+const ASK_PATIENCE: Millis = 300;
+
 /// A message to a relay.
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
@@ -35,7 +38,23 @@
 
 #[derive(Clone, Debug)]
 enum Body {
-    State { state: PeerState, stamp: PeerStamp, echo: Option<(PeerStamp, Millis)> },
+    /// A neighbour is asked for what it read; `asked` comes back with the answer.
+    Question {
+        kind: Kind,
+        asked: Millis,
+        held: u64,
+    },
+    /// What it read, if it can tell.
+    Told {
+        kind: Kind,
+        asked: Millis,
+        told: Option<Told>,
+    },
+    State {
+        state: PeerState,
+        stamp: PeerStamp,
+        echo: Option<(PeerStamp, Millis)>,
+    },
     Fleet(Vec<ReplicaNews>),
 }
 
@@ -45,12 +64,24 @@
     pub(crate) messages: &'a mut Vec<Message>,
 }
 
+/// What a neighbour read.
+#[derive(Clone, Debug)]
+struct Told {
+    at: u64,
+    proved_age: Millis,
+    answered_age: Millis,
+    list: Option<FleetList>,
+    version: u64,
+}
+
 struct Following {
     kind: Kind,
     times: FollowTimes,
     follower: StoreFollower<ChaCha8Rng>,
     rests_until: Millis,
     call: Option<Call>,
+    /// When a neighbour was asked that has not answered yet.
+    asked: Option<Millis>,
 }
 
 /// A relay.
@@ -59,6 +90,7 @@
     fleet: FleetBelief,
     config: ConfigSlot<u64>,
     config_lease: FreshnessLease,
+    config_at: u64,
     peers: PeerTable,
     following: Vec<Following>,
     next_tell: Millis,
@@ -81,13 +113,14 @@
             let seed = number as u64 * 2 + u64::from(kind == Kind::Config);
             let backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
             let follower = StoreFollower::new(times, backoff);
-            Following { kind, times, follower, rests_until: 0, call: None }
+            Following { kind, times, follower, rests_until: 0, call: None, asked: None }
         });
         Self {
             number,
             fleet: FleetBelief::default(),
             config: ConfigSlot::new(),
             config_lease: FreshnessLease::default(),
+            config_at: 0,
             peers,
             following: following.into(),
             next_tell: number as Millis * 40,
@@ -150,14 +183,20 @@
                 }
             }
         }
+        if self.following[index].asked.is_some_and(|asked| now < asked + ASK_PATIENCE) {
+            return;
+        }
+        if self.following[index].asked.take().is_some() {
+            self.following[index].follower.note_untold(now);
+        }
         if now < self.following[index].rests_until {
             return;
         }
         let kind = self.following[index].kind;
-        let covered = self.is_covered(kind, now);
-        let newer = kind == Kind::Config && self.hears_newer(now);
-        match self.following[index].follower.next_step(covered, newer) {
+        let sight = self.see(kind, now);
+        match self.following[index].follower.next_step(&sight, now) {
             FollowStep::Rest(pause) => self.following[index].rests_until = now + pause,
+            FollowStep::Ask => self.ask(index, world.messages, now),
             step => {
                 let (relay, times) = (self.number, self.following[index].times);
                 let call =
@@ -167,17 +206,111 @@
         }
     }
 
-    fn is_covered(&self, kind: Kind, now: Millis) -> bool {
-        let (name, data_centre) = (self.name(), self.data_centre());
+    fn see(&self, kind: Kind, now: Millis) -> FollowSight {
+        let (name, data_centre, version) = (self.name(), self.data_centre(), self.config_version());
+        let before = self.peers.before(name, data_centre, now);
+        let teller = self.teller(kind, now);
+        let sight = FollowSight {
+            teller: teller.map(|teller| teller.place),
+            before: before.live,
+            ..FollowSight::default()
+        };
         match kind {
-            Kind::Replicas => self.peers.covers_fleet(name, data_centre, now),
-            Kind::Config => self.peers.covers_config(name, data_centre, self.config_version(), now),
+            Kind::Replicas => FollowSight {
+                is_covered: self.peers.covers_fleet(name, data_centre, now),
+                lost_before: before.lost_fleet,
+                is_tried_by_other: self.config_lease.is_lost(),
+                ..sight
+            },
+            Kind::Config => FollowSight {
+                is_covered: self.peers.covers_config(name, data_centre, version, now),
+                hears_newer: self.peers.hears_newer_config(name, data_centre, version, now),
+                lost_before: before.lost_config,
+                ..sight
+            },
         }
     }
 
-    fn hears_newer(&self, now: Millis) -> bool {
+    fn teller(&self, kind: Kind, now: Millis) -> Option<StateTeller<'_>> {
         let (name, data_centre) = (self.name(), self.data_centre());
-        self.peers.hears_newer_config(name, data_centre, self.config_version(), now)
+        let holds_none = self.fleet.view.is_empty();
+        match kind {
+            Kind::Replicas => self.peers.fleet_teller(name, data_centre, holds_none, now),
+            Kind::Config => self.peers.config_teller(name, data_centre, self.config_version(), now),
+        }
+    }
+
+    fn ask(&mut self, index: usize, messages: &mut Vec<Message>, now: Millis) {
+        let kind = self.following[index].kind;
+        let teller = self.teller(kind, now).expect("one is asked that was seen").name;
+        let to = RELAYS.iter().position(|(name, _)| *name == teller).expect("a relay");
+        let held = match kind {
+            Kind::Replicas => self.fleet.view.digest(),
+            Kind::Config => self.config_version(),
+        };
+        self.following[index].asked = Some(now);
+        self.send(to, Body::Question { kind, asked: now, held }, messages, now);
+    }
+
+    /// What it can tell a neighbour that holds what `held` stands for.
+    fn tell(&self, kind: Kind, held: u64, now: Millis) -> Option<Told> {
+        match kind {
+            Kind::Config => Some(Told {
+                at: self.config_at,
+                proved_age: self.config_lease.age(now)?,
+                answered_age: self.config_lease.answer_age(now)?,
+                list: None,
+                version: self.config_version(),
+            }),
+            Kind::Replicas => {
+                let read_age = self.fleet.read_age(now).filter(|_| !self.fleet.is_lost());
+                let held_age = self.fleet.held_answer_age(now).filter(|_| held == 0);
+                let list = self.fleet.told_list();
+                let whole = list.listed.len() == self.fleet.view.len();
+                let is_same = whole && held == self.fleet.view.digest();
+                Some(Told {
+                    at: list.at,
+                    proved_age: self.fleet.age(now)?,
+                    answered_age: read_age.or(held_age)?,
+                    list: (!is_same).then_some(list),
+                    version: 0,
+                })
+            }
+        }
+    }
+
+    fn take_told(&mut self, kind: Kind, asked: Millis, told: Option<Told>, now: Millis) {
+        let Some(following) = self.following.iter_mut().find(|one| one.kind == kind) else {
+            return;
+        };
+        // An answer that comes too late finds another question, or none.
+        if following.asked != Some(asked) {
+            return;
+        }
+        following.asked = None;
+        let Some(told) = told else { return following.follower.note_untold(now) };
+        following.follower.note_told(told.at, now);
+        let proof = PeerProof {
+            proved: Some(asked.saturating_sub(told.proved_age)),
+            answered: Some(asked.saturating_sub(told.answered_age)),
+        };
+        match kind {
+            Kind::Config => {
+                self.config.merge(told.version, told.version);
+                self.config_at = self.config_at.max(told.at);
+                proof.proved.into_iter().for_each(|at| self.config_lease.prove(at));
+                proof.answered.into_iter().for_each(|at| self.config_lease.note_answer(at));
+                self.peers.note_answers(proof.answered, None);
+            }
+            Kind::Replicas => {
+                let sent = proof.proved.unwrap_or_default();
+                if let Some(list) = told.list {
+                    self.fleet.take_list(list, NewsSource::Told, sent, now);
+                }
+                self.fleet.note_told(proof, told.at);
+                self.peers.note_answers(None, proof.answered);
+            }
+        }
     }
 
     fn fail(&mut self, index: usize, sent: Millis, messages: &mut Vec<Message>, now: Millis) {
@@ -190,13 +323,15 @@
             Kind::Config => {
                 let first = !self.config_lease.is_lost();
                 self.config_lease.note_lost(sent);
+                self.fleet.note_lost_by_other(sent, now);
                 first
             }
         };
         if first {
             self.tell_state(messages, now);
         }
-        self.following[index].follower.note_failure(now - sent);
+        let lost_before = self.see(self.following[index].kind, now).lost_before;
+        self.following[index].follower.note_failure(sent, lost_before);
     }
 
     fn end_call(
@@ -212,7 +347,7 @@
             Reply::Gap => return self.following[index].follower.note_gap(),
             Reply::List(list) => {
                 let at = list.at;
-                self.fleet.take_list(list, call.sent, now);
+                self.fleet.take_list(list, NewsSource::List, call.sent, now);
                 at
             }
             Reply::Changes(news, at) => {
@@ -226,14 +361,23 @@
                 at
             }
         };
+        let was_reader = call.kind == Kind::Config || self.fleet.read_age(now).is_some();
+        let is_return = match call.kind {
+            Kind::Replicas => self.fleet.is_lost(),
+            Kind::Config => self.config_lease.is_lost(),
+        };
         match call.kind {
             Kind::Replicas => self.fleet.note_read(call.sent, at, now),
             Kind::Config => {
                 self.config_lease.prove(call.sent);
                 self.config_lease.note_answer(now);
+                self.config_at = at;
             }
         }
-        self.following[index].follower.note_answer(at);
+        self.following[index].follower.note_answer(at, now);
+        if is_return || !was_reader {
+            self.tell_state(messages, now);
+        }
     }
 
     fn hear(&mut self, weather: &Weather<'_>, messages: &mut Vec<Message>, now: Millis) {
@@ -242,6 +386,11 @@
         let deaf = weather.has(Trouble::Deaf { relay: own });
         for message in arrived.filter(|_| !deaf).collect::<Vec<_>>() {
             match message.body {
+                Body::Question { kind, asked, held } => {
+                    let told = self.tell(kind, held, now);
+                    self.send(message.from, Body::Told { kind, asked, told }, messages, now);
+                }
+                Body::Told { kind, asked, told } => self.take_told(kind, asked, told, now),
                 Body::Fleet(news) => {
                     let source = NewsSource::Relay(address(message.from));
                     self.fleet.take_all(news, source, now);
@@ -311,6 +460,7 @@
             fleet_age: self.fleet.age(now),
             config_answer_age: self.config_lease.answer_age(now),
             fleet_answer_age: self.fleet.answer_age(now),
+            fleet_read_age: self.fleet.read_age(now),
         };
         let stamp = PeerStamp { incarnation: self.number as u32, time: now };
         for to in self.near() {
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -50,7 +50,7 @@
     pub(crate) fn deadline(&self) -> Millis {
         let FollowTimes { wait, list_patience, .. } = self.times;
         match self.step {
-            FollowStep::Rest(_) => self.sent,
+            FollowStep::Rest(_) | FollowStep::Ask => self.sent,
             FollowStep::List(_) => self.sent + list_patience,
             FollowStep::Watch(_) => self.sent + wait + STORE_PATIENCE,
         }
@@ -139,7 +139,7 @@
 
     fn answer(&mut self, call: &Call, weather: &Weather<'_>, now: Millis) -> Option<Reply> {
         let after = match call.step {
-            FollowStep::Rest(_) => return None,
+            FollowStep::Rest(_) | FollowStep::Ask => return None,
             FollowStep::List(_) => return Some(self.list(call.kind)),
             FollowStep::Watch(after) => after,
         };
