Paths: places at first replicas are counted, shared, and priced as they fill up

Ruled out: memory (no path was crowded in these seconds), loads (21 at once, 1.8 s each, a layout without a gap but for one data centre).

Change: each relay counts its requests by first replica and tells the others with its messages, far ones every 0.4 s; beginning at a replica costs more as its places fill up, and is not possible once they are taken, unless nothing else is left.

--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -56,6 +56,8 @@
     pub config_answer_age: Option<Millis>,
     /// Room promised, by replica, in tokens times layers; nothing where this message leaves it out.
     pub room: Option<Vec<(String, u32)>>,
+    /// Requests that run, by the first replica of their path; nothing where this message leaves it out.
+    pub places: Option<Vec<(String, u32)>>,
     /// Replicas kept away from, with the milliseconds that it still lasts.
     pub suspects: Vec<(String, u32)>,
     /// Engines that are slow, with the hundredfold of their factor.
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -5,7 +5,9 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     access::EngineSpec,
-    chain::{ChainCosts, PartOffer, PathPart, PathRequest, choose_path},
+    chain::{
+        ChainCosts, FULL_START_COST, PartOffer, PathPart, PathRequest, choose_path, start_cost,
+    },
     fleet::{LayerRange, ReplicaEntry},
 };
 
@@ -79,7 +81,10 @@
     if path.is_some() || rule == RoomRule::Needed {
         return path;
     }
-    offers.iter_mut().for_each(|offer| offer.room = f64::INFINITY);
+    for offer in &mut offers {
+        offer.room = f64::INFINITY;
+        offer.start_cost = offer.start_cost.or(Some(FULL_START_COST));
+    }
     choose_path(&request, &offers, &costs)
 }
 
@@ -196,6 +201,7 @@
             range,
             layer_cost,
             room: (total * PLANNED_FILL - promised).max(0.0),
+            start_cost: start_cost(beliefs.places.promised(&replica.id), replica.slots),
         });
     }
     offers
@@ -216,6 +222,7 @@
         range,
         layer_cost: 0.0,
         room: f64::INFINITY,
+        start_cost: Some(0.0),
     })
 }
 
@@ -227,11 +234,12 @@
     step + ROOM_COST * used * used / (1.0 - used)
 }
 
-/// Room promised along a path; dropping it releases.
+/// Room promised along a path, and a place at its first replica; dropping it releases them.
 #[derive(Debug)]
 pub struct RoomGuard {
     relay: Rc<Relay>,
     parts: Vec<(String, f64)>,
+    first: String,
 }
 
 impl RoomGuard {
@@ -242,7 +250,9 @@
             path.iter().map(|part| (part.id.clone(), amount(part))).collect();
         let mut beliefs = relay.beliefs.borrow_mut();
         parts.iter().for_each(|(id, amount)| beliefs.room.promise(id, *amount));
-        Self { relay: relay.clone(), parts }
+        let first = path.first().map_or(String::new(), |part| part.id.clone());
+        beliefs.places.promise(&first, 1.0);
+        Self { relay: relay.clone(), parts, first }
     }
 }
 
@@ -250,5 +260,6 @@
     fn drop(&mut self) {
         let mut beliefs = self.relay.beliefs.borrow_mut();
         self.parts.iter().for_each(|(id, amount)| beliefs.room.release(id, *amount));
+        beliefs.places.release(&self.first, 1.0);
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -106,6 +106,10 @@
             let room = room.iter().map(|(id, amount)| (id.clone(), f64::from(*amount)));
             beliefs.room.hear(&news.name, room.collect(), now);
         }
+        if let Some(places) = &news.places {
+            let places = places.iter().map(|(id, count)| (id.clone(), f64::from(*count)));
+            beliefs.places.hear(&news.name, places.collect(), now);
+        }
         for (id, hundredfold) in &news.paces {
             beliefs.paces.take_over(id, f64::from(*hundredfold) / 100.0, now);
         }
@@ -225,7 +229,9 @@
     let fleet_is_fresh = relay.is_fleet_fresh(now);
     let mut beliefs = relay.beliefs.borrow_mut();
     beliefs.room.forget(now);
+    beliefs.places.forget(now);
     let room = beliefs.room.own().iter();
+    let places = beliefs.places.own().iter();
     let suspects = beliefs.suspects.own(now);
     let paces = beliefs.paces.asked(now);
     StateNews {
@@ -244,6 +250,7 @@
         config_age: beliefs.config_lease.age(now),
         config_answer_age: beliefs.config_lease.answer_age(now),
         room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
+        places: Some(places.map(|(id, count)| (id.clone(), *count as u32)).collect()),
         paces: paces.map(|(id, factor)| (id.to_owned(), (factor * 100.0) as u32)).collect(),
         suspects: suspects.map(|(id, left)| (id.to_owned(), left as u32)).collect(),
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -57,6 +57,8 @@
     pub fleet: FleetBelief,
     /// Memory for requests promised at each replica.
     pub room: RoomLedger,
+    /// Requests that run, by the first replica of their path.
+    pub places: RoomLedger,
     /// Engines that are slow.
     pub paces: PaceTable,
     /// This relay's share of the pipe between data centres.
--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -98,6 +98,7 @@
         range: holder.range.unwrap_or_default(),
         layer_cost: holder.layer_ms,
         room: 1e7,
+        start_cost: Some(0.0),
     };
     laid_out(count).into_iter().map(offer).collect()
 }
--- a/crates/router/src/chain.rs
+++ b/crates/router/src/chain.rs
@@ -33,6 +33,30 @@
     }
 }
 
+/// Part of a replica's places that paths are planned to begin at: what other relays begin meanwhile is heard of
+/// 0.1 to 0.4 s late.
+const PLANNED_PLACES: f64 = 0.95;
+
+/// Cost of beginning at a replica of whose places half are taken, twice that, against one more hop at 0.5: it is more
+/// than what beginning in another data centre costs, so that relays which do not hear of each other in time do not
+/// all begin at the same one.
+const PLACE_COST: f64 = 8.0;
+
+/// Cost of beginning at a replica without a place, where no other path is left either.
+pub const FULL_START_COST: f64 = 100.0;
+
+/// Cost of beginning at a replica at which `begun` requests began that still run; nothing where all of its `slots`
+/// are taken, of which 0 stands for no limit. A replica takes only so many requests as the first of their path, and
+/// rejects the rest: with half of the large first replicas lost, one that was cheap for all relays got 2,818
+/// requests in 14 s and rejected 1,558, while others had places.
+pub fn start_cost(begun: f64, slots: u32) -> Option<f64> {
+    if slots == 0 {
+        return Some(0.0);
+    }
+    let taken = begun / (f64::from(slots) * PLANNED_PLACES);
+    (taken < 1.0).then(|| PLACE_COST * taken * taken / (1.0 - taken))
+}
+
 /// What a replica offers to a path.
 #[derive(Clone, Debug)]
 pub struct PartOffer {
@@ -48,6 +72,8 @@
     pub layer_cost: f64,
     /// Room for requests that is left, in tokens times layers.
     pub room: f64,
+    /// Cost of beginning here, which grows as its places for requests fill up; nothing where none is left.
+    pub start_cost: Option<f64>,
 }
 
 /// One part of a path.
@@ -145,9 +171,14 @@
         if wrong_first || !offer.range.contains(layer) {
             continue;
         }
+        let start_cost = match starts {
+            true => offer.start_cost.or(fixed.map(|_| 0.0)),
+            false => Some(0.0),
+        };
+        let Some(start_cost) = start_cost else { continue };
         let entry = match starts {
-            true if offer.data_centre == request.home => 0.0,
-            true => costs.remote_start,
+            true if offer.data_centre == request.home => start_cost,
+            true => costs.remote_start + start_cost,
             false if offer.data_centre == row => 0.0,
             false if request.may_cross => costs.crossing,
             false => continue,
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use switchfold_router::{
-    chain::{ChainCosts, PartOffer, PathRequest, choose_path, tiles},
+    chain::{ChainCosts, PartOffer, PathRequest, choose_path, start_cost, tiles},
     cover::{
         CoverConfig, GiveUpRule, LayerHolder, ModelShape, PlaceReason, plan_group, widest_gap,
     },
@@ -19,6 +19,7 @@
         range: LayerRange { from, to },
         layer_cost,
         room: 1e9,
+        start_cost: Some(0.0),
     }
 }
 
@@ -41,6 +42,64 @@
     assert_eq!(ids, ["r0", "r1"]);
 }
 
+/// When a request began, at which relay, and with which first replica.
+type Begun = (u64, usize, usize);
+
+/// Time that a request runs, in milliseconds.
+const RUNS: u64 = 1_500;
+
+fn running(begun: &[Begun], first: usize, now: u64) -> impl Iterator<Item = Begun> {
+    begun.iter().filter(move |(at, _, of)| now < at + RUNS && *of == first).copied()
+}
+
+/// Requests as they come while half of the large first replicas are lost: 324 a second over 20 relays, each of which
+/// runs for a second and a half and hears of the others' after 0.3 s on average. One of the first replicas left is
+/// far cheaper than the others; all three together have places for 576.
+#[test]
+fn a_cheap_first_replica_is_not_given_more_than_its_places() {
+    const SLOTS: u32 = 192;
+    /// Requests that wait at a replica beyond its places; more are rejected.
+    const QUEUE: usize = 96;
+    const RELAYS: usize = 20;
+    const BETWEEN: u64 = 3;
+    const HEARD: u64 = 300;
+    let costs = [0.1, 0.3, 0.3];
+    let mut begun: Vec<Begun> = Vec::new();
+    let mut most = [0; 3];
+    for now in (0..12_000_u64).step_by(BETWEEN as usize) {
+        let relay = (now / BETWEEN) as usize % RELAYS;
+        let offers = [0, 1, 2].map(|first| {
+            let is_seen = |(at, by, _): &Begun| *by == relay || at + HEARD <= now;
+            let seen = running(&begun, first, now).filter(|one| is_seen(one)).count();
+            let start_cost = start_cost(seen as f64, SLOTS);
+            PartOffer { start_cost, ..offer(first, 0, LAYERS, first, costs[first]) }
+        });
+        let path = choose_path(&request(), &offers, &ChainCosts::default());
+        let path = path.expect("there are places for all");
+        let first = offers.iter().position(|offer| offer.id == path[0].id).expect("an offer");
+        begun.push((now, relay, first));
+        most[first] = most[first].max(running(&begun, first, now).count());
+    }
+    assert!(most.iter().all(|most| *most <= SLOTS as usize + QUEUE), "{most:?}");
+}
+
+#[test]
+fn nothing_begins_where_no_place_is_left() {
+    let mut full = offer(0, 0, LAYERS, 0, 0.1);
+    full.start_cost = start_cost(192.0, 192);
+    let dear = offer(1, 0, LAYERS, 1, 2.0);
+    let costs = ChainCosts::default();
+    let path = choose_path(&request(), &[full.clone(), dear], &costs).expect("a path");
+    assert_eq!(path[0].id, "r1");
+    assert_eq!(choose_path(&request(), &[full.clone()], &costs), None);
+    // A request that runs there goes on there.
+    let runs = PathRequest { first: Some(("r0", full.range)), ..request() };
+    assert!(choose_path(&runs, &[full], &costs).is_some());
+    // A replica without a limit of its own is always open, and emptier ones are cheaper.
+    assert_eq!(start_cost(5_000.0, 0), Some(0.0));
+    assert!(start_cost(10.0, 192) < start_cost(20.0, 192));
+}
+
 #[test]
 fn crosses_only_where_it_may() {
     let offers = [offer(1, 0, 40, 0, 1.0), offer(2, 40, 80, 1, 1.0)];
