--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod plain;
 pub mod pool;
 pub mod probes;
+pub mod registry;
 pub mod reload;
 pub mod replicas;
 pub mod request;
--- a/crates/relay/src/snapshot/take.rs
+++ b/crates/relay/src/snapshot/take.rs
@@ -14,8 +14,8 @@
     fetch::{ToldSnapshot, fetch_snapshot},
 };
 use crate::{
-    counts::count, peers::PeerAddress, replicas::take_list, settings::RelaySettings, state::Relay,
-    watch::take_config,
+    counts::count, registry::PeerAddress, replicas::take_list, settings::RelaySettings,
+    state::Relay, watch::take_config,
 };
 
 /// Asks a neighbour for the configuration; gives the revision up to which it read.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -28,7 +28,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    peers::{tell_state, wait_at_start},
+    peers::tell_state,
+    registry::wait_at_start,
     replicas::{take_replica_changes, take_replica_list},
     settings::RelaySettings,
     snapshot::take::{ask_config, ask_replicas},
