Model: messages that come late and twice, also answers to questions

A relay whose messages take 420 ms and come twice gets answers that it had given up (after 300 ms), and the same one again. No change of the product.

--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -18,7 +18,8 @@
         1 => Just(Trouble::Slow),
         1 => Just(Trouble::Compaction),
         2 => relay.clone().prop_map(|relay| Trouble::Paused { relay }),
-        1 => relay.prop_map(|relay| Trouble::Deaf { relay }),
+        1 => relay.clone().prop_map(|relay| Trouble::Deaf { relay }),
+        1 => relay.prop_map(|relay| Trouble::Late { relay }),
     ]
 }
 
--- a/crates/router/tests/model/mod.rs
+++ b/crates/router/tests/model/mod.rs
@@ -66,6 +66,11 @@
         /// The relay.
         relay: usize,
     },
+    /// Messages to a relay come late, each twice: answers to its questions come after it gave them up.
+    Late {
+        /// The relay.
+        relay: usize,
+    },
 }
 
 /// What the store is told.
@@ -134,7 +139,9 @@
     fn is_in_touch(&self, relay: usize) -> bool {
         let own = |trouble| match trouble {
             Trouble::TurnedAway { relay: who, .. } => who == relay,
-            Trouble::Paused { relay: who } | Trouble::Deaf { relay: who } => who == relay,
+            Trouble::Paused { relay: who }
+            | Trouble::Deaf { relay: who }
+            | Trouble::Late { relay: who } => who == relay,
             _ => false,
         };
         self.is_stable() && !self.any(CONTACT, own)
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -24,6 +24,10 @@
 const TELL_EVERY: Millis = 200;
 const MESSAGE: Millis = 5;
 
+/// The same to a relay whose messages come late, in milliseconds: more than an answer may take, and less than
+/// silence is taken for an end.
+const LATE_MESSAGE: Millis = 420;
+
 /// Time that a neighbour has for an answer, in milliseconds.
 const ASK_PATIENCE: Millis = 300;
 
@@ -33,6 +37,7 @@
     to: usize,
     from: usize,
     arrives: Millis,
+    is_delayed: bool,
     body: Body,
 }
 
@@ -100,6 +105,17 @@
     format!("10.1.0.{}:7000", number + 1).parse().expect("an address")
 }
 
+/// Delays each message to a relay, once, and doubles it.
+fn delay_and_double(messages: &mut Vec<Message>, to: usize, now: Millis) {
+    let mut doubles = Vec::new();
+    for message in messages.iter_mut().filter(|one| one.to == to && !one.is_delayed) {
+        message.is_delayed = true;
+        message.arrives = now + LATE_MESSAGE;
+        doubles.push(Message { arrives: message.arrives + MESSAGE, ..message.clone() });
+    }
+    messages.append(&mut doubles);
+}
+
 impl ModelRelay {
     pub(crate) fn new(number: usize) -> Self {
         let mut peers = PeerTable::default();
@@ -382,6 +398,9 @@
 
     fn hear(&mut self, weather: &Weather<'_>, messages: &mut Vec<Message>, now: Millis) {
         let own = self.number;
+        if weather.has(Trouble::Late { relay: own }) {
+            delay_and_double(messages, own, now);
+        }
         let arrived = messages.extract_if(.., |one| one.to == own && one.arrives <= now);
         let deaf = weather.has(Trouble::Deaf { relay: own });
         for message in arrived.filter(|_| !deaf).collect::<Vec<_>>() {
@@ -446,7 +465,8 @@
     }
 
     fn send(&self, to: usize, body: Body, messages: &mut Vec<Message>, now: Millis) {
-        messages.push(Message { to, from: self.number, arrives: now + MESSAGE, body });
+        let arrives = now + MESSAGE;
+        messages.push(Message { to, from: self.number, arrives, is_delayed: false, body });
     }
 
     fn tell_state(&self, messages: &mut Vec<Message>, now: Millis) {
