--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -47,10 +47,8 @@
 /// Leaves this relay's address in the store, and learns those of the others now and then. A neighbour that
 /// read them spares it the calls: three at each restart, and one in each round.
 pub async fn find_peers(relay: &Relay) {
-    let mut is_new = true;
     if relay.settings.first_start {
         register_for_good(relay).await;
-        is_new = false;
     }
     hear_any(relay).await;
     let mut verb = CallVerb::List;
@@ -65,10 +63,11 @@
         if let Some(relays) = listed {
             let own = relays.get(&relay.settings.name);
             if own != Some(&own_address(&relay.settings)) {
+                let is_new = verb == CallVerb::List && !relay.settings.first_start;
                 tracing::info!(event = "registration-missing", is_new);
                 register_for_good(relay).await;
             }
-            (verb, is_new) = (CallVerb::StaleList, false);
+            verb = CallVerb::StaleList;
             take_relays(relay, relays).await;
         }
         sleep(if verb == CallVerb::List { REGISTER_AGAIN } else { LIST_EVERY }).await;
--- a/crates/relay/src/snapshot/fetch.rs
+++ b/crates/relay/src/snapshot/fetch.rs
@@ -9,8 +9,8 @@
 use switchfold_kernel::{clock::now_millis, http::HttpClient};
 use switchfold_router::membership::PeerProof;
 
-use super::{MOST_SNAPSHOT, Snapshot, SnapshotBody, SnapshotKind};
-use crate::{counts::count, state::Relay};
+use super::{MOST_SNAPSHOT, Snapshot, SnapshotBody, write_target};
+use crate::{counts::count, state::Relay, store_calls::CallKind};
 
 /// Time that a neighbour has for an answer: a list takes a tenth of a second on the link of a small VM where
 /// twenty ask at once. It is lost before the store is asked, so it stays below the store's own patience.
@@ -53,7 +53,7 @@
 /// came of it.
 pub async fn fetch_snapshot(
     relay: &Relay,
-    kind: SnapshotKind,
+    kind: CallKind,
     teller: &str,
     address: SocketAddr,
     held: u64,
@@ -83,13 +83,13 @@
 
 async fn ask(
     relay: &Relay,
-    kind: SnapshotKind,
+    kind: CallKind,
     teller: &str,
     address: SocketAddr,
     held: u64,
 ) -> Result<(Snapshot, usize), UntoldReason> {
     let no_answer = |detail: String| UntoldReason::NoAnswer(detail);
-    let uri = format!("http://{address}{}", kind.target(held));
+    let uri = format!("http://{address}{}", write_target(kind, held));
     let request = Request::get(uri).body(Full::new(Bytes::new()));
     let request = request.map_err(|error| no_answer(error.to_string()))?;
     let answer = relay.neighbours.call(request).await;
@@ -105,12 +105,11 @@
     }
 }
 
-fn fits(kind: SnapshotKind, body: &SnapshotBody) -> bool {
-    match (kind, body) {
-        (SnapshotKind::Config, SnapshotBody::Config { .. } | SnapshotBody::Same)
-        | (SnapshotKind::Replicas, SnapshotBody::Replicas(_) | SnapshotBody::Same)
-        | (SnapshotKind::Relays, SnapshotBody::Relays(_)) => true,
-        (_, SnapshotBody::Same | SnapshotBody::Config { .. })
-        | (_, SnapshotBody::Replicas(_) | SnapshotBody::Relays(_)) => false,
-    }
+fn fits(kind: CallKind, body: &SnapshotBody) -> bool {
+    matches!(
+        (kind, body),
+        (CallKind::Config, SnapshotBody::Config { .. } | SnapshotBody::Same)
+            | (CallKind::Replicas, SnapshotBody::Replicas(_) | SnapshotBody::Same)
+            | (CallKind::Relays, SnapshotBody::Relays(_))
+    )
 }
--- a/crates/relay/src/snapshot/mod.rs
+++ b/crates/relay/src/snapshot/mod.rs
@@ -15,11 +15,10 @@
 
 use std::net::SocketAddr;
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use switchfold_router::Millis;
 
-use crate::news::ReplicaRecord;
+use crate::{news::ReplicaRecord, store_calls::CallKind};
 
 pub mod fetch;
 pub mod serve;
@@ -31,35 +30,16 @@
 /// Largest answer in bytes: a configuration is at most one object of the store.
 pub const MOST_SNAPSHOT: usize = 4 << 20;
 
-/// What can be asked for.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum SnapshotKind {
-    /// The operator's configuration.
-    #[display("config")]
-    Config,
-    /// The list of replicas.
-    #[display("replicas")]
-    Replicas,
-    /// Addresses of the relays.
-    #[display("relays")]
-    Relays,
+/// Target of a question by one that holds what `held` stands for: a version or a digest, 0 for nothing.
+pub fn write_target(kind: CallKind, held: u64) -> String {
+    format!("/snapshots/{kind}?held={held}")
 }
 
-impl SnapshotKind {
-    /// All of them.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Replicas, Self::Relays];
-
-    /// Target of a question by one that holds what `held` stands for: a version or a digest, 0 for nothing.
-    pub fn target(self, held: u64) -> String {
-        format!("/snapshots/{self}?held={held}")
-    }
-
-    /// Reads a target.
-    pub fn read_target(path: &str, query: Option<&str>) -> Option<(Self, u64)> {
-        let kind = Self::ALL.into_iter().find(|kind| path == format!("/snapshots/{kind}"))?;
-        let held = query?.strip_prefix("held=")?.parse().ok()?;
-        Some((kind, held))
-    }
+/// Reads a target.
+pub fn read_target(path: &str, query: Option<&str>) -> Option<(CallKind, u64)> {
+    let kind = CallKind::ALL.into_iter().find(|kind| path == format!("/snapshots/{kind}"))?;
+    let held = query?.strip_prefix("held=")?.parse().ok()?;
+    Some((kind, held))
 }
 
 /// What a relay tells.
--- a/crates/relay/src/snapshot/serve.rs
+++ b/crates/relay/src/snapshot/serve.rs
@@ -15,12 +15,13 @@
     time::sleep,
 };
 
-use super::{RelayRecord, Snapshot, SnapshotBody, SnapshotKind};
+use super::{RelayRecord, Snapshot, SnapshotBody, read_target};
 use crate::{
     answers::{RelayAnswer, whole},
     counts::count,
     news::ReplicaRecord,
     state::{Beliefs, Relay},
+    store_calls::CallKind,
 };
 
 /// Connections of neighbours at once; the largest data centre seen has 27 entry VMs. More wait in the
@@ -71,7 +72,7 @@
 
 fn answer_neighbour(relay: &Relay, request: &Request<Incoming>) -> RelayAnswer {
     let uri = request.uri();
-    let asked = SnapshotKind::read_target(uri.path(), uri.query());
+    let asked = read_target(uri.path(), uri.query());
     let Some((kind, held)) = asked.filter(|_| request.method() == Method::GET) else {
         count(&relay.counts.bad_snapshots);
         tracing::warn!(event = "snapshot-question-unreadable", target = %uri);
@@ -93,12 +94,12 @@
 }
 
 /// What this relay can tell to one that holds `held`; nothing where it does not know it from the store.
-fn compose(relay: &Relay, kind: SnapshotKind, held: u64, now: Millis) -> Option<Snapshot> {
+fn compose(relay: &Relay, kind: CallKind, held: u64, now: Millis) -> Option<Snapshot> {
     let beliefs = relay.beliefs.borrow();
     let told = match kind {
-        SnapshotKind::Config => tell_config(&beliefs, held, now)?,
-        SnapshotKind::Replicas => tell_replicas(&beliefs, held, now)?,
-        SnapshotKind::Relays => tell_relays(&beliefs)?,
+        CallKind::Config => tell_config(&beliefs, held, now)?,
+        CallKind::Replicas => tell_replicas(&beliefs, held, now)?,
+        CallKind::Relays => tell_relays(&beliefs)?,
     };
     Some(Snapshot { teller: relay.settings.name.clone(), ..told })
 }
--- a/crates/relay/src/snapshot/take.rs
+++ b/crates/relay/src/snapshot/take.rs
@@ -10,19 +10,19 @@
 };
 
 use super::{
-    RelayRecord, SnapshotBody, SnapshotKind,
+    RelayRecord, SnapshotBody,
     fetch::{ToldSnapshot, fetch_snapshot},
 };
 use crate::{
     counts::count, registry::PeerAddress, replicas::take_list, settings::RelaySettings,
-    state::Relay, watch::take_config,
+    state::Relay, store_calls::CallKind, watch::take_config,
 };
 
 /// Asks a neighbour for the configuration; gives the revision up to which it read.
 pub async fn ask_config(relay: &Rc<Relay>) -> Option<u64> {
     let held = relay.beliefs.borrow().config_version();
     let (teller, address) = config_teller(relay, held)?;
-    let told = fetch_snapshot(relay, SnapshotKind::Config, &teller, address, held).await?;
+    let told = fetch_snapshot(relay, CallKind::Config, &teller, address, held).await?;
     let ToldSnapshot { at, proof, body } = told;
     if let SnapshotBody::Config { revision, spec } = body {
         match serde_json::from_slice(&spec) {
@@ -62,7 +62,7 @@
         (view.is_empty(), view.digest())
     };
     let (teller, address) = fleet_teller(relay, holds_none)?;
-    let told = fetch_snapshot(relay, SnapshotKind::Replicas, &teller, address, held).await?;
+    let told = fetch_snapshot(relay, CallKind::Replicas, &teller, address, held).await?;
     if let SnapshotBody::Replicas(records) = told.body {
         let listed = records.into_iter().map(ReplicaNews::from).collect();
         let sent = told.proof.proved.unwrap_or_default();
@@ -92,7 +92,7 @@
         (!lists_itself).then(|| (first.name.to_owned(), first.address))
     };
     let (teller, address) = first?;
-    let told = fetch_snapshot(relay, SnapshotKind::Relays, &teller, address, 0).await?;
+    let told = fetch_snapshot(relay, CallKind::Relays, &teller, address, 0).await?;
     let SnapshotBody::Relays(records) = told.body else { return None };
     let relays = records.into_iter().map(|record| {
         let RelayRecord { name, address, data_centre } = record;
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -14,7 +14,7 @@
 use switchfold_router::follow::ReadCause;
 use switchfold_store::StoreError;
 
-/// Kind of object that a call is about.
+/// Kind of object that a call of the store, or a question to a neighbour, is about.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CallKind {
     /// The operator's configuration.
@@ -29,6 +29,9 @@
 }
 
 impl CallKind {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Replicas, Self::Relays];
+
     /// Kind by the platform's name.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -138,7 +138,7 @@
     let lists = CountedStore::new(&platform, lists, &relay.calls);
     let watches = Duration::from_millis(times.wait + STORE_PATIENCE);
     let watches = CountedStore::new(&platform, watches, &relay.calls);
-    let seed = hash_bytes(relay.settings.name.len() as u64, relay.settings.name.as_bytes());
+    let seed = hash_bytes(0, relay.settings.name.as_bytes());
     let seed = hash_bytes(seed, followed.kind.name().as_bytes());
     let mut follower = StoreFollower::new(times, Backoff::new(ChaCha8Rng::seed_from_u64(seed)));
     let mut lost_at: Option<Millis> = None;
--- a/crates/relay/tests/snapshots.rs
+++ b/crates/relay/tests/snapshots.rs
@@ -16,7 +16,8 @@
 };
 use switchfold_relay::{
     news::{PeerMessage, StateNews},
-    snapshot::{RelayRecord, Snapshot, SnapshotBody, SnapshotKind},
+    snapshot::{RelayRecord, Snapshot, SnapshotBody, read_target, write_target},
+    store_calls::CallKind,
 };
 use tokio::net::UdpSocket;
 
@@ -163,11 +164,11 @@
 
 #[test]
 fn targets_are_read_as_they_are_written() {
-    for kind in SnapshotKind::ALL {
+    for kind in CallKind::ALL {
         for held in [0, 1, u64::MAX] {
-            let target = kind.target(held);
+            let target = write_target(kind, held);
             let (path, query) = target.split_once('?').expect("a query");
-            assert_eq!(SnapshotKind::read_target(path, Some(query)), Some((kind, held)));
+            assert_eq!(read_target(path, Some(query)), Some((kind, held)));
         }
     }
     let bad = [
@@ -177,9 +178,9 @@
         ("/report", "held=1"),
     ];
     for (path, query) in bad {
-        assert_eq!(SnapshotKind::read_target(path, Some(query)), None, "{path}?{query}");
+        assert_eq!(read_target(path, Some(query)), None, "{path}?{query}");
     }
-    assert_eq!(SnapshotKind::read_target("/snapshots/config", None), None);
+    assert_eq!(read_target("/snapshots/config", None), None);
 }
 
 fn snapshot() -> impl Strategy<Value = Snapshot> {
