--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -35,6 +35,10 @@
     pub older_states: Cell<u64>,
     /// Replicas that were leaving, and by later news were not.
     pub returned: Cell<u64>,
+    /// Replicas that started again under their ids.
+    pub restarted: Cell<u64>,
+    /// Entries that are not a replica's own, each once for each revision, and objects that are none.
+    pub odd_entries: Cell<u64>,
     /// Changes that a list told and that a watch had passed by.
     pub passed_changes: Cell<u64>,
 }
--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -20,13 +20,16 @@
     },
     headers::read_answer,
 };
-use switchfold_router::{Millis, chain::PathPart, cover::GiveUpRule, fleet::LayerRange};
+use switchfold_router::{
+    Millis, chain::PathPart, cover::GiveUpRule, fleet::LayerRange, life::ReplicaLife,
+};
 use tokio::{task::spawn_local, time::timeout};
 
 use crate::{
     counts::count,
     pool::SendError,
     probes::{ProbeEnd, ask_twice, silence_counts},
+    replicas::take_report_start,
     state::Relay,
 };
 
@@ -137,7 +140,7 @@
         return None;
     }
     match decode_report(&body) {
-        Ok(report) => Some(report),
+        Ok(report) => take_report_start(relay, address, report.born).then_some(report),
         Err(error) => {
             tracing::warn!(event = "report-unreadable", %address, %error);
             None
@@ -202,10 +205,11 @@
         ProbeEnd::Silent if silence_counts => Some("no answer to a probe"),
         ProbeEnd::Silent | ProbeEnd::Unclear => None,
     };
-    let id = relay.beliefs.borrow().fleet.view.at(address).map(|replica| replica.id.clone());
-    tracing::info!(event = "probe-failed", %address, replica = id, ?end, silence_counts);
-    if let (Some(id), Some(why)) = (id, lost) {
-        relay.suspect(&id, why);
+    let life = relay.beliefs.borrow().fleet.view.at(address).map(|replica| replica.life.clone());
+    let replica = life.as_ref().map(ReplicaLife::to_string);
+    tracing::info!(event = "probe-failed", %address, replica, ?end, silence_counts);
+    if let (Some(life), Some(why)) = (life, lost) {
+        relay.suspect(&life, why);
     }
 }
 
--- a/crates/relay/src/flow/recovery.rs
+++ b/crates/relay/src/flow/recovery.rs
@@ -136,12 +136,12 @@
             engine,
             tokens,
             avoid: &[],
-            first: Some((&first.id, first.range)),
+            first: Some((&first.life, first.range)),
         };
         let path = find_path(&self.relay, &wish, RoomRule::Wanted, CrossingRule::Never);
         let id = &self.request.marks.attempt_id;
         let Some(path) = path else {
-            tracing::info!(event = "repath-impossible", request = id, first = first.id);
+            tracing::info!(event = "repath-impossible", request = id, first = %first.life);
             return false;
         };
         let end = order_repath(&self.relay, id, &path).await;
@@ -167,7 +167,7 @@
             why,
             ?loss,
             sends = self.tried.sends,
-            first = self.path[0].id,
+            first = %self.path[0].life,
             last_event = self.framer.last_id(),
         );
         if loss == StreamLoss::Broken {
--- a/crates/relay/src/heads.rs
+++ b/crates/relay/src/heads.rs
@@ -136,11 +136,11 @@
         let is_lost = |part: &&PathPart| self.relay.part_state(part) == PartState::Lost;
         let Some(lost) = self.path.iter().find(is_lost) else { return Ok(()) };
         let beliefs = self.relay.beliefs.borrow();
-        let is_listed = beliefs.fleet.view.get(&lost.id).is_some();
-        let own = !is_listed || beliefs.suspects.is_own(&lost.id, now);
+        let is_listed = beliefs.fleet.view.living(&lost.life).is_some();
+        let own = !is_listed || beliefs.suspects.is_own(&lost.life, now);
         drop(beliefs);
         if self.has_another() || (own && self.is_repeatable()) {
-            let detail = format!("a replica of the path is lost ({})", lost.id);
+            let detail = format!("a replica of the path is lost ({})", lost.life);
             return Err(WaitEnd::Stalled(detail));
         }
         Ok(())
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -168,6 +168,8 @@
             ("older_news", counts.older_news.get()),
             ("older_states", counts.older_states.get()),
             ("returned", counts.returned.get()),
+            ("restarted", counts.restarted.get()),
+            ("odd_entries", counts.odd_entries.get()),
             ("passed_changes", counts.passed_changes.get()),
             ("in_flight", relay.stop.in_flight() as u64),
             ("idle_links", relay.pool.idle_count() as u64),
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -8,11 +8,12 @@
 use serde::{Deserialize, Serialize};
 use switchfold_router::{
     Millis,
-    fleet::{LayerRange, ReplicaEntry, ReplicaNews},
+    fleet::{EntryState, LayerRange, ReplicaEntry, ReplicaNews},
+    life::ReplicaLife,
 };
 
 /// Version of the form.
-const FORM: u8 = 4;
+const FORM: u8 = 5;
 
 /// A message between relays.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -55,13 +56,29 @@
     /// Time since the store last answered for it.
     pub config_answer_age: Option<Millis>,
     /// Room promised, by replica, in tokens times layers; nothing where this message leaves it out.
-    pub room: Option<Vec<(String, u32)>>,
+    pub room: Option<Vec<(LifeRecord, u32)>>,
     /// Requests that run, by the first replica of their path; nothing where this message leaves it out.
-    pub places: Option<Vec<(String, u32)>>,
+    pub places: Option<Vec<(LifeRecord, u32)>>,
     /// Replicas kept away from, with the milliseconds that it still lasts.
-    pub suspects: Vec<(String, u32)>,
+    pub suspects: Vec<(LifeRecord, u32)>,
     /// Engines that are slow, with the hundredfold of their factor.
-    pub paces: Vec<(String, u32)>,
+    pub paces: Vec<(LifeRecord, u32)>,
+}
+
+/// One life of a replica: its id and when it started.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LifeRecord(pub String, pub Millis);
+
+impl From<&ReplicaLife> for LifeRecord {
+    fn from(life: &ReplicaLife) -> Self {
+        Self(life.id().to_owned(), life.born())
+    }
+}
+
+impl From<&LifeRecord> for ReplicaLife {
+    fn from(record: &LifeRecord) -> Self {
+        Self::new(&record.0, record.1)
+    }
 }
 
 /// Replicas that changed.
@@ -83,15 +100,44 @@
 /// A replica's entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct EntryRecord {
+    born: Millis,
     service: String,
     address: SocketAddr,
     data_centre: String,
     slots: u32,
-    draining: bool,
+    state: StateRecord,
     kind: String,
     layers: Option<(u32, u32)>,
 }
 
+/// What an entry says of its use.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+enum StateRecord {
+    Ready,
+    Draining,
+    Overwritten,
+}
+
+impl From<EntryState> for StateRecord {
+    fn from(state: EntryState) -> Self {
+        match state {
+            EntryState::Ready => Self::Ready,
+            EntryState::Draining => Self::Draining,
+            EntryState::Overwritten => Self::Overwritten,
+        }
+    }
+}
+
+impl From<StateRecord> for EntryState {
+    fn from(record: StateRecord) -> Self {
+        match record {
+            StateRecord::Ready => Self::Ready,
+            StateRecord::Draining => Self::Draining,
+            StateRecord::Overwritten => Self::Overwritten,
+        }
+    }
+}
+
 impl From<ReplicaNews> for ReplicaRecord {
     fn from(news: ReplicaNews) -> Self {
         let ReplicaNews { id, revision, entry } = news;
@@ -110,11 +156,12 @@
 impl From<ReplicaEntry> for EntryRecord {
     fn from(entry: ReplicaEntry) -> Self {
         Self {
+            born: entry.life.born(),
             service: entry.service,
             address: entry.address,
             data_centre: entry.data_centre,
             slots: entry.slots,
-            draining: entry.draining,
+            state: entry.state.into(),
             kind: entry.kind,
             layers: entry.layers.map(|range| (range.from, range.to)),
         }
@@ -124,12 +171,12 @@
 impl EntryRecord {
     fn into_entry(self, id: &str) -> ReplicaEntry {
         ReplicaEntry {
-            id: id.to_owned(),
+            life: ReplicaLife::new(id, self.born),
             service: self.service,
             address: self.address,
             data_centre: self.data_centre,
             slots: self.slots,
-            draining: self.draining,
+            state: self.state.into(),
             kind: self.kind,
             layers: self.layers.map(|(from, to)| LayerRange { from, to }),
         }
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -9,6 +9,7 @@
         ChainCosts, FULL_START_COST, PartOffer, PathPart, PathRequest, choose_path, start_cost,
     },
     fleet::{LayerRange, ReplicaEntry},
+    life::ReplicaLife,
 };
 
 use tokio::time::{Instant, sleep};
@@ -25,9 +26,9 @@
     /// Tokens that the request may hold.
     pub tokens: f64,
     /// Replicas not to use.
-    pub avoid: &'a [String],
+    pub avoid: &'a [ReplicaLife],
     /// First part to keep, for a request that runs.
-    pub first: Option<(&'a str, LayerRange)>,
+    pub first: Option<(&'a ReplicaLife, LayerRange)>,
 }
 
 /// Cost of a layer at a replica that is half full, against one more hop at 0.5: trial figures (0.4, 1 and
@@ -119,14 +120,14 @@
 fn log_crowded(relay: &Relay, wish: &PathWish<'_>, path: &[PathPart]) {
     let beliefs = relay.beliefs.borrow();
     let fill = |part: &PathPart| {
-        let replica = beliefs.fleet.view.get(&part.id)?;
+        let replica = beliefs.fleet.view.living(&part.life)?;
         let memory = wish.engine.kind(&replica.kind)?.memory_mb;
         let total = wish.engine.room(memory, replica.layers?.len());
-        Some((beliefs.room.promised(&part.id) / total.max(1.0), &replica.id))
+        Some((beliefs.room.promised(&part.life) / total.max(1.0), &replica.life))
     };
     let fullest = path.iter().filter_map(fill).max_by(|left, right| left.0.total_cmp(&right.0));
     if let Some((fill, replica)) = fullest {
-        tracing::info!(event = "path-crowded", replica, fill, tokens = wish.tokens);
+        tracing::info!(event = "path-crowded", %replica, fill, tokens = wish.tokens);
     }
 }
 
@@ -149,7 +150,7 @@
 fn count_crossings(relay: &Relay, path: &[PathPart]) -> u32 {
     let beliefs = relay.beliefs.borrow();
     let place =
-        |part: &PathPart| beliefs.fleet.view.get(&part.id).map(|replica| &replica.data_centre);
+        |part: &PathPart| beliefs.fleet.view.living(&part.life).map(|replica| &replica.data_centre);
     let passes = path.windows(2).filter(|pair| place(&pair[0]) != place(&pair[1]));
     passes.count() as u32
 }
@@ -178,9 +179,9 @@
 ) -> Vec<PartOffer> {
     let now = now_millis();
     let usable = |replica: &&ReplicaEntry| {
-        !replica.draining
-            && !beliefs.suspects.is_suspect(&replica.id, now)
-            && !wish.avoid.contains(&replica.id)
+        replica.is_ready()
+            && !beliefs.suspects.is_suspect(&replica.life, now)
+            && !wish.avoid.contains(&replica.life)
     };
     let replicas = beliefs.fleet.view.of_service(wish.service).filter(usable);
     let mut offers: Vec<PartOffer> = kept_part(beliefs, wish, data_centres).into_iter().collect();
@@ -188,20 +189,20 @@
         let Some(range) = replica.layers else { continue };
         let kind = wish.engine.kind(&replica.kind);
         let total = kind.map_or(0.0, |kind| wish.engine.room(kind.memory_mb, range.len()));
-        let promised = beliefs.room.promised(&replica.id);
+        let promised = beliefs.room.promised(&replica.life);
         // A replica that was short of memory a moment ago counts as full.
-        let promised = if beliefs.full.is_suspect(&replica.id, now) { total } else { promised };
-        let pace = kind.map_or(1.0, |kind| kind.pace) * beliefs.paces.factor(&replica.id, now);
+        let promised = if beliefs.full.is_suspect(&replica.life, now) { total } else { promised };
+        let pace = kind.map_or(1.0, |kind| kind.pace) * beliefs.paces.factor(&replica.life, now);
         let layer_cost = layer_cost(wish.engine, pace, promised, total);
         let data_centre = data_centres.number(&replica.data_centre);
         offers.push(PartOffer {
-            id: replica.id.clone(),
+            life: replica.life.clone(),
             address: replica.address,
             data_centre,
             range,
             layer_cost,
             room: (total * PLANNED_FILL - promised).max(0.0),
-            start_cost: start_cost(beliefs.places.promised(&replica.id), replica.slots),
+            start_cost: start_cost(beliefs.places.promised(&replica.life), replica.slots),
         });
     }
     offers
@@ -213,10 +214,10 @@
     wish: &PathWish<'_>,
     data_centres: &mut DataCentres,
 ) -> Option<PartOffer> {
-    let (id, range) = wish.first?;
-    let replica = beliefs.fleet.view.get(id)?;
+    let (life, range) = wish.first?;
+    let replica = beliefs.fleet.view.living(life)?;
     Some(PartOffer {
-        id: id.to_owned(),
+        life: life.clone(),
         address: replica.address,
         data_centre: data_centres.number(&replica.data_centre),
         range,
@@ -238,20 +239,20 @@
 #[derive(Debug)]
 pub struct RoomGuard {
     relay: Rc<Relay>,
-    parts: Vec<(String, f64)>,
-    first: String,
+    parts: Vec<(ReplicaLife, f64)>,
+    first: Option<ReplicaLife>,
 }
 
 impl RoomGuard {
     /// Promises room for `tokens` along a path.
     pub fn new(relay: &Rc<Relay>, path: &[PathPart], tokens: f64) -> Self {
         let amount = |part: &PathPart| tokens * f64::from(part.range.len());
-        let parts: Vec<(String, f64)> =
-            path.iter().map(|part| (part.id.clone(), amount(part))).collect();
+        let parts: Vec<(ReplicaLife, f64)> =
+            path.iter().map(|part| (part.life.clone(), amount(part))).collect();
         let mut beliefs = relay.beliefs.borrow_mut();
-        parts.iter().for_each(|(id, amount)| beliefs.room.promise(id, *amount));
-        let first = path.first().map_or(String::new(), |part| part.id.clone());
-        beliefs.places.promise(&first, 1.0);
+        parts.iter().for_each(|(life, amount)| beliefs.room.promise(life, *amount));
+        let first = path.first().map(|part| part.life.clone());
+        first.iter().for_each(|life| beliefs.places.promise(life, 1.0));
         Self { relay: relay.clone(), parts, first }
     }
 }
@@ -259,7 +260,7 @@
 impl Drop for RoomGuard {
     fn drop(&mut self) {
         let mut beliefs = self.relay.beliefs.borrow_mut();
-        self.parts.iter().for_each(|(id, amount)| beliefs.room.release(id, *amount));
-        beliefs.places.release(&self.first, 1.0);
+        self.parts.iter().for_each(|(life, amount)| beliefs.room.release(life, *amount));
+        self.first.iter().for_each(|life| beliefs.places.release(life, 1.0));
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,6 +10,7 @@
 use switchfold_router::{
     Millis,
     fleet::ReplicaNews,
+    life::ReplicaLife,
     membership::{OwnState, PeerStamp, PeerState, PeerTable},
     replicas::NewsSource,
 };
@@ -76,21 +77,23 @@
             return;
         }
         if let Some(room) = &news.room {
-            let room = room.iter().map(|(id, amount)| (id.clone(), f64::from(*amount)));
+            let room = room.iter().map(|(life, amount)| (life.into(), f64::from(*amount)));
             beliefs.room.hear(&news.name, room.collect(), now);
         }
         if let Some(places) = &news.places {
-            let places = places.iter().map(|(id, count)| (id.clone(), f64::from(*count)));
+            let places = places.iter().map(|(life, count)| (life.into(), f64::from(*count)));
             beliefs.places.hear(&news.name, places.collect(), now);
         }
-        for (id, hundredfold) in &news.paces {
-            beliefs.paces.take_over(id, f64::from(*hundredfold) / 100.0, now);
+        for (life, hundredfold) in &news.paces {
+            beliefs.paces.take_over(&life.into(), f64::from(*hundredfold) / 100.0, now);
         }
-        for (id, lasts) in &news.suspects {
-            if beliefs.fleet.view.get(id).is_some() && !beliefs.suspects.is_suspect(id, now) {
-                beliefs.suspects.take_over(id, now + Millis::from(*lasts));
+        for (life, lasts) in &news.suspects {
+            let life = ReplicaLife::from(life);
+            let lives = beliefs.fleet.view.living(&life).is_some();
+            if lives && !beliefs.suspects.is_suspect(&life, now) {
+                beliefs.suspects.take_over(&life, now + Millis::from(*lasts));
                 alarming = true;
-                tracing::info!(event = "suspect-heard", replica = id, from = news.name, lasts);
+                tracing::info!(event = "suspect-heard", replica = %life, from = news.name, lasts);
             }
         }
     }
@@ -222,9 +225,9 @@
         config_version: beliefs.config_version(),
         config_age: beliefs.config_lease.age(now),
         config_answer_age: beliefs.config_lease.answer_age(now),
-        room: Some(room.map(|(id, amount)| (id.clone(), *amount as u32)).collect()),
-        places: Some(places.map(|(id, count)| (id.clone(), *count as u32)).collect()),
-        paces: paces.map(|(id, factor)| (id.to_owned(), (factor * 100.0) as u32)).collect(),
-        suspects: suspects.map(|(id, left)| (id.to_owned(), left as u32)).collect(),
+        room: Some(room.map(|(life, amount)| (life.into(), *amount as u32)).collect()),
+        places: Some(places.map(|(life, count)| (life.into(), *count as u32)).collect()),
+        paces: paces.map(|(life, factor)| (life.into(), (factor * 100.0) as u32)).collect(),
+        suspects: suspects.map(|(life, left)| (life.into(), left as u32)).collect(),
     }
 }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -18,7 +18,8 @@
     Millis,
     access::EngineSpec,
     cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
-    fleet::{LayerRange, ReplicaEntry},
+    fleet::{EntryState, LayerRange, ReplicaEntry},
+    life::ReplicaLife,
 };
 use tokio::{
     task::{spawn_blocking, spawn_local},
@@ -53,6 +54,10 @@
 /// a heartbeat and its delay.
 const LIST_LAG: Millis = 3_000;
 
+/// Time for which a replica keeps its place in the layout although another writer's entry stands in its place, in
+/// milliseconds: the replica writes anew with its next heartbeat, and three of those may be missed.
+const KEEP_OVERWRITTEN: Millis = 3_600;
+
 /// Time after a refused order before the replica is planned for again, in milliseconds: another order
 /// may be under way there, and the list shows it by then.
 const REFUSED_PAUSE: Millis = 1_000;
@@ -80,9 +85,9 @@
 /// Orders under way, by replica, and what suspected replicas answered.
 #[derive(Debug, Default)]
 struct Placer {
-    pending: HashMap<String, PendingOrder>,
-    probes: HashMap<String, ProbeEnd>,
-    refused: Rc<RefCell<Vec<String>>>,
+    pending: HashMap<ReplicaLife, PendingOrder>,
+    probes: HashMap<ReplicaLife, ProbeEnd>,
+    refused: Rc<RefCell<Vec<ReplicaLife>>>,
     /// Groups that needed no orders when last planned, by service and data centre.
     settled: HashMap<GroupName, Vec<LayerHolder>>,
     /// Searches for better first layouts.
@@ -128,8 +133,8 @@
 
     /// Notes joined and left replicas, and orders that took effect.
     fn observe(&mut self, relay: &Relay, now: Millis) {
-        for id in self.refused.borrow_mut().drain(..) {
-            if let Some(order) = self.pending.get_mut(&id) {
+        for life in self.refused.borrow_mut().drain(..) {
+            if let Some(order) = self.pending.get_mut(&life) {
                 order.until = order.until.min(now + REFUSED_PAUSE);
             }
         }
@@ -139,8 +144,8 @@
             self.fleet_seen = count;
             self.fleet_changed = now;
         }
-        self.pending.retain(|id, order| {
-            let Some(replica) = beliefs.fleet.view.get(id) else { return false };
+        self.pending.retain(|life, order| {
+            let Some(replica) = beliefs.fleet.view.living(life) else { return false };
             let done = replica.layers == Some(order.range);
             !done && now < order.until
         });
@@ -179,35 +184,35 @@
                 ReportState::Answered(report) => report.layers.is_some(),
             };
             let probe = ProbeEnd { asked: now, holds };
-            let known = self.probes.insert(replica.id.clone(), probe);
+            let known = self.probes.insert(replica.life.clone(), probe);
             if known.is_none_or(|known| known.holds != holds) {
-                tracing::info!(event = "suspect-probed", replica = replica.id, holds);
+                tracing::info!(event = "suspect-probed", replica = %replica.life, holds);
             }
             if !holds {
-                relay.suspect(&replica.id, "holds no layers, or is silent");
+                relay.suspect(&replica.life, "holds no layers, or is silent");
             }
         }
         let beliefs = relay.beliefs.borrow();
-        self.probes.retain(|id, _| beliefs.fleet.view.get(id).is_some());
+        self.probes.retain(|life, _| beliefs.fleet.view.living(life).is_some());
     }
 
     fn due_probes(&self, relay: &Relay, now: Millis) -> Vec<ReplicaEntry> {
         let beliefs = relay.beliefs.borrow();
-        let suspects = beliefs.suspects.current(now).map(|(id, _)| id);
+        let suspects = beliefs.suspects.current(now).map(|(life, _)| life);
         let lost = self.probes.iter().filter(|(_, probe)| !probe.holds);
-        let ids: BTreeSet<&str> = suspects.chain(lost.map(|(id, _)| id.as_str())).collect();
+        let lives: BTreeSet<&ReplicaLife> = suspects.chain(lost.map(|(life, _)| life)).collect();
         let is_due = |replica: &&ReplicaEntry| {
-            let probe = self.probes.get(&replica.id);
+            let probe = self.probes.get(&replica.life);
             let due = probe.is_none_or(|probe| now - probe.asked >= PROBE_AGE);
             // One that loads what it was ordered to hold holds nothing meanwhile, and is well.
-            due && replica.layers.is_some() && !self.pending.contains_key(&replica.id)
+            due && replica.layers.is_some() && !self.pending.contains_key(&replica.life)
         };
-        let replicas = ids.into_iter().filter_map(|id| beliefs.fleet.view.get(id));
+        let replicas = lives.into_iter().filter_map(|life| beliefs.fleet.view.living(life));
         replicas.filter(is_due).cloned().collect()
     }
 
-    fn is_lost(&self, id: &str) -> bool {
-        self.probes.get(id).is_some_and(|probe| !probe.holds)
+    fn is_lost(&self, life: &ReplicaLife) -> bool {
+        self.probes.get(life).is_some_and(|probe| !probe.holds)
     }
 
     /// Plans each group of replicas that changed since it needed no orders. The search takes some
@@ -288,9 +293,17 @@
     ) -> BTreeMap<GroupName, Vec<LayerHolder>> {
         let beliefs = relay.beliefs.borrow();
         let mut groups: BTreeMap<GroupName, Vec<LayerHolder>> = BTreeMap::new();
-        for replica in beliefs.fleet.view.of_service(service).filter(|replica| !replica.draining) {
-            let suspect = beliefs.suspects.is_suspect(&replica.id, now);
-            let lost = self.is_lost(&replica.id);
+        let stays = |replica: &&ReplicaEntry| match replica.state {
+            EntryState::Ready => true,
+            EntryState::Draining => false,
+            EntryState::Overwritten => {
+                let age = beliefs.fleet.view.age(replica.life.id(), now);
+                age.is_some_and(|age| age < KEEP_OVERWRITTEN)
+            }
+        };
+        for replica in beliefs.fleet.view.of_service(service).filter(stays) {
+            let suspect = !replica.is_ready() || beliefs.suspects.is_suspect(&replica.life, now);
+            let lost = self.is_lost(&replica.life);
             let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
             let name = (service.to_owned(), replica.data_centre.clone());
             groups.entry(name).or_default().push(holder);
@@ -306,10 +319,10 @@
         lost: bool,
     ) -> Option<LayerHolder> {
         let kind = engine.kind(&replica.kind)?;
-        let pending = self.pending.get(&replica.id);
+        let pending = self.pending.get(&replica.life);
         let held = replica.layers.filter(|_| !lost);
         Some(LayerHolder {
-            id: replica.id.clone(),
+            life: replica.life.clone(),
             memory_mb: kind.memory_mb,
             layer_ms: kind.pace * engine.step_ms / f64::from(engine.layers.max(1)),
             range: pending.map(|order| order.range).or(held),
@@ -325,15 +338,15 @@
         order: PlaceOrder,
         now: Millis,
     ) {
-        let replica = relay.beliefs.borrow().fleet.view.get(&order.id).cloned();
+        let replica = relay.beliefs.borrow().fleet.view.living(&order.life).cloned();
         let Some(replica) = replica else { return };
         let share = u64::from(order.range.len()) * engine.load / u64::from(engine.layers.max(1));
         let until = now + share * 2 + LIST_LAG;
-        self.pending.insert(order.id.clone(), PendingOrder { range: order.range, until });
+        self.pending.insert(order.life.clone(), PendingOrder { range: order.range, until });
         let (relay, refused) = (relay.clone(), self.refused.clone());
         spawn_local(async move {
             if !carry_out(&relay, &replica, &order).await {
-                refused.borrow_mut().push(order.id);
+                refused.borrow_mut().push(order.life);
             }
         });
     }
@@ -343,7 +356,7 @@
 fn carried_out(holders: &[LayerHolder], orders: &[PlaceOrder]) -> Vec<LayerHolder> {
     let mut planned = holders.to_vec();
     for order in orders {
-        let holder = planned.iter_mut().find(|holder| holder.id == order.id);
+        let holder = planned.iter_mut().find(|holder| holder.life == order.life);
         if let Some(holder) = holder {
             holder.range = Some(order.range);
             holder.held = holder.range;
@@ -375,18 +388,23 @@
     let range = order.range;
     let (from, to) = (range.from, range.to);
     let Some(report) = ask_report(relay, replica.address).await else {
-        tracing::warn!(event = "order-unsent", replica = replica.id, from, to, why = "no report");
+        tracing::warn!(event = "order-unsent", replica = %replica.life, from, to, why = "no report");
         return false;
     };
+    if relay.beliefs.borrow().fleet.view.living(&replica.life).is_none() {
+        // The order was planned for what an earlier life held.
+        tracing::info!(event = "order-unsent", replica = %replica.life, from, to, why = "restarted");
+        return false;
+    }
     if report.busy {
-        tracing::info!(event = "order-waits", replica = replica.id, from, to, why = "busy");
+        tracing::info!(event = "order-waits", replica = %replica.life, from, to, why = "busy");
         return false;
     }
     let give_up = order.reason.give_up_rule();
     let end = order_layers(relay, replica.address, range, give_up, report.orders_taken).await;
     tracing::info!(
         event = "order",
-        replica = replica.id,
+        replica = %replica.life,
         kind = replica.kind,
         data_centre = replica.data_centre,
         from,
@@ -397,7 +415,7 @@
         ?end,
     );
     if end == OrderEnd::NotSent {
-        relay.suspect(&replica.id, "order not sent");
+        relay.suspect(&replica.life, "order not sent");
     }
     matches!(end, OrderEnd::Taken | OrderEnd::Unknown)
 }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -15,6 +15,7 @@
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
     fleet::ReplicaEntry,
+    life::ReplicaLife,
 };
 use tokio::time::{sleep, timeout};
 
@@ -75,20 +76,26 @@
 /// What a relay knows of the replicas of plain services.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceLoads {
-    loads: HashMap<String, ServiceLoad>,
+    loads: HashMap<ReplicaLife, ServiceLoad>,
 }
 
 impl ServiceLoads {
     /// Drops a replica.
-    pub fn forget(&mut self, id: &str) {
-        self.loads.remove(id);
+    pub fn forget(&mut self, life: &ReplicaLife) {
+        self.loads.remove(life);
     }
 
     /// Notes the end of an attempt: whether the replica failed, and how long it took against what was
     /// wanted.
-    fn note_end(&mut self, id: &str, failed: bool, slowness: f64, told: Option<ReplicaLoad>) {
+    fn note_end(
+        &mut self,
+        life: &ReplicaLife,
+        failed: bool,
+        slowness: f64,
+        told: Option<ReplicaLoad>,
+    ) {
         let now = now_millis();
-        let load = self.loads.entry(id.to_owned()).or_default();
+        let load = self.loads.entry(life.clone()).or_default();
         load.decay(now);
         load.failures += (f64::from(u8::from(failed)) - load.failures) * NEWEST;
         load.slowness += (slowness - load.slowness) * NEWEST;
@@ -96,27 +103,27 @@
     }
 
     fn cost(&self, replica: &ReplicaEntry, now: Millis) -> f64 {
-        self.loads.get(&replica.id).map_or(1.0, |load| load.cost(replica, now))
+        self.loads.get(&replica.life).map_or(1.0, |load| load.cost(replica, now))
     }
 }
 
 /// A request in flight at a replica; dropping it ends it.
 struct LoadGuard {
     relay: Rc<Relay>,
-    id: String,
+    life: ReplicaLife,
 }
 
 impl LoadGuard {
-    fn new(relay: &Rc<Relay>, id: &str) -> Self {
+    fn new(relay: &Rc<Relay>, life: &ReplicaLife) -> Self {
         let mut beliefs = relay.beliefs.borrow_mut();
-        beliefs.loads.loads.entry(id.to_owned()).or_default().in_flight += 1;
-        Self { relay: relay.clone(), id: id.to_owned() }
+        beliefs.loads.loads.entry(life.clone()).or_default().in_flight += 1;
+        Self { relay: relay.clone(), life: life.clone() }
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        if let Some(load) = self.relay.beliefs.borrow_mut().loads.loads.get_mut(&self.id) {
+        if let Some(load) = self.relay.beliefs.borrow_mut().loads.loads.get_mut(&self.life) {
             load.in_flight = load.in_flight.saturating_sub(1);
         }
     }
@@ -126,13 +133,13 @@
 const REMOTE_COST: f64 = 0.02;
 
 /// The replica with the least expected wait, of those that were not tried.
-pub fn choose_replica(relay: &Relay, service: &str, tried: &[String]) -> Option<ReplicaEntry> {
+pub fn choose_replica(relay: &Relay, service: &str, tried: &[ReplicaLife]) -> Option<ReplicaEntry> {
     let now = now_millis();
     let beliefs = relay.beliefs.borrow();
-    let usable = |replica: &&ReplicaEntry| !replica.draining && !tried.contains(&replica.id);
+    let usable = |replica: &&ReplicaEntry| replica.is_ready() && !tried.contains(&replica.life);
     let cost = |replica: &ReplicaEntry| {
         let remote = replica.data_centre != relay.settings.data_centre;
-        let suspect = beliefs.suspects.is_suspect(&replica.id, now);
+        let suspect = beliefs.suspects.is_suspect(&replica.life, now);
         let extra = if suspect { 100.0 } else { 0.0 } + if remote { REMOTE_COST } else { 0.0 };
         beliefs.loads.cost(replica, now) + extra
     };
@@ -168,7 +175,7 @@
             return Err(if may_have_run { Refusal::Unknown } else { Refusal::NoReplica });
         };
         let report = attempt(relay, request, &permit, &replica).await;
-        tried.push(replica.id.clone());
+        tried.push(replica.life.clone());
         match report.end {
             AttemptEnd::NotSent => unsent += 1,
             _ => sends += 1,
@@ -190,7 +197,7 @@
                 && paid(sends),
         };
         let next = decide_next(state, report.end);
-        request.log_attempt(relay, &replica.id, &permit, report.end, next, &report.detail);
+        request.log_attempt(relay, Some(&replica.life), &permit, report.end, next, &report.detail);
         match (next, report.reply) {
             (NextStep::PassOn, Some(reply)) => {
                 let took = now - request.arrived;
@@ -230,8 +237,8 @@
     replica: &ReplicaEntry,
 ) -> AttemptReport {
     let begun = now_millis();
-    request.log_dispatch(relay, permit, &replica.id, None, None);
-    let _in_flight = LoadGuard::new(relay, &replica.id);
+    request.log_dispatch(relay, permit, &replica.life, None, None);
+    let _in_flight = LoadGuard::new(relay, &replica.life);
     let target = ReplicaTarget { replica, path: None, last_event: None };
     let patience = attempt_patience(request, permit, begun);
     // A request that must not run twice gets a connection of its own: nothing that an earlier answer
@@ -249,9 +256,9 @@
     let wanted = permit.route.objective.max(1) as f64;
     let slowness = (took as f64 / wanted).min(SLOWEST);
     let told = report.reply.as_ref().and_then(|reply| read_answer(reply.head.headers()).load);
-    relay.beliefs.borrow_mut().loads.note_end(&replica.id, failed, slowness, told);
+    relay.beliefs.borrow_mut().loads.note_end(&replica.life, failed, slowness, told);
     if matches!(report.end, AttemptEnd::NotSent) {
-        relay.suspect(&replica.id, &report.detail);
+        relay.suspect(&replica.life, &report.detail);
     }
     report
 }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -5,14 +5,15 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use switchfold_kernel::clock::now_millis;
+use switchfold_kernel::clock::{epoch_millis, now_millis};
 use switchfold_platform::{
     objects::{ListedObject, ObjectChange, ObjectList, ObjectMetadata},
     replicas::decode_replica,
 };
 use switchfold_router::{
     Millis,
-    fleet::{FleetChange, ReplicaNews},
+    fleet::{FleetChange, ReplicaEntry, ReplicaNews},
+    life::ReplicaLife,
     replicas::{FleetList, NewsSource, TakenList, TakenNews},
 };
 use tokio::task::spawn_local;
@@ -86,8 +87,16 @@
 
 /// Takes over what a watch of the store told, and tells the relays of the data centre.
 pub fn take_replica_changes(relay: &Relay, changes: Vec<ObjectChange>) {
-    let news = changes.into_iter().filter_map(|change| change_news(relay, change)).collect();
-    tell_and_take(relay, news, NewsSource::Watch);
+    // One after the other: what an entry that is no replica's own stands in the place of may have come just before.
+    let mut told = Vec::with_capacity(changes.len());
+    for change in changes {
+        let Some(news) = change_news(relay, change) else { continue };
+        told.push(news.clone());
+        take_news(relay, vec![news], NewsSource::Watch);
+    }
+    if !told.is_empty() {
+        tell_fleet(relay, told);
+    }
 }
 
 fn tell_and_take(relay: &Relay, news: Vec<ReplicaNews>, source: NewsSource) {
@@ -106,17 +115,64 @@
 
 fn read_news(relay: &Relay, object: &ListedObject) -> Option<ReplicaNews> {
     let ObjectMetadata { name, revision } = &object.metadata;
-    match decode_replica(name, &object.spec) {
+    let entry = decode_replica(name, &object.spec).map_err(|error| error.to_string());
+    match entry.and_then(check_start) {
         Ok(entry) => {
             Some(ReplicaNews { id: name.clone(), revision: *revision, entry: Some(entry) })
         }
-        Err(error) => {
-            tracing::error!(event = "replica-unreadable", replica = name, revision, %error);
-            relay.beliefs.borrow().fleet.unreadable(name, *revision)
+        Err(why) => {
+            let mut beliefs = relay.beliefs.borrow_mut();
+            if beliefs.odd_entries.note(name, *revision) {
+                count(&relay.counts.odd_entries);
+                tracing::warn!(event = "replica-unreadable", replica = name, revision, why);
+            }
+            beliefs.fleet.overwritten(name, *revision)
         }
     }
 }
 
+/// A replica cannot have started long after now: whoever wrote that is none.
+fn check_start(entry: ReplicaEntry) -> Result<ReplicaEntry, String> {
+    match entry.life.is_plausible(epoch_millis()) {
+        true => Ok(entry),
+        false => Err(format!("a start at {}, far ahead of now", entry.life.born())),
+    }
+}
+
+/// Whether a report counts that the replica at an address gave. One of an earlier life than its entry's does not;
+/// one of a later life ends what is known of the earlier one at once, before the list tells.
+pub fn take_report_start(relay: &Relay, address: SocketAddr, born: Millis) -> bool {
+    let known = relay.beliefs.borrow().fleet.view.at(address).map(|entry| entry.life.clone());
+    let Some(life) = known.filter(|life| born > 0 && life.born() > 0) else { return true };
+    if born <= life.born() {
+        return born == life.born();
+    }
+    if !life.at(born).is_plausible(epoch_millis()) {
+        tracing::warn!(event = "report-unreadable", %address, born, why = "far ahead of now");
+        return false;
+    }
+    let taken = relay.beliefs.borrow_mut().fleet.take_start(life.id(), born, now_millis());
+    if let Some(taken) = taken {
+        note_taken(relay, &taken);
+        tell_fleet(relay, held_news(relay, life.id()));
+    }
+    true
+}
+
+/// What is held of a replica, as news for others.
+fn held_news(relay: &Relay, id: &str) -> Vec<ReplicaNews> {
+    let beliefs = relay.beliefs.borrow();
+    let (entry, revision) = (beliefs.fleet.view.get(id), beliefs.fleet.view.revision(id));
+    let held = entry.zip(revision);
+    held.map(|(entry, revision)| ReplicaNews {
+        id: id.to_owned(),
+        revision,
+        entry: Some(entry.clone()),
+    })
+    .into_iter()
+    .collect()
+}
+
 /// Takes over news of replicas, from the store or from another relay.
 pub fn take_news(relay: &Relay, news: Vec<ReplicaNews>, source: NewsSource) {
     let taken = relay.beliefs.borrow_mut().fleet.take_all(news, source, now_millis());
@@ -126,12 +182,13 @@
 /// Writes a line where news changed something: with its revision, what was held before, and where it
 /// came from. Running streams then look at their paths.
 fn note_taken(relay: &Relay, taken: &TakenNews) {
-    let TakenNews { id, address, layers, change, revision, held, source } = taken;
+    let TakenNews { id, life, ended, address, layers, change, revision, held, source } = taken;
     if *change == FleetChange::Older {
         count(&relay.counts.older_news);
         tracing::debug!(event = "older-news", replica = id, revision, held, %source);
     }
     let Some(address) = *address else { return };
+    ended.iter().for_each(|ended| forget_life(relay, ended, address));
     let layers = layers.map(|range| (range.from, range.to));
     match change {
         FleetChange::Unchanged | FleetChange::Older => return,
@@ -142,8 +199,12 @@
         FleetChange::Draining => {
             tracing::info!(event = "replica-draining", replica = id, %address, revision, held, %source);
         }
+        FleetChange::Restarted => {
+            count(&relay.counts.restarted);
+            let born = life.as_ref().map(ReplicaLife::born);
+            tracing::info!(event = "replica-restarted", replica = id, born, %address, ?layers, revision, held, %source);
+        }
         FleetChange::Gone => {
-            forget_replica(relay, id, address);
             tracing::info!(event = "replica-gone", replica = id, %address, revision, held, %source);
         }
         FleetChange::Returned => {
@@ -157,13 +218,14 @@
     relay.raise_alarm();
 }
 
-/// Forgets what was learnt of a replica that is gone.
-fn forget_replica(relay: &Relay, id: &str, address: SocketAddr) {
+/// Forgets what was learnt of a life of a replica that ended.
+fn forget_life(relay: &Relay, life: &ReplicaLife, address: SocketAddr) {
     {
         let mut beliefs = relay.beliefs.borrow_mut();
-        beliefs.suspects.clear(id);
-        beliefs.loads.forget(id);
-        beliefs.paces.forget(id);
+        beliefs.suspects.clear(life);
+        beliefs.full.clear(life);
+        beliefs.loads.forget(life);
+        beliefs.paces.forget(life);
     }
     relay.pool.forget(address);
     relay.reports.forget(address);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -15,6 +15,7 @@
     attempt::{AttemptEnd, NextStep},
     chain::PathPart,
     fleet::ReplicaEntry,
+    life::ReplicaLife,
 };
 
 use crate::{
@@ -93,7 +94,7 @@
     pub fn to_replica(&self, permit: &Permit, target: &ReplicaTarget<'_>) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let marks = ReplicaMarks {
-            replica: &target.replica.id,
+            replica: target.replica.life.id(),
             time_left: self.time_left(now_millis()).max(1),
             organisation: permit.organisation.as_deref(),
             priority: target.path.is_some().then_some(self.priority(permit, target)),
@@ -114,7 +115,7 @@
         &self,
         relay: &Relay,
         permit: &Permit,
-        first: &str,
+        first: &ReplicaLife,
         last_event: Option<u64>,
         path: Option<&[PathPart]>,
     ) {
@@ -128,14 +129,14 @@
             config = permit.config.version,
             config_age = beliefs.config_lease.age(now),
             replicas_age = beliefs.fleet.age(now),
-            entry_revision = beliefs.fleet.view.revision(first),
-            entry_age = beliefs.fleet.view.age(first, now),
-            entry_awaited = beliefs.fleet.is_awaited(first),
+            entry_revision = beliefs.fleet.view.revision(first.id()),
+            entry_age = beliefs.fleet.view.age(first.id(), now),
+            entry_awaited = beliefs.fleet.is_awaited(first.id()),
             waited_ms = now - self.arrived,
             objective = permit.route.objective,
             gap = permit.route.event_gap,
             last_event,
-            first,
+            %first,
             path = path.map(path_value),
         );
     }
@@ -144,7 +145,7 @@
     pub fn log_attempt(
         &self,
         relay: &Relay,
-        replica: &str,
+        replica: Option<&ReplicaLife>,
         permit: &Permit,
         end: AttemptEnd,
         next: NextStep,
@@ -158,7 +159,7 @@
         tracing::warn!(
             event = "attempt-failed",
             request = self.marks.attempt_id,
-            replica,
+            replica = replica.map(ReplicaLife::to_string),
             route = permit.route.name,
             config = permit.config.version,
             ?end,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -236,6 +236,8 @@
         older_news,
         older_states,
         returned,
+        restarted,
+        odd_entries,
         passed_changes,
     } = &relay.counts;
     tracing::info!(
@@ -257,6 +259,8 @@
         older_news = older_news.get(),
         older_states = older_states.get(),
         returned = returned.get(),
+        restarted = restarted.get(),
+        odd_entries = odd_entries.get(),
         passed_changes = passed_changes.get(),
         in_flight = relay.stop.in_flight(),
         idle_links = relay.pool.idle_count(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -17,11 +17,13 @@
     access::{ConfigSlot, RoutingConfig},
     budget::{BudgetConfig, RepeatBudget},
     chain::PathPart,
+    fleet::EntryState,
     freshness::FreshnessLease,
+    life::ReplicaLife,
     membership::PeerTable,
     pace::PaceTable,
     pipe::PipeShare,
-    replicas::FleetBelief,
+    replicas::{FleetBelief, OddEntries},
     room::RoomLedger,
     suspect::SuspectList,
 };
@@ -56,6 +58,8 @@
     pub listed_relays: Option<BTreeMap<String, PeerAddress>>,
     /// The replicas.
     pub fleet: FleetBelief,
+    /// Entries that are no replica's own.
+    pub odd_entries: OddEntries,
     /// Memory for requests promised at each replica.
     pub room: RoomLedger,
     /// Requests that run, by the first replica of their path.
@@ -188,13 +192,13 @@
     }
 
     /// Keeps away from a replica for a while.
-    pub fn suspect(&self, id: &str, why: &str) {
+    pub fn suspect(&self, life: &ReplicaLife, why: &str) {
         let now = now_millis();
-        let until = self.beliefs.borrow_mut().suspects.note_failure(id, now);
+        let until = self.beliefs.borrow_mut().suspects.note_failure(life, now);
         if let Some(until) = until {
             self.raise_alarm();
             tell_state(self, true, false);
-            tracing::warn!(event = "suspect", replica = id, why, for_ms = until - now);
+            tracing::warn!(event = "suspect", replica = %life, why, for_ms = until - now);
         }
     }
 
@@ -205,24 +209,24 @@
     }
 
     /// Notes that a replica was short of memory.
-    pub fn note_full(&self, id: &str) {
+    pub fn note_full(&self, life: &ReplicaLife) {
         let now = now_millis();
-        if self.beliefs.borrow_mut().full.note_failure(id, now).is_some() {
-            tracing::info!(event = "replica-full", replica = id);
+        if self.beliefs.borrow_mut().full.note_failure(life, now).is_some() {
+            tracing::info!(event = "replica-full", replica = %life);
         }
     }
 
     /// State of a part of a running request's path.
     pub fn part_state(&self, part: &PathPart) -> PartState {
         let beliefs = self.beliefs.borrow();
-        let Some(replica) = beliefs.fleet.view.get(&part.id) else { return PartState::Lost };
-        if beliefs.suspects.is_suspect(&part.id, now_millis()) {
+        let Some(replica) = beliefs.fleet.view.living(&part.life) else { return PartState::Lost };
+        if beliefs.suspects.is_suspect(&part.life, now_millis()) {
             return PartState::Lost;
         }
         let holds = replica
             .layers
             .is_some_and(|held| held.from <= part.range.from && part.range.to <= held.to);
-        match holds && !replica.draining {
+        match holds && replica.state != EntryState::Draining {
             true => PartState::Well,
             false => PartState::Leaving,
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,6 +12,7 @@
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
     chain::PathPart,
     fleet::ReplicaEntry,
+    life::ReplicaLife,
 };
 
 use crate::{
@@ -60,7 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TriedReplicas {
     /// Replicas not to use again.
-    pub avoid: Vec<String>,
+    pub avoid: Vec<ReplicaLife>,
     /// Sends that a replica may have run.
     pub sends: u32,
     /// Sends that none ran.
@@ -98,7 +99,7 @@
             can_repeat,
         };
         let next = decide_next(state, end);
-        let first = tried.avoid.last().map_or("", String::as_str);
+        let first = tried.avoid.last();
         request.log_attempt(relay, first, &permit, end, next, &detail);
         match next {
             NextStep::TryElsewhere => {
@@ -147,9 +148,9 @@
     let wish =
         PathWish { service: &permit.service, engine, tokens, avoid: &tried.avoid, first: None };
     let path = wait_for_path(relay, &wish, patience).await?;
-    let first = relay.beliefs.borrow().fleet.view.get(&path[0].id).cloned()?;
+    let first = relay.beliefs.borrow().fleet.view.living(&path[0].life).cloned()?;
     let room = RoomGuard::new(relay, &path, tokens);
-    request.log_dispatch(relay, permit, &first.id, last_event, Some(&path));
+    request.log_dispatch(relay, permit, &first.life, last_event, Some(&path));
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
     let outgoing = request.to_replica(permit, &target);
     let fresh = !permit.route.is_repeatable();
@@ -161,8 +162,8 @@
     let sent = match sent {
         Ok(sent) => sent,
         Err(WaitEnd::Send(SendError::NotSent { detail })) => {
-            relay.suspect(&first.id, &detail);
-            tried.avoid.push(first.id);
+            relay.suspect(&first.life, &detail);
+            tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::NotSent, detail));
         }
         Err(WaitEnd::Send(SendError::Broken { detail })) => {
@@ -170,12 +171,12 @@
             // A replica that is gone shows in a probe.
             probe_replicas(relay, std::iter::once(first.address));
             tried.sends += 1;
-            tried.avoid.push(first.id);
+            tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
         Err(WaitEnd::Stalled(detail)) => {
             tried.sends += 1;
-            tried.avoid.push(first.id);
+            tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
         Err(WaitEnd::TimeUp) => {
@@ -200,11 +201,14 @@
 
 /// Keeps away from the replica at an address.
 pub fn note_fault(relay: &Relay, at_fault: SocketAddr, why: &str) -> String {
-    let id = relay.beliefs.borrow().fleet.view.at(at_fault).map(|replica| replica.id.clone());
-    if let Some(id) = &id {
-        relay.suspect(id, why);
+    let life = relay.beliefs.borrow().fleet.view.at(at_fault).map(|replica| replica.life.clone());
+    match life {
+        Some(life) => {
+            relay.suspect(&life, why);
+            format!("{why} at {at_fault} ({life})")
+        }
+        None => format!("{why} at {at_fault} (not listed)"),
     }
-    format!("{why} at {at_fault} ({})", id.as_deref().unwrap_or("not listed"))
 }
 
 /// Decides on an answer's head: a stream, a whole answer, or a rejection.
@@ -229,7 +233,7 @@
         return OpenEnd::Failed(end, detail);
     }
     tried.sends += 1;
-    tried.avoid.push(first.id);
+    tried.avoid.push(first.life);
     if head.status == StatusCode::OK {
         return OpenEnd::Open(Box::new(OpenStream { head, body, link, path, room }));
     }
@@ -246,26 +250,26 @@
     status: StatusCode,
 ) {
     let at_fault = marks.at_fault.unwrap_or(first.address);
-    let id = relay.beliefs.borrow().fleet.view.at(at_fault).map(|replica| replica.id.clone());
-    let Some(id) = id else {
+    let life = relay.beliefs.borrow().fleet.view.at(at_fault).map(|replica| replica.life.clone());
+    let Some(life) = life else {
         // Whatever it names is not known here, so the first one is passed by.
-        tried.avoid.push(first.id.clone());
+        tried.avoid.push(first.life.clone());
         return;
     };
     if marks.at_fault.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
         match recent_report(relay, at_fault).await {
             ReportState::Asking => {}
-            ReportState::Silent => relay.suspect(&id, "rejected and silent"),
+            ReportState::Silent => relay.suspect(&life, "rejected and silent"),
             ReportState::Answered(report) if report.layers.is_none() => {
-                relay.suspect(&id, "rejected and empty");
+                relay.suspect(&life, "rejected and empty");
             }
             ReportState::Answered(report) if report.room_used > report.room_total * FULL => {
-                relay.note_full(&id);
+                relay.note_full(&life);
             }
             ReportState::Answered(_) => {}
         }
     }
-    tried.avoid.push(id);
+    tried.avoid.push(life);
 }
 
 /// Part of an engine's memory for requests above which a rejection is put down to it.
--- a/crates/relay/src/survey.rs
+++ b/crates/relay/src/survey.rs
@@ -7,7 +7,7 @@
 use std::{rc::Rc, time::Duration};
 
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::Millis;
+use switchfold_router::{Millis, life::ReplicaLife};
 use tokio::time::sleep;
 
 use crate::{engines::ask_report, peers::tell_state, settings::RelaySettings, state::Relay};
@@ -35,9 +35,9 @@
             continue;
         }
         let step = (SURVEY_EVERY / engines.len() as u32).max(LEAST_STEP);
-        for id in engines {
+        for engine in engines {
             sleep(step).await;
-            ask(&relay, &id).await;
+            ask(&relay, &engine).await;
         }
     }
 }
@@ -54,23 +54,23 @@
 }
 
 /// Engines of the data centre that hold layers.
-fn own_engines(relay: &Relay) -> Vec<String> {
+fn own_engines(relay: &Relay) -> Vec<ReplicaLife> {
     let Some(config) = relay.config() else { return Vec::new() };
     let beliefs = relay.beliefs.borrow();
     let services = config.engines().flat_map(|(service, _)| beliefs.fleet.view.of_service(service));
     let own = services.filter(|replica| {
         replica.data_centre == relay.settings.data_centre && replica.layers.is_some()
     });
-    own.map(|replica| replica.id.clone()).collect()
+    own.map(|replica| replica.life.clone()).collect()
 }
 
-async fn ask(relay: &Relay, id: &str) {
-    let address = relay.beliefs.borrow().fleet.view.get(id).map(|replica| replica.address);
+async fn ask(relay: &Relay, engine: &ReplicaLife) {
+    let address = relay.beliefs.borrow().fleet.view.living(engine).map(|replica| replica.address);
     let Some(address) = address else { return };
     let Some(report) = ask_report(relay, address).await else { return };
-    let changed = relay.beliefs.borrow_mut().paces.note(id, report.pace, now_millis());
+    let changed = relay.beliefs.borrow_mut().paces.note(engine, report.pace, now_millis());
     if changed {
-        tracing::info!(event = "engine-pace", replica = id, factor = report.pace);
+        tracing::info!(event = "engine-pace", replica = %engine, factor = report.pace);
         tell_state(relay, true, false);
     }
 }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -57,7 +57,7 @@
             list.items.iter().for_each(|item| read_config(relay, item, list.at))
         },
         take_changes: |relay, changes| {
-            let kept = changes.events.iter().filter(|change| !change.gone);
+            let kept = changes.events.read.iter().filter(|change| !change.gone);
             kept.for_each(|change| read_config(relay, &change.object, changes.at));
         },
         prove: |relay, sent, at| {
@@ -101,7 +101,7 @@
         kind: CallKind::Replicas,
         times: REPLICA_TIMES,
         take_list: take_replica_list,
-        take_changes: |relay, changes| take_replica_changes(relay, changes.events),
+        take_changes: |relay, changes| take_replica_changes(relay, changes.events.read),
         prove: |relay, sent, at| {
             relay.beliefs.borrow_mut().fleet.note_read(sent, at, now_millis());
         },
@@ -217,10 +217,18 @@
     let list = store.list(followed.kind, CallVerb::List, CallCause::Follow(cause)).await?;
     let at = list.at;
     tracing::debug!(event = "store-read", kind = %followed.kind, at, items = list.items.len());
+    note_unreadable(relay, followed.kind, &list.unreadable, at);
     (followed.take_list)(relay, list, sent);
     Ok(at)
 }
 
+/// Counts what came and is no object at all, and writes a line for it; the others hold.
+fn note_unreadable(relay: &Relay, kind: CallKind, errors: &[String], at: u64) {
+    let Some(first) = errors.first() else { return };
+    relay.counts.odd_entries.set(relay.counts.odd_entries.get() + errors.len() as u64);
+    tracing::warn!(event = "objects-unreadable", %kind, at, count = errors.len(), first);
+}
+
 async fn watch_once(
     relay: &Relay,
     store: &CountedStore,
@@ -229,7 +237,8 @@
 ) -> Result<u64, StoreError> {
     let wait = Duration::from_millis(followed.times.wait);
     let changes = store.watch(followed.kind, after, wait).await?;
-    let (at, changed) = (changes.at, changes.events.len());
+    note_unreadable(relay, followed.kind, &changes.events.unreadable, changes.at);
+    let (at, changed) = (changes.at, changes.events.read.len());
     tracing::debug!(event = "store-watched", kind = %followed.kind, after, at, changed);
     (followed.take_changes)(relay, changes);
     Ok(at.max(after))
@@ -270,6 +279,7 @@
     let object = ConfigObject { revision, at, spec: Bytes::from(spec.to_string()) };
     {
         let mut beliefs = relay.beliefs.borrow_mut();
+        beliefs.fleet.view.note_services(config.services.keys().map(String::as_str));
         beliefs.config.merge(version, config);
         beliefs.config_unreadable = false;
         beliefs.config_object = Some(object);
--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -9,6 +9,7 @@
 use switchfold_router::{
     chain::{ChainCosts, PartOffer, PathRequest, choose_path},
     cover::{CoverConfig, LayerHolder, ModelShape, improve_group, plan_group},
+    life::ReplicaLife,
 };
 
 const MODEL: ModelShape = ModelShape { layers: 80, layer_mb: 1_750.0 };
@@ -21,7 +22,7 @@
     let holder = |index: usize| {
         let (memory_mb, pace) = kinds[if index.is_multiple_of(10) { 0 } else { 1 + index % 2 }];
         LayerHolder {
-            id: format!("r{index:03}"),
+            life: ReplicaLife::new(&format!("r{index:03}"), 0),
             memory_mb,
             layer_ms: 1.02 * pace / f64::from(MODEL.layers),
             range: None,
@@ -35,7 +36,7 @@
 fn laid_out(count: usize) -> Vec<LayerHolder> {
     let mut holders = empty_group(count);
     for order in plan_group(&holders, MODEL, &CoverConfig::default()) {
-        let holder = holders.iter_mut().find(|holder| holder.id == order.id).expect("a holder");
+        let holder = holders.iter_mut().find(|holder| holder.life == order.life).expect("a holder");
         holder.range = Some(order.range);
         holder.held = holder.range;
     }
@@ -92,7 +93,7 @@
 
 fn offers(data_centre: usize, count: usize) -> Vec<PartOffer> {
     let offer = |holder: LayerHolder| PartOffer {
-        id: format!("{data_centre}-{}", holder.id),
+        life: ReplicaLife::new(&format!("{data_centre}-{}", holder.life), 0),
         address: "10.0.0.1:8000".parse().expect("an address"),
         data_centre,
         range: holder.range.unwrap_or_default(),
--- a/crates/router/src/chain.rs
+++ b/crates/router/src/chain.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use crate::fleet::LayerRange;
+use crate::{fleet::LayerRange, life::ReplicaLife};
 
 /// Most parts that a path may have.
 pub const MOST_PARTS: usize = 32;
@@ -60,8 +60,8 @@
 /// What a replica offers to a path.
 #[derive(Clone, Debug)]
 pub struct PartOffer {
-    /// Id of the replica.
-    pub id: String,
+    /// The replica.
+    pub life: ReplicaLife,
     /// Its address.
     pub address: SocketAddr,
     /// Its data centre, as a small number.
@@ -79,8 +79,8 @@
 /// One part of a path.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PathPart {
-    /// Id of the replica.
-    pub id: String,
+    /// The replica.
+    pub life: ReplicaLife,
     /// Its address.
     pub address: SocketAddr,
     /// Layers that it runs.
@@ -102,7 +102,7 @@
     pub may_cross: bool,
     /// First replica that the path must begin with, and its layers: for changing the path of a request
     /// that runs.
-    pub first: Option<(&'a str, LayerRange)>,
+    pub first: Option<(&'a ReplicaLife, LayerRange)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -167,7 +167,7 @@
     let layer = bounds[position];
     for (index, offer) in offers.iter().enumerate() {
         let fixed = request.first.filter(|_| starts);
-        let wrong_first = fixed.is_some_and(|(id, _)| id != offer.id);
+        let wrong_first = fixed.is_some_and(|(life, _)| *life != offer.life);
         if wrong_first || !offer.range.contains(layer) {
             continue;
         }
@@ -213,7 +213,7 @@
         let step = best[state.0][state.1].expect("states on a path were reached");
         let offer = &offers[step.offer];
         let range = LayerRange { from: bounds[step.previous.0], to: bounds[state.0] };
-        parts.push(PathPart { id: offer.id.clone(), address: offer.address, range });
+        parts.push(PathPart { life: offer.life.clone(), address: offer.address, range });
         state = step.previous;
     }
     parts.reverse();
@@ -226,7 +226,7 @@
     let mut index = 0;
     while index < parts.len() {
         let later =
-            (index + 1..parts.len()).rev().find(|later| parts[*later].id == parts[index].id);
+            (index + 1..parts.len()).rev().find(|later| parts[*later].life == parts[index].life);
         if let Some(later) = later {
             parts[index].range.to = parts[later].range.to;
             parts.drain(index + 1..=later);
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -34,6 +34,7 @@
         search::{BestPlace, PlaceWish, best_place, improve_layout, search_steps},
     },
     fleet::LayerRange,
+    life::ReplicaLife,
 };
 
 /// Fractions of a replica's memory that weights may take.
@@ -57,8 +58,8 @@
 /// A replica as the plan sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LayerHolder {
-    /// Id of the replica.
-    pub id: String,
+    /// The replica.
+    pub life: ReplicaLife,
     /// Memory of its accelerator in MB.
     pub memory_mb: f64,
     /// Time of a token step over one of its layers, in milliseconds.
@@ -83,8 +84,8 @@
 /// An order to hold these layers and no others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlaceOrder {
-    /// Id of the replica.
-    pub id: String,
+    /// The replica.
+    pub life: ReplicaLife,
     /// Layers that it is to hold.
     pub range: LayerRange,
     /// Why, for the logs.
@@ -166,7 +167,7 @@
     });
     let order = |after: LayerHolder| {
         let range = after.range.unwrap_or_default();
-        PlaceOrder { id: after.id, range, reason: PlaceReason::Search }
+        PlaceOrder { life: after.life, range, reason: PlaceReason::Search }
     };
     changed.map(|(_, after)| order(after)).collect()
 }
@@ -202,7 +203,7 @@
         let mut holders = holders.to_vec();
         // Largest first, so that small replicas fill what large ones leave.
         holders.sort_by(|left, right| {
-            right.memory_mb.total_cmp(&left.memory_mb).then_with(|| left.id.cmp(&right.id))
+            right.memory_mb.total_cmp(&left.memory_mb).then_with(|| left.life.cmp(&right.life))
         });
         let mut group = Self { holders, model, config, fill: config.base_fill, orders: Vec::new() };
         group.fill = group.usual_fill();
@@ -335,9 +336,9 @@
     fn order(&mut self, index: usize, range: LayerRange, reason: PlaceReason) {
         let holder = &mut self.holders[index];
         holder.range = Some(range);
-        let id = holder.id.clone();
-        self.orders.retain(|order| order.id != id);
-        self.orders.push(PlaceOrder { id, range, reason });
+        let life = holder.life.clone();
+        self.orders.retain(|order| order.life != life);
+        self.orders.push(PlaceOrder { life, range, reason });
     }
 
     /// Gives one replica other layers, where that is worth a load.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -1,10 +1,13 @@
 //! Replicas as the platform lists them.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use switchfold_core::hash::hash_bytes;
 
-use crate::Millis;
+use crate::{Millis, life::ReplicaLife};
 
 /// Layers `from..to` of the model.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -32,11 +35,23 @@
     }
 }
 
+/// What a replica's entry says of its use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryState {
+    /// It takes requests.
+    Ready,
+    /// It is about to leave.
+    Draining,
+    /// Another writer's entry stands in its place, which names no replica. The replica itself may be well: it
+    /// gets no new requests, and what runs there goes on.
+    Overwritten,
+}
+
 /// One replica of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaEntry {
-    /// Id of this start of the replica.
-    pub id: String,
+    /// This life of the replica.
+    pub life: ReplicaLife,
     /// Service that it belongs to.
     pub service: String,
     /// Where it takes requests.
@@ -45,14 +60,21 @@
     pub data_centre: String,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it is about to leave.
-    pub draining: bool,
+    /// Whether it takes requests.
+    pub state: EntryState,
     /// Kind of accelerator; empty for plain services.
     pub kind: String,
     /// Layers that it holds; nothing where it is empty or a plain service.
     pub layers: Option<LayerRange>,
 }
 
+impl ReplicaEntry {
+    /// Whether new requests may be sent to it.
+    pub fn is_ready(&self) -> bool {
+        self.state == EntryState::Ready
+    }
+}
+
 /// What the store said of one replica at a revision, whoever passes it on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaNews {
@@ -64,11 +86,11 @@
     pub entry: Option<ReplicaEntry>,
 }
 
-/// Digest of one entry. Entries are combined by exclusive or, so order does not matter. With the revision,
-/// two relays that hold the same digest hold what the store said at the same revisions. The revision is not
-/// the seed: for short texts a seed is only combined by exclusive or, and two entries cancel each other.
+/// Digest of one entry. Entries are combined by exclusive or, so order does not matter. With the life and the
+/// revision, two relays that hold the same digest hold what the store said at the same revisions. The revision is
+/// not the seed: for short texts a seed is only combined by exclusive or, and two entries cancel each other.
 fn entry_digest(held: &HeldEntry) -> u64 {
-    let text = format!("{} {}", held.entry.id, held.revision);
+    let text = format!("{} {}", held.entry.life, held.revision);
     hash_bytes(0, text.as_bytes())
 }
 
@@ -77,6 +99,8 @@
 pub enum FleetChange {
     /// It was not listed before.
     Joined,
+    /// It started again under its id, and holds and knows nothing of before.
+    Restarted,
     /// It says that it will leave.
     Draining,
     /// It was leaving, and is no more.
@@ -87,7 +111,7 @@
     Updated,
     /// Nothing.
     Unchanged,
-    /// Nothing: the news is older than what is known, whoever passed it on.
+    /// Nothing: the news is older than what is known, or of an earlier start, whoever passed it on.
     Older,
 }
 
@@ -96,84 +120,180 @@
 struct HeldEntry {
     entry: ReplicaEntry,
     revision: u64,
+    /// Revision at which its id was listed first, as far as this view saw.
+    first: u64,
     taken: Millis,
 }
 
+/// A replica that is gone.
+#[derive(Clone, Copy, Debug)]
+struct GoneMark {
+    /// Revision at which it was.
+    revision: u64,
+    /// Start of its last life.
+    born: Millis,
+    /// Revision at which its id was listed first; nothing where it never was.
+    first: Option<u64>,
+}
+
 /// Replicas that are gone whose last revisions are kept. News of one that is older comes from a process
 /// that stood still at most for minutes; 160 replicas are replaced on an ordinary day.
 const MOST_GONE: usize = 1_024;
 
 /// All replicas that are listed, by id.
 ///
-/// Of two news of a replica the one of the higher revision counts, in whatever order and from whomever
-/// they come. So all relays that hear of the same news hold the same, and none goes back.
+/// Of two news of a replica the one of the later start counts, and within one life the one of the higher
+/// revision, in whatever order and from whomever they come: a heartbeat of an earlier life may reach the store
+/// after the first one of the next. So all relays that hear of the same news hold the same, and none goes back.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     replicas: BTreeMap<String, HeldEntry>,
-    /// Revisions at which replicas were gone.
-    gone: BTreeMap<String, u64>,
+    /// Ids that are listed at each address.
+    by_address: HashMap<SocketAddr, Vec<String>>,
+    gone: BTreeMap<String, GoneMark>,
+    /// Services that the configuration names; nothing before there is one.
+    services: Option<HashSet<String>>,
     digest: u64,
 }
 
 impl FleetView {
+    /// Notes the services that the configuration names.
+    pub fn note_services<'a>(&mut self, services: impl Iterator<Item = &'a str>) {
+        self.services = Some(services.map(str::to_owned).collect());
+    }
+
+    /// Whether the configuration names the service of an entry. One that it does not name may be another
+    /// writer's, and says nothing of the replica at its address.
+    pub fn names_service(&self, entry: &ReplicaEntry) -> bool {
+        self.services.as_ref().is_none_or(|services| services.contains(&entry.service))
+    }
+
     /// Takes news of a replica, where it is newer than what is known.
     pub fn take(&mut self, news: ReplicaNews, now: Millis) -> FleetChange {
-        if self.newest(&news.id).is_some_and(|known| news.revision < known) {
-            return FleetChange::Older;
-        }
         match news.entry {
             Some(entry) => self.insert(entry, news.revision, now),
             None => self.remove(news.id, news.revision),
         }
     }
 
-    /// Highest revision that is known of a replica, also of one that is gone.
-    fn newest(&self, id: &str) -> Option<u64> {
-        self.revision(id).max(self.gone.get(id).copied())
-    }
-
     fn insert(&mut self, entry: ReplicaEntry, revision: u64, now: Millis) -> FleetChange {
-        let is_over = self.gone.get(&entry.id).is_some_and(|gone| revision <= *gone);
-        let successor = |held: &HeldEntry| {
-            held.entry.address == entry.address
-                && held.entry.id != entry.id
-                && held.revision > revision
-        };
-        if is_over || self.replicas.values().any(successor) {
+        let id = entry.life.id();
+        let mark = self.gone.get(id).copied();
+        let first = self.first_listed(id).unwrap_or(revision);
+        if self.is_older(&entry, revision) || self.has_successor(&entry, first) {
             return FleetChange::Older;
         }
-        let change = match self.get(&entry.id) {
+        let change = match self.get(id) {
             None => FleetChange::Joined,
+            Some(old) if old.life != entry.life => FleetChange::Restarted,
             Some(old) if *old == entry => FleetChange::Unchanged,
-            Some(old) if entry.draining && !old.draining => FleetChange::Draining,
-            Some(old) if old.draining && !entry.draining => FleetChange::Returned,
-            Some(_) => FleetChange::Updated,
+            Some(old) => state_change(old.state, entry.state),
         };
-        self.gone.remove(&entry.id);
-        let held = HeldEntry { entry, revision, taken: now };
+        let id = id.to_owned();
+        if mark.is_some() {
+            self.gone.remove(&id);
+        }
+        let held = HeldEntry { entry, revision, first, taken: now };
         self.digest ^= entry_digest(&held);
-        let old = self.replicas.insert(held.entry.id.clone(), held);
-        self.digest ^= old.as_ref().map_or(0, entry_digest);
+        self.by_address.entry(held.entry.address).or_default().push(id.clone());
+        if let Some(old) = self.replicas.insert(id, held) {
+            self.forget_entry(&old);
+        }
         change
     }
 
+    /// Whether something newer is known of an entry's own id.
+    fn is_older(&self, entry: &ReplicaEntry, revision: u64) -> bool {
+        let born = entry.life.born();
+        let is_over = self
+            .gone
+            .get(entry.life.id())
+            .is_some_and(|gone| revision <= gone.revision || born < gone.born);
+        let held = self.replicas.get(entry.life.id());
+        is_over
+            || held.is_some_and(|held| (born, revision) < (held.entry.life.born(), held.revision))
+    }
+
+    /// Whether a later start is listed at the address of an entry whose id was listed first at the revision
+    /// `first`. An earlier start's heartbeat may be taken by the store once the later one is listed: by the
+    /// revisions of the entries alone, it took the later one for gone for up to 1.6 s.
+    fn has_successor(&self, entry: &ReplicaEntry, first: u64) -> bool {
+        let mut others = self.named_at(entry.address);
+        others.any(|held| {
+            let (life, other) = (&entry.life, &held.entry.life);
+            match life.born() > 0 && other.born() > 0 {
+                _ if life.id() == other.id() => false,
+                true => other.born() > life.born(),
+                false => held.first > first,
+            }
+        })
+    }
+
+    fn listed_at(&self, address: SocketAddr) -> impl Iterator<Item = &HeldEntry> {
+        let ids = self.by_address.get(&address);
+        ids.into_iter().flatten().filter_map(|id| self.replicas.get(id))
+    }
+
+    fn named_at(&self, address: SocketAddr) -> impl Iterator<Item = &HeldEntry> {
+        self.listed_at(address).filter(|held| self.names_service(&held.entry))
+    }
+
+    fn first_listed(&self, id: &str) -> Option<u64> {
+        let held = self.replicas.get(id).map(|held| held.first);
+        held.or_else(|| self.gone.get(id)?.first)
+    }
+
     fn remove(&mut self, id: String, revision: u64) -> FleetChange {
+        let known = self.revision(&id).max(self.gone.get(&id).map(|gone| gone.revision));
+        if known.is_some_and(|known| revision < known) {
+            return FleetChange::Older;
+        }
+        let first = self.first_listed(&id);
+        let earlier = self.gone.get(&id).map_or(0, |gone| gone.born);
         let old = self.replicas.remove(&id);
-        self.note_gone(id, revision);
+        let born = old.as_ref().map_or(earlier, |old| old.entry.life.born());
+        self.note_gone(id, GoneMark { revision, born, first });
         let Some(old) = old else { return FleetChange::Unchanged };
-        self.digest ^= entry_digest(&old);
+        self.forget_entry(&old);
         FleetChange::Gone
     }
 
-    fn note_gone(&mut self, id: String, revision: u64) {
-        self.gone.insert(id, revision);
+    /// Takes an entry that is held no more out of the digest and the index.
+    fn forget_entry(&mut self, old: &HeldEntry) {
+        self.digest ^= entry_digest(old);
+        let address = old.entry.address;
+        let Some(ids) = self.by_address.get_mut(&address) else { return };
+        if let Some(index) = ids.iter().position(|id| id == old.entry.life.id()) {
+            ids.swap_remove(index);
+        }
+        if ids.is_empty() {
+            self.by_address.remove(&address);
+        }
+    }
+
+    fn note_gone(&mut self, id: String, mark: GoneMark) {
+        self.gone.insert(id, mark);
         if self.gone.len() > MOST_GONE {
-            let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+            let oldest = self.gone.iter().min_by_key(|(_, mark)| mark.revision);
             let oldest = oldest.map(|(id, _)| id.clone());
             oldest.and_then(|id| self.gone.remove(&id));
         }
     }
 
+    /// Takes a replica's own word that it started again, where its entry is still one of an earlier life: it
+    /// holds nothing that is known of. Gives the life that ended.
+    pub fn note_start(&mut self, id: &str, born: Millis, now: Millis) -> Option<ReplicaLife> {
+        let held = self.replicas.get(id)?;
+        let ended = held.entry.life.clone();
+        if born <= ended.born() || ended.born() == 0 {
+            return None;
+        }
+        let entry = ReplicaEntry { life: ended.at(born), layers: None, ..held.entry.clone() };
+        let revision = held.revision;
+        self.insert(entry, revision, now);
+        Some(ended)
+    }
+
     /// Revision of what is held of a replica.
     pub fn revision(&self, id: &str) -> Option<u64> {
         self.replicas.get(id).map(|held| held.revision)
@@ -185,18 +305,19 @@
     }
 
     /// Other replicas that are listed at an address: earlier starts, which ended there. A later start is
-    /// never among them, since no older entry is taken beside it.
+    /// never among them, since no entry of an earlier one is taken beside it.
     pub fn predecessors(&self, id: &str, address: SocketAddr) -> Vec<String> {
-        let others = self.entries().filter(|other| other.address == address);
-        others.filter(|other| other.id != id).map(|other| other.id.clone()).collect()
+        let others = self.listed_at(address).map(|held| held.entry.life.id());
+        others.filter(|other| *other != id).map(str::to_owned).collect()
     }
 
     /// Ids that a list read at the revision `at` lacks. What is held at a higher revision was written after
     /// it was read.
     pub fn missing_from(&self, listed: &[ReplicaNews], at: u64) -> Vec<String> {
-        let is_listed = |id: &String| listed.iter().any(|news| news.id == *id);
+        let listed: HashSet<&str> = listed.iter().map(|news| news.id.as_str()).collect();
         let older = self.replicas.iter().filter(|(_, held)| held.revision <= at);
-        older.map(|(id, _)| id).filter(|id| !is_listed(id)).cloned().collect()
+        let ids = older.map(|(id, _)| id).filter(|id| !listed.contains(id.as_str()));
+        ids.cloned().collect()
     }
 
     /// Replica of that id.
@@ -204,9 +325,15 @@
         self.replicas.get(id).map(|held| &held.entry)
     }
 
+    /// Replica in that life; nothing where it started again since, or is gone.
+    pub fn living(&self, life: &ReplicaLife) -> Option<&ReplicaEntry> {
+        self.get(life.id()).filter(|entry| entry.life == *life)
+    }
+
     /// Replica at that address.
     pub fn at(&self, address: SocketAddr) -> Option<&ReplicaEntry> {
-        self.entries().find(|replica| replica.address == address)
+        let latest = self.named_at(address).max_by_key(|held| (held.first, held.revision));
+        latest.map(|held| &held.entry)
     }
 
     /// All that is held, as news for another relay.
@@ -242,3 +369,11 @@
         self.replicas.is_empty()
     }
 }
+
+fn state_change(old: EntryState, new: EntryState) -> FleetChange {
+    match (old, new) {
+        (EntryState::Draining, EntryState::Ready) => FleetChange::Returned,
+        (old, EntryState::Draining) if old != EntryState::Draining => FleetChange::Draining,
+        _ => FleetChange::Updated,
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`follow`] | what a relay reads next from the store |
 //! | [`freshness`] | whether the configuration is recent enough to let keys in |
 //! | [`lapse`] | which entries that are missing after an outage are waited for |
+//! | [`life`] | which life of a replica something is known of |
 //! | [`membership`] | which relay gives orders, and which follows the store for others |
 //! | [`pace`] | how slow each engine is at the moment |
 //! | [`pipe`] | how many paths may cross from one data centre to another |
@@ -34,6 +35,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod lapse;
+pub mod life;
 pub mod membership;
 pub mod pace;
 pub mod pipe;
--- a/crates/router/src/pace.rs
+++ b/crates/router/src/pace.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use crate::Millis;
+use crate::{Millis, life::ReplicaLife};
 
 /// Age at which what an engine told is dropped, in milliseconds: an engine is asked every two seconds,
 /// and other entries repeat the answer several times a second.
@@ -27,50 +27,50 @@
 /// Factors by engine.
 #[derive(Clone, Debug, Default)]
 pub struct PaceTable {
-    paces: HashMap<String, EnginePace>,
+    paces: HashMap<ReplicaLife, EnginePace>,
 }
 
 impl PaceTable {
     /// Notes what an engine told this entry; tells whether it is news that the engine is slow, or that it
     /// no longer is.
-    pub fn note(&mut self, id: &str, factor: f64, now: Millis) -> bool {
-        let was_slow = self.factor(id, now) > 1.0;
+    pub fn note(&mut self, life: &ReplicaLife, factor: f64, now: Millis) -> bool {
+        let was_slow = self.factor(life, now) > 1.0;
         let is_slow = factor >= SLOW;
         match is_slow {
-            true => drop(self.insert(id, EnginePace { factor, heard: now, asked: true })),
-            false => drop(self.paces.remove(id)),
+            true => drop(self.insert(life, EnginePace { factor, heard: now, asked: true })),
+            false => drop(self.paces.remove(life)),
         }
         was_slow != is_slow
     }
 
     /// Takes over what another entry was told.
-    pub fn take_over(&mut self, id: &str, factor: f64, now: Millis) {
-        let asked = self.paces.get(id).is_some_and(|known| known.asked);
+    pub fn take_over(&mut self, life: &ReplicaLife, factor: f64, now: Millis) {
+        let asked = self.paces.get(life).is_some_and(|known| known.asked);
         if !asked {
-            self.insert(id, EnginePace { factor, heard: now, asked: false });
+            self.insert(life, EnginePace { factor, heard: now, asked: false });
         }
     }
 
     /// By what factor an engine is slow; 1 where nothing was heard lately.
-    pub fn factor(&self, id: &str, now: Millis) -> f64 {
-        let known = self.paces.get(id).filter(|known| known.is_recent(now));
+    pub fn factor(&self, life: &ReplicaLife, now: Millis) -> f64 {
+        let known = self.paces.get(life).filter(|known| known.is_recent(now));
         known.map_or(1.0, |known| known.factor)
     }
 
     /// Slow engines that this entry asked itself, with their factors: what it only heard is not its to
     /// repeat, or two entries would keep it alive between them.
-    pub fn asked(&self, now: Millis) -> impl Iterator<Item = (&str, f64)> {
+    pub fn asked(&self, now: Millis) -> impl Iterator<Item = (&ReplicaLife, f64)> {
         let own = self.paces.iter().filter(move |(_, known)| known.asked && known.is_recent(now));
-        own.map(|(id, known)| (id.as_str(), known.factor))
+        own.map(|(life, known)| (life, known.factor))
     }
 
     /// Forgets an engine that is gone.
-    pub fn forget(&mut self, id: &str) {
-        self.paces.remove(id);
+    pub fn forget(&mut self, life: &ReplicaLife) {
+        self.paces.remove(life);
     }
 
-    fn insert(&mut self, id: &str, known: EnginePace) -> Option<EnginePace> {
-        self.paces.insert(id.to_owned(), known)
+    fn insert(&mut self, life: &ReplicaLife, known: EnginePace) -> Option<EnginePace> {
+        self.paces.insert(life.clone(), known)
     }
 }
 
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -4,15 +4,16 @@
 //! data centre. All of them are taken over here, each with where it came from, so that whoever holds this
 //! can tell of every change by what it was decided.
 
-use std::net::SocketAddr;
+use std::{collections::HashMap, net::SocketAddr};
 
 use derive_more::Display;
 
 use crate::{
     Millis,
-    fleet::{FleetChange, FleetView, LayerRange, ReplicaNews},
+    fleet::{EntryState, FleetChange, FleetView, LayerRange, ReplicaEntry, ReplicaNews},
     freshness::FreshnessLease,
     lapse::LapseGrace,
+    life::ReplicaLife,
     membership::{FOLLOWED_AGE, PeerProof},
 };
 
@@ -37,6 +38,9 @@
     /// A later start at the same address.
     #[display("successor")]
     Successor,
+    /// The replica itself, when it was asked.
+    #[display("report")]
+    Report,
 }
 
 /// News that came, with what it changed.
@@ -44,6 +48,10 @@
 pub struct TakenNews {
     /// Id of the replica.
     pub id: String,
+    /// Its life that the news speaks of; nothing where it was not known.
+    pub life: Option<ReplicaLife>,
+    /// Its life that ended by the news: what is kept of it counts no more.
+    pub ended: Option<ReplicaLife>,
     /// Address of the replica; nothing where it was not known.
     pub address: Option<SocketAddr>,
     /// Layers that it holds by this news.
@@ -91,6 +99,25 @@
     own_answer: Option<Millis>,
 }
 
+/// Entries that are told apart by id; far more than other writers leave at a time.
+const MOST_ODD: usize = 1_024;
+
+/// Entries in the list that are no replica's own, so that each is told of once for each revision.
+#[derive(Clone, Debug, Default)]
+pub struct OddEntries {
+    seen: HashMap<String, u64>,
+}
+
+impl OddEntries {
+    /// Notes an entry; tells whether it is news.
+    pub fn note(&mut self, id: &str, revision: u64) -> bool {
+        if self.seen.len() >= MOST_ODD && !self.seen.contains_key(id) {
+            self.seen.clear();
+        }
+        self.seen.insert(id.to_owned(), revision) != Some(revision)
+    }
+}
+
 /// Age up to which the list of replicas counts as recent, in milliseconds: two waits of its watch, and
 /// the time that a store in trouble takes.
 pub const FRESH_FLEET: Millis = 5_000;
@@ -139,8 +166,10 @@
     ) -> Vec<TakenNews> {
         let mut taken = Vec::with_capacity(news.len());
         for one in news {
+            let named = one.entry.as_ref().is_some_and(|entry| self.view.names_service(entry));
             let (revision, first) = (one.revision, self.take_one(one, source, now));
-            let joined = (first.change == FleetChange::Joined).then_some(first.address).flatten();
+            let joins = first.change == FleetChange::Joined && named;
+            let joined = first.address.filter(|_| joins);
             let id = first.id.clone();
             taken.push(first);
             let Some(address) = joined else { continue };
@@ -153,10 +182,12 @@
     }
 
     fn take_one(&mut self, news: ReplicaNews, source: NewsSource, now: Millis) -> TakenNews {
+        let news = self.without_lost_start(news);
         let (id, revision) = (news.id.clone(), news.revision);
         let layers = news.entry.as_ref().and_then(|entry| entry.layers);
-        let known = self.view.get(&id).map(|entry| entry.address);
-        let address = news.entry.as_ref().map(|entry| entry.address).or(known);
+        let known = self.view.get(&id).map(|entry| (entry.life.clone(), entry.address));
+        let told = news.entry.as_ref().map(|entry| (entry.life.clone(), entry.address));
+        let (life, address) = told.or(known.clone()).unzip();
         let held = self.view.revision(&id);
         let change = self.view.take(news, now);
         match change {
@@ -164,17 +195,52 @@
             FleetChange::Gone => self.lapses.note_gone(&id),
             _ => self.lapses.note_listed(&id, revision),
         }
-        TakenNews { id, address, layers, change, revision, held, source }
+        let ends = matches!(change, FleetChange::Gone | FleetChange::Restarted);
+        let ended = known.map(|(life, _)| life).filter(|_| ends);
+        TakenNews { id, life, ended, address, layers, change, revision, held, source }
+    }
+
+    /// An entry that tells no start, where the replica's own entry told one, is another writer's.
+    fn without_lost_start(&self, news: ReplicaNews) -> ReplicaNews {
+        let told = news.entry.as_ref().map(|entry| entry.life.born());
+        let held = self.view.get(&news.id).map_or(0, |held| held.life.born());
+        match told {
+            Some(0) if held > 0 => self.overwritten(&news.id, news.revision).unwrap_or(news),
+            _ => news,
+        }
     }
 
-    /// News of a replica whose entry cannot be read: it may say that the replica leaves, so it is taken so.
-    /// Nothing where the replica is not known; it is not used then.
-    pub fn unreadable(&self, id: &str, revision: u64) -> Option<ReplicaNews> {
-        let mut entry = self.view.get(id)?.clone();
-        entry.draining = true;
+    /// News of a replica in whose place another writer's entry stands. Nothing where the replica is not known: it
+    /// names none then.
+    pub fn overwritten(&self, id: &str, revision: u64) -> Option<ReplicaNews> {
+        let held = self.view.get(id)?;
+        let state = match held.state {
+            // It said that it leaves, and does.
+            EntryState::Draining => EntryState::Draining,
+            EntryState::Ready | EntryState::Overwritten => EntryState::Overwritten,
+        };
+        let entry = ReplicaEntry { state, ..held.clone() };
         Some(ReplicaNews { id: id.to_owned(), revision, entry: Some(entry) })
     }
 
+    /// Takes a replica's own word of when it started; gives what it changed.
+    pub fn take_start(&mut self, id: &str, born: Millis, now: Millis) -> Option<TakenNews> {
+        let ended = self.view.note_start(id, born, now)?;
+        let entry = self.view.get(id)?;
+        let revision = self.view.revision(id)?;
+        Some(TakenNews {
+            id: id.to_owned(),
+            life: Some(entry.life.clone()),
+            ended: Some(ended),
+            address: Some(entry.address),
+            layers: entry.layers,
+            change: FleetChange::Restarted,
+            revision,
+            held: Some(revision),
+            source: NewsSource::Report,
+        })
+    }
+
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
     pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
         self.watched = at;
--- a/crates/router/src/room.rs
+++ b/crates/router/src/room.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use crate::Millis;
+use crate::{Millis, life::ReplicaLife};
 
 /// Age at which another entry's figures are dropped, in milliseconds: some of its reports were lost, or
 /// it is gone and its requests with it.
@@ -16,34 +16,34 @@
 #[derive(Clone, Debug, Default)]
 struct PeerRoom {
     heard: Millis,
-    promised: HashMap<String, f64>,
+    promised: HashMap<ReplicaLife, f64>,
 }
 
 /// What is promised at each replica, by this entry and by the others.
 #[derive(Clone, Debug, Default)]
 pub struct RoomLedger {
-    own: HashMap<String, f64>,
+    own: HashMap<ReplicaLife, f64>,
     peers: HashMap<String, PeerRoom>,
 }
 
 impl RoomLedger {
     /// Promises room at a replica.
-    pub fn promise(&mut self, id: &str, amount: f64) {
-        *self.own.entry(id.to_owned()).or_default() += amount;
+    pub fn promise(&mut self, life: &ReplicaLife, amount: f64) {
+        *self.own.entry(life.clone()).or_default() += amount;
     }
 
     /// Releases room at a replica.
-    pub fn release(&mut self, id: &str, amount: f64) {
-        if let Some(promised) = self.own.get_mut(id) {
+    pub fn release(&mut self, life: &ReplicaLife, amount: f64) {
+        if let Some(promised) = self.own.get_mut(life) {
             *promised -= amount;
             if *promised < 0.5 {
-                self.own.remove(id);
+                self.own.remove(life);
             }
         }
     }
 
     /// Takes over the figures of another entry.
-    pub fn hear(&mut self, peer: &str, promised: HashMap<String, f64>, now: Millis) {
+    pub fn hear(&mut self, peer: &str, promised: HashMap<ReplicaLife, f64>, now: Millis) {
         self.peers.insert(peer.to_owned(), PeerRoom { heard: now, promised });
     }
 
@@ -58,14 +58,14 @@
     }
 
     /// What this entry promised.
-    pub fn own(&self) -> &HashMap<String, f64> {
+    pub fn own(&self) -> &HashMap<ReplicaLife, f64> {
         &self.own
     }
 
     /// What all entries promised at a replica.
-    pub fn promised(&self, id: &str) -> f64 {
-        let own = self.own.get(id).copied().unwrap_or(0.0);
-        let peers = self.peers.values().filter_map(|peer| peer.promised.get(id));
+    pub fn promised(&self, life: &ReplicaLife) -> f64 {
+        let own = self.own.get(life).copied().unwrap_or(0.0);
+        let peers = self.peers.values().filter_map(|peer| peer.promised.get(life));
         own + peers.sum::<f64>()
     }
 }
--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -2,18 +2,19 @@
 
 use proptest::prelude::*;
 use switchfold_router::{
-    fleet::{FleetChange, FleetView, ReplicaEntry, ReplicaNews},
-    replicas::{FleetBelief, FleetList, NewsSource},
+    fleet::{EntryState, FleetChange, FleetView, ReplicaEntry, ReplicaNews},
+    life::{MOST_AHEAD, ReplicaLife},
+    replicas::{FleetBelief, FleetList, NewsSource, OddEntries},
 };
 
 fn entry(id: &str, port: u16, draining: bool) -> ReplicaEntry {
     ReplicaEntry {
-        id: id.to_owned(),
+        life: ReplicaLife::new(id, 0),
         service: "model".to_owned(),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: "a".to_owned(),
         slots: 8,
-        draining,
+        state: if draining { EntryState::Draining } else { EntryState::Ready },
         kind: "small".to_owned(),
         layers: None,
     }
@@ -135,3 +136,117 @@
     let distinct: std::collections::HashSet<u64> = digests.iter().copied().collect();
     assert_eq!(distinct.len(), digests.len());
 }
+
+/// A life of a replica at an address of its own.
+fn living(id: &str, port: u16, revision: u64, born: u64) -> ReplicaNews {
+    let life = ReplicaLife::new(id, born);
+    news(id, revision, Some(ReplicaEntry { life, ..entry(id, port, false) }))
+}
+
+/// Of two lives the one that started later counts, whatever the revisions and the order of arrival.
+#[test]
+fn a_later_life_counts_before_a_higher_revision() {
+    let [first, second, late_beat] =
+        [living("i-1", 1, 5, 100), living("i-1", 1, 6, 200), living("i-1", 1, 7, 100)];
+    let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    let mut digests = Vec::new();
+    for order in orders {
+        let mut fleet = FleetView::default();
+        for which in order {
+            let news = [&first, &second, &late_beat][which];
+            fleet.take(news.clone(), 0);
+        }
+        assert_eq!(fleet.get("i-1").expect("listed").life.born(), 200, "{order:?}");
+        digests.push(fleet.digest());
+    }
+    digests.dedup();
+    assert_eq!(digests.len(), 1, "all orders end with the same list");
+}
+
+#[test]
+fn a_restart_ends_what_was_known() {
+    let mut fleet = FleetBelief::default();
+    let source = NewsSource::Watch;
+    let taken = fleet.take_all(vec![living("i-1", 1, 5, 100)], source, 0);
+    assert_eq!((taken[0].change, taken[0].ended.clone()), (FleetChange::Joined, None));
+    let taken = fleet.take_all(vec![living("i-1", 1, 6, 200)], source, 0);
+    assert_eq!(taken[0].change, FleetChange::Restarted);
+    assert_eq!(taken[0].ended, Some(ReplicaLife::new("i-1", 100)));
+    assert!(fleet.view.living(&ReplicaLife::new("i-1", 100)).is_none());
+    let late = fleet.take_all(vec![living("i-1", 1, 9, 100)], source, 0);
+    assert_eq!(late[0].change, FleetChange::Older);
+    // What it says itself counts before its entry does; what an earlier life says counts nowhere.
+    assert!(fleet.take_start("i-1", 150, 0).is_none());
+    let told = fleet.take_start("i-1", 300, 0).expect("it started again");
+    assert_eq!((told.ended, told.layers), (Some(ReplicaLife::new("i-1", 200)), None));
+    // Gone for good, and then a heartbeat of an earlier life.
+    fleet.take_all(vec![news("i-1", 12, None)], source, 0);
+    let late = fleet.take_all(vec![living("i-1", 1, 13, 200)], source, 0);
+    assert_eq!(late[0].change, FleetChange::Older);
+    assert!(fleet.view.is_empty());
+}
+
+/// The store may take a heartbeat of an earlier start after the later one is listed: that one stays.
+#[test]
+fn an_earlier_start_does_not_end_a_later_one() {
+    let source = NewsSource::Watch;
+    for lapsed in [false, true] {
+        let mut fleet = FleetBelief::default();
+        fleet.take_all(vec![listed("i-old", 1, 3, false)], source, 0);
+        if lapsed {
+            fleet.take_all(vec![news("i-old", 4, None)], source, 0);
+        }
+        fleet.take_all(vec![listed("i-new", 1, 6, false)], source, 0);
+        let beat = fleet.take_all(vec![listed("i-old", 1, 8, false)], source, 0);
+        assert_eq!(beat[0].change, FleetChange::Older, "lapsed: {lapsed}");
+        assert!(fleet.view.get("i-new").is_some());
+        assert!(fleet.view.get("i-old").is_none());
+        assert_eq!(fleet.view.at(([10, 0, 0, 1], 1).into()).map(|at| at.life.id()), Some("i-new"));
+    }
+}
+
+/// Another writer's entry names no replica: in place of a good one it keeps that one from new requests until it
+/// writes again, and one of a service that the configuration does not name ends nobody at its address.
+#[test]
+fn entries_of_other_writers_end_nobody() {
+    let mut fleet = FleetBelief::default();
+    fleet.view.note_services(["model"].into_iter());
+    let source = NewsSource::Watch;
+    fleet.take_all(vec![living("i-1", 1, 5, 100), listed("i-2", 2, 6, true)], source, 0);
+    assert!(fleet.overwritten("i-9", 7).is_none());
+    let odd = fleet.overwritten("i-1", 7).expect("it is known");
+    assert_eq!(fleet.take_all(vec![odd], source, 0)[0].change, FleetChange::Updated);
+    assert_eq!(fleet.view.get("i-1").map(|entry| entry.state), Some(EntryState::Overwritten));
+    let draining = fleet.overwritten("i-2", 8).and_then(|news| news.entry).expect("it is known");
+    assert_eq!(draining.state, EntryState::Draining);
+    fleet.take_all(vec![living("i-1", 1, 9, 100)], source, 0);
+    assert!(fleet.view.get("i-1").is_some_and(ReplicaEntry::is_ready));
+    // One that tells no start, where the replica's own told one.
+    fleet.take_all(vec![listed("i-1", 1, 10, false)], source, 0);
+    assert_eq!(fleet.view.get("i-1").map(|entry| entry.state), Some(EntryState::Overwritten));
+    fleet.take_all(vec![living("i-1", 1, 11, 100)], source, 0);
+    let alien = ReplicaEntry { service: "none".to_owned(), ..entry("i-x", 1, false) };
+    fleet.take_all(vec![news("i-x", 12, Some(alien))], source, 0);
+    fleet.take_all(vec![living("i-1", 1, 13, 100)], source, 0);
+    assert_eq!(fleet.view.revision("i-1"), Some(13));
+    assert_eq!(fleet.view.at(([10, 0, 0, 1], 1).into()).map(|at| at.life.id()), Some("i-1"));
+}
+
+#[test]
+fn starts_far_ahead_are_not_plausible() {
+    const NOW: u64 = 1_780_000_000_000;
+    let rows =
+        [(NOW - 1, true), (NOW + MOST_AHEAD, true), (NOW + MOST_AHEAD + 1, false), (0, true)];
+    for (born, plausible) in rows {
+        assert_eq!(ReplicaLife::new("i-1", born).is_plausible(NOW), plausible, "{born}");
+    }
+}
+
+#[test]
+fn an_odd_entry_is_told_of_once_for_each_revision() {
+    let mut odd = OddEntries::default();
+    let rows = [("i-1", 5, true), ("i-1", 5, false), ("i-2", 5, true), ("i-1", 6, true)];
+    for (id, revision, news) in rows {
+        assert_eq!(odd.note(id, revision), news, "{id} {revision}");
+    }
+}
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -29,6 +29,9 @@
         1 => (0..REPLICAS - 1).prop_map(Change::Vanish),
         1 => (0..REPLICAS).prop_map(Change::Reload),
         2 => Just(Change::Configure),
+        2 => (0..REPLICAS, any::<bool>())
+            .prop_map(|(replica, late_beat)| Change::Restart { replica, late_beat }),
+        1 => (0..REPLICAS).prop_map(Change::Overwrite),
     ]
 }
 
@@ -101,9 +104,10 @@
     /// that said it leaves longer ago than the bound, and lacks none that lives and is listed.
     #[test]
     fn no_relay_in_touch_holds_old_replicas(day in day()) {
-        let Broken { leaving, lacking, .. } = play(&day);
+        let Broken { leaving, lacking, ended, .. } = play(&day);
         prop_assert!(leaving.is_empty(), "{:?}", leaving.first());
         prop_assert!(lacking.is_empty(), "{:?}", lacking.first());
+        prop_assert!(ended.is_empty(), "{:?}", ended.first());
     }
 
     /// The same for the configuration.
@@ -125,9 +129,9 @@
         lasting(5_050, 0, Change::Reload(1)),
         lasting(6_000, 0, Change::Configure),
     ];
-    let Broken { leaving, config, lacking } =
+    let Broken { leaving, config, lacking, ended } =
         play(&Day { troubles: Vec::new(), changes, length: 12_000 });
-    assert_eq!((leaving, config, lacking), (vec![], vec![], vec![]));
+    assert_eq!((leaving, config, lacking, ended), (vec![], vec![], vec![], vec![]));
 }
 
 /// The users' record, in its own times: a relay alone in its data centre does not hear that a replica leaves,
--- a/crates/router/tests/model/mod.rs
+++ b/crates/router/tests/model/mod.rs
@@ -6,7 +6,10 @@
 mod relay;
 mod store;
 
-use switchfold_router::{Millis, fleet::LayerRange};
+use switchfold_router::{
+    Millis,
+    fleet::{EntryState, LayerRange, ReplicaEntry},
+};
 
 pub(crate) use self::relay::ModelRelay;
 use self::{
@@ -31,6 +34,10 @@
 /// the users' bounds.
 pub(crate) const BOUND: Millis = 2_000;
 
+/// Time between two heartbeats of a replica, and from its start to its first one, in milliseconds.
+const HEARTBEAT: Millis = 1_200;
+const START: Millis = 100;
+
 /// Heartbeats of silence after which an entry lapses, in milliseconds.
 const LAPSE: Millis = 3_600;
 
@@ -84,6 +91,16 @@
     Reload(usize),
     /// The operator writes a version of the configuration.
     Configure,
+    /// A replica starts again under its id, knowing nothing; a heartbeat of before may reach the store after its
+    /// first one.
+    Restart {
+        /// The replica.
+        replica: usize,
+        /// Whether one does.
+        late_beat: bool,
+    },
+    /// Another writer's entry stands in a replica's place until its next heartbeat.
+    Overwrite(usize),
 }
 
 /// Something with its time.
@@ -166,6 +183,8 @@
     pub(crate) config: Vec<String>,
     /// Replicas that live and are listed, and were not offered.
     pub(crate) lacking: Vec<String>,
+    /// Replicas that were offered for what an earlier life of theirs held.
+    pub(crate) ended: Vec<String>,
 }
 
 struct World<'a> {
@@ -179,6 +198,14 @@
     versions: Vec<(Millis, bool)>,
     /// When a replica's lapsed entry is written again.
     back_at: [Option<Millis>; REPLICAS],
+    /// When each replica started again last.
+    restarted: [Option<Millis>; REPLICAS],
+    /// When each replica's next heartbeat sets its entry right.
+    beat_at: [Option<Millis>; REPLICAS],
+    /// Until when each replica's entry may be another writer's.
+    odd_until: [Millis; REPLICAS],
+    /// Entries of before a restart that are still on their way to the store.
+    late_beats: Vec<(Millis, usize, ReplicaEntry)>,
 }
 
 /// Id of a replica.
@@ -196,6 +223,10 @@
         left: [None; REPLICAS],
         versions: Vec::new(),
         back_at: [None; REPLICAS],
+        restarted: [None; REPLICAS],
+        beat_at: [None; REPLICAS],
+        odd_until: [0; REPLICAS],
+        late_beats: Vec::new(),
     };
     let mut broken = Broken::default();
     let mut now = 0;
@@ -203,6 +234,7 @@
         let weather = Weather { troubles: &day.troubles, now };
         world.change(&weather);
         world.lapse(&weather);
+        world.beat(&weather);
         for number in 0..RELAYS.len() {
             if !weather.has(Trouble::Paused { relay: number }) {
                 let mut relay_world =
@@ -222,12 +254,25 @@
         let due = self.day.changes.iter().filter(|change| change.at / TICK == now / TICK);
         for change in due {
             let down = weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. }));
+            if let Change::Restart { replica, late_beat } = change.what {
+                self.restart(replica, late_beat, now);
+            }
             if down {
                 continue;
             }
             match change.what {
+                Change::Restart { .. } => {}
+                Change::Overwrite(number) => {
+                    let odd = ReplicaEntry {
+                        state: EntryState::Overwritten,
+                        ..self.store.known(number).clone()
+                    };
+                    self.store.overwrite(number, odd);
+                    self.beat_at[number] = Some(now + HEARTBEAT);
+                    self.odd_until[number] = now + HEARTBEAT;
+                }
                 Change::Leave(number) if self.left[number].is_none() => {
-                    if self.store.update(number, |entry| entry.draining = true) {
+                    if self.store.update(number, |entry| entry.state = EntryState::Draining) {
                         self.left[number] = Some((now, weather.is_stable()));
                     }
                 }
@@ -251,6 +296,39 @@
         }
     }
 
+    fn restart(&mut self, number: usize, late_beat: bool, now: Millis) {
+        if self.left[number].is_some() {
+            return;
+        }
+        let before = self.store.restart(number);
+        self.restarted[number] = Some(now);
+        self.beat_at[number] = Some(now + START);
+        if late_beat {
+            self.late_beats.push((now + START + HEARTBEAT / 2, number, before));
+        }
+    }
+
+    /// Replicas write their entries.
+    fn beat(&mut self, weather: &Weather<'_>) {
+        let now = weather.now;
+        if weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. })) {
+            return;
+        }
+        for number in 0..REPLICAS {
+            if self.beat_at[number].is_some_and(|at| now >= at) {
+                self.beat_at[number] = None;
+                let lives = self.left[number].is_none_or(|_| self.store.is_listed(number));
+                if lives && self.back_at[number].is_none() {
+                    self.store.restore(number);
+                }
+            }
+        }
+        for (_, number, before) in self.late_beats.extract_if(.., |(at, ..)| now >= *at) {
+            self.store.overwrite(number, before);
+            self.beat_at[number] = Some(now + HEARTBEAT);
+        }
+    }
+
     /// Entries lapse in a long outage, and are written again after it.
     fn lapse(&mut self, weather: &Weather<'_>) {
         let now = weather.now;
@@ -284,6 +362,7 @@
             self.check_leaving(weather.now, relay, broken);
             self.check_config(weather.now, relay, broken);
             self.check_lacking(weather, relay, broken);
+            self.check_ended(weather.now, relay, broken);
         }
     }
 
@@ -308,9 +387,23 @@
         }
     }
 
+    /// A restart shows once the replica has written it; an outage holds that up.
+    fn check_ended(&self, now: Millis, relay: &ModelRelay, broken: &mut Broken) {
+        for number in 0..REPLICAS {
+            let Some(at) = self.restarted[number] else { continue };
+            let life = &self.store.known(number).life;
+            if now > at + START + BOUND && relay.offers_earlier(number, life) {
+                let what =
+                    format!("{} offers an earlier i-{number} {} ms after", relay.name(), now - at);
+                broken.ended.push(what);
+            }
+        }
+    }
+
     fn check_lacking(&self, weather: &Weather<'_>, relay: &ModelRelay, broken: &mut Broken) {
         let calm = !weather.any(CONTACT + BOUND, |_| true);
         for number in (0..REPLICAS).filter(|number| self.left[*number].is_none()) {
+            let calm = calm && weather.now > self.odd_until[number] + BOUND;
             if calm && weather.now > CONTACT + BOUND && !relay.offers(number) {
                 broken.lacking.push(format!(
                     "{} lacks i-{number} at {}",
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -8,9 +8,10 @@
 use switchfold_router::{
     Millis,
     access::ConfigSlot,
-    fleet::ReplicaNews,
+    fleet::{EntryState, ReplicaEntry, ReplicaNews},
     follow::{CONFIG_TIMES, FollowSight, FollowStep, FollowTimes, REPLICA_TIMES, StoreFollower},
     freshness::FreshnessLease,
+    life::ReplicaLife,
     membership::{OwnState, PeerProof, PeerStamp, PeerState, PeerTable, StateTeller},
     replicas::{FleetBelief, FleetList, NewsSource},
 };
@@ -156,8 +157,14 @@
     }
 
     /// Whether it would send requests to a replica.
+    /// Whether it would send requests to a life of a replica that is not its present one.
+    pub(crate) fn offers_earlier(&self, number: usize, present: &ReplicaLife) -> bool {
+        let held = self.fleet.view.get(&replica_id(number));
+        held.is_some_and(|entry| entry.is_ready() && entry.life != *present)
+    }
+
     pub(crate) fn offers(&self, number: usize) -> bool {
-        self.fleet.view.get(&replica_id(number)).is_some_and(|entry| !entry.draining)
+        self.fleet.view.get(&replica_id(number)).is_some_and(|entry| entry.is_ready())
     }
 
     /// Lets it run for a moment.
@@ -350,6 +357,15 @@
         self.following[index].follower.note_failure(sent, lost_before);
     }
 
+    /// Reads news of the store: another writer's entry names no replica.
+    fn read_news(&self, news: ReplicaNews) -> Option<ReplicaNews> {
+        let odd = |entry: &ReplicaEntry| entry.state == EntryState::Overwritten;
+        match news.entry.as_ref().is_some_and(odd) {
+            true => self.fleet.overwritten(&news.id, news.revision),
+            false => Some(news),
+        }
+    }
+
     fn end_call(
         &mut self,
         index: usize,
@@ -361,13 +377,18 @@
         let at = match reply {
             Reply::Refused => return self.fail(index, call.sent, messages, now),
             Reply::Gap => return self.following[index].follower.note_gap(),
-            Reply::List(list) => {
+            Reply::List(mut list) => {
                 let at = list.at;
+                list.listed =
+                    list.listed.into_iter().filter_map(|news| self.read_news(news)).collect();
                 self.fleet.take_list(list, NewsSource::List, call.sent, now);
                 at
             }
             Reply::Changes(news, at) => {
-                self.tell_and_take(news, NewsSource::Watch, messages, now);
+                for one in news {
+                    let read = self.read_news(one).into_iter().collect();
+                    self.tell_and_take(read, NewsSource::Watch, messages, now);
+                }
                 at
             }
             Reply::Config(version, at) => {
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -4,8 +4,9 @@
 
 use switchfold_router::{
     Millis,
-    fleet::{LayerRange, ReplicaEntry, ReplicaNews},
+    fleet::{EntryState, LayerRange, ReplicaEntry, ReplicaNews},
     follow::{FollowStep, FollowTimes, STORE_PATIENCE},
+    life::ReplicaLife,
     replicas::FleetList,
 };
 
@@ -100,6 +101,35 @@
         self.note(number, Some(entry));
     }
 
+    /// Starts a replica again under its id, with nothing; its entry tells that only once it is written. Gives
+    /// its entry of before.
+    pub(crate) fn restart(&mut self, number: usize) -> ReplicaEntry {
+        let known = &mut self.known[number];
+        let before = known.clone();
+        known.life = known.life.at(known.life.born() + 1);
+        known.layers = None;
+        before
+    }
+
+    /// Writes something else in the place of a replica's entry, where it is listed.
+    pub(crate) fn overwrite(&mut self, number: usize, entry: ReplicaEntry) {
+        if self.entries.contains_key(&number) {
+            self.revision += 1;
+            self.entries.insert(number, (self.revision, entry.clone()));
+            self.note(number, Some(entry));
+        }
+    }
+
+    /// Whether a replica is listed.
+    pub(crate) fn is_listed(&self, number: usize) -> bool {
+        self.entries.contains_key(&number)
+    }
+
+    /// A replica's entry as it knows it.
+    pub(crate) fn known(&self, number: usize) -> &ReplicaEntry {
+        &self.known[number]
+    }
+
     /// Removes a replica's entry; tells whether it was listed.
     pub(crate) fn remove(&mut self, number: usize) -> bool {
         let listed = self.entries.remove(&number).is_some();
@@ -195,12 +225,12 @@
 
 fn entry(number: usize) -> ReplicaEntry {
     ReplicaEntry {
-        id: replica_id(number),
+        life: ReplicaLife::new(&replica_id(number), 1),
         service: "model".to_owned(),
         address: format!("10.0.0.{}:80", number + 1).parse().expect("an address"),
         data_centre: "a".to_owned(),
         slots: 8,
-        draining: false,
+        state: EntryState::Ready,
         kind: "small".to_owned(),
         layers: Some(LayerRange { from: 0, to: 10 }),
     }
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -8,12 +8,17 @@
     budget::{BudgetConfig, RepeatBudget},
     freshness::{FreshnessLease, LEASE_MARGIN},
     lapse::{LAPSE_GRACE, LONGEST_KEPT, LapseGrace},
+    life::ReplicaLife,
     pace::{PACE_AGE, PaceTable},
     pipe::PipeShare,
     room::{PEER_AGE, RoomLedger},
     suspect::{FIRST_TIME_OUT, SuspectList},
 };
 
+fn life(id: &str) -> ReplicaLife {
+    ReplicaLife::new(id, 0)
+}
+
 const BUDGET: BudgetConfig = BudgetConfig { ratio: 0.2, allowance: 200.0, window: 10_000 };
 
 /// Whether the repeats in each window stay below the ratio of the requests, counted in that window or the one
@@ -119,38 +124,38 @@
     let mut room = RoomLedger::default();
     room.hear("b", HashMap::new(), 0);
     assert!(room.is_idle());
-    room.hear("b", HashMap::from([("x".to_owned(), 5.0)]), 0);
+    room.hear("b", HashMap::from([(life("x"), 5.0)]), 0);
     assert!(!room.is_idle());
     room.forget(PEER_AGE);
     assert!(room.is_idle());
-    room.promise("x", 5.0);
+    room.promise(&life("x"), 5.0);
     assert!(!room.is_idle());
 }
 
 #[test]
 fn room_adds_up_over_entries_and_forgets_the_gone() {
     let mut ledger = RoomLedger::default();
-    ledger.promise("a", 100.0);
-    ledger.hear("peer", HashMap::from([("a".to_owned(), 50.0)]), 1_000);
-    assert_eq!(ledger.promised("a"), 150.0);
+    ledger.promise(&life("a"), 100.0);
+    ledger.hear("peer", HashMap::from([(life("a"), 50.0)]), 1_000);
+    assert_eq!(ledger.promised(&life("a")), 150.0);
     ledger.forget(1_000 + PEER_AGE);
-    assert_eq!(ledger.promised("a"), 100.0);
-    ledger.release("a", 100.0);
-    assert_eq!(ledger.promised("a"), 0.0);
+    assert_eq!(ledger.promised(&life("a")), 100.0);
+    ledger.release(&life("a"), 100.0);
+    assert_eq!(ledger.promised(&life("a")), 0.0);
     assert!(ledger.own().is_empty());
 }
 
 #[test]
 fn suspicion_ends_and_grows() {
     let mut suspects = SuspectList::default();
-    assert_eq!(suspects.note_failure("a", 0), Some(FIRST_TIME_OUT));
-    assert_eq!(suspects.note_failure("a", 10), None);
-    assert!(suspects.is_suspect("a", FIRST_TIME_OUT - 1));
-    assert!(!suspects.is_suspect("a", FIRST_TIME_OUT));
-    let again = suspects.note_failure("a", FIRST_TIME_OUT);
+    assert_eq!(suspects.note_failure(&life("a"), 0), Some(FIRST_TIME_OUT));
+    assert_eq!(suspects.note_failure(&life("a"), 10), None);
+    assert!(suspects.is_suspect(&life("a"), FIRST_TIME_OUT - 1));
+    assert!(!suspects.is_suspect(&life("a"), FIRST_TIME_OUT));
+    let again = suspects.note_failure(&life("a"), FIRST_TIME_OUT);
     assert_eq!(again, Some(FIRST_TIME_OUT + 2 * FIRST_TIME_OUT));
-    suspects.clear("a");
-    assert!(!suspects.is_suspect("a", FIRST_TIME_OUT));
+    suspects.clear(&life("a"));
+    assert!(!suspects.is_suspect(&life("a"), FIRST_TIME_OUT));
 }
 
 proptest! {
@@ -189,15 +194,15 @@
 #[test]
 fn a_slow_engine_is_told_by_the_entry_that_asked_it() {
     let mut paces = PaceTable::default();
-    assert!(paces.note("i-1", 4.0, 0));
-    assert!(!paces.note("i-1", 3.0, 100));
-    paces.take_over("i-2", 2.0, 100);
-    assert_eq!(paces.factor("i-1", 200), 3.0);
-    assert_eq!(paces.factor("i-2", 200), 2.0);
-    assert_eq!(paces.asked(200).collect::<Vec<_>>(), [("i-1", 3.0)]);
-    assert_eq!(paces.factor("i-2", 100 + PACE_AGE), 1.0);
-    assert!(paces.note("i-1", 1.0, 300));
-    assert_eq!(paces.factor("i-1", 300), 1.0);
+    assert!(paces.note(&life("i-1"), 4.0, 0));
+    assert!(!paces.note(&life("i-1"), 3.0, 100));
+    paces.take_over(&life("i-2"), 2.0, 100);
+    assert_eq!(paces.factor(&life("i-1"), 200), 3.0);
+    assert_eq!(paces.factor(&life("i-2"), 200), 2.0);
+    assert_eq!(paces.asked(200).collect::<Vec<_>>(), [(&life("i-1"), 3.0)]);
+    assert_eq!(paces.factor(&life("i-2"), 100 + PACE_AGE), 1.0);
+    assert!(paces.note(&life("i-1"), 1.0, 300));
+    assert_eq!(paces.factor(&life("i-1"), 300), 1.0);
 }
 
 /// Entries that are missing after an outage are kept for a while; those missing at other times are not.
@@ -244,13 +249,13 @@
         const TELL_EVERY: u64 = 200;
         const LONGEST_WAY: u64 = 900;
         let mut entries = vec![SuspectList::default(); 3];
-        entries[0].note_failure("x", 0);
+        entries[0].note_failure(&life("x"), 0);
         let mut on_the_way: Vec<(u64, usize, u64)> = Vec::new();
         for (round, delay) in (0u64..).zip(&delays) {
             let now = round * TELL_EVERY;
             for (_, to, lasts) in on_the_way.extract_if(.., |(arrives, ..)| *arrives <= now) {
-                if !entries[to].is_suspect("x", now) {
-                    entries[to].take_over("x", now + lasts);
+                if !entries[to].is_suspect(&life("x"), now) {
+                    entries[to].take_over(&life("x"), now + lasts);
                 }
             }
             for from in 0..entries.len() {
@@ -260,7 +265,7 @@
                 on_the_way.extend(sent);
             }
             let over = now > FIRST_TIME_OUT + LONGEST_WAY + TELL_EVERY;
-            let kept = entries.iter().any(|entry| entry.is_suspect("x", now));
+            let kept = entries.iter().any(|entry| entry.is_suspect(&life("x"), now));
             prop_assert!(!(over && kept), "still suspected at {}", now);
         }
     }
