Streams: a refused order for another path goes round the replica that it names, at once

Change: the address in the refusal is read; that replica is probed and left out of the next path, three paths at most. Replicas that started again since the request came to them are left out as well: the first engine takes them for what they were.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -15,8 +15,8 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
     engine::{
-        EngineReport, ORDER_PATH, REPORT_PATH, decode_report, engine_request, place_order,
-        repath_order,
+        EngineReport, ORDER_PATH, REPORT_PATH, decode_refusal, decode_report, engine_request,
+        place_order, repath_order,
     },
     headers::read_answer,
 };
@@ -44,8 +44,8 @@
 pub enum OrderEnd {
     /// It began, or what it asks for holds already.
     Taken,
-    /// It does not fit the engine's state.
-    Refused(u16),
+    /// It does not fit the engine's state, or that of the replica at this address.
+    Refused(u16, Option<SocketAddr>),
     /// It never left.
     NotSent,
     /// It may have been taken, or may be carried out later.
@@ -169,7 +169,7 @@
 async fn order(relay: &Relay, address: SocketAddr, body: Vec<u8>) -> OrderEnd {
     match call(relay, address, Method::POST, ORDER_PATH, body).await {
         Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => OrderEnd::Taken,
-        Ok((status, _)) => OrderEnd::Refused(status.as_u16()),
+        Ok((status, body)) => OrderEnd::Refused(status.as_u16(), decode_refusal(&body)),
         Err(SendError::NotSent { .. }) => OrderEnd::NotSent,
         Err(SendError::Broken { .. }) => OrderEnd::Unknown,
     }
--- a/crates/relay/src/flow/recovery.rs
+++ b/crates/relay/src/flow/recovery.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::headers::read_answer;
-use switchfold_router::Millis;
+use switchfold_router::{Millis, chain::PathPart, life::ReplicaLife};
 use tokio::time::sleep;
 
 use super::StreamFlow;
@@ -28,6 +28,10 @@
 /// Silence up to which a lost stream waits for a path with room: callers give up after two seconds.
 const LATEST_RESUME: Millis = 1_500;
 
+/// Paths that are ordered at once for a stream, where each is refused for a replica of its own: replicas that share
+/// paths are lost two to five together, and each order takes some 4 ms.
+const MOST_REPATHS: usize = 3;
+
 /// Time after a stream could not be taken up elsewhere before that is tried again, in milliseconds.
 const TRY_AGAIN: Millis = 400;
 
@@ -129,25 +133,55 @@
     /// Moves the request to a path without the lost replicas; the others keep its memory. Only within a
     /// data centre: the new parts read the whole request again, and its activations would have to cross
     /// a pipe that many requests need at the same moment.
+    ///
+    /// Where the order is refused for a replica that it names, the next path goes round that one at once: two
+    /// replicas that share paths are lost together, and the second is found out by this. Waiting for the next
+    /// look cost 112 of 126 streams 100 ms each.
     async fn repath(&mut self) -> bool {
+        let mut avoid = self.restarted_parts();
+        for _ in 0..MOST_REPATHS {
+            match self.order_path(&avoid).await {
+                Some(OrderEnd::Taken) => return true,
+                Some(OrderEnd::Refused(_, Some(at_fault))) => {
+                    probe_replicas(&self.relay, std::iter::once(at_fault));
+                    let beliefs = self.relay.beliefs.borrow();
+                    let Some(replica) = beliefs.fleet.view.at(at_fault) else { return false };
+                    avoid.push(replica.life.clone());
+                }
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    /// Replicas that started again since the request came to them: the first engine takes them for what they
+    /// were, with memory of it.
+    fn restarted_parts(&self) -> Vec<ReplicaLife> {
+        let beliefs = self.relay.beliefs.borrow();
+        let ended = |part: &&PathPart| beliefs.fleet.view.living(&part.life).is_none();
+        let present = self.path.iter().filter(ended);
+        let present = present.filter_map(|part| beliefs.fleet.view.at(part.address));
+        present.map(|replica| replica.life.clone()).collect()
+    }
+
+    /// Orders the best path without some replicas; nothing where there is none.
+    async fn order_path(&mut self, avoid: &[ReplicaLife]) -> Option<OrderEnd> {
         let service = self.permit.config.services.get(&self.permit.service);
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            return false;
-        };
+        let engine = service.and_then(|service| service.engine.as_ref())?;
         let tokens = self.request.tokens((engine.usual_prompt, engine.usual_answer));
         let first = self.path[0].clone();
         let wish = PathWish {
             service: &self.permit.service,
             engine,
             tokens,
-            avoid: &[],
+            avoid,
             first: Some((&first.life, first.range)),
         };
         let path = find_path(&self.relay, &wish, RoomRule::Wanted, CrossingRule::Never);
         let id = &self.request.marks.attempt_id;
         let Some(path) = path else {
             tracing::info!(event = "repath-impossible", request = id, first = %first.life);
-            return false;
+            return None;
         };
         let end = order_repath(&self.relay, id, &path).await;
         let quiet_ms = now_millis() - self.last_progress;
@@ -156,7 +190,7 @@
             self.room = RoomGuard::new(&self.relay, &path, tokens);
             self.path = path;
         }
-        end == OrderEnd::Taken
+        Some(end)
     }
 
     /// Takes a stream up at another replica, where its route allows that. The present replica is left
