--- a/crates/relay/src/heads.rs
+++ b/crates/relay/src/heads.rs
@@ -9,12 +9,13 @@
 use http::Response;
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::chain::PathPart;
+use switchfold_router::{Millis, chain::PathPart, life::ReplicaLife, mute::leave_after};
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
     admit::Permit,
     engines::probe_replicas,
+    peers::tell_state,
     pool::{BusyLink, SendError},
     request::CallerRequest,
     state::{PartState, Relay},
@@ -29,16 +30,48 @@
 /// above the 50 ms that a first event takes, and early enough for a second try within the objective.
 const QUIET_HEAD: Duration = Duration::from_millis(200);
 
-/// Time without the head of an answer after which another replica is tried although the first one seems
-/// well: its answer may be lost, and callers give up after two seconds.
-const LATE_HEAD: Duration = Duration::from_millis(700);
-
-/// Time between two looks; an engine's report is some hundred milliseconds old.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Time between two looks; an engine's report is some hundred milliseconds old, and is asked for at every other one.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// An answer's head, and the connection that it came on.
 pub type Sent = (Response<Incoming>, BusyLink);
 
+/// A request that waits for the head of its answer, as its first replica is watched; dropping it ends that.
+#[derive(Debug)]
+pub struct HeadGuard {
+    relay: Rc<Relay>,
+    life: ReplicaLife,
+    sent: Millis,
+    is_answered: bool,
+}
+
+impl HeadGuard {
+    /// Notes that a request is sent.
+    pub fn new(relay: &Rc<Relay>, life: &ReplicaLife) -> Self {
+        let sent = now_millis();
+        relay.beliefs.borrow_mut().heads.note_sent(life, sent);
+        Self { relay: relay.clone(), life: life.clone(), sent, is_answered: false }
+    }
+
+    /// Notes that the replica answered, with the head of a stream or with something else.
+    pub fn answered(mut self, begins: bool) {
+        self.is_answered = true;
+        let now = now_millis();
+        let took = begins.then_some(now - self.sent);
+        if self.relay.beliefs.borrow_mut().heads.note_answer(&self.life, took, now) {
+            tracing::info!(event = "mute-ended", replica = %self.life, took);
+        }
+    }
+}
+
+impl Drop for HeadGuard {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.relay.beliefs.borrow_mut().heads.note_left(&self.life);
+        }
+    }
+}
+
 /// Why no head came.
 #[derive(Debug)]
 pub enum WaitEnd {
@@ -111,6 +144,7 @@
             return Err(WaitEnd::TimeUp);
         }
         self.look_at_parts()?;
+        self.leave_mute(waited)?;
         if waited < QUIET_HEAD {
             probe_replicas(self.relay, self.path.iter().map(|part| part.address));
             return Ok(());
@@ -123,12 +157,36 @@
                 return Err(WaitEnd::Stalled(detail));
             }
         }
-        match waited > LATE_HEAD && self.has_another() {
+        let usual = self.relay.beliefs.borrow().heads.usual();
+        let late = leave_after(self.permit.route.objective, usual);
+        match waited.as_millis() as Millis > late && self.has_another() {
             true => Err(WaitEnd::Stalled("no answer for long".to_owned())),
             false => Ok(()),
         }
     }
 
+    /// Leaves a first replica that begins no answers, and tells others of it. What another relay found ends the wait
+    /// as well, where another try is possible.
+    fn leave_mute(&self, waited: Duration) -> Result<(), WaitEnd> {
+        let now = now_millis();
+        let life = &self.path[0].life;
+        let silent_after = {
+            let beliefs = self.relay.beliefs.borrow();
+            beliefs.heads.silent_after(self.permit.route.objective)
+        };
+        let found = self.relay.beliefs.borrow_mut().heads.find_mute(life, silent_after, now);
+        if let Some(for_ms) = found {
+            tracing::warn!(event = "mute", replica = %life, silent_after, for_ms);
+            tell_state(self.relay, true, false);
+        }
+        let is_mute = self.relay.beliefs.borrow().heads.is_mute(life, now);
+        let has_waited = waited.as_millis() as Millis >= silent_after;
+        match is_mute && has_waited && self.has_another() {
+            true => Err(WaitEnd::Stalled("begins no answers".to_owned())),
+            false => Ok(()),
+        }
+    }
+
     /// Leaves a path with a lost replica. A request without another send leaves only on this relay's own
     /// evidence: what another one heard may be a fault of its link.
     fn look_at_parts(&self) -> Result<(), WaitEnd> {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -61,6 +61,8 @@
     pub places: Option<Vec<(LifeRecord, u32)>>,
     /// Replicas kept away from, with the milliseconds that it still lasts.
     pub suspects: Vec<(LifeRecord, u32)>,
+    /// First replicas that begin no answers, with the milliseconds that others are to keep away.
+    pub mutes: Vec<(LifeRecord, u32)>,
     /// Engines that are slow, with the hundredfold of their factor.
     pub paces: Vec<(LifeRecord, u32)>,
 }
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -4,6 +4,7 @@
 
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
+    Millis,
     access::EngineSpec,
     chain::{
         ChainCosts, FULL_START_COST, PartOffer, PathPart, PathRequest, choose_path, start_cost,
@@ -202,12 +203,24 @@
             range,
             layer_cost,
             room: (total * PLANNED_FILL - promised).max(0.0),
-            start_cost: start_cost(beliefs.places.promised(&replica.life), replica.slots),
+            start_cost: start_cost(beliefs.places.promised(&replica.life), replica.slots)
+                .map(|cost| cost + mute_cost(beliefs, &replica.life, now)),
         });
     }
     offers
 }
 
+/// Cost of beginning at a replica that begins no answers: more than beginning anywhere else, and it is still better
+/// than waiting for room.
+const MUTE_COST: f64 = 60.0;
+
+fn mute_cost(beliefs: &Beliefs, life: &ReplicaLife, now: Millis) -> f64 {
+    match beliefs.heads.is_mute(life, now) {
+        true => MUTE_COST,
+        false => 0.0,
+    }
+}
+
 /// The first part of a request that runs: its replica goes on with it whatever it is to hold later.
 fn kept_part(
     beliefs: &Beliefs,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -87,6 +87,9 @@
         for (life, hundredfold) in &news.paces {
             beliefs.paces.take_over(&life.into(), f64::from(*hundredfold) / 100.0, now);
         }
+        for (life, lasts) in &news.mutes {
+            beliefs.heads.hear_mute(&life.into(), Millis::from(*lasts), now);
+        }
         for (life, lasts) in &news.suspects {
             let life = ReplicaLife::from(life);
             let lives = beliefs.fleet.view.living(&life).is_some();
@@ -209,6 +212,7 @@
     let room = beliefs.room.own().iter();
     let places = beliefs.places.own().iter();
     let suspects = beliefs.suspects.own(now);
+    let mutes = beliefs.heads.own_mutes(now);
     let paces = beliefs.paces.asked(now);
     StateNews {
         name: relay.settings.name.clone(),
@@ -228,6 +232,7 @@
         room: Some(room.map(|(life, amount)| (life.into(), *amount as u32)).collect()),
         places: Some(places.map(|(life, count)| (life.into(), *count as u32)).collect()),
         paces: paces.map(|(life, factor)| (life.into(), (factor * 100.0) as u32)).collect(),
+        mutes: mutes.map(|(life, left)| (life.into(), left as u32)).collect(),
         suspects: suspects.map(|(life, left)| (life.into(), left as u32)).collect(),
     }
 }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -224,6 +224,7 @@
         let mut beliefs = relay.beliefs.borrow_mut();
         beliefs.suspects.clear(life);
         beliefs.full.clear(life);
+        beliefs.heads.forget(life);
         beliefs.loads.forget(life);
         beliefs.paces.forget(life);
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,6 +21,7 @@
     freshness::FreshnessLease,
     life::ReplicaLife,
     membership::PeerTable,
+    mute::HeadWatch,
     pace::PaceTable,
     pipe::PipeShare,
     replicas::{FleetBelief, OddEntries},
@@ -70,6 +71,8 @@
     pub pipe: PipeShare,
     /// Replicas to keep away from.
     pub suspects: SuspectList,
+    /// Beginnings of answers, and first replicas that begin none.
+    pub heads: HeadWatch,
     /// Replicas that were short of memory a moment ago.
     pub full: SuspectList,
     /// Repeats, by service.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -21,7 +21,7 @@
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
     flow::stream_body,
-    heads::{HeadWait, Sent, WaitEnd},
+    heads::{HeadGuard, HeadWait, Sent, WaitEnd},
     paths::{PathWish, RoomGuard, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
@@ -154,6 +154,7 @@
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
     let outgoing = request.to_replica(permit, &target);
     let fresh = !permit.route.is_repeatable();
+    let head = HeadGuard::new(relay, &first.life);
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
         let wait = HeadWait { relay, request, permit, earlier_sends: tried.sends, path: &path };
@@ -184,6 +185,7 @@
             return Some(OpenEnd::Failed(AttemptEnd::Broken, "time is up".to_owned()));
         }
     };
+    head.answered(sent.0.status() == StatusCode::OK);
     Some(read_head(relay, request, tried, first, sent, (path, room)).await)
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`lapse`] | which entries that are missing after an outage are waited for |
 //! | [`life`] | which life of a replica something is known of |
 //! | [`membership`] | which relay gives orders, and which follows the store for others |
+//! | [`mute`] | which first replicas begin no answers, and when a request goes elsewhere |
 //! | [`pace`] | how slow each engine is at the moment |
 //! | [`pipe`] | how many paths may cross from one data centre to another |
 //! | [`replicas`] | what a relay believes of the replicas, by whose word |
@@ -37,6 +38,7 @@
 pub mod lapse;
 pub mod life;
 pub mod membership;
+pub mod mute;
 pub mod pace;
 pub mod pipe;
 pub mod replicas;
--- /dev/null
+++ b/crates/router/src/mute.rs
@@ -0,0 +1,182 @@
+//! First replicas that begin no answers although they seem well.
+//!
+//! A replica may take requests, answer probes and say that it is well, and begin no answer. Seen from one request that
+//! looks like a queue. Seen from all requests that a relay has there it does not: in a queue, answers go on beginning.
+//! So a relay notes for each first replica when an answer last began there, or was refused, while requests wait. One
+//! that is silent for longer than answers usually take, while others are not, is *mute*: new requests begin elsewhere,
+//! those that wait there go elsewhere while another try can still be in time, and other relays are told.
+//!
+//! The load that this answers: replicas that hang for seconds under steady traffic. Each relay sent them one request
+//! after the other and waited 700 ms for each, with 500 ms for the first event.
+//!
+//! A mute replica comes back by one request of the relay that found it, once its time out is over; others keep away
+//! for [`TRIAL_TIME`] longer, so that they hear how it ended. The time out doubles each time, as other suspicions do.
+//!
+//! Worst case: answers take longer than usual everywhere at once, as in an overload. Then most first replicas that
+//! requests wait at are silent together, and silence proves nothing of any.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::{Millis, life::ReplicaLife, suspect::SuspectList};
+
+/// Times of beginnings that are kept: some seconds of a relay's requests.
+const KEPT_TIMES: usize = 128;
+
+/// Part of them, in hundredths, that is at most as long as what counts as usual.
+const USUAL_HUNDREDTHS: usize = 95;
+
+/// Least part of the objective, in hundredths, that a silence lasts: 150 ms of 500 ms, above the 115 ms that 99 in 100
+/// answers take to begin on a calm day; a try elsewhere then has 350 ms left.
+const LEAST_HUNDREDTHS: Millis = 30;
+
+/// Silence, in usual times.
+const SILENT_TIMES: Millis = 2;
+
+/// Of the first replicas that requests wait at, one in so many may be silent for that to prove anything, and one in
+/// any case.
+const SILENT_ONE_IN: usize = 3;
+
+/// Time that other relays keep away after the time out, in milliseconds: until the one request that tries has its
+/// answer, or has left, and that was told.
+pub const TRIAL_TIME: Millis = 600;
+
+/// What a relay sees of one first replica.
+#[derive(Clone, Copy, Debug, Default)]
+struct FirstState {
+    /// Requests that wait for the beginning of their answer.
+    waiting: u32,
+    /// Since when none began while some waited.
+    since: Millis,
+}
+
+/// Beginnings of answers, by first replica.
+#[derive(Clone, Debug, Default)]
+pub struct HeadWatch {
+    firsts: HashMap<ReplicaLife, FirstState>,
+    times: VecDeque<Millis>,
+    mutes: SuspectList,
+}
+
+impl HeadWatch {
+    /// Notes that a request was sent.
+    pub fn note_sent(&mut self, life: &ReplicaLife, now: Millis) {
+        let first = self.firsts.entry(life.clone()).or_default();
+        if first.waiting == 0 {
+            first.since = now;
+        }
+        first.waiting += 1;
+    }
+
+    /// Notes that a replica answered a request: after `took`, where its answer began, and nothing where it was
+    /// refused. Tells whether that ends what was thought of it.
+    pub fn note_answer(&mut self, life: &ReplicaLife, took: Option<Millis>, now: Millis) -> bool {
+        if let Some(first) = self.firsts.get_mut(life) {
+            first.since = now;
+        }
+        self.note_left(life);
+        let Some(took) = took else { return false };
+        if self.times.len() >= KEPT_TIMES {
+            self.times.pop_front();
+        }
+        self.times.push_back(took);
+        let returns = self.mutes.is_own(life, now) || self.is_trial_due(life, now);
+        if returns {
+            self.mutes.clear(life);
+        }
+        returns
+    }
+
+    /// Notes that a request is waited for no more.
+    pub fn note_left(&mut self, life: &ReplicaLife) {
+        let Some(first) = self.firsts.get_mut(life) else { return };
+        first.waiting = first.waiting.saturating_sub(1);
+        if first.waiting == 0 {
+            self.firsts.remove(life);
+        }
+    }
+
+    /// Time in which all but a few answers begin, in milliseconds; nothing where too few were seen.
+    pub fn usual(&self) -> Option<Millis> {
+        const LEAST_SEEN: usize = 8;
+        if self.times.len() < LEAST_SEEN {
+            return None;
+        }
+        let mut times: Vec<Millis> = self.times.iter().copied().collect();
+        let rank = (times.len() * USUAL_HUNDREDTHS / 100).min(times.len() - 1);
+        Some(*times.select_nth_unstable(rank).1)
+    }
+
+    /// Silence from which a first replica may be mute, for requests with this objective.
+    pub fn silent_after(&self, objective: Millis) -> Millis {
+        let usual = self.usual().unwrap_or(objective / 2);
+        (objective * LEAST_HUNDREDTHS / 100).max(usual * SILENT_TIMES)
+    }
+
+    /// Decides whether a first replica is mute, by a silence of `silent_after`; gives the time for which it is kept
+    /// away from, where that is news.
+    pub fn find_mute(
+        &mut self,
+        life: &ReplicaLife,
+        silent_after: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
+        let is_silent = |first: &FirstState| now.saturating_sub(first.since) >= silent_after;
+        if !self.firsts.get(life).is_some_and(is_silent) || self.mutes.is_suspect(life, now) {
+            return None;
+        }
+        let silent = self.firsts.values().filter(|first| is_silent(first)).count();
+        if silent > (self.firsts.len() / SILENT_ONE_IN).max(1) {
+            return None;
+        }
+        self.mutes.note_failure(life, now).map(|until| until - now)
+    }
+
+    /// Whether new requests are to begin elsewhere.
+    pub fn is_mute(&self, life: &ReplicaLife, now: Millis) -> bool {
+        if self.mutes.is_suspect(life, now) {
+            return true;
+        }
+        // One request at a time tries whether it is back.
+        self.is_trial_due(life, now) && self.firsts.contains_key(life)
+    }
+
+    /// Whether a replica that this relay found mute is to be tried again.
+    fn is_trial_due(&self, life: &ReplicaLife, now: Millis) -> bool {
+        self.mutes.ended_lately(life, TRIAL_TIME, now)
+    }
+
+    /// Takes over what another relay found, for `lasts` milliseconds.
+    pub fn hear_mute(&mut self, life: &ReplicaLife, lasts: Millis, now: Millis) {
+        if !self.mutes.is_own(life, now) {
+            self.mutes.take_over(life, now + lasts);
+        }
+    }
+
+    /// Replicas that this relay found mute itself, with the milliseconds for which others are to keep away.
+    pub fn own_mutes(&self, now: Millis) -> impl Iterator<Item = (&ReplicaLife, Millis)> {
+        self.mutes.own(now).map(|(life, lasts)| (life, lasts + TRIAL_TIME))
+    }
+
+    /// Forgets a life that ended.
+    pub fn forget(&mut self, life: &ReplicaLife) {
+        self.mutes.clear(life);
+        self.firsts.remove(life);
+    }
+}
+
+/// Part of the objective, in hundredths, after which another replica is tried where an answer cannot usually begin
+/// there in what is left: the answer is late in any case, and callers stay for a while.
+const LATE_HUNDREDTHS: Millis = 140;
+
+/// Time after which a request goes to another replica although the first one seems well: its answer may be lost.
+/// The last moment at which the other one can usually still begin in time, where the first has had as long as that
+/// at least thrice; under load neither holds, and a second send would only add to it.
+pub fn leave_after(objective: Millis, usual: Option<Millis>) -> Millis {
+    let late = objective * LATE_HUNDREDTHS / 100;
+    let Some(usual) = usual else { return late };
+    let last = objective.saturating_sub(usual + usual / 2);
+    match last >= usual * 3 {
+        true => last,
+        false => late,
+    }
+}
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -70,6 +70,12 @@
         self.suspicions.get(life).is_some_and(|suspicion| suspicion.own && now < suspicion.until)
     }
 
+    /// Whether a suspicion for a failure that this entry saw itself ended no longer than `since` ago.
+    pub fn ended_lately(&self, life: &ReplicaLife, since: Millis, now: Millis) -> bool {
+        let known = self.suspicions.get(life).filter(|suspicion| suspicion.own);
+        known.is_some_and(|known| known.until <= now && now < known.until + since)
+    }
+
     /// Suspicions in force for failures that this entry saw itself, as [`SuspectList::current`]: what it only
     /// heard is not its to repeat. Each way takes its time, so entries that repeat each other's would keep
     /// a suspicion for longer than any of them meant.
