Size: sums of promised room are kept, layouts are planned in groups, lists are asked of many

Change: sums are kept (0.067 ms); groups of 64 replicas on average, by the hash of the id, planned by several relays, worths weighed beside the serving thread, 16 orders at a time; a path is chosen among two groups drawn; a relay that holds no list asks one drawn of those that do; one message of state is written for all without a copy.

--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -201,3 +201,18 @@
         (*form == FORM).then(|| postcard::from_bytes(message).ok()).flatten()
     }
 }
+
+/// [`PeerMessage::State`] of what is only borrowed, with the same form on the wire.
+#[derive(Serialize)]
+enum StateMessage<'a> {
+    State(&'a StateNews),
+}
+
+/// Writes a message of a relay's state, which is told to many with little changed.
+///
+/// # Panics
+///
+/// As [`PeerMessage::encode`].
+pub fn encode_state(news: &StateNews) -> Vec<u8> {
+    postcard::to_extend(&StateMessage::State(news), vec![FORM]).expect("messages are plain data")
+}
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     Millis,
@@ -10,6 +11,7 @@
         ChainCosts, FULL_START_COST, PartOffer, PathPart, PathRequest, choose_path, start_cost,
     },
     fleet::{LayerRange, ReplicaEntry},
+    groups::{group_count, group_of},
     life::ReplicaLife,
 };
 
@@ -59,17 +61,86 @@
     Allowed,
 }
 
+/// Replicas that a choice looks at.
+#[derive(Clone, Copy, Debug)]
+enum PathScope {
+    /// All of the service.
+    Whole,
+    /// Those of two groups of the relay's own data centre, out of so many.
+    Groups {
+        /// Count of groups in the data centre.
+        count: u32,
+        /// The two; they may be one.
+        drawn: [u32; 2],
+    },
+}
+
 /// Chooses a path.
+///
+/// In a data centre of many replicas the choice is among those of two groups that are drawn for it, each of which
+/// covers the model: a choice among 3,000 replicas takes 4 ms of a core, and a small VM makes ten a second. Where the
+/// drawn groups leave a gap, all replicas are looked at; where they are only short of room, the next choice draws
+/// others.
 pub fn find_path(
     relay: &Relay,
     wish: &PathWish<'_>,
     rule: RoomRule,
     crossing: CrossingRule,
+) -> Option<Vec<PathPart>> {
+    let scope = draw_scope(relay, wish.service);
+    if let PathScope::Groups { .. } = scope {
+        let path = find_within(relay, wish, scope, rule, crossing);
+        let is_crowded = path.is_none()
+            && rule == RoomRule::Needed
+            && find_within(relay, wish, scope, RoomRule::Wanted, crossing).is_some();
+        if path.is_some() || is_crowded {
+            return path;
+        }
+    }
+    find_within(relay, wish, PathScope::Whole, rule, crossing)
+}
+
+fn draw_scope(relay: &Relay, service: &str) -> PathScope {
+    let home = &relay.settings.data_centre;
+    let near = {
+        let beliefs = relay.beliefs.borrow();
+        let replicas = beliefs.fleet.view.of_service(service);
+        replicas.filter(|replica| replica.data_centre == *home).count()
+    };
+    match group_count(near) {
+        1 => PathScope::Whole,
+        count => {
+            let mut random = relay.random.borrow_mut();
+            let drawn = [random.random_range(0..count), random.random_range(0..count)];
+            PathScope::Groups { count, drawn }
+        }
+    }
+}
+
+impl PathScope {
+    fn holds(self, replica: &ReplicaEntry, home: &str) -> bool {
+        match self {
+            Self::Whole => true,
+            Self::Groups { count, drawn } => {
+                replica.data_centre == home && drawn.contains(&group_of(&replica.life, count))
+            }
+        }
+    }
+}
+
+fn find_within(
+    relay: &Relay,
+    wish: &PathWish<'_>,
+    scope: PathScope,
+    rule: RoomRule,
+    crossing: CrossingRule,
 ) -> Option<Vec<PathPart>> {
     let beliefs = relay.beliefs.borrow();
     let mut data_centres = DataCentres::default();
-    let home = data_centres.number(&relay.settings.data_centre);
-    let mut offers = offers(&beliefs, wish, &mut data_centres);
+    let home_name = &relay.settings.data_centre;
+    let home = data_centres.number(home_name);
+    let in_scope = |replica: &ReplicaEntry| scope.holds(replica, home_name);
+    let mut offers = offers(&beliefs, wish, in_scope, &mut data_centres);
     let request = PathRequest {
         layers: wish.engine.layers,
         tokens: wish.tokens,
@@ -176,11 +247,13 @@
 fn offers(
     beliefs: &Beliefs,
     wish: &PathWish<'_>,
+    in_scope: impl Fn(&ReplicaEntry) -> bool,
     data_centres: &mut DataCentres,
 ) -> Vec<PartOffer> {
     let now = now_millis();
     let usable = |replica: &&ReplicaEntry| {
-        replica.is_ready()
+        in_scope(replica)
+            && replica.is_ready()
             && !beliefs.suspects.is_suspect(&replica.life, now)
             && !wish.avoid.contains(&replica.life)
     };
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     counts::count,
-    news::{FleetNews, PeerMessage, ReplicaRecord, StateNews},
+    news::{FleetNews, PeerMessage, ReplicaRecord, StateNews, encode_state},
     registry::find_peers,
     replicas::{drop_lapsed, take_news},
     state::Relay,
@@ -185,20 +185,23 @@
 /// Tells this relay's state to those of its data centre, and where asked to all.
 pub fn tell_state(relay: &Relay, far: bool, far_room: bool) {
     let now = now_millis();
-    let news = compose_state(relay, now);
+    let mut news = compose_state(relay, now);
+    let mut room = news.room.take();
     let beliefs = relay.beliefs.borrow();
     for (name, address, near) in beliefs.peers.others(&relay.settings.data_centre) {
         if !near && !far {
             continue;
         }
-        let mut news = news.clone();
+        // One message serves all: copying it for each of 100 relays took as long as writing it.
+        news.echo = None;
         if near {
             let echo = beliefs.peers.echo(name, now);
             news.echo = echo.map(|(stamp, held)| ((stamp.incarnation, stamp.time), held));
-        } else if !far_room {
-            news.room = None;
         }
-        let datagram = PeerMessage::State(Box::new(news)).encode();
+        let tells_room = near || far_room;
+        news.room = if tells_room { room.take() } else { None };
+        let datagram = encode_state(&news);
+        room = room.or(news.room.take());
         // A peer that cannot be reached now is told again soon.
         let _lost = relay.peer_socket.try_send_to(&datagram, address);
     }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,8 +1,8 @@
 //! Orders to engines to hold layers.
 //!
-//! One relay gives the orders at a time: the first by name among those that are well. It keeps no plan:
-//! each round computes the orders from the list of replicas and from its own orders under way. Two
-//! relays that both take themselves for the first order the same, and an order names how many orders
+//! The first relays by name among those that are well give the orders, each for some groups of replicas: one relay
+//! up to the largest deployments of today. They keep no plan: each round computes the orders from the list of replicas and from its own orders under way. Two
+//! relays that both take themselves for a group's planner order the same, and an order names how many orders
 //! the engine took before, so a late one is refused.
 
 use std::{
@@ -19,9 +19,11 @@
     access::EngineSpec,
     cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
     fleet::{EntryState, LayerRange, ReplicaEntry},
+    groups::{group_count, group_of, is_planned_by, planner_count},
     life::ReplicaLife,
 };
 use tokio::{
+    sync::Semaphore,
     task::{spawn_blocking, spawn_local},
     time::sleep,
 };
@@ -79,56 +81,104 @@
     holds: bool,
 }
 
-/// A service and a data centre, whose replicas are planned together.
-type GroupName = (String, String);
+/// Replicas that are planned together.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct GroupName {
+    service: String,
+    data_centre: String,
+    /// Number of the group in its data centre.
+    part: u32,
+}
+
+/// This relay's share of the planning.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct PlanShare {
+    /// Its rank among the relays that may plan.
+    rank: usize,
+    /// Relays that plan.
+    planners: usize,
+}
+
+/// Orders that are given at once: each takes two calls, and 370 at once took a small VM's core for so long that most
+/// of them ran out of time.
+const MOST_ORDERS: usize = 16;
 
 /// Orders under way, by replica, and what suspected replicas answered.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Placer {
     pending: HashMap<ReplicaLife, PendingOrder>,
     probes: HashMap<ReplicaLife, ProbeEnd>,
     refused: Rc<RefCell<Vec<ReplicaLife>>>,
-    /// Groups that needed no orders when last planned, by service and data centre.
-    settled: HashMap<GroupName, Vec<LayerHolder>>,
+    /// Places for orders that are being given.
+    ordering: Rc<Semaphore>,
+    /// Groups that needed no orders when last planned.
+    settled: BTreeMap<GroupName, Vec<LayerHolder>>,
     /// Searches for better first layouts.
     searches: LayoutSearches,
     fleet_seen: u64,
     fleet_changed: Millis,
-    first_since: Option<Millis>,
+    share: Option<(PlanShare, Millis)>,
 }
 
 /// Places layers for good.
 pub async fn place_layers(relay: Rc<Relay>) {
     let begun = now_millis();
-    let mut placer = Placer::default();
+    let mut placer = Placer::new();
     loop {
         sleep(ROUND).await;
         let now = now_millis();
         placer.observe(&relay, now);
         let age = now - begun;
-        if !placer.is_in_charge(&relay, now) || age < FIRST_ROUND {
+        let Some(share) = placer.share_in_charge(&relay, now).filter(|_| age >= FIRST_ROUND) else {
             continue;
-        }
+        };
         let settled = now - placer.fleet_changed > SETTLED;
         if age < LATEST_START && !settled {
             continue;
         }
-        placer.round(&relay, now).await;
+        placer.round(&relay, share, now).await;
     }
 }
 
-fn is_first(relay: &Relay, now: Millis) -> bool {
+/// This relay's share of the planning; nothing where others do all of it.
+fn plan_share(relay: &Relay, now: Millis) -> Option<PlanShare> {
+    let config = relay.config()?;
     let fresh = relay.is_fleet_fresh(now);
     let beliefs = relay.beliefs.borrow();
-    beliefs.peers.is_first(&relay.settings.name, fresh, now)
+    let rank = beliefs.peers.rank(&relay.settings.name, fresh, now)?;
+    let services = config.engines().map(|(service, _)| service);
+    let replicas = services.flat_map(|service| beliefs.fleet.view.of_service(service));
+    let mut places: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for replica in replicas {
+        *places.entry((&replica.service, &replica.data_centre)).or_default() += 1;
+    }
+    let groups = places.values().map(|count| group_count(*count) as usize).sum();
+    let planners = planner_count(groups, beliefs.peers.live(now) + 1);
+    (rank < planners).then_some(PlanShare { rank, planners })
 }
 
 impl Placer {
-    /// Whether this relay has been the one to give orders for a while: another one that was may still
-    /// have some under way.
-    fn is_in_charge(&mut self, relay: &Relay, now: Millis) -> bool {
-        self.first_since = is_first(relay, now).then(|| self.first_since.unwrap_or(now));
-        self.first_since.is_some_and(|since| now - since >= TAKE_CHARGE)
+    fn new() -> Self {
+        Self {
+            pending: HashMap::new(),
+            probes: HashMap::new(),
+            refused: Rc::default(),
+            ordering: Rc::new(Semaphore::new(MOST_ORDERS)),
+            settled: BTreeMap::new(),
+            searches: LayoutSearches::default(),
+            fleet_seen: 0,
+            fleet_changed: 0,
+            share: None,
+        }
+    }
+
+    /// This relay's share of the planning, where it has had that for a while: another one that did may still have
+    /// some orders under way.
+    fn share_in_charge(&mut self, relay: &Relay, now: Millis) -> Option<PlanShare> {
+        let share = plan_share(relay, now);
+        let known = self.share.filter(|(known, _)| Some(*known) == share);
+        self.share = share.map(|share| known.unwrap_or((share, now)));
+        self.share.filter(|(_, since)| now - since >= TAKE_CHARGE).map(|(share, _)| share)
     }
 
     /// Notes joined and left replicas, and orders that took effect.
@@ -151,12 +201,12 @@
         });
     }
 
-    async fn round(&mut self, relay: &Rc<Relay>, now: Millis) {
+    async fn round(&mut self, relay: &Rc<Relay>, share: PlanShare, now: Millis) {
         let Some(config) = relay.config() else { return };
         self.probe_suspects(relay, now).await;
         for (service, engine) in config.engines() {
-            let orders = self.plan(relay, service, engine, now).await;
-            let limit = (engine.loads_at_once as usize).max(1);
+            let orders = self.plan(relay, share, service, engine, now).await;
+            let limit = (engine.loads_at_once as usize / share.planners).max(1);
             // Before the first request, loads are quick and all may run at once.
             let untouched = is_untouched(relay);
             let free = limit.saturating_sub(self.pending.len());
@@ -164,7 +214,7 @@
             for order in orders.into_iter().take(now_possible) {
                 self.give(relay, engine, order, now).await;
             }
-            for order in self.searched_orders(relay, service, engine, now).await {
+            for order in self.searched_orders(relay, share, service, engine, now).await {
                 self.give(relay, engine, order, now).await;
             }
         }
@@ -220,18 +270,26 @@
     async fn plan(
         &mut self,
         relay: &Relay,
+        share: PlanShare,
         service: &str,
         engine: &EngineSpec,
         now: Millis,
     ) -> Vec<PlaceOrder> {
         let mut groups = self.groups(relay, service, engine, now);
+        let covered = covered_places(&groups, engine.layers);
+        keep_share(&mut groups, share);
         groups.retain(|name, holders| self.settled.get(name) != Some(holders));
         let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
         let planning = spawn_blocking(move || {
             let config = CoverConfig::default();
             let planned = groups.into_iter().map(|(name, holders)| {
-                let orders = plan_group(&holders, model, &config);
-                (name, holders, orders)
+                let mut orders = plan_group(&holders, model, &config);
+                if covered.contains(&name.data_centre) {
+                    let waiting = orders.into_iter().map(PlaceOrder::while_others_serve);
+                    orders = waiting.collect();
+                }
+                let worths = (!orders.is_empty()).then(|| plan_worths(&holders, &orders, model));
+                (name, holders, orders, worths)
             });
             planned.collect::<Vec<_>>()
         });
@@ -244,14 +302,14 @@
             }
         };
         let mut all = Vec::new();
-        for (name, holders, orders) in planned {
+        for (name, holders, orders, worths) in planned {
             if holders.iter().all(|holder| holder.range.is_none()) && is_untouched(relay) {
                 let laid_out = carried_out(&holders, &orders);
                 self.searches.add(name.clone(), laid_out, now);
             }
-            match orders.is_empty() {
-                true => drop(self.settled.insert(name, holders)),
-                false => log_plan(&name.1, &holders, &orders, model),
+            match worths {
+                None => drop(self.settled.insert(name, holders)),
+                Some(worths) => log_plan(&name, holders.len(), orders.len(), worths),
             }
             all.extend(orders);
         }
@@ -262,6 +320,7 @@
     async fn searched_orders(
         &mut self,
         relay: &Relay,
+        share: PlanShare,
         service: &str,
         engine: &EngineSpec,
         now: Millis,
@@ -274,16 +333,18 @@
             return Vec::new();
         }
         let model = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
-        let groups = self.groups(relay, service, engine, now);
+        let mut groups = self.groups(relay, service, engine, now);
+        keep_share(&mut groups, share);
         let mut all = Vec::new();
         for (name, orders) in self.searches.advance(&groups, model, now).await {
-            log_plan(&name.1, &groups[&name], &orders, model);
+            let worths = plan_worths(&groups[&name], &orders, model);
+            log_plan(&name, groups[&name].len(), orders.len(), worths);
             all.extend(orders);
         }
         all
     }
 
-    /// Replicas of a service that may hold layers, by service and data centre.
+    /// Replicas of a service that may hold layers, by group.
     fn groups(
         &self,
         relay: &Relay,
@@ -292,7 +353,7 @@
         now: Millis,
     ) -> BTreeMap<GroupName, Vec<LayerHolder>> {
         let beliefs = relay.beliefs.borrow();
-        let mut groups: BTreeMap<GroupName, Vec<LayerHolder>> = BTreeMap::new();
+        let mut places: BTreeMap<&str, Vec<LayerHolder>> = BTreeMap::new();
         let stays = |replica: &&ReplicaEntry| match replica.state {
             EntryState::Ready => true,
             EntryState::Draining => false,
@@ -305,8 +366,20 @@
             let suspect = !replica.is_ready() || beliefs.suspects.is_suspect(&replica.life, now);
             let lost = self.is_lost(&replica.life);
             let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
-            let name = (service.to_owned(), replica.data_centre.clone());
-            groups.entry(name).or_default().push(holder);
+            places.entry(&replica.data_centre).or_default().push(holder);
+        }
+        let mut groups: BTreeMap<GroupName, Vec<LayerHolder>> = BTreeMap::new();
+        for (data_centre, holders) in places {
+            let count = group_count(holders.len());
+            let name = |part| GroupName {
+                service: service.to_owned(),
+                data_centre: data_centre.to_owned(),
+                part,
+            };
+            for holder in holders {
+                let part = group_of(&holder.life, count);
+                groups.entry(name(part)).or_default().push(holder);
+            }
         }
         groups
     }
@@ -344,7 +417,9 @@
         let until = now + share * 2 + LIST_LAG;
         self.pending.insert(order.life.clone(), PendingOrder { range: order.range, until });
         let (relay, refused) = (relay.clone(), self.refused.clone());
+        let ordering = self.ordering.clone();
         spawn_local(async move {
+            let _place = ordering.acquire().await;
             if !carry_out(&relay, &replica, &order).await {
                 refused.borrow_mut().push(order.life);
             }
@@ -352,6 +427,34 @@
     }
 }
 
+/// Keeps the groups that this relay plans.
+fn keep_share(groups: &mut BTreeMap<GroupName, Vec<LayerHolder>>, share: PlanShare) {
+    let mut number = 0;
+    groups.retain(|_, _| {
+        number += 1;
+        is_planned_by(number - 1, share.rank, share.planners)
+    });
+}
+
+/// Data centres of several groups that hold every layer together: no request waits for a gap in one of the groups.
+fn covered_places(groups: &BTreeMap<GroupName, Vec<LayerHolder>>, layers: u32) -> BTreeSet<String> {
+    let several = groups.keys().filter(|name| name.part > 0).map(|name| &name.data_centre);
+    let places: BTreeSet<&String> = several.collect();
+    let is_covered = |place: &&String| {
+        let holders = groups.iter().filter(|(name, _)| name.data_centre == **place);
+        let ranges = holders.flat_map(|(_, holders)| holders).filter_map(|holder| holder.held);
+        let ranges: Vec<LayerRange> = ranges.collect();
+        (0..layers).all(|layer| ranges.iter().any(|range| range.contains(layer)))
+    };
+    places.into_iter().filter(is_covered).cloned().collect()
+}
+
+/// What a group of replicas carries before and after its orders, by the plan's own measure.
+fn plan_worths(holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) -> (f64, f64) {
+    let planned = carried_out(holders, orders);
+    (layout_worth(holders, model), layout_worth(&planned, model))
+}
+
 /// A group once its orders are carried out.
 fn carried_out(holders: &[LayerHolder], orders: &[PlaceOrder]) -> Vec<LayerHolder> {
     let mut planned = holders.to_vec();
@@ -370,17 +473,11 @@
     relay.counts.requests.get() == 0 && relay.beliefs.borrow().room.is_idle()
 }
 
-/// Writes what a group of replicas carries before and after its orders, by the plan's own measure.
-fn log_plan(data_centre: &str, holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) {
-    let planned = carried_out(holders, orders);
-    tracing::info!(
-        event = "plan",
-        data_centre,
-        replicas = holders.len(),
-        orders = orders.len(),
-        worth_before = layout_worth(holders, model),
-        worth_after = layout_worth(&planned, model),
-    );
+/// Writes what a group of replicas carries before and after its orders.
+fn log_plan(name: &GroupName, replicas: usize, orders: usize, worths: (f64, f64)) {
+    let GroupName { data_centre, part, .. } = name;
+    let (worth_before, worth_after) = worths;
+    tracing::info!(event = "plan", data_centre, part, replicas, orders, worth_before, worth_after);
 }
 
 /// Gives an order; tells whether it may be under way.
--- a/crates/relay/src/placer/searches.rs
+++ b/crates/relay/src/placer/searches.rs
@@ -71,7 +71,9 @@
             match searching.await {
                 Ok(orders) => ended.push((name.clone(), orders)),
                 // The group keeps the layout that it has.
-                Err(error) => tracing::error!(event = "plan-failed", service = name.0, %error),
+                Err(error) => {
+                    tracing::error!(event = "plan-failed", service = name.service, %error)
+                }
             }
         }
         ended
--- a/crates/relay/tests/snapshots.rs
+++ b/crates/relay/tests/snapshots.rs
@@ -15,7 +15,7 @@
     samples::{self, KEY, desk_entry},
 };
 use switchfold_relay::{
-    news::{PeerMessage, StateNews},
+    news::{LifeRecord, PeerMessage, StateNews, encode_state},
     snapshot::{RelayRecord, Snapshot, SnapshotBody, read_target, write_target},
     store_calls::CallKind,
 };
@@ -228,3 +228,18 @@
         let _read = Snapshot::decode(&bytes);
     }
 }
+
+/// A state that is only borrowed is written as one that is owned.
+#[test]
+fn borrowed_states_have_the_same_form() {
+    let news = StateNews {
+        name: "relay-1".to_owned(),
+        stamp: (7, 1_000),
+        room: Some(vec![(LifeRecord("i-1".to_owned(), 5), 40)]),
+        mutes: vec![(LifeRecord("i-2".to_owned(), 0), 600)],
+        ..StateNews::default()
+    };
+    let written = encode_state(&news);
+    assert_eq!(written, PeerMessage::State(Box::new(news.clone())).encode());
+    assert_eq!(PeerMessage::decode(&written), Some(PeerMessage::State(Box::new(news))));
+}
--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -14,8 +14,9 @@
 
 const MODEL: ModelShape = ModelShape { layers: 80, layer_mb: 1_750.0 };
 
-/// Replicas of a data centre: today's, a grown one's, a tenth and a twelfth of the size to design for.
-const GROUPS: [usize; 4] = [13, 20, 44, 180];
+/// Replicas of a data centre: today's, a grown one's, a tenth and a twelfth of the size to design for, the most that are
+/// planned together, and those of a data centre of 100 VMs with ten replicas each.
+const GROUPS: [usize; 6] = [13, 20, 44, 64, 180, 1_000];
 
 fn empty_group(count: usize) -> Vec<LayerHolder> {
     let kinds = [(72_000.0, 2.4), (14_400.0, 5.3), (21_600.0, 16.0)];
--- a/crates/router/src/cover/mod.rs
+++ b/crates/router/src/cover/mod.rs
@@ -116,6 +116,17 @@
     Cut,
 }
 
+impl PlaceOrder {
+    /// The same order for a group whose missing layers others of the data centre hold meanwhile: requests that use
+    /// the layers given up are waited for, since none are lost to the gap.
+    pub fn while_others_serve(self) -> Self {
+        match self.reason.give_up_rule() {
+            GiveUpRule::Cut => Self { reason: PlaceReason::Balance, ..self },
+            GiveUpRule::Wait => self,
+        }
+    }
+}
+
 impl PlaceReason {
     /// Where a gap is open, the whole group serves nobody, and the requests that an order waits for
     /// cannot move within the group either: a replica once waited 14 s for them before it began a load
--- /dev/null
+++ b/crates/router/src/groups.rs
@@ -0,0 +1,47 @@
+//! Which replicas are planned together, and by whom.
+//!
+//! The weighing of a layout takes time in proportion to the cube of its replicas: 7 ms of a core for 64 of them,
+//! 3.5 s for 1,000, which stops a small VM for a minute. So the replicas of a data centre are dealt to groups of
+//! at most [`MOST_GROUP`] on average, each of which covers the model by itself; paths pass between groups as they
+//! please. Groups are dealt by the hash of the id, and their count is a power of two: a replica that joins or
+//! leaves changes one group, and where their count changes, each is split in two or joined with one other.
+//!
+//! One relay plans [`GROUPS_EACH`] groups; where there are more, others plan as well, in the order of their names.
+//! Two that take themselves for the planner of one group are harmless: engines count the orders that they took.
+//!
+//! Trade-off: a group cannot use what others hold twice, so some memory is spent on covering the model in each. A
+//! data centre of up to 64 replicas is one group, and all of up to six data centres have one planner.
+
+use switchfold_core::hash::hash_bytes;
+
+use crate::life::ReplicaLife;
+
+/// Replicas of a group on average, at most: its layout is weighed within 8 ms of a core, 0.1 s of an entry VM.
+pub const MOST_GROUP: usize = 64;
+
+/// Groups that one relay plans, at most: twelve replicas' orders in each second after a start of all, where each takes
+/// a report and an order.
+pub const GROUPS_EACH: usize = 6;
+
+/// Count of groups for the replicas of a data centre.
+pub fn group_count(replicas: usize) -> u32 {
+    let wanted = replicas.div_ceil(MOST_GROUP).max(1);
+    wanted.next_power_of_two() as u32
+}
+
+/// Group of a replica among `count`: the same for all lives of its id.
+pub fn group_of(life: &ReplicaLife, count: u32) -> u32 {
+    let hash = hash_bytes(0, life.id().as_bytes());
+    // The upper half: the lower bits of short texts differ little.
+    (hash >> 32) as u32 & (count - 1)
+}
+
+/// Count of relays that plan so many groups, of `relays` that are there.
+pub fn planner_count(groups: usize, relays: usize) -> usize {
+    groups.div_ceil(GROUPS_EACH).clamp(1, relays.max(1))
+}
+
+/// Whether the planner of a rank plans a group, by its number among all.
+pub fn is_planned_by(group: usize, rank: usize, planners: usize) -> bool {
+    group % planners.max(1) == rank
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`cover`] | which layers each replica should hold |
 //! | [`follow`] | what a relay reads next from the store |
 //! | [`freshness`] | whether the configuration is recent enough to let keys in |
+//! | [`groups`] | which replicas are planned together, and by which relays |
 //! | [`lapse`] | which entries that are missing after an outage are waited for |
 //! | [`life`] | which life of a replica something is known of |
 //! | [`membership`] | which relay gives orders, and which follows the store for others |
@@ -35,6 +36,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod freshness;
+pub mod groups;
 pub mod lapse;
 pub mod life;
 pub mod membership;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -12,6 +12,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, ops::Bound};
 
+use switchfold_core::hash::hash_bytes;
+
 use crate::{Millis, follow::TellerPlace};
 
 /// Silence after which a relay is taken for gone, in milliseconds: three messages in a row were lost.
@@ -273,18 +275,23 @@
             .map(move |(name, peer)| (name.as_str(), peer.address, peer.data_centre == data_centre))
     }
 
-    /// Whether this relay is the one to give orders: the first by name among those that are live and
-    /// know the replicas, or among all live ones where none does.
+    /// Whether this relay is the first to give orders, as [`PeerTable::rank`] tells.
     pub fn is_first(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> bool {
+        self.rank(name, fleet_is_fresh, now) == Some(0)
+    }
+
+    /// Count of relays before this one by name, of those that are live and know the replicas, or of all live ones
+    /// where none does; nothing where others know them and this one does not.
+    pub fn rank(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> Option<usize> {
         let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        let informed = live().find(|(_, peer)| peer.state.fleet_is_fresh);
-        match (fleet_is_fresh, informed) {
-            (true, Some((first, _))) => name < first.as_str(),
-            (true, None) => true,
-            (false, Some(_)) => false,
+        let informed = || live().filter(|(_, peer)| peer.state.fleet_is_fresh);
+        let is_before = |(other, _): &(&String, &Peer)| other.as_str() < name;
+        match (fleet_is_fresh, informed().next().is_some()) {
+            (true, _) => Some(informed().filter(is_before).count()),
+            (false, true) => None,
             // One that hears nobody and has lost the store is cut off; the others decide.
-            (false, None) if live().next().is_none() => self.peers.is_empty(),
-            (false, None) => live().all(|(other, _)| name < other.as_str()),
+            (false, false) if live().next().is_none() => self.peers.is_empty().then_some(0),
+            (false, false) => Some(live().filter(is_before).count()),
         }
     }
 
@@ -372,7 +379,9 @@
 
     /// Relay of the data centre that can tell the list of replicas: the first by name that reads the store itself,
     /// and that it answered lately. What others hold was told to them, and is as of no one revision; it serves one
-    /// that `holds_none` all the same, which can only be better off.
+    /// that `holds_none` all the same, which can only be better off. Whoever holds none asks one of those that hold a
+    /// recent list, each another one: after a stop of all, 100 relays that asked the one that reads the store would
+    /// want 18 MB of its link at once.
     pub fn fleet_teller<'a>(
         &'a self,
         own: &str,
@@ -384,9 +393,26 @@
             let age = peer.state.fleet_read_age.filter(|_| !peer.state.fleet_is_lost);
             peer.is_within_followed_age(age, now)
         };
-        let holds = |peer: &Peer| holds_none && peer.state.fleet_age.is_some();
-        let reading = self.teller(own, data_centre, now, reads);
-        reading.or_else(|| self.teller(own, data_centre, now, holds))
+        if !holds_none {
+            return self.teller(own, data_centre, now, reads);
+        }
+        let drawn = self.drawn_teller(own, data_centre, now, |peer| peer.state.fleet_is_fresh);
+        drawn.or_else(|| self.teller(own, data_centre, now, |peer| peer.state.fleet_age.is_some()))
+    }
+
+    /// The one of those that can tell that this relay asks: by the hash of both names, so that others ask others.
+    fn drawn_teller<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        now: Millis,
+        can_tell: impl Fn(&Peer) -> bool,
+    ) -> Option<StateTeller<'a>> {
+        let seed = hash_bytes(0, own.as_bytes());
+        let near = self.peers.iter().filter(|(_, peer)| peer.data_centre == data_centre);
+        let able = near.filter(|(_, peer)| peer.is_live(now) && can_tell(peer));
+        let (name, peer) = able.max_by_key(|(name, _)| hash_bytes(seed, name.as_bytes()))?;
+        Some(StateTeller { name, address: peer.address, place: teller_place(name, own) })
     }
 
     fn teller<'a>(
@@ -399,11 +425,7 @@
         let near = self.peers.iter().filter(|(_, peer)| peer.data_centre == data_centre);
         let mut live = near.filter(|(_, peer)| peer.is_live(now));
         let (name, peer) = live.find(|(_, peer)| can_tell(peer))?;
-        let place = match name.as_str() < own {
-            true => TellerPlace::Before,
-            false => TellerPlace::Behind,
-        };
-        Some(StateTeller { name, address: peer.address, place })
+        Some(StateTeller { name, address: peer.address, place: teller_place(name, own) })
     }
 
     /// Count of live relays of the data centre before this one, and of those among them that lost the store
@@ -447,6 +469,13 @@
     }
 }
 
+fn teller_place(name: &str, own: &str) -> TellerPlace {
+    match name < own {
+        true => TellerPlace::Before,
+        false => TellerPlace::Behind,
+    }
+}
+
 /// Time by which another relay's proof must be younger for callers to be left to it, in milliseconds.
 const YOUNGER_BY: Millis = 300;
 
--- a/crates/router/src/room.rs
+++ b/crates/router/src/room.rs
@@ -20,36 +20,63 @@
 }
 
 /// What is promised at each replica, by this entry and by the others.
+///
+/// Sums are kept as figures come and go, since every choice of a path asks for that of every replica: added up anew
+/// over 300 entries for 3,000 replicas they took 50 ms of a core.
 #[derive(Clone, Debug, Default)]
 pub struct RoomLedger {
     own: HashMap<ReplicaLife, f64>,
     peers: HashMap<String, PeerRoom>,
+    total: HashMap<ReplicaLife, f64>,
+}
+
+/// Amount below which nothing is promised: figures are whole numbers, but for what sums lose.
+const NOTHING: f64 = 0.5;
+
+fn add(sums: &mut HashMap<ReplicaLife, f64>, life: &ReplicaLife, amount: f64) {
+    match sums.get_mut(life) {
+        Some(sum) => {
+            *sum += amount;
+            if *sum < NOTHING {
+                sums.remove(life);
+            }
+        }
+        None if amount >= NOTHING => drop(sums.insert(life.clone(), amount)),
+        None => {}
+    }
 }
 
 impl RoomLedger {
     /// Promises room at a replica.
     pub fn promise(&mut self, life: &ReplicaLife, amount: f64) {
-        *self.own.entry(life.clone()).or_default() += amount;
+        add(&mut self.own, life, amount);
+        add(&mut self.total, life, amount);
     }
 
     /// Releases room at a replica.
     pub fn release(&mut self, life: &ReplicaLife, amount: f64) {
-        if let Some(promised) = self.own.get_mut(life) {
-            *promised -= amount;
-            if *promised < 0.5 {
-                self.own.remove(life);
-            }
-        }
+        add(&mut self.own, life, -amount);
+        add(&mut self.total, life, -amount);
     }
 
     /// Takes over the figures of another entry.
     pub fn hear(&mut self, peer: &str, promised: HashMap<ReplicaLife, f64>, now: Millis) {
-        self.peers.insert(peer.to_owned(), PeerRoom { heard: now, promised });
+        promised.iter().for_each(|(life, amount)| add(&mut self.total, life, *amount));
+        let room = PeerRoom { heard: now, promised };
+        if let Some(earlier) = self.peers.insert(peer.to_owned(), room) {
+            self.take_off(&earlier);
+        }
     }
 
     /// Drops what was heard too long ago.
     pub fn forget(&mut self, now: Millis) {
-        self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < PEER_AGE);
+        let is_old = |_: &String, peer: &mut PeerRoom| now.saturating_sub(peer.heard) >= PEER_AGE;
+        let old: Vec<PeerRoom> = self.peers.extract_if(is_old).map(|(_, peer)| peer).collect();
+        old.iter().for_each(|peer| self.take_off(peer));
+    }
+
+    fn take_off(&mut self, peer: &PeerRoom) {
+        peer.promised.iter().for_each(|(life, amount)| add(&mut self.total, life, -amount));
     }
 
     /// Whether nobody promised any room: no request runs, as far as is known.
@@ -64,8 +91,6 @@
 
     /// What all entries promised at a replica.
     pub fn promised(&self, life: &ReplicaLife) -> f64 {
-        let own = self.own.get(life).copied().unwrap_or(0.0);
-        let peers = self.peers.values().filter_map(|peer| peer.promised.get(life));
-        own + peers.sum::<f64>()
+        self.total.get(life).copied().unwrap_or(0.0)
     }
 }
--- /dev/null
+++ b/crates/router/tests/groups.rs
@@ -0,0 +1,93 @@
+//! Replicas that are planned together: bounded groups that a join or a loss hardly changes.
+
+use std::collections::BTreeMap;
+
+use switchfold_router::{
+    cover::{CoverConfig, LayerHolder, ModelShape, plan_group, widest_gap},
+    groups::{GROUPS_EACH, MOST_GROUP, group_count, group_of, is_planned_by, planner_count},
+    life::ReplicaLife,
+};
+
+fn lives(count: usize) -> Vec<ReplicaLife> {
+    (0..count).map(|number| ReplicaLife::new(&format!("i-{:010x}", number * 7_919), 0)).collect()
+}
+
+#[test]
+fn groups_have_a_bounded_size() {
+    let rows = [(0, 1), (1, 1), (64, 1), (65, 2), (128, 2), (129, 4), (1_000, 16), (3_000, 64)];
+    for (replicas, count) in rows {
+        assert_eq!(group_count(replicas), count, "{replicas}");
+    }
+    for replicas in [100, 300, 1_000, 3_000] {
+        let count = group_count(replicas);
+        let mut sizes: BTreeMap<u32, usize> = BTreeMap::new();
+        lives(replicas)
+            .iter()
+            .for_each(|life| *sizes.entry(group_of(life, count)).or_default() += 1);
+        assert_eq!(sizes.len(), count as usize, "{replicas}: none is empty");
+        assert!(sizes.values().all(|size| *size <= MOST_GROUP * 3 / 2), "{replicas}: {sizes:?}");
+    }
+}
+
+/// Where the count of groups doubles, each is split in two: no replica changes to another group's part.
+#[test]
+fn groups_are_split_in_two() {
+    for life in lives(500) {
+        for count in [1, 2, 4, 8] {
+            assert_eq!(group_of(&life, count * 2) % count, group_of(&life, count), "{life}");
+        }
+        assert_eq!(group_of(&life, 8), group_of(&life.at(5), 8), "a restart stays in its group");
+    }
+}
+
+#[test]
+fn each_group_has_one_planner() {
+    let rows = [
+        (1, 26, 1),
+        (GROUPS_EACH, 26, 1),
+        (GROUPS_EACH + 1, 26, 2),
+        (192, 302, 32),
+        (192, 4, 4),
+        (3, 0, 1),
+    ];
+    for (groups, relays, planners) in rows {
+        assert_eq!(planner_count(groups, relays), planners, "{groups} {relays}");
+        for group in 0..groups {
+            let owners = (0..planners).filter(|rank| is_planned_by(group, *rank, planners)).count();
+            assert_eq!(owners, 1, "{group}");
+        }
+    }
+}
+
+/// Groups of a data centre of 1,000 replicas of three kinds each cover the model by themselves.
+#[test]
+fn every_group_covers_the_model() {
+    let model = ModelShape { layers: 80, layer_mb: 1_750.0 };
+    let kinds = [(72_000.0, 2.4), (43_200.0, 5.6), (21_600.0, 16.0)];
+    let count = group_count(1_000);
+    let mut groups: BTreeMap<u32, Vec<LayerHolder>> = BTreeMap::new();
+    for (number, life) in lives(1_000).into_iter().enumerate() {
+        let (memory_mb, pace) = kinds[[0, 1, 1, 1, 2, 2, 2, 2, 2, 2][number % 10]];
+        let part = group_of(&life, count);
+        let holder = LayerHolder {
+            life,
+            memory_mb,
+            layer_ms: 1.02 * pace / 80.0,
+            range: None,
+            held: None,
+            can_order: true,
+        };
+        groups.entry(part).or_default().push(holder);
+    }
+    for (part, mut holders) in groups {
+        for order in plan_group(&holders, model, &CoverConfig::default()) {
+            let holder = holders.iter_mut().find(|holder| holder.life == order.life).expect("one");
+            holder.range = Some(order.range);
+        }
+        let mut counts = vec![0; model.layers as usize];
+        for range in holders.iter().filter_map(|holder| holder.range) {
+            (range.from..range.to).for_each(|layer| counts[layer as usize] += 1);
+        }
+        assert_eq!(widest_gap(&counts), None, "group {part}");
+    }
+}
--- /dev/null
+++ b/crates/router/tests/mutes.rs
@@ -0,0 +1,185 @@
+//! First replicas that begin no answers, replayed in virtual time: steady traffic while some hang, and engines that
+//! are all slow at once.
+
+use std::collections::VecDeque;
+
+use switchfold_router::{
+    life::ReplicaLife,
+    mute::{HeadWatch, TRIAL_TIME, leave_after},
+};
+
+/// Objective of the requests, and the time in which an engine usually begins an answer, in milliseconds.
+const OBJECTIVE: u64 = 500;
+const USUAL: u64 = 80;
+
+/// Time between two requests of one relay, and between two looks at a request that waits, in milliseconds.
+const EVERY: u64 = 20;
+const LOOK: u64 = 50;
+
+/// How long a request may wait before it goes elsewhere in any case, as decided by the way that is compared.
+type Patience = fn(&HeadWatch) -> u64;
+
+/// A load: how many replicas there are, which hang when, and by what factor all are slow.
+struct Load {
+    replicas: usize,
+    hanging: usize,
+    hangs: std::ops::Range<u64>,
+    slow: f64,
+    length: u64,
+}
+
+struct Waiting {
+    arrived: u64,
+    sent: u64,
+    begins: Option<u64>,
+    replica: usize,
+    tries: u32,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    requests: u32,
+    late: u32,
+    repeats: u32,
+}
+
+/// Plays a load against one relay's own decisions; each request begins at the replica that is not mute and has been
+/// sent least.
+fn play(load: &Load, patience: Patience, watches: bool) -> Outcome {
+    let lives: Vec<ReplicaLife> =
+        (0..load.replicas).map(|number| ReplicaLife::new(&format!("i-{number}"), 0)).collect();
+    let mut watch = HeadWatch::default();
+    let mut waiting: VecDeque<Waiting> = VecDeque::new();
+    let mut outcome = Outcome::default();
+    let mut sent_to = vec![0_u32; load.replicas];
+    let takes = (USUAL as f64 * load.slow) as u64;
+    let mut send =
+        |watch: &mut HeadWatch, arrived: u64, avoid: Option<usize>, tries: u32, now: u64| {
+            let cost =
+                |number: &usize| (watches && watch.is_mute(&lives[*number], now), sent_to[*number]);
+            let others = (0..load.replicas).filter(|number| Some(*number) != avoid);
+            let replica = others.min_by_key(cost).expect("there are others");
+            sent_to[replica] += 1;
+            watch.note_sent(&lives[replica], now);
+            let hangs = replica < load.hanging && load.hangs.contains(&now);
+            Waiting { arrived, sent: now, begins: (!hangs).then_some(now + takes), replica, tries }
+        };
+    for now in 0..load.length {
+        if now.is_multiple_of(EVERY) {
+            outcome.requests += 1;
+            let request = send(&mut watch, now, None, 1, now);
+            waiting.push_back(request);
+        }
+        let mut left = Vec::new();
+        waiting.retain(|request| {
+            let life = &lives[request.replica];
+            if request.begins == Some(now) {
+                watch.note_answer(life, Some(now - request.sent), now);
+                outcome.late += u32::from(now - request.arrived > OBJECTIVE);
+                return false;
+            }
+            let waited = now - request.sent;
+            if waited == 0 || !waited.is_multiple_of(LOOK) || request.tries > 1 {
+                return true;
+            }
+            let silent_after = watch.silent_after(OBJECTIVE);
+            watch.find_mute(life, silent_after, now);
+            let is_mute = watches && watch.is_mute(life, now) && waited >= silent_after;
+            if is_mute || waited > patience(&watch) {
+                watch.note_left(life);
+                left.push((request.arrived, request.replica));
+                return false;
+            }
+            true
+        });
+        for (arrived, replica) in left {
+            outcome.repeats += 1;
+            let request = send(&mut watch, arrived, Some(replica), 2, now);
+            waiting.push_back(request);
+        }
+    }
+    outcome
+}
+
+const HANGING: Load =
+    Load { replicas: 12, hanging: 2, hangs: 2_000..8_500, slow: 1.0, length: 12_000 };
+
+/// With a fixed wait of 700 ms every request that met a hanging replica was late; now those of the first moments are
+/// in time as well, and few meet one.
+#[test]
+fn a_hanging_replica_makes_no_request_late() {
+    let fixed = play(&HANGING, |_| 700, false);
+    assert!(fixed.late >= 50, "{fixed:?}");
+    let watched = play(&HANGING, |watch| leave_after(OBJECTIVE, watch.usual()), true);
+    assert_eq!(watched.late, 0, "{watched:?}");
+    assert!(watched.repeats < fixed.repeats / 2, "{watched:?} against {fixed:?}");
+}
+
+/// Leaving by the last moment alone brings them in time too, and sends one in each meeting again.
+#[test]
+fn the_last_moment_for_another_try_is_in_time() {
+    let last = play(&HANGING, |watch| leave_after(OBJECTIVE, watch.usual()), false);
+    assert_eq!(last.late, 0, "{last:?}");
+}
+
+/// Engines that are all slow are not taken for mute, and nothing is sent twice into them.
+#[test]
+fn slow_engines_are_not_fed_with_repeats() {
+    for slow in [3.0, 5.0, 8.0] {
+        let load = Load { hanging: 0, hangs: 0..0, slow, ..HANGING };
+        let outcome = play(&load, |watch| leave_after(OBJECTIVE, watch.usual()), true);
+        assert!(outcome.repeats * 50 < outcome.requests, "{slow}: {outcome:?}");
+    }
+}
+
+#[test]
+fn the_time_to_leave_follows_what_is_usual() {
+    let rows = [
+        (None, 700),
+        (Some(80), 380),
+        (Some(110), 335),
+        (Some(112), 700),
+        (Some(300), 700),
+        (Some(0), 500),
+    ];
+    for (usual, expected) in rows {
+        assert_eq!(leave_after(OBJECTIVE, usual), expected, "{usual:?}");
+    }
+    assert_eq!(leave_after(0, Some(80)), 0);
+    assert_eq!(leave_after(2_000, Some(80)), 1_880);
+}
+
+/// A mute replica comes back by one request at a time of the relay that found it; others keep away until that ended.
+#[test]
+fn a_mute_replica_is_tried_by_one_request() {
+    let life = ReplicaLife::new("i-1", 0);
+    let (mut own, mut other) = (HeadWatch::default(), HeadWatch::default());
+    own.note_sent(&life, 0);
+    let lasts = own.find_mute(&life, 150, 200).expect("it is silent");
+    let told: Vec<_> = own.own_mutes(200).map(|(life, lasts)| (life.clone(), lasts)).collect();
+    assert_eq!(told, [(life.clone(), lasts + TRIAL_TIME)]);
+    other.hear_mute(&life, told[0].1, 200);
+    assert_eq!(other.own_mutes(200).count(), 0, "what was only heard is not repeated");
+    own.note_left(&life);
+    let over = 200 + lasts;
+    assert!(own.is_mute(&life, over - 1) && !own.is_mute(&life, over));
+    own.note_sent(&life, over);
+    assert!(own.is_mute(&life, over + 1), "one tries, the next one keeps away");
+    assert!(other.is_mute(&life, over + 1));
+    assert!(own.note_answer(&life, Some(70), over + 70), "it is back");
+    assert!(!own.is_mute(&life, over + 71));
+    assert!(!other.is_mute(&life, over + TRIAL_TIME));
+}
+
+/// A queue goes on beginning answers, or refuses: neither is silence.
+#[test]
+fn a_replica_that_answers_others_is_not_mute() {
+    let life = ReplicaLife::new("i-1", 0);
+    let mut watch = HeadWatch::default();
+    (0..3).for_each(|_| watch.note_sent(&life, 0));
+    watch.note_answer(&life, Some(140), 140);
+    assert_eq!(watch.find_mute(&life, 150, 200), None);
+    watch.note_answer(&life, None, 280);
+    assert_eq!(watch.find_mute(&life, 150, 400), None);
+    assert!(watch.find_mute(&life, 150, 440).is_some());
+}
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -132,6 +132,44 @@
     assert!(!room.is_idle());
 }
 
+proptest! {
+    /// However figures come and go, the sums are those of what was last heard of each entry and is not too old.
+    #[test]
+    fn sums_of_room_are_those_of_what_was_heard(
+        steps in prop::collection::vec((0usize..4, 0u64..900, prop::collection::vec((0usize..3, 0u32..50), 0..4)), 1..60)
+    ) {
+        let lives = ["a", "b", "c"].map(life);
+        let mut ledger = RoomLedger::default();
+        let mut heard: HashMap<usize, (u64, HashMap<ReplicaLife, f64>)> = HashMap::new();
+        let mut own: Vec<(usize, f64)> = Vec::new();
+        let mut now = 0;
+        for (who, wait, figures) in steps {
+            now += wait;
+            if who == 0 {
+                match figures.first() {
+                    Some((which, amount)) => {
+                        own.push((*which, f64::from(*amount)));
+                        ledger.promise(&lives[*which], f64::from(*amount));
+                    }
+                    None => own.drain(..).for_each(|(which, amount)| ledger.release(&lives[which], amount)),
+                }
+            } else {
+                let told: HashMap<ReplicaLife, f64> =
+                    figures.iter().map(|(which, amount)| (lives[*which].clone(), f64::from(*amount))).collect();
+                ledger.hear(&who.to_string(), told.clone(), now);
+                heard.insert(who, (now, told));
+            }
+            ledger.forget(now);
+            heard.retain(|_, (at, _)| now - *at < PEER_AGE);
+            for (which, life) in lives.iter().enumerate() {
+                let own: f64 = own.iter().filter(|(own, _)| *own == which).map(|(_, amount)| amount).sum();
+                let others: f64 = heard.values().filter_map(|(_, told)| told.get(life)).sum();
+                prop_assert_eq!(ledger.promised(life), own + others);
+            }
+        }
+    }
+}
+
 #[test]
 fn room_adds_up_over_entries_and_forgets_the_gone() {
     let mut ledger = RoomLedger::default();
