--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -87,9 +87,8 @@
         for (life, hundredfold) in &news.paces {
             beliefs.paces.take_over(&life.into(), f64::from(*hundredfold) / 100.0, now);
         }
-        for (life, lasts) in &news.mutes {
-            beliefs.heads.hear_mute(&life.into(), Millis::from(*lasts), now);
-        }
+        let mutes = news.mutes.iter().map(|(life, lasts)| (life.into(), Millis::from(*lasts)));
+        beliefs.heads.hear_mutes(&news.name, mutes, now);
         for (life, lasts) in &news.suspects {
             let life = ReplicaLife::from(life);
             let lives = beliefs.fleet.view.living(&life).is_some();
--- a/crates/router/src/mute.rs
+++ b/crates/router/src/mute.rs
@@ -25,9 +25,10 @@
 /// Part of them, in hundredths, that is at most as long as what counts as usual.
 const USUAL_HUNDREDTHS: usize = 95;
 
-/// Least part of the objective, in hundredths, that a silence lasts: 150 ms of 500 ms, above the 115 ms that 99 in 100
-/// answers take to begin on a calm day; a try elsewhere then has 350 ms left.
-const LEAST_HUNDREDTHS: Millis = 30;
+/// Least part of the objective, in hundredths, that a silence lasts: 300 ms of 500 ms; a try elsewhere usually takes 60
+/// to 115 ms. With 150 ms, first replicas that only took over a lost one's load were found mute, and 47 requests left
+/// them in a second for others that were as loaded.
+const LEAST_HUNDREDTHS: Millis = 60;
 
 /// Silence, in usual times.
 const SILENT_TIMES: Millis = 2;
@@ -55,6 +56,8 @@
     firsts: HashMap<ReplicaLife, FirstState>,
     times: VecDeque<Millis>,
     mutes: SuspectList,
+    /// What other relays found, by relay, with the time until which each counts.
+    heard: HashMap<String, Vec<(ReplicaLife, Millis)>>,
 }
 
 impl HeadWatch {
@@ -121,7 +124,8 @@
         now: Millis,
     ) -> Option<Millis> {
         let is_silent = |first: &FirstState| now.saturating_sub(first.since) >= silent_after;
-        if !self.firsts.get(life).is_some_and(is_silent) || self.mutes.is_suspect(life, now) {
+        let is_known = self.mutes.is_suspect(life, now) || self.is_heard(life, now);
+        if is_known || !self.firsts.get(life).is_some_and(is_silent) {
             return None;
         }
         let silent = self.firsts.values().filter(|first| is_silent(first)).count();
@@ -133,7 +137,7 @@
 
     /// Whether new requests are to begin elsewhere.
     pub fn is_mute(&self, life: &ReplicaLife, now: Millis) -> bool {
-        if self.mutes.is_suspect(life, now) {
+        if self.mutes.is_suspect(life, now) || self.is_heard(life, now) {
             return true;
         }
         // One request at a time tries whether it is back.
@@ -145,10 +149,24 @@
         self.mutes.ended_lately(life, TRIAL_TIME, now)
     }
 
-    /// Takes over what another relay found, for `lasts` milliseconds.
-    pub fn hear_mute(&mut self, life: &ReplicaLife, lasts: Millis, now: Millis) {
-        if !self.mutes.is_own(life, now) {
-            self.mutes.take_over(life, now + lasts);
+    fn is_heard(&self, life: &ReplicaLife, now: Millis) -> bool {
+        let mut heard = self.heard.values().flatten();
+        heard.any(|(mute, until)| mute == life && now < *until)
+    }
+
+    /// Takes over all that another relay found, each with the milliseconds for which it counts; what it no longer
+    /// tells has ended.
+    pub fn hear_mutes(
+        &mut self,
+        relay: &str,
+        mutes: impl Iterator<Item = (ReplicaLife, Millis)>,
+        now: Millis,
+    ) {
+        let mutes: Vec<(ReplicaLife, Millis)> =
+            mutes.map(|(life, lasts)| (life, now + lasts)).collect();
+        match mutes.is_empty() {
+            true => drop(self.heard.remove(relay)),
+            false => drop(self.heard.insert(relay.to_owned(), mutes)),
         }
     }
 
--- a/crates/router/tests/mutes.rs
+++ b/crates/router/tests/mutes.rs
@@ -158,7 +158,7 @@
     let lasts = own.find_mute(&life, 150, 200).expect("it is silent");
     let told: Vec<_> = own.own_mutes(200).map(|(life, lasts)| (life.clone(), lasts)).collect();
     assert_eq!(told, [(life.clone(), lasts + TRIAL_TIME)]);
-    other.hear_mute(&life, told[0].1, 200);
+    other.hear_mutes("own", told.clone().into_iter(), 200);
     assert_eq!(other.own_mutes(200).count(), 0, "what was only heard is not repeated");
     own.note_left(&life);
     let over = 200 + lasts;
@@ -169,6 +169,11 @@
     assert!(own.note_answer(&life, Some(70), over + 70), "it is back");
     assert!(!own.is_mute(&life, over + 71));
     assert!(!other.is_mute(&life, over + TRIAL_TIME));
+    // What the one that found it tells no more has ended.
+    other.hear_mutes("own", told.into_iter(), over);
+    assert!(other.is_mute(&life, over + 1));
+    other.hear_mutes("own", std::iter::empty(), over + 2);
+    assert!(!other.is_mute(&life, over + 3));
 }
 
 /// A queue goes on beginning answers, or refuses: neither is silence.
