Soak: every other killed replica starts again under its id

Change: stand-in replicas tell when they started, in entries and reports; a replica that was killed, and had not said that it leaves, comes back under its id where its number is even. Ruled out: the same for one that said it leaves: the soak's check of leaving replicas goes by id.

--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -10,7 +10,7 @@
 
 use clap::{Args, ValueEnum};
 use serde_json::Value;
-use switchfold_kernel::clock::epoch_micros;
+use switchfold_kernel::clock::{epoch_micros, epoch_millis};
 use switchfold_platform::{
     REPLICA_KIND,
     headers::{ATTEMPT_ID, ORGANISATION},
@@ -18,7 +18,7 @@
 };
 use switchfold_platform_standin::{
     EngineEvent, Reply, SeenRequest, StandinEngine, StandinReplica, answer,
-    samples::{desk_entry, draining, in_data_centre},
+    samples::{born_at, desk_entry, draining, in_data_centre},
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -96,7 +96,8 @@
 /// Fails where no port or signal is to be had.
 pub async fn run_replica(arguments: ReplicaArguments) -> std::io::Result<()> {
     end_when_abandoned();
-    let engine = StandinEngine::default();
+    let born = epoch_millis();
+    let engine = StandinEngine::born_at(born);
     let replica = match arguments.service {
         ServiceKind::Desk => start_desk(&arguments).await?,
         ServiceKind::Engine => start_engine(&arguments, engine.clone()).await?,
@@ -114,7 +115,7 @@
             sleep(HEARTBEAT).await;
             continue;
         }
-        let entry = entry(&arguments, &engine, leaves);
+        let entry = entry(&arguments, &engine, born, leaves);
         let written = store.replace(REPLICA_KIND, &arguments.id, &entry).await;
         if leaves && told.is_none() && written.is_ok() {
             told = Some(Instant::now());
@@ -140,9 +141,9 @@
 /// Line by which a leaving replica says that the store has it, with the time.
 pub const LEAVES: &str = "leaves ";
 
-fn entry(arguments: &ReplicaArguments, engine: &StandinEngine, leaves: bool) -> Value {
+fn entry(arguments: &ReplicaArguments, engine: &StandinEngine, born: u64, leaves: bool) -> Value {
     let entry = match arguments.service {
-        ServiceKind::Desk => desk_entry(arguments.advertise),
+        ServiceKind::Desk => born_at(desk_entry(arguments.advertise), born),
         ServiceKind::Engine => engine.entry(arguments.advertise),
     };
     let entry = in_data_centre(entry, &arguments.data_centre);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 struct ReplicaSlot {
     slot: Mutex<ProcessSlot>,
+    /// Id under which it starts again; nothing where the next start has a new one.
+    kept_id: Mutex<Option<String>>,
     link: LinkProxy,
     service: &'static str,
     data_centre: &'static str,
@@ -129,6 +131,7 @@
             let is_engine = number < config.shape.engines;
             replicas.push(ReplicaSlot {
                 slot: Mutex::default(),
+                kept_id: Mutex::default(),
                 link: LinkProxy::start().await?,
                 service: if is_engine { "engine" } else { "desk" },
                 data_centre: DATA_CENTRES[number % DATA_CENTRES.len()],
@@ -234,6 +237,8 @@
 
     /// Tells a replica to leave.
     pub fn drain_replica(&self, number: usize) {
+        // One that said that it leaves does not come back under its id.
+        lock(&self.replicas[number].kept_id).take();
         lock(&self.replicas[number].slot).tell(Signal::SIGTERM);
     }
 
@@ -354,7 +359,8 @@
         if !slot.is_due() {
             return;
         }
-        let id = format!("i-{number}-{}", slot.starts);
+        let kept_id = lock(&replica.kept_id).take();
+        let id = kept_id.unwrap_or_else(|| format!("i-{number}-{}", slot.starts));
         let advertise = replica.link.address().to_string();
         let store = self.store.address().to_string();
         let linger = if lingers(number) { LONG_LINGER } else { LINGER };
@@ -377,6 +383,7 @@
         replica.link.set_target(None);
         match SoakProcess::start_read(&self.config.replica, &arguments) {
             Ok((process, lines)) => {
+                *lock(&replica.kept_id) = keeps_id(number).then(|| id.clone());
                 tokio::spawn(self.clone().read_replica(number, id, lines));
                 slot.take_start(Ok(process));
             }
@@ -407,6 +414,11 @@
     }
 }
 
+/// Whether a replica starts again under its id after a crash: every other one does.
+fn keeps_id(number: usize) -> bool {
+    number.is_multiple_of(2)
+}
+
 impl CallerView for SoakSite {
     fn choose_relay(&self, random: &mut ChaCha8Rng) -> (usize, SocketAddr) {
         const MISSES: u32 = 2;
