Groups: a planner for each two groups, no search where there are several planners

Change: up to six groups one planner, beyond that one for each two groups; first layouts are searched only by a sole planner.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -303,7 +303,8 @@
         };
         let mut all = Vec::new();
         for (name, holders, orders, worths) in planned {
-            if holders.iter().all(|holder| holder.range.is_none()) && is_untouched(relay) {
+            let is_new = holders.iter().all(|holder| holder.range.is_none());
+            if is_new && share.planners == 1 && is_untouched(relay) {
                 let laid_out = carried_out(&holders, &orders);
                 self.searches.add(name.clone(), laid_out, now);
             }
--- a/crates/router/src/groups.rs
+++ b/crates/router/src/groups.rs
@@ -6,7 +6,8 @@
 //! please. Groups are dealt by the hash of the id, and their count is a power of two: a replica that joins or
 //! leaves changes one group, and where their count changes, each is split in two or joined with one other.
 //!
-//! One relay plans [`GROUPS_EACH`] groups; where there are more, others plan as well, in the order of their names.
+//! One relay plans up to [`GROUPS_ALONE`] groups; where there are more, one relay plans [`GROUPS_EACH`], in the order of
+//! their names.
 //! Two that take themselves for the planner of one group are harmless: engines count the orders that they took.
 //!
 //! Trade-off: a group cannot use what others hold twice, so some memory is spent on covering the model in each. A
@@ -19,9 +20,13 @@
 /// Replicas of a group on average, at most: its layout is weighed within 8 ms of a core, 0.1 s of an entry VM.
 pub const MOST_GROUP: usize = 64;
 
-/// Groups that one relay plans, at most: some 380 replicas, which after a start of all want 760 calls of a small VM
-/// before the traffic begins.
-pub const GROUPS_EACH: usize = 6;
+/// Groups that one relay plans alone: it knows all orders under way, so that no more loads run at once than the store
+/// of weights serves at full speed.
+pub const GROUPS_ALONE: usize = 6;
+
+/// Groups that each relay plans where there are more: some 125 replicas, which want 250 calls of a small VM within the
+/// seconds between a start of all and the traffic. With six, 181 of 3,003 replicas had no order by then.
+pub const GROUPS_EACH: usize = 2;
 
 /// Count of groups for the replicas of a data centre.
 pub fn group_count(replicas: usize) -> u32 {
@@ -38,7 +43,10 @@
 
 /// Count of relays that plan so many groups, of `relays` that are there.
 pub fn planner_count(groups: usize, relays: usize) -> usize {
-    groups.div_ceil(GROUPS_EACH).clamp(1, relays.max(1))
+    match groups <= GROUPS_ALONE {
+        true => 1,
+        false => groups.div_ceil(GROUPS_EACH).clamp(1, relays.max(1)),
+    }
 }
 
 /// Whether the planner of a rank plans a group, by its number among all.
