--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,6 +1,6 @@
 //! Orders to engines to hold layers.
 //!
-//! The first relays among those that are well give the orders, each for some groups of replicas: one relay
+//! The first relays by name among those that are well give the orders, each for some groups of replicas: one relay
 //! up to the largest deployments of today. They keep no plan: each round computes the orders from the list of
 //! replicas and from the planner's own orders under way. Two relays that both take themselves for a group's planner
 //! order the same, and an order names how many orders the engine took before, so a late one is refused.
@@ -21,7 +21,6 @@
     fleet::{EntryState, LayerRange, ReplicaEntry},
     groups::{group_count, group_of, is_planned_by, planner_count},
     life::ReplicaLife,
-    membership::RankOrder,
 };
 use tokio::{
     sync::Semaphore,
@@ -146,6 +145,7 @@
     let config = relay.config()?;
     let fresh = relay.is_fleet_fresh(now);
     let beliefs = relay.beliefs.borrow();
+    let rank = beliefs.peers.rank(&relay.settings.name, fresh, now)?;
     let services = config.engines().map(|(service, _)| service);
     let replicas = services.flat_map(|service| beliefs.fleet.view.of_service(service));
     let mut places: BTreeMap<(&str, &str), usize> = BTreeMap::new();
@@ -154,8 +154,6 @@
     }
     let groups = places.values().map(|count| group_count(*count) as usize).sum();
     let planners = planner_count(groups, beliefs.peers.live(now) + 1);
-    let order = if planners == 1 { RankOrder::Name } else { RankOrder::Drawn };
-    let rank = beliefs.peers.rank(&relay.settings.name, order, fresh, now)?;
     (rank < planners).then_some(PlanShare { rank, planners })
 }
 
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -114,26 +114,6 @@
     pub fleet: PeerProof,
 }
 
-/// Order in which relays share duties.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RankOrder {
-    /// By name.
-    Name,
-    /// By the hash of the name: names begin with the data centre, so that by name alone one data centre's relays would
-    /// have all the duties of a large deployment.
-    Drawn,
-}
-
-impl RankOrder {
-    fn is_before(self, name: &str, other: &str) -> bool {
-        let drawn = |name: &str| hash_bytes(0, name.as_bytes());
-        match self {
-            Self::Name => name < other,
-            Self::Drawn => (drawn(name), name) < (drawn(other), other),
-        }
-    }
-}
-
 /// A relay that can tell what the store holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StateTeller<'a> {
@@ -297,21 +277,15 @@
 
     /// Whether this relay is the first to give orders, as [`PeerTable::rank`] tells.
     pub fn is_first(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> bool {
-        self.rank(name, RankOrder::Name, fleet_is_fresh, now) == Some(0)
+        self.rank(name, fleet_is_fresh, now) == Some(0)
     }
 
-    /// Count of relays before this one, of those that are live and know the replicas, or of all live ones where none
-    /// does; nothing where others know them and this one does not.
-    pub fn rank(
-        &self,
-        name: &str,
-        order: RankOrder,
-        fleet_is_fresh: bool,
-        now: Millis,
-    ) -> Option<usize> {
+    /// Count of relays before this one by name, of those that are live and know the replicas, or of all live ones
+    /// where none does; nothing where others know them and this one does not.
+    pub fn rank(&self, name: &str, fleet_is_fresh: bool, now: Millis) -> Option<usize> {
         let live = || self.peers.iter().filter(|(_, peer)| peer.is_live(now));
         let informed = || live().filter(|(_, peer)| peer.state.fleet_is_fresh);
-        let is_before = |(other, _): &(&String, &Peer)| order.is_before(other, name);
+        let is_before = |(other, _): &(&String, &Peer)| other.as_str() < name;
         match (fleet_is_fresh, informed().next().is_some()) {
             (true, _) => Some(informed().filter(is_before).count()),
             (false, true) => None,
