--- a/crates/relay/src/probes.rs
+++ b/crates/relay/src/probes.rs
@@ -1,10 +1,10 @@
 //! Probes: whether a replica is there, and when its silence proves that it is not.
 //!
-//! A probe asks twice, and is over after 75 ms. A relay that is late itself cannot tell a
+//! A probe asks twice, and is over after a tenth of a second. A relay that is late itself cannot tell a
 //! silent replica from its own standing still: questions end late together then, some of them later than
 //! others. So replicas without an answer are counted together, whatever made each of them end.
 
-use std::{fmt::Display, pin::pin, time::Duration};
+use std::{fmt::Display, time::Duration};
 
 use tokio::time::{Instant, timeout};
 
@@ -12,10 +12,6 @@
 /// quarter of the usual longest pause between events, so that a stream can go on elsewhere in time.
 pub const PROBE_TIME: Duration = Duration::from_millis(50);
 
-/// Time after the first question without an answer after which the second one is asked beside it: engines answer within
-/// 2 ms. Asked only after the first one was over, it took 25 ms more of the 250 ms that a pause of a stream may last.
-const SECOND_AFTER: Duration = Duration::from_millis(25);
-
 /// Lateness of a probe's own timer from which its silence proves nothing: this process stood still.
 const PROBE_LATE: Duration = Duration::from_millis(10);
 
@@ -45,23 +41,12 @@
     unanswered <= (ends.len() / SILENT_ONE_IN).max(1)
 }
 
-/// Asks once, and again over a new connection where no answer comes: a lost packet is sent again only
+/// Asks once, and again over a new connection where no answer came: a lost packet is sent again only
 /// after 200 ms, and a kept connection may be dead alone. `ask` is told whether the connection is to be new.
 pub async fn ask_twice<E: Display>(ask: impl AsyncFn(bool) -> Result<(), E>) -> ProbeEnd {
-    let mut first = pin!(ask_once(ask(false)));
-    match timeout(SECOND_AFTER, first.as_mut()).await {
-        Ok(ProbeEnd::Reached) => return ProbeEnd::Reached,
-        Ok(_) => return ask_once(ask(true)).await,
-        Err(_) => {}
-    }
-    let mut second = pin!(ask_once(ask(true)));
-    tokio::select! {
-        biased;
-        end = first => match end {
-            ProbeEnd::Reached => ProbeEnd::Reached,
-            _ => second.await,
-        },
-        end = second.as_mut() => end,
+    match ask_once(ask(false)).await {
+        ProbeEnd::Reached => ProbeEnd::Reached,
+        _ => ask_once(ask(true)).await,
     }
 }
 
--- a/crates/relay/tests/probes.rs
+++ b/crates/relay/tests/probes.rs
@@ -51,30 +51,3 @@
     assert_eq!(ends, [Unclear, Unclear, Unclear, Silent]);
     assert!(!silence_counts(&ends));
 }
-
-/// The second question is asked beside the first, and either answer counts; what is silent is known after 75 ms.
-#[tokio::test(start_paused = true)]
-async fn the_second_question_is_asked_beside_the_first() {
-    let answers_after = |first: u64, second: u64| {
-        async move |fresh: bool| {
-            sleep(Duration::from_millis(if fresh { second } else { first })).await;
-            Ok::<(), &str>(())
-        }
-    };
-    const NEVER: u64 = 10_000;
-    let rows = [
-        ((2, NEVER), Reached, 2),
-        ((40, NEVER), Reached, 40),
-        ((NEVER, 5), Reached, 30),
-        ((60, 45), Reached, 70),
-        ((NEVER, NEVER), Silent, 75),
-    ];
-    for ((first, second), end, millis) in rows {
-        let begun = tokio::time::Instant::now();
-        assert_eq!(ask_twice(answers_after(first, second)).await, end, "{first} {second}");
-        assert_eq!(begun.elapsed(), Duration::from_millis(millis), "{first} {second}");
-    }
-    let begun = tokio::time::Instant::now();
-    let refused = ask_twice(async |_| Err("reset")).await;
-    assert_eq!((refused, begun.elapsed()), (Refused("reset".to_owned()), Duration::ZERO));
-}
