--- a/crates/relay/src/heads.rs
+++ b/crates/relay/src/heads.rs
@@ -157,8 +157,7 @@
                 return Err(WaitEnd::Stalled(detail));
             }
         }
-        let usual = self.relay.beliefs.borrow().heads.usual();
-        let late = leave_after(self.permit.route.objective, usual);
+        let late = leave_after(self.permit.route.objective);
         match waited.as_millis() as Millis > late && self.has_another() {
             true => Err(WaitEnd::Stalled("no answer for long".to_owned())),
             false => Ok(()),
--- a/crates/router/src/mute.rs
+++ b/crates/router/src/mute.rs
@@ -30,6 +30,16 @@
 /// them in a second for others that were as loaded.
 const LEAST_HUNDREDTHS: Millis = 60;
 
+/// Objective of a request whose route names none, in milliseconds: that of streams on the users' deployments.
+const USUAL_OBJECTIVE: Millis = 500;
+
+fn known_objective(objective: Millis) -> Millis {
+    match objective {
+        0 => USUAL_OBJECTIVE,
+        known => known,
+    }
+}
+
 /// Silence, in usual times.
 const SILENT_TIMES: Millis = 2;
 
@@ -111,6 +121,7 @@
 
     /// Silence from which a first replica may be mute, for requests with this objective.
     pub fn silent_after(&self, objective: Millis) -> Millis {
+        let objective = known_objective(objective);
         let usual = self.usual().unwrap_or(objective / 2);
         (objective * LEAST_HUNDREDTHS / 100).max(usual * SILENT_TIMES)
     }
@@ -182,19 +193,12 @@
     }
 }
 
-/// Part of the objective, in hundredths, after which another replica is tried where an answer cannot usually begin
-/// there in what is left: the answer is late in any case, and callers stay for a while.
+/// Part of the objective, in hundredths, after which a request goes to another replica although the first one seems
+/// well: its answer may be lost. It is late by then; callers stay for four times the objective. Leaving at the last
+/// moment at which another try is usually in time was worth nothing beside what is mute.
 const LATE_HUNDREDTHS: Millis = 140;
 
-/// Time after which a request goes to another replica although the first one seems well: its answer may be lost.
-/// The last moment at which the other one can usually still begin in time, where the first has had as long as that
-/// at least thrice; under load neither holds, and a second send would only add to it.
-pub fn leave_after(objective: Millis, usual: Option<Millis>) -> Millis {
-    let late = objective * LATE_HUNDREDTHS / 100;
-    let Some(usual) = usual else { return late };
-    let last = objective.saturating_sub(usual + usual / 2);
-    match last >= usual * 3 {
-        true => last,
-        false => late,
-    }
+/// Time after which a request goes to another replica although the first one seems well.
+pub fn leave_after(objective: Millis) -> Millis {
+    known_objective(objective) * LATE_HUNDREDTHS / 100
 }
