--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -13,7 +13,6 @@
     life::ReplicaLife,
     membership::{OwnState, PeerStamp, PeerState, PeerTable},
     replicas::NewsSource,
-    telling::tell_pace,
 };
 use tokio::time::sleep;
 
@@ -29,6 +28,12 @@
 /// fifth of a second old miss a few percent of it.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 
+/// Of these messages, one in so many also goes to the relays of other data centres.
+const FAR_ONE_IN: u64 = 2;
+
+/// Of the messages to other data centres, one in so many tells the promised room.
+const FAR_ROOM_ONE_IN: u64 = 3;
+
 /// Most replicas that one datagram tells of: an entry takes some 100 bytes, and small datagrams are lost
 /// less often.
 const MOST_RECORDS: usize = 64;
@@ -170,16 +175,9 @@
         sleep(TELL_EVERY).await;
         round += 1;
         drop_lapsed(relay);
-        let now = now_millis();
-        let pace = {
-            let beliefs = relay.beliefs.borrow();
-            let near = beliefs.peers.live_near(&relay.settings.data_centre, now);
-            let reads = beliefs.fleet.read_age(now).is_some();
-            tell_pace(near, beliefs.peers.live(now) - near, reads)
-        };
-        if pace.is_due(round) {
-            tell_state(relay, pace.is_due_far(round), pace.is_due_room(round));
-        }
+        let far = round.is_multiple_of(FAR_ONE_IN);
+        let far_room = far && (round / FAR_ONE_IN).is_multiple_of(FAR_ROOM_ONE_IN);
+        tell_state(relay, far, far_room);
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,7 +24,6 @@
 //! | [`replicas`] | what a relay believes of the replicas, by whose word |
 //! | [`returns`] | in which order callers come back to an entry that has just started |
 //! | [`room`] | how much memory for requests is promised at each replica |
-//! | [`telling`] | how often a relay tells the others its state |
 //! | [`suspect`] | which replicas to keep away from for a while |
 //!
 //! The trade-off: an entry chooses alone, from what it last heard. Two entries may choose the same
@@ -49,6 +48,5 @@
 pub mod returns;
 pub mod room;
 pub mod suspect;
-pub mod telling;
 
 pub use switchfold_core::Millis;
