Groups are counted only where the list or the configuration changed

Cause: every relay counted the replicas of each data centre five times a second, 3,000 of them at the design size. Change: the count is kept with the digest of the list and the version of the configuration.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -16,9 +16,9 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     Millis,
-    access::EngineSpec,
+    access::{EngineSpec, RoutingConfig},
     cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
-    fleet::{EntryState, LayerRange, ReplicaEntry},
+    fleet::{EntryState, FleetView, LayerRange, ReplicaEntry},
     groups::{group_count, group_of, is_planned_by, planner_count},
     life::ReplicaLife,
 };
@@ -117,6 +117,7 @@
     searches: LayoutSearches,
     fleet_seen: u64,
     fleet_changed: Millis,
+    groups: GroupTotal,
     share: Option<(PlanShare, Millis)>,
 }
 
@@ -140,21 +141,31 @@
     }
 }
 
-/// This relay's share of the planning; nothing where others do all of it.
-fn plan_share(relay: &Relay, now: Millis) -> Option<PlanShare> {
-    let config = relay.config()?;
-    let fresh = relay.is_fleet_fresh(now);
-    let beliefs = relay.beliefs.borrow();
-    let rank = beliefs.peers.rank(&relay.settings.name, fresh, now)?;
-    let services = config.engines().map(|(service, _)| service);
-    let replicas = services.flat_map(|service| beliefs.fleet.view.of_service(service));
+/// Count of groups that a configuration and a list of replicas make; it is counted anew only where one of them changed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct GroupTotal {
+    config: u64,
+    fleet: u64,
+    groups: usize,
+}
+
+impl GroupTotal {
+    fn renew(&mut self, config: &RoutingConfig, fleet: &FleetView) -> usize {
+        if (self.config, self.fleet) != (config.version, fleet.digest()) {
+            let groups = count_groups(config, fleet);
+            *self = Self { config: config.version, fleet: fleet.digest(), groups };
+        }
+        self.groups
+    }
+}
+
+fn count_groups(config: &RoutingConfig, fleet: &FleetView) -> usize {
+    let replicas = config.engines().flat_map(|(service, _)| fleet.of_service(service));
     let mut places: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     for replica in replicas {
         *places.entry((&replica.service, &replica.data_centre)).or_default() += 1;
     }
-    let groups = places.values().map(|count| group_count(*count) as usize).sum();
-    let planners = planner_count(groups, beliefs.peers.live(now) + 1);
-    (rank < planners).then_some(PlanShare { rank, planners })
+    places.values().map(|count| group_count(*count) as usize).sum()
 }
 
 impl Placer {
@@ -168,14 +179,26 @@
             searches: LayoutSearches::default(),
             fleet_seen: 0,
             fleet_changed: 0,
+            groups: GroupTotal::default(),
             share: None,
         }
     }
 
+    /// This relay's share of the planning; nothing where others do all of it.
+    fn plan_share(&mut self, relay: &Relay, now: Millis) -> Option<PlanShare> {
+        let config = relay.config()?;
+        let fresh = relay.is_fleet_fresh(now);
+        let beliefs = relay.beliefs.borrow();
+        let rank = beliefs.peers.rank(&relay.settings.name, fresh, now)?;
+        let groups = self.groups.renew(&config, &beliefs.fleet.view);
+        let planners = planner_count(groups, beliefs.peers.live(now) + 1);
+        (rank < planners).then_some(PlanShare { rank, planners })
+    }
+
     /// This relay's share of the planning, where it has had that for a while: another one that did may still have
     /// some orders under way.
     fn share_in_charge(&mut self, relay: &Relay, now: Millis) -> Option<PlanShare> {
-        let share = plan_share(relay, now);
+        let share = self.plan_share(relay, now);
         let known = self.share.filter(|(known, _)| Some(*known) == share);
         self.share = share.map(|share| known.unwrap_or((share, now)));
         self.share.filter(|(_, since)| now - since >= TAKE_CHARGE).map(|(share, _)| share)
