--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -16,10 +16,10 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     Millis,
-    access::{EngineSpec, RoutingConfig},
+    access::EngineSpec,
     cover::{CoverConfig, LayerHolder, ModelShape, PlaceOrder, layout_worth, plan_group},
-    fleet::{EntryState, FleetView, LayerRange, ReplicaEntry},
-    groups::{group_count, group_of, is_planned_by, planner_count},
+    fleet::{EntryState, LayerRange, ReplicaEntry},
+    groups::planner_count,
     life::ReplicaLife,
 };
 use tokio::{
@@ -28,9 +28,15 @@
     time::sleep,
 };
 
+mod groups;
 mod searches;
 
-use self::searches::LayoutSearches;
+use self::{
+    groups::{
+        GroupName, GroupTotal, PlanGroups, PlanShare, covered_places, deal_groups, keep_share,
+    },
+    searches::LayoutSearches,
+};
 use crate::{
     engines::{OrderEnd, ReportState, ask_report, order_layers, recent_report},
     state::Relay,
@@ -81,24 +87,6 @@
     holds: bool,
 }
 
-/// Replicas that are planned together.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct GroupName {
-    service: String,
-    data_centre: String,
-    /// Number of the group in its data centre.
-    part: u32,
-}
-
-/// This relay's share of the planning.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct PlanShare {
-    /// Its rank among the relays that may plan.
-    rank: usize,
-    /// Relays that plan.
-    planners: usize,
-}
-
 /// Orders that are given at once: each takes two calls that must be answered within 300 ms, also where a small VM has
 /// several hundred orders to give after a start of all.
 const MOST_ORDERS: usize = 16;
@@ -141,33 +129,6 @@
     }
 }
 
-/// Count of groups that a configuration and a list of replicas make; it is counted anew only where one of them changed.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct GroupTotal {
-    config: u64,
-    fleet: u64,
-    groups: usize,
-}
-
-impl GroupTotal {
-    fn renew(&mut self, config: &RoutingConfig, fleet: &FleetView) -> usize {
-        if (self.config, self.fleet) != (config.version, fleet.digest()) {
-            let groups = count_groups(config, fleet);
-            *self = Self { config: config.version, fleet: fleet.digest(), groups };
-        }
-        self.groups
-    }
-}
-
-fn count_groups(config: &RoutingConfig, fleet: &FleetView) -> usize {
-    let replicas = config.engines().flat_map(|(service, _)| fleet.of_service(service));
-    let mut places: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-    for replica in replicas {
-        *places.entry((&replica.service, &replica.data_centre)).or_default() += 1;
-    }
-    places.values().map(|count| group_count(*count) as usize).sum()
-}
-
 impl Placer {
     fn new() -> Self {
         Self {
@@ -369,13 +330,7 @@
     }
 
     /// Replicas of a service that may hold layers, by group.
-    fn groups(
-        &self,
-        relay: &Relay,
-        service: &str,
-        engine: &EngineSpec,
-        now: Millis,
-    ) -> BTreeMap<GroupName, Vec<LayerHolder>> {
+    fn groups(&self, relay: &Relay, service: &str, engine: &EngineSpec, now: Millis) -> PlanGroups {
         let beliefs = relay.beliefs.borrow();
         let mut places: BTreeMap<&str, Vec<LayerHolder>> = BTreeMap::new();
         let stays = |replica: &&ReplicaEntry| match replica.state {
@@ -392,20 +347,7 @@
             let Some(holder) = self.holder(replica, engine, suspect, lost) else { continue };
             places.entry(&replica.data_centre).or_default().push(holder);
         }
-        let mut groups: BTreeMap<GroupName, Vec<LayerHolder>> = BTreeMap::new();
-        for (data_centre, holders) in places {
-            let count = group_count(holders.len());
-            let name = |part| GroupName {
-                service: service.to_owned(),
-                data_centre: data_centre.to_owned(),
-                part,
-            };
-            for holder in holders {
-                let part = group_of(&holder.life, count);
-                groups.entry(name(part)).or_default().push(holder);
-            }
-        }
-        groups
+        deal_groups(service, places)
     }
 
     fn holder(
@@ -461,28 +403,6 @@
     }
 }
 
-/// Keeps the groups that this relay plans.
-fn keep_share(groups: &mut BTreeMap<GroupName, Vec<LayerHolder>>, share: PlanShare) {
-    let mut number = 0;
-    groups.retain(|_, _| {
-        number += 1;
-        is_planned_by(number - 1, share.rank, share.planners)
-    });
-}
-
-/// Data centres of several groups that hold every layer together: no request waits for a gap in one of the groups.
-fn covered_places(groups: &BTreeMap<GroupName, Vec<LayerHolder>>, layers: u32) -> BTreeSet<String> {
-    let several = groups.keys().filter(|name| name.part > 0).map(|name| &name.data_centre);
-    let places: BTreeSet<&String> = several.collect();
-    let is_covered = |place: &&String| {
-        let holders = groups.iter().filter(|(name, _)| name.data_centre == **place);
-        let ranges = holders.flat_map(|(_, holders)| holders).filter_map(|holder| holder.held);
-        let ranges: Vec<LayerRange> = ranges.collect();
-        (0..layers).all(|layer| ranges.iter().any(|range| range.contains(layer)))
-    };
-    places.into_iter().filter(is_covered).cloned().collect()
-}
-
 /// What a group of replicas carries before and after its orders, by the plan's own measure.
 fn plan_worths(holders: &[LayerHolder], orders: &[PlaceOrder], model: ModelShape) -> (f64, f64) {
     let planned = carried_out(holders, orders);
--- a/crates/relay/src/placer/searches.rs
+++ b/crates/relay/src/placer/searches.rs
@@ -12,7 +12,7 @@
 };
 use tokio::task::{JoinHandle, spawn_blocking};
 
-use super::GroupName;
+use super::groups::{GroupName, PlanGroups};
 
 /// Time after the first orders of a group before its search begins, in milliseconds: orders take a few
 /// milliseconds, and twenty of them some ten times that at a small VM.
@@ -57,7 +57,7 @@
     /// have ended and whose group holds by now what it was first ordered to.
     pub(super) async fn advance(
         &mut self,
-        groups: &BTreeMap<GroupName, Vec<LayerHolder>>,
+        groups: &PlanGroups,
         model: ModelShape,
         now: Millis,
     ) -> Vec<(GroupName, Vec<PlaceOrder>)> {
@@ -80,7 +80,7 @@
     }
 
     /// Searches anew for groups that replicas joined or left meanwhile, once all hold their layers.
-    fn renew(&mut self, groups: &BTreeMap<GroupName, Vec<LayerHolder>>, now: Millis) {
+    fn renew(&mut self, groups: &PlanGroups, now: Millis) {
         for (name, search) in &mut self.searches {
             let Some(holders) = groups.get(name) else { continue };
             let is_settled = |holder: &LayerHolder| holder.can_order && holder.range == holder.held;
@@ -91,12 +91,7 @@
         }
     }
 
-    fn begin_next(
-        &mut self,
-        groups: &BTreeMap<GroupName, Vec<LayerHolder>>,
-        model: ModelShape,
-        now: Millis,
-    ) {
+    fn begin_next(&mut self, groups: &PlanGroups, model: ModelShape, now: Millis) {
         if self.searches.values().any(LayoutSearch::is_running) {
             return;
         }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -179,7 +179,6 @@
 
     fn insert(&mut self, entry: ReplicaEntry, revision: u64, now: Millis) -> FleetChange {
         let id = entry.life.id();
-        let mark = self.gone.get(id).copied();
         let first = self.first_listed(id).unwrap_or(revision);
         if self.is_older(&entry, revision) || self.has_successor(&entry, first) {
             return FleetChange::Older;
@@ -191,9 +190,7 @@
             Some(old) => state_change(old.state, entry.state),
         };
         let id = id.to_owned();
-        if mark.is_some() {
-            self.gone.remove(&id);
-        }
+        self.gone.remove(&id);
         let held = HeldEntry { entry, revision, first, taken: now };
         self.digest ^= entry_digest(&held);
         self.by_address.entry(held.entry.address).or_default().push(id.clone());
