A proof from before a relay's start keeps its age

Change: proofs are dated by signed times, negative before the start; the lease counts their whole age. The property of proofs is exact for all times.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -139,7 +139,7 @@
         beliefs.config_lease.note_answer(answered);
     }
     if let Some(proved) = proofs.config.proved {
-        beliefs.config_lease.prove(proved);
+        beliefs.config_lease.prove_at(proved);
     }
     beliefs.fleet.note_proof(proofs.fleet);
 }
--- a/crates/relay/src/snapshot/take.rs
+++ b/crates/relay/src/snapshot/take.rs
@@ -4,6 +4,7 @@
 
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
+    Millis,
     fleet::ReplicaNews,
     follow::TellerPlace,
     replicas::{FleetList, NewsSource},
@@ -42,7 +43,7 @@
     if let Some(object) = &mut beliefs.config_object {
         object.at = object.at.max(at);
     }
-    proof.proved.into_iter().for_each(|proved| beliefs.config_lease.prove(proved));
+    proof.proved.into_iter().for_each(|proved| beliefs.config_lease.prove_at(proved));
     proof.answered.into_iter().for_each(|answered| beliefs.config_lease.note_answer(answered));
     beliefs.peers.note_answers(proof.answered, None);
     Some(at)
@@ -65,7 +66,7 @@
     let told = fetch_snapshot(relay, CallKind::Replicas, &teller, address, held).await?;
     if let SnapshotBody::Replicas(records) = told.body {
         let listed = records.into_iter().map(ReplicaNews::from).collect();
-        let sent = told.proof.proved.unwrap_or_default();
+        let sent = told.proof.proved.map_or(0, |proved| proved.max(0) as Millis);
         take_list(relay, FleetList { listed, at: told.at }, NewsSource::Told, sent);
     }
     let mut beliefs = relay.beliefs.borrow_mut();
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -14,7 +14,8 @@
 /// When the configuration was last proved to be in force, and when the store last answered for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FreshnessLease {
-    proved: Option<Millis>,
+    /// By this relay's clock; what another one proved may lie before its start.
+    proved: Option<i64>,
     answered: Option<Millis>,
     lost: Option<Millis>,
 }
@@ -22,7 +23,12 @@
 impl FreshnessLease {
     /// Notes that a read sent at `sent` was answered.
     pub fn prove(&mut self, sent: Millis) {
-        self.proved = self.proved.max(Some(sent));
+        self.prove_at(sent as i64);
+    }
+
+    /// Notes a proof of a time by this relay's clock, which is negative before its start.
+    pub fn prove_at(&mut self, time: i64) {
+        self.proved = self.proved.max(Some(time));
     }
 
     /// Notes that the store answered at `now`.
@@ -44,7 +50,7 @@
     /// Whether the last read, by the time at which it was sent, got no answer. Another relay's proof of
     /// before that does not undo it.
     pub fn is_lost(&self) -> bool {
-        self.lost > self.proved
+        self.lost.map(|lost| lost as i64) > self.proved
     }
 
     /// Whether keys may be let in under a bound of `bound` milliseconds.
@@ -55,6 +61,6 @@
 
     /// Age of the lease in milliseconds.
     pub fn age(&self, now: Millis) -> Option<Millis> {
-        self.proved.map(|proved| now.saturating_sub(proved))
+        self.proved.map(|proved| (now as i64 - proved).max(0) as Millis)
     }
 }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -100,17 +100,16 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeerProof {
     /// As of when it held.
-    pub proved: Option<Millis>,
+    pub proved: Option<i64>,
     /// When the store last answered for it.
     pub answered: Option<Millis>,
 }
 
 impl PeerProof {
-    /// What an answer proves to a question asked at `asked`, with ages by the clock of whoever answered; as
-    /// [`proof_time`], nothing of what lies before this start.
+    /// What an answer proves to a question asked at `asked`, with ages by the clock of whoever answered.
     pub fn of_answer(asked: Millis, proved_age: Millis, answered_age: Millis) -> Self {
-        let (proved, answered) = (asked.checked_sub(proved_age), asked.checked_sub(answered_age));
-        Self { proved, answered }
+        let proved = Some(asked as i64 - proved_age as i64);
+        Self { proved, answered: asked.checked_sub(answered_age) }
     }
 }
 
@@ -166,15 +165,13 @@
 
 /// The time, by this relay's clock, since which a peer's proof has held at least: `stamp` is this
 /// relay's own stamp that the peer returned, `held` how long the peer held it, `age` the proof's age.
-/// Nothing where the stamp is of an earlier start, whose clock says nothing of this one's, and where the proof is
-/// older than this start: a clock begins at 0 with it, and a time before cannot be told. Taken for 0, a proof of 6.8 s
-/// ago counted as one of 0.1 s ago at a relay that had just started, which told it to the others as such.
-pub fn proof_time(stamp: PeerStamp, incarnation: u32, held: Millis, age: Millis) -> Option<Millis> {
+/// Nothing where the stamp is of an earlier start, whose clock says nothing of this one's. A clock begins at 0 with each
+/// start, so that times before are negative: taken for 0, a proof of 6.8 s ago counted as one of 0.1 s ago at a relay
+/// that had just started, which told it to the others as such; taken for none, relays refused keys for up to 2 s
+/// after a stop of all.
+pub fn proof_time(stamp: PeerStamp, incarnation: u32, held: Millis, age: Millis) -> Option<i64> {
     let own = stamp.incarnation == incarnation;
-    if !own {
-        return None;
-    }
-    (stamp.time + held).checked_sub(age)
+    own.then(|| (stamp.time + held) as i64 - age as i64)
 }
 
 impl PeerTable {
@@ -262,11 +259,13 @@
         let time = |age: Option<Millis>| proof_time(stamp, own.incarnation, held, age?);
         let mut proofs = PeerProofs::default();
         if own.config_version >= state.config_version {
-            let (proved, answered) = (time(state.config_age), time(state.config_answer_age));
+            let (proved, answered) =
+                (time(state.config_age), after_start(time(state.config_answer_age)));
             proofs.config = PeerProof { proved, answered };
         }
         if state.fleet_is_fresh && own.fleet_digest == state.fleet_digest {
-            let (proved, answered) = (time(state.fleet_age), time(state.fleet_answer_age));
+            let (proved, answered) =
+                (time(state.fleet_age), after_start(time(state.fleet_answer_age)));
             proofs.fleet = PeerProof { proved, answered };
         }
         self.note_answers(proofs.config.answered, proofs.fleet.answered);
@@ -483,6 +482,11 @@
     }
 }
 
+/// A time by this relay's clock, where it is not before its start.
+fn after_start(time: Option<i64>) -> Option<Millis> {
+    time.and_then(|time| Millis::try_from(time).ok())
+}
+
 fn teller_place(name: &str, own: &str) -> TellerPlace {
     match name < own {
         true => TellerPlace::Before,
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -245,7 +245,7 @@
     pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
         self.watched = at;
         self.own_answer = Some(now);
-        self.note_proof(PeerProof { proved: Some(sent), answered: Some(now) });
+        self.note_proof(PeerProof { proved: Some(sent as i64), answered: Some(now) });
     }
 
     /// Notes that another relay told its whole list, which it read up to the revision `at`.
@@ -272,8 +272,9 @@
     pub fn note_proof(&mut self, proof: PeerProof) {
         proof.answered.into_iter().for_each(|answered| self.lease.note_answer(answered));
         let Some(proved) = proof.proved else { return };
-        self.lease.prove(proved);
-        self.lapses.note_answer(proved);
+        self.lease.prove_at(proved);
+        // What was sent before this start says nothing of an outage seen since.
+        self.lapses.note_answer(proved.max(0) as Millis);
     }
 
     /// Time since the store last answered for the list, in milliseconds; nothing while entries are awaited
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -2,9 +2,12 @@
 //! centre.
 
 use proptest::prelude::*;
-use switchfold_router::membership::{
-    FOLLOWED_AGE, LOST_ASIDE_AGE, PEER_FORGET, PEER_SILENCE, PeerProof, PeerStamp, PeerState,
-    PeerTable, STEP_ASIDE_AGE, proof_time,
+use switchfold_router::{
+    freshness::FreshnessLease,
+    membership::{
+        FOLLOWED_AGE, LOST_ASIDE_AGE, PEER_FORGET, PEER_SILENCE, PeerProof, PeerStamp, PeerState,
+        PeerTable, STEP_ASIDE_AGE, proof_time,
+    },
 };
 
 fn table(names: &[(&str, &str)], now: u64) -> PeerTable {
@@ -48,10 +51,10 @@
         let held = (answered + offset) - (arrived + offset);
         let age = (answered + offset) - (made + offset);
         let stamp = PeerStamp { incarnation: 1, time: stamped as u64 };
-        let proof = proof_time(stamp, 1, held as u64, age as u64).map(|proof| proof as i64);
-        prop_assert!(proof.is_none_or(|proof| proof <= made));
-        // It is early by the way of the stamp alone, and what lies before the asker's start proves nothing.
-        prop_assert_eq!(proof, Some(made - delay).filter(|proof| *proof >= 0));
+        let proof = proof_time(stamp, 1, held as u64, age as u64).expect("own stamp");
+        // It is early by the way of the stamp alone, also where it lies before the asker's start.
+        prop_assert_eq!(proof, made - delay);
+        prop_assert!(proof <= made);
     }
 }
 
@@ -181,18 +184,21 @@
     assert!(!peers.hear("unknown", version(9), at(1, 1), now));
 }
 
-/// What was proved before this start cannot be dated by its clock: it proves nothing, instead of counting as proved
-/// at the start. Found by seed 737 of the soak: a relay that started in an outage of the store was told a configuration
+/// What was proved before this start keeps its age, instead of counting as proved at the start. Found by seed 737 of the soak: a relay that started in an outage of the store was told a configuration
 /// of 6.8 s ago, took it for one of 0.1 s ago, and told that to the others, which let removed keys in.
 #[test]
-fn a_proof_from_before_the_start_proves_nothing() {
+fn a_proof_from_before_the_start_keeps_its_age() {
     let stamp = PeerStamp { incarnation: 7, time: 100 };
-    let rows = [(0, 10, Some(90)), (20, 120, Some(0)), (20, 121, None), (10, 6_785, None)];
+    let rows = [(0, 10, 90), (20, 120, 0), (20, 121, -1), (10, 6_785, -6_675)];
     for (held, age, expected) in rows {
-        assert_eq!(proof_time(stamp, 7, held, age), expected, "{held} {age}");
+        assert_eq!(proof_time(stamp, 7, held, age), Some(expected), "{held} {age}");
     }
     let told = PeerProof::of_answer(110, 6_785, 40);
-    assert_eq!((told.proved, told.answered), (None, Some(70)));
+    assert_eq!((told.proved, told.answered), (Some(-6_675), Some(70)));
+    let mut lease = FreshnessLease::default();
+    lease.prove_at(-6_675);
+    assert_eq!(lease.age(110), Some(6_785));
+    assert!(!lease.holds(5_000, 110));
     let told = PeerProof::of_answer(110, 110, 111);
     assert_eq!((told.proved, told.answered), (Some(0), None));
 }
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -314,21 +314,21 @@
         let Some(told) = told else { return following.follower.note_untold(now) };
         following.follower.note_told(told.at, now);
         let proof = PeerProof {
-            proved: Some(asked.saturating_sub(told.proved_age)),
+            proved: Some(asked as i64 - told.proved_age as i64),
             answered: Some(asked.saturating_sub(told.answered_age)),
         };
         match kind {
             Kind::Config => {
                 self.config.merge(told.version, told.version);
                 self.config_at = self.config_at.max(told.at);
-                proof.proved.into_iter().for_each(|at| self.config_lease.prove(at));
+                proof.proved.into_iter().for_each(|at| self.config_lease.prove_at(at));
                 proof.answered.into_iter().for_each(|at| self.config_lease.note_answer(at));
                 self.peers.note_answers(proof.answered, None);
             }
             Kind::Replicas => {
                 let sent = proof.proved.unwrap_or_default();
                 if let Some(list) = told.list {
-                    self.fleet.take_list(list, NewsSource::Told, sent, now);
+                    self.fleet.take_list(list, NewsSource::Told, sent.max(0) as Millis, now);
                 }
                 self.fleet.note_told(proof, told.at);
                 self.peers.note_answers(None, proof.answered);
@@ -459,7 +459,7 @@
             self.config_lease.note_answer(answered);
         }
         if let Some(proved) = proofs.config.proved {
-            self.config_lease.prove(proved);
+            self.config_lease.prove_at(proved);
         }
         self.fleet.note_proof(proofs.fleet);
     }
