--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -13,6 +13,8 @@
     pub refused: Cell<u64>,
     /// Requests that ended without an answer of a replica.
     pub failed: Cell<u64>,
+    /// Runs at replicas that ended without a result.
+    pub lost_runs: Cell<u64>,
     /// Sends to a second replica.
     pub repeats: Cell<u64>,
     /// Streams moved to another path while they ran.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -27,6 +27,7 @@
     paths::RoomGuard,
     pool::BusyLink,
     request::CallerRequest,
+    runs::RunWatch,
     state::Relay,
     stop::FlightGuard,
     stream::{OpenStream, TriedReplicas},
@@ -59,6 +60,7 @@
     marks: AnswerMarks,
     path: Vec<PathPart>,
     room: RoomGuard,
+    run: RunWatch,
     framer: EventFramer,
     opened_at: Millis,
     last_progress: Millis,
@@ -92,6 +94,7 @@
         link: Some(opened.link),
         path: opened.path,
         room: opened.room,
+        run: opened.run,
         opened_at: now_millis(),
         last_progress: now_millis(),
         longest_pause: 0,
@@ -134,6 +137,7 @@
                     self.last_progress = now;
                     self.is_probed = false;
                     if let Some(events) = self.framer.push(chunk) {
+                        self.run.note_events();
                         self.leave_in_turn().await;
                         return Some(Ok(Frame::data(events)));
                     }
--- a/crates/relay/src/flow/recovery.rs
+++ b/crates/relay/src/flow/recovery.rs
@@ -17,6 +17,7 @@
     counts::count,
     engines::{OrderEnd, order_repath, probe_replicas},
     paths::{CrossingRule, PathWish, RoomGuard, RoomRule, find_path},
+    runs::RunWatch,
     state::PartState,
     stream::{OpenEnd, OpenStream, find_stall, may_repeat, note_fault, open_stream},
 };
@@ -95,7 +96,14 @@
         })
     }
 
+    /// Whether any replica of the path is lost.
+    fn is_path_lost(&self) -> bool {
+        self.relay.part_state(&self.path[0]) == PartState::Lost
+            || self.path_state() == PartState::Lost
+    }
+
     async fn replace_lost(&mut self) {
+        self.run.note_lost(&self.relay, &self.request, "a replica of the path is lost");
         if !self.repath().await {
             self.recover("a replica of the path is lost", StreamLoss::Silent).await;
         }
@@ -187,6 +195,8 @@
         let quiet_ms = now_millis() - self.last_progress;
         tracing::info!(event = "repath", request = id, ?end, quiet_ms, parts = path.len());
         if end == OrderEnd::Taken {
+            self.run = RunWatch::over(&path);
+            self.run.note_begun();
             self.room = RoomGuard::new(&self.relay, &path, tokens);
             self.path = path;
         }
@@ -209,6 +219,9 @@
             first = %self.path[0].life,
             last_event = self.framer.last_id(),
         );
+        if loss == StreamLoss::Broken || self.is_path_lost() {
+            self.run.note_lost(&self.relay, &self.request, why);
+        }
         if loss == StreamLoss::Broken {
             // The replica may be gone, and with it others' streams that pass through it.
             probe_replicas(&self.relay, std::iter::once(self.path[0].address));
@@ -279,6 +292,7 @@
         self.link = Some(stream.link);
         self.path = stream.path;
         self.room = stream.room;
+        self.run = stream.run;
         self.last_progress = now_millis();
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`serve`], [`request`], [`admit`] | callers, and what the configuration lets them do |
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`heads`], [`flow`], [`paths`] | requests over engines: opening, running, paths |
+//! | [`runs`] | runs of requests at replicas, and what is left of lost ones |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`replicas`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
 //! | [`survey`] | which engines are slow |
@@ -37,6 +38,7 @@
 pub mod replicas;
 pub mod request;
 pub mod run;
+pub mod runs;
 pub mod serve;
 pub mod settings;
 pub mod snapshot;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -156,6 +156,7 @@
             ("answered", counts.answered.get()),
             ("refused", counts.refused.get()),
             ("failed", counts.failed.get()),
+            ("lost_runs", counts.lost_runs.get()),
             ("repeats", counts.repeats.get()),
             ("repaths", counts.repaths.get()),
             ("resumes", counts.resumes.get()),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -25,6 +25,7 @@
     counts::count,
     pool::{BusyLink, SendError},
     request::{CallerRequest, ReplicaTarget},
+    runs::RunWatch,
     state::Relay,
 };
 
@@ -239,6 +240,7 @@
     let begun = now_millis();
     request.log_dispatch(relay, permit, &replica.life, None, None);
     let _in_flight = LoadGuard::new(relay, &replica.life);
+    let mut run = RunWatch::new(vec![replica.life.clone()]);
     let target = ReplicaTarget { replica, path: None, last_event: None };
     let patience = attempt_patience(request, permit, begun);
     // A request that must not run twice gets a connection of its own: nothing that an earlier answer
@@ -251,6 +253,9 @@
         reply: None,
         detail: format!("no answer in {patience} ms"),
     });
+    if report.end == AttemptEnd::Broken {
+        run.note_lost(relay, request, &report.detail);
+    }
     let took = now_millis() - begun;
     let failed = !matches!(report.end, AttemptEnd::Answered(status) if status < 500);
     let wanted = permit.route.objective.max(1) as f64;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -14,6 +14,7 @@
     Millis,
     attempt::{AttemptEnd, NextStep},
     chain::PathPart,
+    fingerprint::{RequestFingerprint, RequestParts},
     fleet::ReplicaEntry,
     life::ReplicaLife,
     returns::awaits_config,
@@ -49,6 +50,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// What it is, whatever its id.
+    pub fingerprint: RequestFingerprint,
     /// What its headers ask for.
     pub marks: RequestMarks,
     /// Host, path and key.
@@ -126,6 +129,7 @@
         tracing::info!(
             event = "dispatch",
             request = self.marks.attempt_id,
+            fingerprint = %self.fingerprint,
             route = permit.route.name,
             organisation = permit.organisation,
             config = permit.config.version,
@@ -234,11 +238,20 @@
         timeout => timeout,
     };
     let patience = marks.deadline.unwrap_or(timeout).min(timeout);
+    let uri = origin_form(&parts.uri);
+    let fingerprint = RequestFingerprint::of(&RequestParts {
+        method: parts.method.as_str(),
+        host: &asked.host,
+        target: uri.path_and_query().map_or("/", |target| target.as_str()),
+        organisation: permit.organisation.as_deref(),
+        body: &body,
+    });
     let request = CallerRequest {
         method: parts.method,
-        uri: origin_form(&parts.uri),
+        uri,
         headers: parts.headers,
         body,
+        fingerprint,
         marks,
         asked,
         arrived,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -29,6 +29,7 @@
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
     request::{CallerRequest, ReplicaTarget},
+    runs::RunWatch,
     state::Relay,
     stop::FlightGuard,
 };
@@ -48,6 +49,8 @@
     pub path: Vec<PathPart>,
     /// Room promised along the path.
     pub room: RoomGuard,
+    /// Its run.
+    pub run: RunWatch,
 }
 
 /// How an attempt to open a stream ended.
@@ -172,6 +175,7 @@
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event };
     let outgoing = request.to_replica(permit, &target);
     let fresh = !permit.route.is_repeatable();
+    let mut run = RunWatch::over(&path);
     let head = HeadGuard::new(relay, &first.life);
     let sent = {
         let sending = relay.pool.send(first.address, outgoing, fresh);
@@ -189,11 +193,13 @@
             // Not a reason to keep others away: an answer that is garbled or cut says little of the next.
             // A replica that is gone shows in a probe.
             probe_replicas(relay, std::iter::once(first.address));
+            run.note_lost(relay, request, &detail);
             tried.sends += 1;
             tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
         }
         Err(WaitEnd::Stalled(detail)) => {
+            run.note_lost(relay, request, &detail);
             tried.sends += 1;
             tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::Broken, detail));
@@ -204,7 +210,7 @@
         }
     };
     head.answered(sent.0.status() == StatusCode::OK);
-    Some(read_head(relay, request, tried, first, sent, (path, room)).await)
+    Some(read_head(relay, request, tried, first, sent, SentRun { path, room, run }).await)
 }
 
 /// Asks the first engine of a path what a request waits for; gives the replica that holds it up, which
@@ -231,6 +237,13 @@
     }
 }
 
+/// What goes with a request that was sent over a path.
+struct SentRun {
+    path: Vec<PathPart>,
+    room: RoomGuard,
+    run: RunWatch,
+}
+
 /// Decides on an answer's head: a stream, a whole answer, or a rejection.
 async fn read_head(
     relay: &Relay,
@@ -238,8 +251,9 @@
     tried: &mut TriedReplicas,
     first: ReplicaEntry,
     (response, link): Sent,
-    (path, room): (Vec<PathPart>, RoomGuard),
+    sent: SentRun,
 ) -> OpenEnd {
+    let SentRun { path, room, mut run } = sent;
     let (head, body) = response.into_parts();
     let marks = read_answer(&head.headers);
     if let Some(end) = early_end(request, &marks, head.status) {
@@ -255,7 +269,8 @@
     tried.sends += 1;
     tried.avoid.push(first.life);
     if head.status == StatusCode::OK {
-        return OpenEnd::Open(Box::new(OpenStream { head, body, link, path, room }));
+        run.note_begun();
+        return OpenEnd::Open(Box::new(OpenStream { head, body, link, path, room, run }));
     }
     read_whole(relay, head, body, link, &marks).await
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`budget`] | how many repeats a service may still get |
 //! | [`chain`] | the path of a request over the layers |
 //! | [`cover`] | which layers each replica should hold |
+//! | [`fingerprint`] | which requests are one and the same, whatever their ids |
 //! | [`follow`] | what a relay reads next from the store |
 //! | [`freshness`] | whether the configuration is recent enough to let keys in |
 //! | [`groups`] | which replicas are planned together, and by which relays |
@@ -34,6 +35,7 @@
 pub mod budget;
 pub mod chain;
 pub mod cover;
+pub mod fingerprint;
 pub mod fleet;
 pub mod follow;
 pub mod freshness;
