--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -44,7 +44,8 @@
 /// Runs of one request, each with its replica and its times, and whether they stop it.
 #[test]
 fn crashes_in_a_row_stop_a_request() {
-    let rows: [(&str, &[(u64, u64, u64)], bool); 7] = [
+    type Row<'a> = (&'a str, &'a [(u64, u64, u64)], bool);
+    let rows: [Row<'_>; 7] = [
         ("two in a row", &[(1, 0, 100), (2, 150, 300)], false),
         ("three in a row", &[(1, 0, 100), (2, 150, 300), (3, 350, 400)], true),
         ("all replicas end at once", &[(1, 0, 100), (2, 10, 100), (3, 20, 101)], false),
@@ -218,7 +219,8 @@
 /// The record's pattern, at few and many relays, with cuts between data centres and a stop of all relays beside it.
 #[test]
 fn a_bad_request_is_stopped_at_all_relays() {
-    let rows: [(&str, usize, u64, Vec<(u64, Trouble)>); 5] = [
+    type Row<'a> = (&'a str, usize, u64, Vec<(u64, Trouble)>);
+    let rows: [Row<'_>; 5] = [
         ("one relay", 1, 500, vec![]),
         ("the record's pattern", 4, 500, vec![]),
         ("many relays", 60, 300, vec![]),
