Plain services: a broken request waits to hear whether its replica is still there

Cause: a plain service's replica that broke a request off was asked nothing, so its end was known only once another request found it out; a request that ends replicas was sent on at once and ended all eight of a test. Change: a connection is opened to it (kept for the next request), and the send elsewhere waits for that, 20 ms at most.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -17,7 +17,10 @@
     fleet::ReplicaEntry,
     life::ReplicaLife,
 };
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use crate::{
     admit::{Permit, admit},
@@ -258,7 +261,10 @@
         detail: format!("no answer in {patience} ms"),
     });
     match report.end {
-        AttemptEnd::Broken => run.note_lost(relay, request, &report.detail),
+        AttemptEnd::Broken => {
+            run.note_lost(relay, request, &report.detail);
+            look_whether_there(relay, replica).await;
+        }
         AttemptEnd::Answered(_) => note_result(relay, request),
         AttemptEnd::NotSent | AttemptEnd::Rejected => {}
     }
@@ -274,6 +280,22 @@
     report
 }
 
+/// Time for which a broken request waits to hear whether its replica is still there: thirty times what a link takes.
+const LOOK_TIME: Duration = Duration::from_millis(20);
+
+/// Looks whether a replica that broke a request off is still there, before the request is sent on: without that, a request
+/// that ends replicas was sent to a fourth one before the end of the third was known.
+async fn look_whether_there(relay: &Rc<Relay>, replica: &ReplicaEntry) {
+    let (relay, life, address) = (relay.clone(), replica.life.clone(), replica.address);
+    let look = spawn_local(async move {
+        if let Err(error) = relay.pool.reach(address).await {
+            relay.suspect(&life, &error.to_string());
+        }
+    });
+    // Where it takes longer, it goes on by itself.
+    let _in_time = timeout(LOOK_TIME, look).await;
+}
+
 /// Bound on how slow one attempt counts, against the objective.
 const SLOWEST: f64 = 4.0;
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -122,6 +122,16 @@
         send_on(link, request).await.map_err(|(error, _)| error)
     }
 
+    /// Opens a connection to a replica, and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Fails where none opens.
+    pub async fn reach(&self, address: SocketAddr) -> Result<(), SendError> {
+        connect(address).await?.give_back(self, None);
+        Ok(())
+    }
+
     /// Closes the idle connections to a replica.
     pub fn forget(&self, address: SocketAddr) {
         let links = self.idle.borrow_mut().remove(&address);
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -23,17 +23,20 @@
     time::Duration,
 };
 
-use harness::{BoundRelay, ROUTES, RunningRelay, bounds, event_ids, listed, run_test};
-use http::StatusCode;
+use harness::{
+    BoundRelay, ROUTES, RunningRelay, bounds, call, event_ids, listed, run_test, wait_until,
+};
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde_json::Value;
 use switchfold_platform::{
-    CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
+    CONFIG_KIND, CONFIG_NAME, QUARANTINE_KIND, REPLICA_KIND,
     engine::{ORDER_PATH, REPORT_PATH},
 };
 use switchfold_platform_standin::{
     Reply, SeenOrder, SeenRequest, StandinReplica, StandinStore, StreamEnd, answer, events,
     read_order,
-    samples::{KEY, LAYERS, config, model_entry, report},
+    samples::{KEY, LAYERS, config, desk_entry, model_entry, report},
 };
 use tokio::time::sleep;
 
@@ -46,6 +49,9 @@
 /// Time between two attempts of a caller: several messages between relays, and a second less than their contact time.
 const BETWEEN: Duration = Duration::from_millis(1_000);
 
+/// Time for what one relay does by itself.
+const SHORTLY: Duration = Duration::from_millis(300);
+
 /// Replicas that a request may end at most.
 const MOST_ENDED: usize = 3;
 
@@ -180,3 +186,83 @@
         assert_eq!(ended(&later), MOST_ENDED);
     });
 }
+
+/// A plain service's replica that ends when it begins to run the bad request.
+fn fragile_desk(request: &SeenRequest) -> Reply {
+    match is_bad(request) {
+        true => Reply::Crash(Vec::new(), PAUSE),
+        false => answer(request, 200, "confirmed"),
+    }
+}
+
+/// Requests to plain services end replicas as well; those that may run once are not sent on, and are stopped all the same.
+#[test]
+fn a_request_that_ends_plain_replicas_is_stopped() {
+    for path in ["/safe/bad", "/once/bad"] {
+        run_test(async move {
+            let desks = start_engines(8, fragile_desk).await;
+            let store = store_of(&desks, desk_entry).await;
+            let relays = start_relays(&["hall"], &store).await;
+            let mut last = None;
+            for attempt in 0..6 {
+                last = Some(relays[0].get(path, &format!("bad-{attempt}")).await);
+                let good = relays[0].get("/safe/good", &format!("good-{attempt}")).await;
+                assert_eq!(
+                    good.status,
+                    StatusCode::OK,
+                    "{path}, attempt {attempt}: {good:?}, {} ended",
+                    ended(&desks)
+                );
+                sleep(SHORTLY).await;
+            }
+            assert_eq!(ended(&desks), MOST_ENDED, "{path}");
+            let refused = last.expect("some attempts");
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+            let wait: f64 =
+                refused.headers["retry-after"].to_str().expect("text").parse().expect("seconds");
+            assert!(wait > 60.0, "nothing invites it to come again at once: {wait} s");
+            assert!(!refused.body.is_empty(), "it says why");
+        });
+    }
+}
+
+/// All relays end, and with them what they knew; the store has it.
+#[test]
+fn a_relay_that_starts_after_all_ended_knows_stopped_requests() {
+    run_test(async {
+        let engines = start_engines(8, fragile).await;
+        let store = store_of(&engines, whole_model).await;
+        let relays = start_relays(&["hall"], &store).await;
+        for attempt in 0..3 {
+            relays[0].get("/stream/bad", &format!("bad-{attempt}")).await;
+            sleep(SHORTLY).await;
+        }
+        assert_eq!(ended(&engines), MOST_ENDED);
+        wait_until(async || stored(&store) > 0).await;
+        relays.into_iter().for_each(|relay| relay.task.abort());
+        let relays = start_relays(&["far", "hall"], &store).await;
+        for relay in &relays {
+            wait_until(async || knows_stopped(relay).await).await;
+            let refused = relay.get("/stream/bad", "bad-again").await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        assert_eq!(ended(&engines), MOST_ENDED);
+    });
+}
+
+/// Objects of the quarantine that the store holds.
+fn stored(store: &StandinStore) -> usize {
+    store
+        .calls()
+        .iter()
+        .filter(|call| call.starts_with("POST") && call.contains(QUARANTINE_KIND))
+        .count()
+}
+
+/// Whether a relay knows of a request that is stopped, by its metrics.
+async fn knows_stopped(relay: &RunningRelay) -> bool {
+    let request = Request::get("/metrics").body(Full::default()).expect("a request");
+    let metrics = call(relay.metrics, request).await.body;
+    let mut lines = metrics.lines().filter(|line| line.contains("requests_stopped_now"));
+    lines.any(|line| line.ends_with(" 1"))
+}
