Soak: bad requests that end what runs them, and suspended VMs; the first replica's and a later stage's end

Cause: the soak knew no request that ends its replica, and no pause that the steady clock does not count. Change: a bad request of each kind comes again and again at any relay until the end of a run (promise bad-request: three replicas late at most, by relays in touch); the VM of a relay is suspended (a preloaded library takes the pause off its steady clock), a key is taken away meanwhile, and the store is out of its reach for three seconds after. Drawn beside the plans, which stay what they were. A stopped stream whose path is lost is given up at once, and written down once.

--- a/crates/relay/src/flow/recovery.rs
+++ b/crates/relay/src/flow/recovery.rs
@@ -17,7 +17,7 @@
     counts::count,
     engines::{OrderEnd, order_repath, probe_replicas},
     paths::{CrossingRule, PathWish, RoomGuard, RoomRule, find_path},
-    quarantine::check_quarantine,
+    quarantine::quarantine_left,
     runs::RunWatch,
     state::PartState,
     stream::{OpenEnd, OpenStream, find_stall, may_repeat, note_fault, open_stream},
@@ -149,7 +149,7 @@
     async fn repath(&mut self) -> bool {
         let mut avoid = self.restarted_parts();
         // A move is a send: the new parts begin to run the request.
-        if check_quarantine(&self.relay, &self.request).is_err() {
+        if quarantine_left(&self.relay, &self.request).is_some() {
             return false;
         }
         for _ in 0..MOST_REPATHS {
@@ -234,6 +234,12 @@
         match (self.resume().await, loss) {
             (Ok(stream), _) => self.take_over(stream),
             (Err(not_resumed), StreamLoss::Broken) => self.give_up(why, &not_resumed),
+            // It can be taken up nowhere: its caller need not wait.
+            (Err(not_resumed), StreamLoss::Silent)
+                if quarantine_left(&self.relay, &self.request).is_some() =>
+            {
+                self.give_up(why, &not_resumed);
+            }
             (Err(not_resumed), StreamLoss::Silent) => {
                 self.next_try = now_millis() + TRY_AGAIN;
                 let id = &self.request.marks.attempt_id;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -31,14 +31,18 @@
     store_calls::{CallCause, CallKind, CallVerb, CountedStore},
 };
 
+/// Time for which a request still is sent nowhere; nothing where it may be.
+pub fn quarantine_left(relay: &Relay, request: &CallerRequest) -> Option<Millis> {
+    relay.beliefs.borrow().quarantine.left(&request.fingerprint, now_millis())
+}
+
 /// Refuses a request that ended the replicas that ran it.
 ///
 /// # Errors
 ///
 /// Gives the refusal.
 pub fn check_quarantine(relay: &Relay, request: &CallerRequest) -> Result<(), Refusal> {
-    let left = relay.beliefs.borrow().quarantine.left(&request.fingerprint, now_millis());
-    let Some(left) = left else { return Ok(()) };
+    let Some(left) = quarantine_left(relay, request) else { return Ok(()) };
     count(&relay.counts.quarantined);
     tracing::warn!(
         event = "request-quarantined",
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -45,12 +45,23 @@
     sender: Sender,
 }
 
+/// A request that ends the replicas which run it.
+#[derive(Clone, Debug)]
+pub struct BadRequest {
+    /// Its kind.
+    pub kind: CallKind,
+    /// Its name, which is its body as well.
+    pub name: String,
+}
+
 /// What a caller may choose from: relays that the balancer uses, and keys that it knows.
 pub trait CallerView: Send + Sync + 'static {
     /// A relay that takes new connections, by number, and its address.
     fn choose_relay(&self, random: &mut ChaCha8Rng) -> (usize, SocketAddr);
     /// A key; it may have been taken away.
     fn choose_key(&self, random: &mut ChaCha8Rng) -> String;
+    /// A bad request that is to come, where there is one.
+    fn choose_bad(&self, random: &mut ChaCha8Rng) -> Option<BadRequest>;
     /// Whether to go on.
     fn goes_on(&self) -> bool;
 }
@@ -77,7 +88,9 @@
         let (relay, end) = match chosen {
             Err(relay) => (relay, CallEnd::NotConnected),
             Ok(mut used) => {
-                let end = call(&mut used.sender, kind, &id, &key).await;
+                let body = caller_body(&id);
+                let asked = AskedCall { kind, id: &id, key: &key, name: &id, body };
+                let end = call(&mut used.sender, &asked).await;
                 let relay = used.relay;
                 let (end, keeps) = end.unwrap_or((CallEnd::NoAnswer, false));
                 link = Some(used).filter(|_| keeps);
@@ -89,6 +102,35 @@
     calls
 }
 
+/// Time between two calls with bad requests, in milliseconds.
+const BAD_THINK: std::ops::Range<u64> = 50..600;
+
+/// Sends bad requests until the view ends, each time under a new id, on a new connection and to any relay; gives what it saw.
+pub async fn run_bad_caller(
+    name: String,
+    view: Arc<impl CallerView>,
+    mut random: ChaCha8Rng,
+) -> Vec<CallRecord> {
+    let mut calls = Vec::new();
+    while view.goes_on() {
+        sleep(Duration::from_millis(random.random_range(BAD_THINK))).await;
+        let Some(BadRequest { kind, name: bad }) = view.choose_bad(&mut random) else { continue };
+        let id = format!("{name}x{}", calls.len());
+        let key = view.choose_key(&mut random);
+        let sent = epoch_micros();
+        let (relay, end) = match connect(view.choose_relay(&mut random)).await {
+            Err(relay) => (relay, CallEnd::NotConnected),
+            Ok(mut link) => {
+                let asked = AskedCall { kind, id: &id, key: &key, name: &bad, body: bad.clone() };
+                let end = call(&mut link.sender, &asked).await;
+                (link.relay, end.map_or(CallEnd::NoAnswer, |(end, _)| end))
+            }
+        };
+        calls.push(CallRecord { id, kind, key, relay, sent, ended: epoch_micros(), end });
+    }
+    calls
+}
+
 async fn connect((relay, address): (usize, SocketAddr)) -> Result<CallerLink, usize> {
     let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = stream else { return Err(relay) };
@@ -102,15 +144,26 @@
     Ok(CallerLink { relay, sender })
 }
 
+/// A call to make.
+struct AskedCall<'a> {
+    kind: CallKind,
+    id: &'a str,
+    key: &'a str,
+    /// Name that its path ends with.
+    name: &'a str,
+    body: String,
+}
+
 /// Makes one call; gives its end and whether the connection can be kept, and nothing where no answer
 /// came in time.
-async fn call(sender: &mut Sender, kind: CallKind, id: &str, key: &str) -> Option<(CallEnd, bool)> {
-    let request = Request::post(caller_path(kind.prefix(), id))
+async fn call(sender: &mut Sender, asked: &AskedCall<'_>) -> Option<(CallEnd, bool)> {
+    let AskedCall { kind, id, key, name, body } = asked;
+    let request = Request::post(caller_path(kind.prefix(), name))
         .header(header::HOST, HOST)
-        .header(ATTEMPT_ID, id)
+        .header(ATTEMPT_ID, *id)
         .header(DEADLINE, DEADLINE_MS)
         .header(header::AUTHORIZATION, format!("Bearer {key}"))
-        .body(Full::new(Bytes::from(caller_body(id))))
+        .body(Full::new(Bytes::from(body.clone())))
         .expect("a request of valid parts");
     let exchange = async {
         let answer = sender.send_request(request).await.ok()?;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,12 +3,12 @@
 //! Each check is a function of what callers and replicas saw. Promises with a time bound count only where
 //! no fault was near; the one on removed keys counts always.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use derive_more::Display;
 
 use crate::record::{
-    CallAnswer, CallEnd, CallRecord, DisruptionKind, Micros, RunHistory, RunRecord,
+    CONTACT_TIME, CallAnswer, CallEnd, CallRecord, DisruptionKind, Micros, RunHistory, RunRecord,
 };
 
 /// Events of a whole stream.
@@ -29,6 +29,12 @@
 /// Requests that may run on more replicas: those whose replica ended meanwhile are not told apart.
 const EXCUSED_ATTEMPTS: usize = 3;
 
+/// Replicas that a bad request may end before it must be stopped.
+const ENDED_BEFORE: usize = 3;
+
+/// Replicas that it may end later than the contact time after that.
+const MOST_LATE: usize = 3;
+
 /// A promise that may be broken.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Promise {
@@ -56,6 +62,9 @@
     /// A planned stop cuts nothing.
     #[display("planned-stop")]
     PlannedStop,
+    /// A request that ends the replicas which run it is stopped.
+    #[display("bad-request")]
+    BadRequest,
     /// A request goes to a bounded number of replicas.
     #[display("most-attempts")]
     MostAttempts,
@@ -101,6 +110,7 @@
     violations.extend(check_asked(history, organisation));
     violations.extend(check_keys(history, &runs));
     violations.extend(check_leaving(history));
+    violations.extend(check_bad(history));
     violations.extend(check_processes(history));
     violations
 }
@@ -179,7 +189,9 @@
     runs: &HashMap<&str, Vec<&RunRecord>>,
 ) -> Option<Violation> {
     let over = history.calls.iter().filter(|call| {
-        let runs = runs.get(call.id.as_str()).into_iter().flatten().filter(|run| run.ran);
+        // A replica that the request ended is not counted.
+        let counts = |run: &&&RunRecord| run.ran && run.bad.is_none();
+        let runs = runs.get(call.id.as_str()).into_iter().flatten().filter(counts);
         let replicas: HashSet<&str> = runs.map(|run| run.replica.as_str()).collect();
         replicas.len() > MOST_ATTEMPTS
     });
@@ -238,6 +250,33 @@
     violations
 }
 
+/// A bad request reaches few replicas once it has ended three and the contact time has passed. Only relays in touch count.
+fn check_bad(history: &RunHistory) -> Vec<Violation> {
+    let relays: HashMap<&str, usize> =
+        history.calls.iter().map(|call| (call.id.as_str(), call.relay)).collect();
+    let mut ends: BTreeMap<&str, Vec<&RunRecord>> = BTreeMap::new();
+    for run in &history.runs {
+        let bad = run.bad.as_deref().into_iter();
+        bad.for_each(|name| ends.entry(name).or_default().push(run));
+    }
+    let mut violations = Vec::new();
+    for (name, mut runs) in ends {
+        runs.sort_by_key(|run| run.at);
+        let Some(third) = runs.get(ENDED_BEFORE - 1) else { continue };
+        let late = runs.iter().filter(|run| {
+            let relay = relays.get(run.id.as_str());
+            let in_touch = relay.is_some_and(|relay| history.is_in_touch(*relay, run.at));
+            run.at > third.at + CONTACT_TIME && in_touch
+        });
+        let late = late.count();
+        if late > MOST_LATE {
+            let what = format!("{name} ended {} replicas, {late} of them late", runs.len());
+            violations.push(broken(Promise::BadRequest, what));
+        }
+    }
+    violations
+}
+
 fn check_processes(history: &RunHistory) -> Vec<Violation> {
     let odd = history.odd_ends.iter().map(|end| broken(Promise::ProcessEnd, end.as_str()));
     let large = history.memory_kb.iter().filter(|kb| **kb > MOST_MEMORY_KB);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::proxy::LinkMood;
+use crate::{proxy::LinkMood, record::CallKind};
 
 /// Counts of what a site has.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +62,19 @@
     NewVersion,
     /// The operator takes a key away.
     RemoveKey,
+    /// From now on a request comes again and again that ends the replicas which run it.
+    BadRequest(CallKind, BadWay),
+    /// The VM of a relay is suspended; meanwhile a key is taken away, and the store is out of its reach for a while after.
+    SuspendRelay(usize),
+}
+
+/// Which replica a bad request ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BadWay {
+    /// The one that it is sent to.
+    First,
+    /// The second one of its path.
+    Later,
 }
 
 /// A fault with its time.
@@ -98,6 +111,38 @@
     }
 }
 
+/// Time from the resumption of a suspended relay until the store is in its reach again.
+pub const OUT_OF_REACH: Duration = Duration::from_millis(3_000);
+
+/// Shortest and longest time that a relay is suspended, in milliseconds: above the bound on removed keys, so that what it knew
+/// is too old when it wakes.
+const SUSPENSIONS: std::ops::Range<u64> = 5_500..7_500;
+
+/// Makes what comes to the plan of a seed beside its faults: bad requests, and a suspended relay. It is drawn by itself, so that
+/// the plans of earlier seeds stay what they were.
+pub fn make_harm(seed: u64, shape: &SiteShape, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let most = length.as_millis() as u64;
+    let planned = |lasts: u64, fault: Fault, random: &mut ChaCha8Rng| {
+        let at = Duration::from_millis(random.random_range(0..=most.saturating_sub(lasts)));
+        PlannedFault { at, lasts: Duration::from_millis(lasts).min(length), fault }
+    };
+    let bad = [
+        Fault::BadRequest(CallKind::Stream, BadWay::First),
+        Fault::BadRequest(CallKind::Stream, BadWay::Later),
+        Fault::BadRequest(CallKind::Safe, BadWay::First),
+        Fault::BadRequest(CallKind::Once, BadWay::First),
+    ];
+    let drawn = bad[random.random_range(0..bad.len())];
+    let mut harm = vec![planned(most / 2, drawn, &mut random)];
+    let lasts = random.random_range(SUSPENSIONS);
+    let relay = random.random_range(0..shape.relays);
+    if lasts + OUT_OF_REACH.as_millis() as u64 <= most {
+        harm.push(planned(lasts, Fault::SuspendRelay(relay), &mut random));
+    }
+    harm
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, shape: &SiteShape) -> Fault {
     let relay = random.random_range(0..shape.relays);
     let replica = random.random_range(0..shape.replicas());
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -103,6 +103,9 @@
     pub organisation: String,
     /// When it arrived.
     pub at: Micros,
+    /// Name of the bad request that it is, where that ended the replica.
+    #[serde(default)]
+    pub bad: Option<String>,
 }
 
 /// Something done to the site.
@@ -112,6 +115,8 @@
     PlannedStop(usize),
     /// Planned work of another sort: a change of the configuration, a replica that leaves.
     PlannedWork,
+    /// A replica that a bad request ended.
+    ReplicaEnd,
     /// A fault of one relay, or of its way to the store, by number.
     RelayFault(usize),
     /// A fault of the store.
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -17,10 +17,12 @@
     objects::ObjectStore,
 };
 use switchfold_platform_standin::{
-    EngineEvent, Reply, SeenRequest, StandinEngine, StandinReplica, answer,
+    EngineEvent, Reply, SeenRequest, StandinEngine, StandinReplica, StreamEnd, answer,
     samples::{born_at, desk_entry, draining, in_data_centre},
 };
 use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
     signal::unix::{SignalKind, signal},
     time::sleep,
 };
@@ -150,11 +152,64 @@
     if leaves { draining(entry) } else { entry }
 }
 
+/// Exit code of a replica that a bad request ended.
+pub const BAD_EXIT: i32 = 86;
+
+/// Time from the beginning of a bad request to the end of its replica.
+const BAD_AFTER: Duration = Duration::from_millis(40);
+
+/// Where a first replica tells the second one of a path of its part in a bad request.
+const BAD_PART: &str = "/bad-part";
+
+/// Beginning of the names of bad requests.
+pub const BAD: &str = "bad-";
+
+/// Beginning of the names of those that end the second replica of their paths.
+pub const BAD_LATER: &str = "bad-later-";
+
+/// Name of a bad request, which is its body.
+fn bad_name(request: &SeenRequest) -> Option<String> {
+    let body = String::from_utf8_lossy(&request.body);
+    body.starts_with(BAD).then(|| body.into_owned())
+}
+
+/// Ends this replica a little later, as a bad request does.
+fn end_soon() {
+    tokio::spawn(async {
+        sleep(BAD_AFTER).await;
+        std::process::exit(BAD_EXIT);
+    });
+}
+
+/// Hands the second replica of a path its part of a bad request.
+fn pass_bad_part(request: &SeenRequest) {
+    let path = request.header("path").unwrap_or_default();
+    let second = path.split(',').nth(1).and_then(|part| part.split_once('='));
+    let Some(address) = second.map(|(address, _)| address.to_owned()) else { return };
+    let (id, organisation) = (attempt_id(request).to_owned(), organisation(request));
+    let body = String::from_utf8_lossy(&request.body).into_owned();
+    tokio::spawn(async move {
+        let head = format!(
+            "POST {BAD_PART} HTTP/1.1\r\n{ATTEMPT_ID}: {id}\r\n{ORGANISATION}: {organisation}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let Ok(mut stream) = TcpStream::connect(address).await else { return };
+        // Where the second one is gone already, there is nothing to end.
+        let _sent = stream.write_all((head + &body).as_bytes()).await;
+        sleep(BAD_AFTER * 2).await;
+    });
+}
+
 async fn start_desk(arguments: &ReplicaArguments) -> std::io::Result<StandinReplica> {
     let id = arguments.id.clone();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     StandinReplica::start_at(any, move |request: &SeenRequest| {
-        note(&id, request, true);
+        let bad = bad_name(request);
+        note(&id, request, true, bad.clone());
+        if bad.is_some() {
+            end_soon();
+            return Reply::Silence;
+        }
         let attempt = attempt_id(request);
         let fails = attempt.bytes().map(usize::from).sum::<usize>().is_multiple_of(FAILS_ONE_IN);
         let status = if fails { 500 } else { 200 };
@@ -173,9 +228,30 @@
     let id = arguments.id.clone();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     StandinReplica::start_at(any, move |request: &SeenRequest| {
-        engine.answer(request, EVENTS, PAUSE, |event| {
-            note(&id, request, event == EngineEvent::Began);
-        })
+        let bad = bad_name(request);
+        if request.target == BAD_PART {
+            note(&id, request, true, bad);
+            end_soon();
+            return Reply::Silence;
+        }
+        let is_later = bad.as_ref().is_some_and(|name| name.starts_with(BAD_LATER));
+        let reply = engine.answer(request, EVENTS, PAUSE, |event| {
+            let began = event == EngineEvent::Began;
+            let ends_here = began && !is_later;
+            note(&id, request, began, bad.clone().filter(|_| ends_here));
+            match began && bad.is_some() {
+                true if is_later => pass_bad_part(request),
+                true => end_soon(),
+                false => {}
+            }
+        });
+        match reply {
+            // It begins, and has no end: whoever runs it is gone before.
+            Reply::Stream { head, pause, owner, gate, .. } if bad.is_some() => {
+                Reply::Stream { head, ids: 0..0, pause, end: StreamEnd::Silence, owner, gate }
+            }
+            other => other,
+        }
     })
     .await
 }
@@ -194,17 +270,24 @@
     format!("{prefix}{id}?of={id}")
 }
 
-fn note(replica: &str, request: &SeenRequest, ran: bool) {
+fn organisation(request: &SeenRequest) -> String {
+    request.header(ORGANISATION.as_str()).unwrap_or_default().to_owned()
+}
+
+fn note(replica: &str, request: &SeenRequest, ran: bool, bad: Option<String>) {
     let id = attempt_id(request);
-    let path = request.target.ends_with(&caller_path("/", id));
-    let body = request.body == caller_body(id).as_bytes();
+    let asked = bad_name(request);
+    let name = asked.as_deref().unwrap_or(id);
+    let path = request.target.ends_with(&caller_path("/", name)) || request.target == BAD_PART;
+    let body = asked.is_some() || request.body == caller_body(id).as_bytes();
     let record = RunRecord {
         id: id.to_owned(),
         replica: replica.to_owned(),
         ran,
         intact: path && body && request.method == "POST",
-        organisation: request.header(ORGANISATION.as_str()).unwrap_or_default().to_owned(),
+        organisation: organisation(request),
         at: epoch_micros(),
+        bad,
     };
     let line = serde_json::to_string(&record).expect("records are plain data");
     println!("{line}");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,9 +10,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
-    caller::run_caller,
+    caller::{run_bad_caller, run_caller},
     checks::{Violation, check},
-    plan::{Fault, PlannedFault, make_plan},
+    plan::{Fault, OUT_OF_REACH, PlannedFault, make_harm, make_plan},
     proxy::LinkMood,
     record::{CallEnd, CallKind, CallRecord, DisruptionKind},
     site::{GRACE_S, SiteConfig, SoakSite},
@@ -59,7 +59,12 @@
             tokio::spawn(run_caller(format!("s{seed}c{number}"), site.clone(), random))
         })
         .collect();
-    let plan = make_plan(seed, &shape, length);
+    let random = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + shape.callers as u64);
+    let bad_caller = run_bad_caller(format!("s{seed}bad"), site.clone(), random);
+    let bad_caller = tokio::spawn(bad_caller);
+    let mut plan = make_plan(seed, &shape, length);
+    plan.extend(make_harm(seed, &shape, length));
+    plan.sort_by_key(|planned| planned.at);
     inject(&site, &plan, length).await;
     sleep(CALM_TIME).await;
     leave_unheard(&site, seed).await;
@@ -71,15 +76,16 @@
     for caller in callers {
         calls.extend(caller.await.map_err(io::Error::other)?);
     }
+    let bad_calls = bad_caller.await.map_err(io::Error::other)?;
     site.end().await;
-    Ok(conclude(&site, seed, plan.len(), calls, counted_from))
+    Ok(conclude(&site, seed, plan.len(), (calls, bad_calls), counted_from))
 }
 
 fn conclude(
     site: &SoakSite,
     seed: u64,
     faults: usize,
-    calls: Vec<CallRecord>,
+    (mut calls, bad_calls): (Vec<CallRecord>, Vec<CallRecord>),
     counted_from: u64,
 ) -> SoakReport {
     let counted = calls.iter().filter(|call| call.sent >= counted_from && site.is_valid(&call.key));
@@ -92,6 +98,10 @@
     for call in &calls {
         *ends.entry(describe_end(call)).or_default() += 1;
     }
+    for call in &bad_calls {
+        *ends.entry(format!("bad {}", describe_end(call))).or_default() += 1;
+    }
+    calls.extend(bad_calls);
     let mut history = site.history();
     history.calls = calls;
     history.after_faults = (count, served);
@@ -202,9 +212,25 @@
             site.note_disruption(DisruptionKind::PlannedWork, lasts);
             site.remove_key();
         }
+        Fault::BadRequest(kind, way) => site.begin_bad(kind, way),
+        Fault::SuspendRelay(number) => suspend_relay(&site, number, lasts).await,
     }
 }
 
+/// Suspends a relay's VM for longer than the bound on removed keys, takes a key away meanwhile, and keeps the store out of its
+/// reach for a while after: it must know by its own clocks that what it holds is too old.
+async fn suspend_relay(site: &SoakSite, number: usize, lasts: Duration) {
+    site.note_disruption(DisruptionKind::RelayFault(number), lasts + OUT_OF_REACH);
+    site.store_link(number).set_mood(LinkMood::Dead);
+    site.suspend_relay(number);
+    let begun = Instant::now();
+    site.remove_key();
+    sleep(lasts).await;
+    site.resume_relay(number, begun.elapsed());
+    sleep(OUT_OF_REACH).await;
+    site.store_link(number).set_mood(LinkMood::Well);
+}
+
 async fn disturb_store(site: &SoakSite, mood: StoreMood, lasts: Duration) {
     site.note_disruption(DisruptionKind::StoreFault, lasts);
     site.store().set_mood(mood);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -29,13 +29,13 @@
 };
 
 use crate::{
-    caller::{CallerView, is_ready},
+    caller::{BadRequest, CallerView, is_ready},
     checks::REVOKE_TIME,
-    plan::SiteShape,
+    plan::{BadWay, SiteShape},
     process::SoakProcess,
     proxy::LinkProxy,
     record::{CallKind, Disruption, DisruptionKind, RunHistory, RunRecord},
-    replica::{HEARTBEAT, LEAVES, LINGER, LISTENS, LONG_LINGER},
+    replica::{BAD, BAD_EXIT, BAD_LATER, HEARTBEAT, LEAVES, LINGER, LISTENS, LONG_LINGER},
     slot::ProcessSlot,
 };
 
@@ -57,9 +57,18 @@
 /// Looks between two questions for readiness.
 const READY_ONE_IN: u32 = 6;
 
+/// Time for which the end of a replica by a bad request is a disruption: until it is started again and holds its layers.
+const END_TIME: Duration = Duration::from_millis(2_500);
+
 /// Heartbeats of silence after which a replica's entry lapses.
 const MOST_SILENT: u32 = 3;
 
+/// Variable that names a library to load into a process before others.
+const PRELOAD: &str = "LD_PRELOAD";
+
+/// Variable that names the file with the sum of a process's pauses.
+const PAUSED_FILE: &str = "SWITCHFOLD_SUSPENDED";
+
 /// Files and size of a site.
 #[derive(Clone, Debug)]
 pub struct SiteConfig {
@@ -69,6 +78,8 @@
     pub relay: PathBuf,
     /// Program of the stand-in replica.
     pub replica: PathBuf,
+    /// Library by which a relay's steady clock stands while it is suspended; without it, it is only stopped.
+    pub suspend: Option<PathBuf>,
     /// Folder for settings and logs.
     pub folder: PathBuf,
 }
@@ -82,6 +93,8 @@
     ready: SocketAddr,
     misses: Mutex<u32>,
     store: LinkProxy,
+    /// File with the sum of its pauses.
+    paused: PathBuf,
 }
 
 #[derive(Debug)]
@@ -109,6 +122,7 @@
     relays: Vec<RelaySlot>,
     replicas: Vec<ReplicaSlot>,
     keys: Mutex<KeyRing>,
+    bad: Mutex<Vec<BadRequest>>,
     history: Mutex<RunHistory>,
     goes_on: AtomicBool,
     watched: AtomicBool,
@@ -145,6 +159,7 @@
             relays,
             replicas,
             keys,
+            bad: Mutex::default(),
             history: Mutex::default(),
             goes_on: AtomicBool::new(true),
             watched: AtomicBool::new(true),
@@ -212,6 +227,46 @@
         lock(&self.relays[number].slot).signal(signal);
     }
 
+    /// Stops a relay as the suspension of its VM does.
+    pub fn suspend_relay(&self, number: usize) {
+        let mut slot = lock(&self.relays[number].slot);
+        slot.is_suspended = true;
+        slot.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a stopped relay go on whose VM was suspended for `lasts`: its steady clock did not count that.
+    pub fn resume_relay(&self, number: usize, lasts: Duration) {
+        let paused = &self.relays[number].paused;
+        let before = std::fs::read(paused).ok().and_then(|bytes| bytes.try_into().ok());
+        let nanos = before.map_or(0, i64::from_le_bytes) + lasts.as_nanos() as i64;
+        if let Err(error) = std::fs::write(paused, nanos.to_le_bytes()) {
+            eprintln!("relay {number} was only stopped: {error}");
+        }
+        self.signal_relay(number, Signal::SIGCONT);
+        let mut slot = lock(&self.relays[number].slot);
+        slot.is_suspended = false;
+        slot.kill_at = slot.kill_at.map(|at| at + lasts);
+    }
+
+    fn suspend_variables(&self, relay: &RelaySlot) -> Vec<(&'static str, PathBuf)> {
+        let library = self.config.suspend.clone();
+        library
+            .into_iter()
+            .flat_map(|library| [(PRELOAD, library), (PAUSED_FILE, relay.paused.clone())])
+            .collect()
+    }
+
+    /// Lets a bad request come from now on; gives its name.
+    pub fn begin_bad(&self, kind: CallKind, way: BadWay) {
+        let mut bad = lock(&self.bad);
+        let beginning = match way {
+            BadWay::First => BAD,
+            BadWay::Later => BAD_LATER,
+        };
+        let name = format!("{beginning}{}", bad.len());
+        bad.push(BadRequest { kind, name });
+    }
+
     /// Sends a signal to a replica.
     pub fn signal_replica(&self, number: usize, signal: Signal) {
         lock(&self.replicas[number].slot).signal(signal);
@@ -338,13 +393,15 @@
     fn revive_relay(&self, number: usize) {
         let relay = &self.relays[number];
         let mut slot = lock(&relay.slot);
-        if let Some(odd) = slot.look() {
+        if let Some(odd) = slot.look(None) {
             self.history().odd_ends.push(format!("relay {number} {odd}"));
         }
         if slot.is_due() {
             let settings = relay.settings.to_string_lossy().into_owned();
             let arguments = ["--settings", settings.as_str()];
-            let started = SoakProcess::start_logged(&self.config.relay, &arguments, &relay.log);
+            let variables = self.suspend_variables(relay);
+            let started =
+                SoakProcess::start_logged(&self.config.relay, &arguments, &variables, &relay.log);
             slot.take_start(started);
         }
     }
@@ -353,7 +410,7 @@
         let replica = &self.replicas[number];
         let mut slot = lock(&replica.slot);
         // A replica ends only because this soak made it, or because its stand-in failed.
-        if let Some(odd) = slot.look() {
+        if let Some(odd) = slot.look(Some(BAD_EXIT)) {
             self.history().odd_ends.push(format!("replica {number} {odd}"));
         }
         if !slot.is_due() {
@@ -405,6 +462,9 @@
                 let at = at.parse().unwrap_or_else(|_| epoch_micros());
                 self.history().leaving.push((id.clone(), at));
             } else if let Ok(record) = serde_json::from_str::<RunRecord>(&line) {
+                if record.bad.is_some() {
+                    self.note_disruption(DisruptionKind::ReplicaEnd, END_TIME);
+                }
                 self.history().runs.push(record);
             } else {
                 // A line that was being written when the replica was killed.
@@ -438,6 +498,11 @@
         from[random.random_range(0..from.len())].clone()
     }
 
+    fn choose_bad(&self, random: &mut ChaCha8Rng) -> Option<BadRequest> {
+        let bad = lock(&self.bad);
+        (!bad.is_empty()).then(|| bad[random.random_range(0..bad.len())].clone())
+    }
+
     fn goes_on(&self) -> bool {
         self.goes_on.load(Ordering::Relaxed)
     }
@@ -470,6 +535,7 @@
             ready,
             misses: Mutex::default(),
             store: link,
+            paused: folder.join(format!("relay-{number}.paused")),
         })
     }
 }
--- a/crates/soak/src/slot.rs
+++ b/crates/soak/src/slot.rs
@@ -9,6 +9,9 @@
 
 use crate::process::SoakProcess;
 
+/// Time that a process is down after an excused end.
+const EXCUSED_DOWN: Duration = Duration::from_millis(1_000);
+
 /// A process that is started again when it has ended.
 #[derive(Debug, Default)]
 pub(crate) struct ProcessSlot {
@@ -19,18 +22,26 @@
     down_until: Option<Instant>,
     /// When it is killed where it has not ended by itself.
     pub(crate) kill_at: Option<Instant>,
+    /// Whether its VM is suspended, so that it can do nothing it was told.
+    pub(crate) is_suspended: bool,
 }
 
 impl ProcessSlot {
-    /// Looks whether the process has ended or must be; tells what was odd about it.
-    pub(crate) fn look(&mut self) -> Option<String> {
+    /// Looks whether the process has ended or must be; tells what was odd about it. One that ended by itself with the code
+    /// `excused` is down for a while.
+    pub(crate) fn look(&mut self, excused: Option<i32>) -> Option<String> {
         let process = self.process.as_mut()?;
         if let Some(ended) = process.ended() {
-            let odd = (!self.told).then(|| format!("ended by itself with {ended}"));
+            let is_excused = excused.is_some() && ended.code() == excused;
+            let odd = !self.told && !is_excused;
+            let odd = odd.then(|| format!("ended by itself with {ended}"));
+            if is_excused {
+                self.down_until = Some(Instant::now() + EXCUSED_DOWN);
+            }
             *self = Self { starts: self.starts, down_until: self.down_until, ..Self::default() };
             return odd;
         }
-        if self.kill_at.is_some_and(|at| Instant::now() > at) {
+        if !self.is_suspended && self.kill_at.is_some_and(|at| Instant::now() > at) {
             process.signal(Signal::SIGKILL);
             self.kill_at = None;
             return Some("was still there after the grace time".to_owned());
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -34,6 +34,7 @@
         intact: true,
         organisation: ORGANISATION.to_owned(),
         at: 1_100_000,
+        bad: None,
     }
 }
 
@@ -213,6 +214,31 @@
     assert_eq!(broken(&well), []);
 }
 
+/// A bad request that ends one replica after the other, the first three in calm and the rest after the contact time.
+#[test]
+fn a_bad_request_that_goes_on() {
+    let third = 3_000_000;
+    let with = |late: u64, disruptions: &[DisruptionKind]| {
+        let mut history = RunHistory::default();
+        let at = (0..3).map(|number| number * 1_000_000 + 1_000_000);
+        let after = (0..late).map(|number| third + CONTACT_TIME + 1 + number);
+        for (number, at) in at.chain(after).enumerate() {
+            let id = format!("a{number}");
+            let ended = format!("i-{number}");
+            let bad = Some("bad-0".to_owned());
+            history.runs.push(RunRecord { at, bad, ..run(&id, &ended) });
+            history.calls.push(call(&id, CallKind::Safe, CallEnd::NoAnswer));
+        }
+        let fault = |kind| Disruption { kind, from: third, to: third + CONTACT_TIME };
+        history.disruptions.extend(disruptions.iter().copied().map(fault));
+        broken(&history)
+    };
+    assert_eq!(with(3, &[]), []);
+    assert_eq!(with(4, &[]), [Promise::BadRequest]);
+    assert_eq!(with(4, &[DisruptionKind::ReplicaEnd]), [Promise::BadRequest], "its own doing");
+    assert_eq!(with(4, &[DisruptionKind::RelayFault(0)]), [], "not in touch");
+}
+
 #[test]
 fn more_attempts_than_allowed() {
     let mut history = RunHistory::default();
