--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -10,7 +10,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::{Instant, sleep, sleep_until},
+    time::sleep,
 };
 
 use crate::{
@@ -54,10 +54,9 @@
 async fn stopped(relay: &Relay) {
     relay.stop.raised().await;
     let left = relay.stop.end().saturating_sub(now_millis());
-    let end = Instant::now() + Duration::from_millis(left);
-    sleep_until(end.min(Instant::now() + LEAST_STOP)).await;
+    sleep(LEAST_STOP.min(Duration::from_millis(left))).await;
     const STEP: Duration = Duration::from_millis(50);
-    while relay.stop.in_flight() > 0 && Instant::now() < end {
+    while relay.stop.in_flight() > 0 && now_millis() < relay.stop.end() {
         sleep(STEP).await;
     }
 }
