--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -76,9 +76,6 @@
     /// Program of the relay; beside this one where it is not given.
     #[arg(long, value_name = "FILE")]
     relay: Option<PathBuf>,
-    /// Library by which a relay's steady clock stands while it is suspended; beside this program where it is not given.
-    #[arg(long, value_name = "FILE")]
-    suspend: Option<PathBuf>,
     /// Folder for settings and logs.
     #[arg(long, value_name = "FOLDER", default_value = "target/soak")]
     folder: PathBuf,
@@ -101,7 +98,6 @@
         }
         std::fs::create_dir_all(&folder)?;
         let beside = own.with_file_name("switchfold-relay");
-        let library = own.with_file_name("libswitchfold_suspend.so");
         let config = SiteConfig {
             shape: SiteShape {
                 relays: self.relays,
@@ -111,7 +107,6 @@
             },
             relay: self.relay.clone().unwrap_or(beside),
             replica: own.to_owned(),
-            suspend: self.suspend.clone().or(Some(library)).filter(|library| library.exists()),
             folder: folder.clone(),
         };
         let report = run_seed(seed, Duration::from_secs(self.seconds), config).await?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -64,8 +64,9 @@
     RemoveKey,
     /// From now on a request comes again and again that ends the replicas which run it.
     BadRequest(CallKind, BadWay),
-    /// The VM of a relay is suspended; meanwhile a key is taken away, and the store is out of its reach for a while after.
-    SuspendRelay(usize),
+    /// A relay stands still for longer than the bound on removed keys; meanwhile a key is taken away, and the store is out of its
+    /// reach for a while after.
+    FreezeRelay(usize),
 }
 
 /// Which replica a bad request ends.
@@ -111,14 +112,14 @@
     }
 }
 
-/// Time from the resumption of a suspended relay until the store is in its reach again.
+/// Time from the waking of a frozen relay until the store is in its reach again.
 pub const OUT_OF_REACH: Duration = Duration::from_millis(3_000);
 
-/// Shortest and longest time that a relay is suspended, in milliseconds: above the bound on removed keys, so that what it knew
+/// Shortest and longest time that a relay is frozen, in milliseconds: above the bound on removed keys, so that what it knew
 /// is too old when it wakes.
-const SUSPENSIONS: std::ops::Range<u64> = 5_500..7_500;
+const FREEZES: std::ops::Range<u64> = 5_500..7_500;
 
-/// Makes what comes to the plan of a seed beside its faults: bad requests, and a suspended relay. It is drawn by itself, so that
+/// Makes what comes to the plan of a seed beside its faults: bad requests, and a frozen relay. It is drawn by itself, so that
 /// the plans of earlier seeds stay what they were.
 pub fn make_harm(seed: u64, shape: &SiteShape, length: Duration) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(!seed);
@@ -135,10 +136,10 @@
     ];
     let drawn = bad[random.random_range(0..bad.len())];
     let mut harm = vec![planned(most / 2, drawn, &mut random)];
-    let lasts = random.random_range(SUSPENSIONS);
+    let lasts = random.random_range(FREEZES);
     let relay = random.random_range(0..shape.relays);
     if lasts + OUT_OF_REACH.as_millis() as u64 <= most {
-        harm.push(planned(lasts, Fault::SuspendRelay(relay), &mut random));
+        harm.push(planned(lasts, Fault::FreezeRelay(relay), &mut random));
     }
     harm
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     io,
-    path::{Path, PathBuf},
+    path::Path,
     process::{ExitStatus, Stdio},
     time::Duration,
 };
@@ -30,16 +30,10 @@
     /// # Errors
     ///
     /// Fails where the program does not start.
-    pub fn start_logged(
-        program: &Path,
-        arguments: &[&str],
-        variables: &[(&str, PathBuf)],
-        log: &Path,
-    ) -> io::Result<Self> {
+    pub fn start_logged(program: &Path, arguments: &[&str], log: &Path) -> io::Result<Self> {
         let log = File::options().create(true).append(true).open(log)?;
         let errors = log.try_clone()?;
         let mut command = Command::new(program);
-        command.envs(variables.iter().cloned());
         command.args(arguments).stdin(Stdio::null()).stdout(log).stderr(errors).kill_on_drop(true);
         Ok(Self { child: command.spawn()? })
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -213,20 +213,20 @@
             site.remove_key();
         }
         Fault::BadRequest(kind, way) => site.begin_bad(kind, way),
-        Fault::SuspendRelay(number) => suspend_relay(&site, number, lasts).await,
+        Fault::FreezeRelay(number) => freeze_relay(&site, number, lasts).await,
     }
 }
 
-/// Suspends a relay's VM for longer than the bound on removed keys, takes a key away meanwhile, and keeps the store out of its
+/// Freezes a relay for longer than the bound on removed keys, takes a key away meanwhile, and keeps the store out of its
 /// reach for a while after: it must know by its own clocks that what it holds is too old.
-async fn suspend_relay(site: &SoakSite, number: usize, lasts: Duration) {
+async fn freeze_relay(site: &SoakSite, number: usize, lasts: Duration) {
     site.note_disruption(DisruptionKind::RelayFault(number), lasts + OUT_OF_REACH);
     site.store_link(number).set_mood(LinkMood::Dead);
-    site.suspend_relay(number);
+    site.freeze_relay(number);
     let begun = Instant::now();
     site.remove_key();
     sleep(lasts).await;
-    site.resume_relay(number, begun.elapsed());
+    site.thaw_relay(number, begun.elapsed());
     sleep(OUT_OF_REACH).await;
     site.store_link(number).set_mood(LinkMood::Well);
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -63,12 +63,6 @@
 /// Heartbeats of silence after which a replica's entry lapses.
 const MOST_SILENT: u32 = 3;
 
-/// Variable that names a library to load into a process before others.
-const PRELOAD: &str = "LD_PRELOAD";
-
-/// Variable that names the file with the sum of a process's pauses.
-const PAUSED_FILE: &str = "SWITCHFOLD_SUSPENDED";
-
 /// Files and size of a site.
 #[derive(Clone, Debug)]
 pub struct SiteConfig {
@@ -78,8 +72,6 @@
     pub relay: PathBuf,
     /// Program of the stand-in replica.
     pub replica: PathBuf,
-    /// Library by which a relay's steady clock stands while it is suspended; without it, it is only stopped.
-    pub suspend: Option<PathBuf>,
     /// Folder for settings and logs.
     pub folder: PathBuf,
 }
@@ -93,8 +85,6 @@
     ready: SocketAddr,
     misses: Mutex<u32>,
     store: LinkProxy,
-    /// File with the sum of its pauses.
-    paused: PathBuf,
 }
 
 #[derive(Debug)]
@@ -227,35 +217,21 @@
         lock(&self.relays[number].slot).signal(signal);
     }
 
-    /// Stops a relay as the suspension of its VM does.
-    pub fn suspend_relay(&self, number: usize) {
+    /// Lets a relay stand still, so that it can do nothing it is told.
+    pub fn freeze_relay(&self, number: usize) {
         let mut slot = lock(&self.relays[number].slot);
-        slot.is_suspended = true;
+        slot.is_frozen = true;
         slot.signal(Signal::SIGSTOP);
     }
 
-    /// Lets a stopped relay go on whose VM was suspended for `lasts`: its steady clock did not count that.
-    pub fn resume_relay(&self, number: usize, lasts: Duration) {
-        let paused = &self.relays[number].paused;
-        let before = std::fs::read(paused).ok().and_then(|bytes| bytes.try_into().ok());
-        let nanos = before.map_or(0, i64::from_le_bytes) + lasts.as_nanos() as i64;
-        if let Err(error) = std::fs::write(paused, nanos.to_le_bytes()) {
-            eprintln!("relay {number} was only stopped: {error}");
-        }
-        self.signal_relay(number, Signal::SIGCONT);
+    /// Lets a relay go on that stood still for `lasts`.
+    pub fn thaw_relay(&self, number: usize, lasts: Duration) {
         let mut slot = lock(&self.relays[number].slot);
-        slot.is_suspended = false;
+        slot.signal(Signal::SIGCONT);
+        slot.is_frozen = false;
         slot.kill_at = slot.kill_at.map(|at| at + lasts);
     }
 
-    fn suspend_variables(&self, relay: &RelaySlot) -> Vec<(&'static str, PathBuf)> {
-        let library = self.config.suspend.clone();
-        library
-            .into_iter()
-            .flat_map(|library| [(PRELOAD, library), (PAUSED_FILE, relay.paused.clone())])
-            .collect()
-    }
-
     /// Lets a bad request come from now on; gives its name.
     pub fn begin_bad(&self, kind: CallKind, way: BadWay) {
         let mut bad = lock(&self.bad);
@@ -399,9 +375,7 @@
         if slot.is_due() {
             let settings = relay.settings.to_string_lossy().into_owned();
             let arguments = ["--settings", settings.as_str()];
-            let variables = self.suspend_variables(relay);
-            let started =
-                SoakProcess::start_logged(&self.config.relay, &arguments, &variables, &relay.log);
+            let started = SoakProcess::start_logged(&self.config.relay, &arguments, &relay.log);
             slot.take_start(started);
         }
     }
@@ -535,7 +509,6 @@
             ready,
             misses: Mutex::default(),
             store: link,
-            paused: folder.join(format!("relay-{number}.paused")),
         })
     }
 }
--- a/crates/soak/src/slot.rs
+++ b/crates/soak/src/slot.rs
@@ -22,8 +22,8 @@
     down_until: Option<Instant>,
     /// When it is killed where it has not ended by itself.
     pub(crate) kill_at: Option<Instant>,
-    /// Whether its VM is suspended, so that it can do nothing it was told.
-    pub(crate) is_suspended: bool,
+    /// Whether it stands still, so that it can do nothing it was told.
+    pub(crate) is_frozen: bool,
 }
 
 impl ProcessSlot {
@@ -41,7 +41,7 @@
             *self = Self { starts: self.starts, down_until: self.down_until, ..Self::default() };
             return odd;
         }
-        if !self.is_suspended && self.kill_at.is_some_and(|at| Instant::now() > at) {
+        if !self.is_frozen && self.kill_at.is_some_and(|at| Instant::now() > at) {
             process.signal(Signal::SIGKILL);
             self.kill_at = None;
             return Some("was still there after the grace time".to_owned());
