Quarantine: an object taken out of the store lets its request go at all relays

Cause: only the relay that reads the store heard of a removal, so an operator had no way to let a request go. Change: the removal is told like a result.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -267,7 +267,8 @@
     }
     let Some(fingerprint) = RequestFingerprint::parse(&change.object.metadata.name) else { return };
     held.remove(&fingerprint);
-    relay.beliefs.borrow_mut().quarantine.hear_cleared(&[(fingerprint, 0)], now_millis());
+    relay.beliefs.borrow_mut().quarantine.release(&fingerprint, now_millis());
+    tracing::info!(event = "request-released", %fingerprint);
 }
 
 fn take_objects(relay: &Relay, objects: &[ListedObject], held: &mut HeldObjects) {
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -325,6 +325,14 @@
         true
     }
 
+    /// Lets a request go everywhere again: the platform's store no longer holds it, by an operator's hand or since it had a
+    /// result. Others are told.
+    pub fn release(&mut self, fingerprint: &RequestFingerprint, now: Millis) {
+        if self.records.remove(fingerprint).is_some() {
+            self.tell_cleared(fingerprint, now);
+        }
+    }
+
     /// Takes over what another entry, or the platform's store, tells. `tells_on` asks to tell it on for a while.
     pub fn hear(
         &mut self,
--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -102,6 +102,9 @@
         let times = (replica * 1_000, replica * 1_000 + 100);
         assert_eq!(crash(&mut table, 1, replica, times), stops, "it needs more from then on");
     }
+    crash(&mut table, 2, 1, (0, 100));
+    table.release(&request(2), 3_000);
+    assert_eq!(table.cleared(3_000).len(), 2, "what the store no longer holds is told as well");
     // Others that had heard of the crashes forget them as well.
     let mut other = QuarantineTable::default();
     let runs = vec![run(1, 0, 100), run(2, 1_000, 1_100)];
