--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -17,7 +17,10 @@
 //! requests share its crashes, and what is sent at the same moment by entries that have not heard. Worst case in memory:
 //! [`MOST_RECORDS`] requests with [`MOST_RUNS`] runs each, some 600 kB; nothing in calm.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, VecDeque},
+};
 
 use crate::{Millis, fingerprint::RequestFingerprint, life::ReplicaLife};
 
@@ -400,8 +403,12 @@
             .records
             .iter()
             .filter(|(_, record)| now < record.told_until || tells_all && record.is_stopped(now));
-        let noted = told.filter(|(_, record)| record.weight(now) >= CrashSign::Strong.weight());
-        noted.take(MOST_TOLD).map(|(fingerprint, record)| record.news(*fingerprint, now)).collect()
+        let weighed = told.map(|(fingerprint, record)| (record.weight(now), fingerprint, record));
+        let mut noted: Vec<_> =
+            weighed.filter(|(weight, ..)| *weight >= CrashSign::Strong.weight()).collect();
+        noted.sort_unstable_by_key(|(weight, ..)| Reverse(*weight));
+        noted.truncate(MOST_TOLD);
+        noted.into_iter().map(|(_, fingerprint, record)| record.news(*fingerprint, now)).collect()
     }
 
     /// Requests that had a result lately, with the milliseconds since, as others are to be told.
@@ -470,9 +477,7 @@
     }
 
     fn tell_cleared(&mut self, fingerprint: &RequestFingerprint, now: Millis) {
-        if self.cleared.iter().any(|(known, at)| known == fingerprint && *at == now) {
-            return;
-        }
+        self.cleared.retain(|(known, _)| known != fingerprint);
         if self.cleared.len() == MOST_OPEN {
             self.cleared.pop_front();
         }
@@ -557,7 +562,7 @@
     }
 }
 
-/// Requests told in one message at most.
+/// Requests told in one message at most; those that say most come first.
 const MOST_TOLD: usize = 32;
 
 impl RequestRecord {
--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -208,6 +208,11 @@
         let news = RequestNews { fingerprint, left: None, runs: vec![run(number + 50, 0, 100)] };
         table.hear(vec![news], false, 4_000 + number);
     }
+    let news = table.news(4_000);
+    assert!(
+        news.iter().any(|news| news.fingerprint == request(1)),
+        "what is stopped is told first"
+    );
     assert_eq!(table.known(), MOST_RECORDS);
     assert!(table.left(&request(1), 10_000).is_some());
     assert!(table.weight(&request(1)) >= STOP_WEIGHT);
