--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -232,7 +232,7 @@
         slot.kill_at = slot.kill_at.map(|at| at + lasts);
     }
 
-    /// Lets a bad request come from now on; gives its name.
+    /// Lets a bad request come from now on.
     pub fn begin_bad(&self, kind: CallKind, way: BadWay) {
         let mut bad = lock(&self.bad);
         let beginning = match way {
