--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -19,6 +19,10 @@
     pub stopped_requests: Cell<u64>,
     /// Attempts refused for that.
     pub quarantined: Cell<u64>,
+    /// Rejections by which a replica asked this VM to stay away for a time.
+    pub backoffs_asked: Cell<u64>,
+    /// Answers by which a replica said that it is leaving.
+    pub leaving_told: Cell<u64>,
     /// Sends to a second replica.
     pub repeats: Cell<u64>,
     /// Streams moved to another path while they ran.
--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     counts::count,
+    notices::hear_notices_at,
     pool::SendError,
     probes::{ProbeEnd, ask_twice, silence_counts},
     replicas::take_report_start,
@@ -249,6 +250,7 @@
     let (response, link) = relay.pool.send(address, request, fresh).await?;
     let (parts, body) = response.into_parts();
     let marks = read_answer(&parts.headers);
+    hear_notices_at(relay, address, parts.status, &marks);
     let body = Limited::new(body, MOST_ANSWER).collect().await;
     let body = body.map_err(|error| SendError::Broken { detail: error.to_string() })?;
     if !marks.closes {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`runs`] | runs of requests at replicas, and what is left of lost ones |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`replicas`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
+//! | [`notices`] | what replicas say of themselves in their answers |
 //! | [`quarantine`] | requests that end the replicas that run them |
 //! | [`survey`] | which engines are slow |
 //! | [`placer`] | orders to engines to hold layers |
@@ -28,6 +29,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod news;
+pub mod notices;
 pub mod paths;
 pub mod peers;
 pub mod placer;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -159,6 +159,8 @@
             ("lost_runs", counts.lost_runs.get()),
             ("stopped_requests", counts.stopped_requests.get()),
             ("quarantined", counts.quarantined.get()),
+            ("backoffs_asked", counts.backoffs_asked.get()),
+            ("leaving_told", counts.leaving_told.get()),
             ("repeats", counts.repeats.get()),
             ("repaths", counts.repaths.get()),
             ("resumes", counts.resumes.get()),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -26,6 +26,7 @@
     admit::{Permit, admit},
     answers::{Refusal, RelayAnswer, whole},
     counts::count,
+    notices::hear_notices,
     pool::{BusyLink, SendError},
     quarantine::{check_quarantine, note_result},
     request::{CallerRequest, ReplicaTarget},
@@ -330,6 +331,7 @@
     };
     let (parts, body) = response.into_parts();
     let marks = read_answer(&parts.headers);
+    hear_notices(relay, &target.replica.life, parts.status, &marks);
     if let Some(end) = early_end(request, &marks, parts.status) {
         finish_quietly(relay, link, body, &marks).await;
         return AttemptReport { end, reply: None, detail: format!("status {}", parts.status) };
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,6 +15,7 @@
 use switchfold_router::{
     Millis,
     access::{ConfigSlot, RoutingConfig},
+    backoff::BackoffTable,
     budget::{BudgetConfig, RepeatBudget},
     chain::PathPart,
     fleet::EntryState,
@@ -69,6 +70,8 @@
     pub places: RoomLedger,
     /// First replicas that had no place a moment ago.
     pub full_starts: FullStarts,
+    /// Replicas that asked this VM to stay away for a time.
+    pub backoffs: BackoffTable,
     /// Engines that are slow.
     pub paces: PaceTable,
     /// This relay's share of the pipe between data centres.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -25,6 +25,7 @@
     engines::{ReportState, probe_replicas, recent_report},
     flow::stream_body,
     heads::{HeadGuard, HeadWait, Sent, WaitEnd},
+    notices::hear_notices,
     paths::{PathWish, RoomGuard, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
@@ -264,6 +265,7 @@
     let SentRun { path, room, mut run } = sent;
     let (head, body) = response.into_parts();
     let marks = read_answer(&head.headers);
+    hear_notices(relay, &first.life, head.status, &marks);
     if let Some(end) = early_end(request, &marks, head.status) {
         note_rejection(relay, tried, &marks, &first, head.status).await;
         match end {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | [`access`] | which route, service and organisation a request has, by the configuration in force |
 //! | [`attempt`] | what follows from the outcome of one attempt |
+//! | [`backoff`] | which replicas asked this VM to stay away for a time |
 //! | [`budget`] | how many repeats a service may still get |
 //! | [`chain`] | the path of a request over the layers |
 //! | [`cover`] | which layers each replica should hold |
@@ -33,6 +34,7 @@
 
 pub mod access;
 pub mod attempt;
+pub mod backoff;
 pub mod budget;
 pub mod chain;
 pub mod cover;
