--- a/crates/relay/src/answers.rs
+++ b/crates/relay/src/answers.rs
@@ -64,6 +64,9 @@
     /// Its time is up, and it did not run.
     #[display("timed-out-unsent")]
     TimedOutUnsent,
+    /// All replicas that could begin it want no requests of this relay for so many milliseconds more.
+    #[display("held-back")]
+    HeldBack(Millis),
     /// The same request ended the replicas that ran it: for so many milliseconds more it is sent nowhere.
     #[display("quarantined")]
     Quarantined(Millis),
@@ -79,6 +82,7 @@
             | Self::NoReplica
             | Self::NotRun
             | Self::TimedOutUnsent
+            | Self::HeldBack(_)
             | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -98,7 +102,7 @@
             Self::NoReplica | Self::NotRun => 1_400,
             Self::StaleConfiguration => 1_500,
             // Sooner, it would be refused again.
-            Self::Quarantined(left) => left,
+            Self::HeldBack(left) | Self::Quarantined(left) => left,
             _ => 700,
         }
     }
@@ -119,7 +123,7 @@
         *answer.status_mut() = self.status();
         let promised = self.status() == StatusCode::SERVICE_UNAVAILABLE;
         if promised {
-            let seconds = format!("{:.2}", self.retry_after() as f64 / 1_000.0);
+            let seconds = format!("{:.3}", self.retry_after() as f64 / 1_000.0);
             let value = HeaderValue::from_str(&seconds).expect("numbers are valid header values");
             answer.headers_mut().insert(header::RETRY_AFTER, value);
         }
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -21,7 +21,9 @@
     pub quarantined: Cell<u64>,
     /// Rejections by which a replica asked this VM to stay away for a time.
     pub backoffs_asked: Cell<u64>,
-    /// Answers by which a replica said that it is leaving.
+    /// Requests that were not sent at the last moment, since their replica wanted none.
+    pub held_back: Cell<u64>,
+    /// Replicas that said in an answer that they are leaving.
     pub leaving_told: Cell<u64>,
     /// Sends to a second replica.
     pub repeats: Cell<u64>,
--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -171,7 +171,7 @@
     match call(relay, address, Method::POST, ORDER_PATH, body).await {
         Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => OrderEnd::Taken,
         Ok((status, body)) => OrderEnd::Refused(status.as_u16(), decode_refusal(&body)),
-        Err(SendError::NotSent { .. }) => OrderEnd::NotSent,
+        Err(SendError::NotSent { .. } | SendError::HeldBack { .. }) => OrderEnd::NotSent,
         Err(SendError::Broken { .. }) => OrderEnd::Unknown,
     }
 }
@@ -247,7 +247,7 @@
     fresh: bool,
 ) -> Result<(StatusCode, Bytes), SendError> {
     let request = engine_request(address, method, path, body);
-    let (response, link) = relay.pool.send(address, request, fresh).await?;
+    let (response, link) = relay.pool.send(address, request, fresh, || Ok(())).await?;
     let (parts, body) = response.into_parts();
     let marks = read_answer(&parts.headers);
     hear_notices_at(relay, address, parts.status, &marks);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -160,6 +160,7 @@
             ("stopped_requests", counts.stopped_requests.get()),
             ("quarantined", counts.quarantined.get()),
             ("backoffs_asked", counts.backoffs_asked.get()),
+            ("held_back", counts.held_back.get()),
             ("leaving_told", counts.leaving_told.get()),
             ("repeats", counts.repeats.get()),
             ("repaths", counts.repaths.get()),
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -17,7 +17,10 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::state::{Beliefs, Relay};
+use crate::{
+    notices::soonest_end,
+    state::{Beliefs, Relay},
+};
 
 /// What a path is wanted for.
 #[derive(Clone, Debug)]
@@ -156,7 +159,8 @@
     }
     for offer in &mut offers {
         offer.room = f64::INFINITY;
-        offer.start_cost = offer.start_cost.or(Some(FULL_START_COST));
+        let full = (!offer.is_held_back).then_some(FULL_START_COST);
+        offer.start_cost = offer.start_cost.or(full);
     }
     choose_path(&request, &offers, &costs)
 }
@@ -178,7 +182,12 @@
         }
         let crowded = find_path(relay, wish, RoomRule::Wanted, CrossingRule::Never);
         if crowded.is_none() {
-            return crossing_path(relay, wish);
+            let left = soonest_beginning(relay, wish);
+            let Some(left) = left.filter(|left| Instant::now() + *left <= end) else {
+                return crossing_path(relay, wish);
+            };
+            sleep(LOOK_EVERY.min(left)).await;
+            continue;
         }
         if Instant::now() >= end {
             crowded.iter().for_each(|path| log_crowded(relay, wish, path));
@@ -188,6 +197,18 @@
     }
 }
 
+/// Whether a path may begin at a replica, as far as its layers tell.
+pub fn can_begin(replica: &ReplicaEntry) -> bool {
+    replica.layers.is_some_and(|range| range.from == 0)
+}
+
+/// Time until the first replica at which a path could begin takes requests again; nothing where one does now.
+fn soonest_beginning(relay: &Relay, wish: &PathWish<'_>) -> Option<Duration> {
+    let begins = |replica: &ReplicaEntry| can_begin(replica) && !wish.avoid.contains(&replica.life);
+    let left = soonest_end(&relay.beliefs.borrow(), wish.service, begins)?;
+    Some(Duration::from_millis(left))
+}
+
 /// Tells which replica of a path has least room.
 fn log_crowded(relay: &Relay, wish: &PathWish<'_>, path: &[PathPart]) {
     let beliefs = relay.beliefs.borrow();
@@ -269,6 +290,7 @@
         let pace = kind.map_or(1.0, |kind| kind.pace) * beliefs.paces.factor(&replica.life, now);
         let layer_cost = layer_cost(wish.engine, pace, promised, total);
         let data_centre = data_centres.number(&replica.data_centre);
+        let is_held_back = beliefs.backoffs.left(&replica.life, now).is_some();
         offers.push(PartOffer {
             life: replica.life.clone(),
             address: replica.address,
@@ -276,7 +298,8 @@
             range,
             layer_cost,
             room: (total * PLANNED_FILL - promised).max(0.0),
-            start_cost: begin_cost(beliefs, replica, now),
+            start_cost: if is_held_back { None } else { begin_cost(beliefs, replica, now) },
+            is_held_back,
         });
     }
     offers
@@ -318,6 +341,7 @@
         layer_cost: 0.0,
         room: f64::INFINITY,
         start_cost: Some(0.0),
+        is_held_back: false,
     })
 }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -26,7 +26,7 @@
     admit::{Permit, admit},
     answers::{Refusal, RelayAnswer, whole},
     counts::count,
-    notices::hear_notices,
+    notices::{SendGate, hear_notices, refusal_without_replica, soonest_end},
     pool::{BusyLink, SendError},
     quarantine::{check_quarantine, note_result},
     request::{CallerRequest, ReplicaTarget},
@@ -142,7 +142,11 @@
 pub fn choose_replica(relay: &Relay, service: &str, tried: &[ReplicaLife]) -> Option<ReplicaEntry> {
     let now = now_millis();
     let beliefs = relay.beliefs.borrow();
-    let usable = |replica: &&ReplicaEntry| replica.is_ready() && !tried.contains(&replica.life);
+    let usable = |replica: &&ReplicaEntry| {
+        replica.is_ready()
+            && !tried.contains(&replica.life)
+            && beliefs.backoffs.left(&replica.life, now).is_none()
+    };
     let cost = |replica: &ReplicaEntry| {
         let remote = replica.data_centre != relay.settings.data_centre;
         let suspect = beliefs.suspects.is_suspect(&replica.life, now);
@@ -153,6 +157,36 @@
     replicas.min_by(|left, right| cost(left).total_cmp(&cost(right))).cloned()
 }
 
+/// Part of the latency objective for which a request waits for a replica that wants none at the moment, in hundredths:
+/// the rest is enough for its answer.
+const WAIT_HUNDREDTHS: Millis = 60;
+
+/// Time between two looks at whether a replica takes requests again.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
+/// Chooses a replica; where all want no requests at the moment, and the first of them takes some again soon enough for
+/// this one, waits for it.
+async fn wait_for_replica(
+    relay: &Relay,
+    request: &CallerRequest,
+    permit: &Permit,
+    tried: &[ReplicaLife],
+) -> Option<ReplicaEntry> {
+    let patience = permit.route.objective * WAIT_HUNDREDTHS / 100;
+    let end = request.arrived + patience.min(request.deadline - request.arrived);
+    let untried = |replica: &ReplicaEntry| !tried.contains(&replica.life);
+    loop {
+        if let Some(replica) = choose_replica(relay, &permit.service, tried) {
+            return Some(replica);
+        }
+        let left = soonest_end(&relay.beliefs.borrow(), &permit.service, untried)?;
+        if now_millis() + left > end {
+            return None;
+        }
+        sleep(LOOK_EVERY.min(Duration::from_millis(left))).await;
+    }
+}
+
 /// A whole answer of a replica.
 struct WholeReply {
     head: Response<()>,
@@ -164,6 +198,14 @@
     end: AttemptEnd,
     reply: Option<WholeReply>,
     detail: String,
+    /// Whether it was not sent since the replica wants no requests at the moment.
+    is_held_back: bool,
+}
+
+impl AttemptReport {
+    fn without_reply(end: AttemptEnd, detail: String) -> Self {
+        Self { end, reply: None, detail, is_held_back: false }
+    }
 }
 
 /// Runs a request at replicas of a plain service, until there is an answer for the caller.
@@ -176,9 +218,12 @@
     let mut tried = Vec::new();
     let (mut sends, mut unsent, mut may_have_run) = (0, 0, false);
     loop {
-        let replica = choose_replica(relay, &permit.service, &tried);
+        let replica = wait_for_replica(relay, request, &permit, &tried).await;
         let Some(replica) = replica else {
-            return Err(if may_have_run { Refusal::Unknown } else { Refusal::NoReplica });
+            return Err(match may_have_run {
+                true => Refusal::Unknown,
+                false => refusal(relay, &permit.service, Refusal::NoReplica),
+            });
         };
         if let Err(refusal) = check_quarantine(relay, request) {
             return Err(if may_have_run { Refusal::Unknown } else { refusal });
@@ -220,13 +265,19 @@
                 }
                 permit = admit(relay, &request.asked)?;
             }
-            (NextStep::AnswerNotRun, _) => return Err(Refusal::NotRun),
+            (NextStep::AnswerNotRun, _) => {
+                return Err(refusal(relay, &permit.service, Refusal::NotRun));
+            }
             _ if request.time_left(now) == 0 => return Err(Refusal::TimedOut),
             _ => return Err(Refusal::Unknown),
         }
     }
 }
 
+fn refusal(relay: &Relay, service: &str, otherwise: Refusal) -> Refusal {
+    refusal_without_replica(relay, service, |_| true, otherwise)
+}
+
 /// Time below which a second attempt is not worth its price, in milliseconds.
 const MIN_TIME_LEFT: Millis = 50;
 
@@ -256,10 +307,9 @@
     let fresh = !permit.route.is_repeatable();
     let call = exchange(relay, request, permit, &target, fresh);
     let outcome = timeout(Duration::from_millis(patience), call).await;
-    let report = outcome.unwrap_or_else(|_| AttemptReport {
-        end: AttemptEnd::Broken,
-        reply: None,
-        detail: format!("no answer in {patience} ms"),
+    let report = outcome.unwrap_or_else(|_| {
+        let detail = format!("no answer in {patience} ms");
+        AttemptReport::without_reply(AttemptEnd::Broken, detail)
     });
     match report.end {
         AttemptEnd::Broken => {
@@ -269,6 +319,9 @@
         AttemptEnd::Answered(_) => note_result(relay, request),
         AttemptEnd::NotSent | AttemptEnd::Rejected => {}
     }
+    if report.is_held_back {
+        return report;
+    }
     let took = now_millis() - begun;
     let failed = !matches!(report.end, AttemptEnd::Answered(status) if status < 500);
     let wanted = permit.route.objective.max(1) as f64;
@@ -319,14 +372,19 @@
 ) -> AttemptReport {
     let outgoing = request.to_replica(permit, target);
     request.attempt_count.set(request.attempt_count.get() + 1);
-    let sent = relay.pool.send(target.replica.address, outgoing, fresh).await;
+    let gate = SendGate::new(relay, &target.replica.life);
+    let sent = relay.pool.send(target.replica.address, outgoing, fresh, || gate.pass()).await;
     let (response, link) = match sent {
         Ok(sent) => sent,
         Err(SendError::NotSent { detail }) => {
-            return AttemptReport { end: AttemptEnd::NotSent, reply: None, detail };
+            return AttemptReport::without_reply(AttemptEnd::NotSent, detail);
+        }
+        Err(error @ SendError::HeldBack { .. }) => {
+            let unsent = AttemptReport::without_reply(AttemptEnd::NotSent, error.to_string());
+            return AttemptReport { is_held_back: true, ..unsent };
         }
         Err(SendError::Broken { detail }) => {
-            return AttemptReport { end: AttemptEnd::Broken, reply: None, detail };
+            return AttemptReport::without_reply(AttemptEnd::Broken, detail);
         }
     };
     let (parts, body) = response.into_parts();
@@ -334,7 +392,7 @@
     hear_notices(relay, &target.replica.life, parts.status, &marks);
     if let Some(end) = early_end(request, &marks, parts.status) {
         finish_quietly(relay, link, body, &marks).await;
-        return AttemptReport { end, reply: None, detail: format!("status {}", parts.status) };
+        return AttemptReport::without_reply(end, format!("status {}", parts.status));
     }
     match Limited::new(body, MOST_ANSWER).collect().await {
         Ok(whole) => {
@@ -344,11 +402,11 @@
             let end = AttemptEnd::Answered(parts.status.as_u16());
             let reply =
                 WholeReply { head: Response::from_parts(parts, ()), body: whole.to_bytes() };
-            AttemptReport { end, reply: Some(reply), detail: String::new() }
+            AttemptReport { reply: Some(reply), ..AttemptReport::without_reply(end, String::new()) }
         }
         Err(error) => {
             let detail = format!("answer broke off: {error}");
-            AttemptReport { end: AttemptEnd::Broken, reply: None, detail }
+            AttemptReport::without_reply(AttemptEnd::Broken, detail)
         }
     }
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -50,6 +50,12 @@
         /// What happened.
         detail: String,
     },
+    /// No byte of it left, since the replica wants no requests at the moment.
+    #[display("held back for {left} ms")]
+    HeldBack {
+        /// Milliseconds for which it wants none.
+        left: Millis,
+    },
     /// It was sent, at least in part.
     #[display("no valid answer: {detail}")]
     Broken {
@@ -99,7 +105,8 @@
 
 impl EndpointPool {
     /// Sends a request and waits for the head of its answer. `fresh` asks for a new connection: what
-    /// is left over on a kept one cannot be taken for this request's answer.
+    /// is left over on a kept one cannot be taken for this request's answer. `may_go` is asked before a connection is
+    /// taken, and again before the request is written on one that had to be opened; it gives the time for which not.
     ///
     /// # Errors
     ///
@@ -109,8 +116,11 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         fresh: bool,
+        may_go: impl Fn() -> Result<(), Millis>,
     ) -> Result<(Response<Incoming>, BusyLink), SendError> {
+        let held_back = |left| SendError::HeldBack { left };
         let mut request = request;
+        may_go().map_err(held_back)?;
         while let Some(link) = self.take(address).filter(|_| !fresh) {
             match send_on(link, request).await {
                 Ok(answered) => return Ok(answered),
@@ -119,6 +129,7 @@
             }
         }
         let link = connect(address).await?;
+        may_go().map_err(held_back)?;
         send_on(link, request).await.map_err(|(error, _)| error)
     }
 
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -161,6 +161,15 @@
     true
 }
 
+/// Takes a replica's own word that it is leaving, and tells the relays of the data centre.
+pub fn take_leaving(relay: &Relay, life: &ReplicaLife) {
+    let taken = relay.beliefs.borrow_mut().fleet.take_leaving(life);
+    let Some(taken) = taken else { return };
+    count(&relay.counts.leaving_told);
+    note_taken(relay, &taken);
+    tell_fleet(relay, held_news(relay, life.id()));
+}
+
 /// What is held of a replica, as news for others.
 fn held_news(relay: &Relay, id: &str) -> Vec<ReplicaNews> {
     let beliefs = relay.beliefs.borrow();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use switchfold_kernel::{clock::now_millis, http::HttpClient};
 use switchfold_router::{
@@ -199,6 +200,11 @@
         ask(beliefs.budgets.entry(service.to_owned()).or_default(), &config, entries)
     }
 
+    /// Draws a time of up to `most` milliseconds.
+    pub fn draw(&self, most: Millis) -> Millis {
+        self.random.borrow_mut().random_range(0..=most)
+    }
+
     /// Notes a request of a caller for a service.
     pub fn note_request(&self, service: &str, now: Millis) {
         let mut beliefs = self.beliefs.borrow_mut();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -25,8 +25,8 @@
     engines::{ReportState, probe_replicas, recent_report},
     flow::stream_body,
     heads::{HeadGuard, HeadWait, Sent, WaitEnd},
-    notices::hear_notices,
-    paths::{PathWish, RoomGuard, wait_for_path},
+    notices::{SendGate, hear_notices, refusal_without_replica},
+    paths::{PathWish, RoomGuard, can_begin, wait_for_path},
     plain::{early_end, finish_quietly},
     pool::{BusyLink, SendError},
     quarantine::{check_quarantine, note_result},
@@ -96,7 +96,7 @@
         let opened = open_stream(relay, &request, &permit, &mut tried, last_event, patience).await;
         let (end, detail) = match opened {
             None if tried.sends > 0 => return Err(Refusal::Unknown),
-            None => return Err(Refusal::NoReplica),
+            None => return Err(refusal(relay, &permit.service, Refusal::NoReplica)),
             Some(OpenEnd::Open(stream)) => {
                 return Ok(begin_answer(relay, request, permit, tried, *stream, in_flight));
             }
@@ -121,13 +121,19 @@
                 count(&relay.counts.repeats);
                 permit = admit(relay, &request.asked)?;
             }
-            NextStep::AnswerNotRun => return Err(Refusal::NotRun),
+            NextStep::AnswerNotRun => {
+                return Err(refusal(relay, &permit.service, Refusal::NotRun));
+            }
             _ if request.time_left(now) == 0 => return Err(Refusal::TimedOut),
             _ => return Err(Refusal::Unknown),
         }
     }
 }
 
+fn refusal(relay: &Relay, service: &str, otherwise: Refusal) -> Refusal {
+    refusal_without_replica(relay, service, can_begin, otherwise)
+}
+
 /// Lets requests that can be in time go before streams that were cut, where all callers come back at once; tells
 /// whether that took time.
 async fn wait_in_turn(relay: &Relay, request: &CallerRequest) -> bool {
@@ -187,7 +193,8 @@
     let mut run = RunWatch::over_path(&path);
     let head = HeadGuard::new(relay, &first.life);
     let sent = {
-        let sending = relay.pool.send(first.address, outgoing, fresh);
+        let gate = SendGate::new(relay, &first.life);
+        let sending = relay.pool.send(first.address, outgoing, fresh, || gate.pass());
         let wait = HeadWait { relay, request, permit, earlier_sends: tried.sends, path: &path };
         wait.run(sending).await
     };
@@ -198,6 +205,10 @@
             tried.avoid.push(first.life);
             return Some(OpenEnd::Failed(AttemptEnd::NotSent, detail));
         }
+        Err(WaitEnd::Send(error @ SendError::HeldBack { .. })) => {
+            tried.avoid.push(first.life);
+            return Some(OpenEnd::Failed(AttemptEnd::NotSent, error.to_string()));
+        }
         Err(WaitEnd::Send(SendError::Broken { detail })) => {
             // Not a reason to keep others away: an answer that is garbled or cut says little of the next.
             // A replica that is gone shows in a probe.
--- a/crates/relay/tests/notices.rs
+++ b/crates/relay/tests/notices.rs
@@ -28,6 +28,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use harness::{RunningRelay, bounds, listed, run_test, wait_until};
 use http::StatusCode;
 use serde_json::Value;
@@ -52,6 +53,9 @@
 /// Requests of one VM that may reach a replica in the time in which it wants none.
 const MOST_UNWANTED: usize = 2;
 
+/// Time over which callers come back that were refused until the same end, in seconds.
+const RETURN_SPREAD: f64 = 0.25;
+
 /// Time between two requests of the callers.
 const BETWEEN: Duration = Duration::from_millis(20);
 
@@ -153,6 +157,76 @@
     }
 }
 
+/// Where all replicas want no requests, callers are told so at once, and when the first of them takes requests again; none
+/// of them is sent to.
+#[test]
+fn callers_are_told_when_all_replicas_want_time() {
+    for (path, entry) in
+        [("/stream/", whole_model as fn(SocketAddr) -> Value), ("/safe/", desk_entry)]
+    {
+        run_test(async {
+            let seen = [SeenTimes::default(), SeenTimes::default()];
+            let one = StandinReplica::start(turns_away(&closed(), "6", &seen[0])).await;
+            let two = StandinReplica::start(turns_away(&closed(), "4", &seen[1])).await;
+            let entries = [listed("i-1", &one, entry), listed("i-2", &two, entry)];
+            let relay = RunningRelay::start(bounds(), &entries).await;
+            wait_until(async || {
+                relay.get(&format!("{path}first"), "first").await;
+                seen.iter().all(|seen| seen.len() > 0)
+            })
+            .await;
+            let sent: usize = seen.iter().map(SeenTimes::len).sum();
+            let called = relay.get(&format!("{path}late"), "late").await;
+            assert_eq!(called.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+            let after = called.headers.get("retry-after").and_then(|value| value.to_str().ok());
+            let after: f64 = after.and_then(|value| value.parse().ok()).expect("a time");
+            // They come back over a quarter of a second, so that not all do at the same moment.
+            assert!(after > 1.4 && after <= 4.0 + RETURN_SPREAD, "{path}: {after}");
+            assert_eq!(seen.iter().map(SeenTimes::len).sum::<usize>(), sent, "{path}");
+        });
+    }
+}
+
+/// A request waits for the end of the time where that comes soon enough for it to be served in time.
+#[test]
+fn a_short_time_is_waited_for() {
+    for (path, entry) in
+        [("/stream/", whole_model as fn(SocketAddr) -> Value), ("/safe/", desk_entry)]
+    {
+        run_test(async {
+            let (is_closed, seen) = (closed(), SeenTimes::default());
+            let replica = StandinReplica::start(turns_away(&is_closed, "0.15", &seen)).await;
+            let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, entry)]).await;
+            relay.get(&format!("{path}first"), "first").await;
+            is_closed.store(false, Ordering::SeqCst);
+            let called = relay.get(&format!("{path}second"), "second").await;
+            assert_eq!(called.status, StatusCode::OK, "{path}");
+        });
+    }
+}
+
+/// After the end of the time all callers that waited for it do not come at once: the first one finds out whether the
+/// replica takes requests again.
+#[test]
+fn one_request_finds_out_whether_the_time_is_over() {
+    for (path, entry) in
+        [("/stream/", whole_model as fn(SocketAddr) -> Value), ("/safe/", desk_entry)]
+    {
+        run_test(async {
+            let seen = SeenTimes::default();
+            let replica = StandinReplica::start(turns_away(&closed(), "0.15", &seen)).await;
+            let relay = RunningRelay::start(bounds(), &[listed("i-1", &replica, entry)]).await;
+            relay.get(&format!("{path}first"), "first").await;
+            let before = seen.len();
+            let paths: Vec<String> = (0..20).map(|number| format!("{path}{number}")).collect();
+            join_all(paths.iter().map(|path| relay.get(path, path))).await;
+            // The time may end twice, or three times, while they wait.
+            let came = seen.len() - before;
+            assert!((1..=3).contains(&came), "{path}: {came}");
+        });
+    }
+}
+
 /// Bounds by which a replica that leaves must be left alone soon.
 fn soon() -> BoundSettings {
     BoundSettings { drain_ms: 200.0, ..bounds() }
--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -105,6 +105,7 @@
         layer_cost: holder.layer_ms,
         room: 1e7,
         start_cost: Some(0.0),
+        is_held_back: false,
     };
     laid_out(count).into_iter().map(offer).collect()
 }
--- a/crates/router/src/chain.rs
+++ b/crates/router/src/chain.rs
@@ -74,6 +74,8 @@
     pub room: f64,
     /// Cost of beginning here, which grows as its places for requests fill up; nothing where none is left.
     pub start_cost: Option<f64>,
+    /// Whether no path may begin here at the moment, whatever that would cost: the replica wants none from this VM.
+    pub is_held_back: bool,
 }
 
 /// One part of a path.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -152,6 +152,8 @@
     /// so (benchmark `take_list`).
     by_address: HashMap<SocketAddr, Vec<String>>,
     gone: BTreeMap<String, GoneMark>,
+    /// Lives that said in an answer that they are leaving, whatever their entries say.
+    leaving: HashSet<ReplicaLife>,
     /// Services that the configuration names; nothing before there is one.
     services: Option<HashSet<String>>,
     digest: u64,
@@ -178,6 +180,10 @@
     }
 
     fn insert(&mut self, entry: ReplicaEntry, revision: u64, now: Millis) -> FleetChange {
+        let mut entry = entry;
+        if self.leaving.contains(&entry.life) {
+            entry.state = EntryState::Draining;
+        }
         let id = entry.life.id();
         let first = self.first_listed(id).unwrap_or(revision);
         if self.is_older(&entry, revision) || self.has_successor(&entry, first) {
@@ -278,6 +284,27 @@
         }
     }
 
+    /// Takes a replica's own word that it is leaving; tells whether that is news. It binds until the replica starts
+    /// again: its entry may say for seconds that it takes requests, and a request that comes later than the time for
+    /// which it serves on is lost.
+    pub fn note_leaving(&mut self, life: &ReplicaLife) -> bool {
+        let Some(held) = self.replicas.get_mut(life.id()) else { return false };
+        if held.entry.life != *life {
+            return false;
+        }
+        let is_news = held.entry.state != EntryState::Draining;
+        held.entry.state = EntryState::Draining;
+        if self.leaving.len() >= MOST_GONE {
+            let replicas = &self.replicas;
+            let lives = |life: &ReplicaLife| {
+                replicas.get(life.id()).is_some_and(|held| held.entry.life == *life)
+            };
+            self.leaving.retain(lives);
+        }
+        self.leaving.insert(life.clone());
+        is_news
+    }
+
     /// Takes a replica's own word that it started again, where its entry is still one of an earlier life: it
     /// holds nothing that is known of. Gives the life that ended.
     pub fn note_start(&mut self, id: &str, born: Millis, now: Millis) -> Option<ReplicaLife> {
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -41,6 +41,9 @@
     /// The replica itself, when it was asked.
     #[display("report")]
     Report,
+    /// The replica itself, with an answer.
+    #[display("answer")]
+    Answer,
 }
 
 /// News that came, with what it changed.
@@ -246,6 +249,27 @@
         })
     }
 
+    /// Takes a replica's own word that it is leaving; gives what it changed.
+    pub fn take_leaving(&mut self, life: &ReplicaLife) -> Option<TakenNews> {
+        if !self.view.note_leaving(life) {
+            return None;
+        }
+        let entry = self.view.living(life)?;
+        let revision = self.view.revision(life.id())?;
+        Some(TakenNews {
+            id: life.id().to_owned(),
+            life: Some(life.clone()),
+            ended: None,
+            is_planned: true,
+            address: Some(entry.address),
+            layers: entry.layers,
+            change: FleetChange::Draining,
+            revision,
+            held: Some(revision),
+            source: NewsSource::Answer,
+        })
+    }
+
     /// Notes that a read sent at `sent`, which reached the revision `at`, was answered.
     pub fn note_read(&mut self, sent: Millis, at: u64, now: Millis) {
         self.watched = at;
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -21,6 +21,7 @@
         layer_cost,
         room: 1e9,
         start_cost: Some(0.0),
+        is_held_back: false,
     }
 }
 
