--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -29,6 +29,12 @@
 /// Requests that may run on more replicas: those whose replica ended meanwhile are not told apart.
 const EXCUSED_ATTEMPTS: usize = 3;
 
+/// Time after a replica's asking from which requests count, in microseconds.
+const ON_THE_WAY: Micros = 500_000;
+
+/// Requests that may reach it after that all the same.
+const MOST_UNWANTED: usize = 2;
+
 /// Replicas that a bad request may end before it must be stopped.
 const ENDED_BEFORE: usize = 3;
 
@@ -59,6 +65,12 @@
     /// A leaving replica is left alone.
     #[display("leaving-replica")]
     LeavingReplica,
+    /// A replica that asks a relay to stay away is left alone by it.
+    #[display("asked-time")]
+    AskedTime,
+    /// A relay that passed on a replica's word that it is leaving leaves it alone.
+    #[display("leaving-word")]
+    LeavingWord,
     /// A planned stop cuts nothing.
     #[display("planned-stop")]
     PlannedStop,
@@ -110,6 +122,8 @@
     violations.extend(check_asked(history, organisation));
     violations.extend(check_keys(history, &runs));
     violations.extend(check_leaving(history));
+    violations.extend(check_asked_times(history));
+    violations.extend(check_leaving_words(history));
     violations.extend(check_bad(history));
     violations.extend(check_processes(history));
     violations
@@ -250,6 +264,82 @@
     violations
 }
 
+/// Relay that took the request of a run, with the time at which its caller sent it.
+fn senders(history: &RunHistory) -> HashMap<&str, (usize, Micros)> {
+    history.calls.iter().map(|call| (call.id.as_str(), (call.relay, call.sent))).collect()
+}
+
+/// Number of a replica, which its id names.
+fn replica_number(id: &str) -> usize {
+    let number = id.split('-').nth(1).and_then(|number| number.parse().ok());
+    number.unwrap_or_else(|| panic!("ids of replicas name their number, and not {id}"))
+}
+
+/// Runs by relay and replica.
+fn runs_by_way<'a>(
+    history: &'a RunHistory,
+    senders: &HashMap<&str, (usize, Micros)>,
+) -> BTreeMap<(usize, &'a str), Vec<&'a RunRecord>> {
+    let mut ways: BTreeMap<(usize, &str), Vec<&RunRecord>> = BTreeMap::new();
+    for run in &history.runs {
+        let Some((relay, _)) = senders.get(run.id.as_str()) else { continue };
+        ways.entry((*relay, run.replica.as_str())).or_default().push(run);
+    }
+    ways
+}
+
+/// Few requests of a relay reach a replica from half a second after it asked that relay to stay away until the end of the
+/// time that it asked for. A start, stop or pause of the relay excuses it, and a harmed link between the two.
+fn check_asked_times(history: &RunHistory) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for ((relay, replica), runs) in runs_by_way(history, &senders(history)) {
+        for asking in &runs {
+            let Some(asked) = asking.asked else { continue };
+            let (from, to) = (asking.at + ON_THE_WAY, asking.at + asked * 1_000);
+            let is_excused = !history.ran_on(relay, asking.at, to)
+                || !history.link_was_well(replica_number(replica), asking.at, to);
+            let came = runs.iter().filter(|run| run.at > from && run.at < to).count();
+            if came > MOST_UNWANTED && !is_excused {
+                let what = format!(
+                    "{replica} asked relay {relay} for {asked} ms ({}), and got {came} requests",
+                    asking.id
+                );
+                violations.push(broken(Promise::AskedTime, what));
+            }
+        }
+    }
+    violations
+}
+
+/// A request that was sent later than the drain time after a relay had passed on an answer of a replica that says it is
+/// leaving does not reach that replica from that relay. A start, stop or pause of the relay since excuses it.
+fn check_leaving_words(history: &RunHistory) -> Vec<Violation> {
+    let senders = senders(history);
+    let ended: HashMap<&str, &CallRecord> =
+        history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let mut violations = Vec::new();
+    for ((relay, replica), runs) in runs_by_way(history, &senders) {
+        let passed_on = |run: &&&RunRecord| run.leaving && run.ran && run.bad.is_none();
+        let answers = runs.iter().filter(passed_on).filter_map(|run| {
+            let call = ended[run.id.as_str()];
+            let answered = matches!(&call.end, CallEnd::Answered(answer) if answer.sealed);
+            answered.then_some(call.ended)
+        });
+        let Some(told) = answers.min() else { continue };
+        // One that started again under its id says so no more.
+        let is_late =
+            |run: &&&RunRecord| run.leaving && senders[run.id.as_str()].1 > told + DRAIN_TIME;
+        let late = runs.iter().find(is_late);
+        if let Some(late) = late.filter(|late| history.ran_on(relay, told, late.at)) {
+            let after_ms = (senders[late.id.as_str()].1 - told) / 1_000;
+            let what =
+                format!("{} by relay {relay} reached {replica}, sent {after_ms} ms after", late.id);
+            violations.push(broken(Promise::LeavingWord, what));
+        }
+    }
+    violations
+}
+
 /// A bad request reaches few replicas once it has ended three and the contact time has passed. Only relays in touch count.
 fn check_bad(history: &RunHistory) -> Vec<Violation> {
     let relays: HashMap<&str, usize> =
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod caller;
 pub mod checks;
+pub mod notices;
 pub mod plan;
 pub mod process;
 pub mod proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -67,8 +67,39 @@
     /// A relay stands still for longer than the bound on removed keys; meanwhile a key is taken away, and the store is out of its
     /// reach for a while after.
     FreezeRelay(usize),
+    /// A replica turns requests away for a while, and asks for a time without any.
+    TurnAway(usize),
+    /// A replica says in all its answers that it is leaving, and its entry does not; at the end it is killed, and starts again.
+    SayLeaving(usize),
 }
 
+/// What comes beside a plan's faults of what replicas say of themselves: some turn requests away, one or most of a service,
+/// and one says that it is leaving without its entry saying so. It is drawn by itself, as [`make_harm`] is.
+pub fn make_notices(seed: u64, shape: &SiteShape, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32) ^ NOTICES);
+    let most = length.as_millis() as u64;
+    let mut planned = Vec::new();
+    for _ in 0..random.random_range(2..5) {
+        let at = Duration::from_millis(random.random_range(0..=most));
+        let first = random.random_range(0..shape.replicas());
+        let count = if random.random() { 1 } else { random.random_range(1..=shape.engines) };
+        let replicas = (first..first + count).map(|number| number % shape.replicas());
+        planned.extend(replicas.map(|replica| PlannedFault {
+            at,
+            lasts: Duration::ZERO,
+            fault: Fault::TurnAway(replica),
+        }));
+    }
+    let at = Duration::from_millis(random.random_range(0..=most / 2));
+    let lasts = Duration::from_millis(random.random_range(3_000..6_000)).min(length - at);
+    let fault = Fault::SayLeaving(random.random_range(0..shape.replicas()));
+    planned.push(PlannedFault { at, lasts, fault });
+    planned
+}
+
+/// Tells the draws of [`make_notices`] apart from others of the same seed.
+const NOTICES: u64 = 0x6e6f_7469_6365_7321;
+
 /// Which replica a bad request ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BadWay {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -106,6 +106,12 @@
     /// Name of the bad request that it is, where that ended the replica.
     #[serde(default)]
     pub bad: Option<String>,
+    /// Milliseconds without requests that the replica asked for as it turned this one away.
+    #[serde(default)]
+    pub asked: Option<u64>,
+    /// Whether the answer says that the replica is leaving.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// Something done to the site.
@@ -119,6 +125,8 @@
     ReplicaEnd,
     /// A fault of one relay, or of its way to the store, by number.
     RelayFault(usize),
+    /// A fault of the way to a replica, by number, beside what else it is noted as.
+    LinkFault(usize),
     /// A fault of the store.
     StoreFault,
     /// Anything else.
@@ -190,6 +198,29 @@
         !self.any_near(at, at, |kind| kind.harms_relay(relay))
     }
 
+    /// Whether a relay ran from one moment to another, without a start, a stop or a pause.
+    pub fn ran_on(&self, relay: usize, from: Micros, to: Micros) -> bool {
+        let counts = |kind| {
+            [DisruptionKind::RelayFault(relay), DisruptionKind::PlannedStop(relay)].contains(&kind)
+        };
+        !self.any_between(from, to, counts)
+    }
+
+    /// Whether the way to a replica was well from one moment to another.
+    pub fn link_was_well(&self, replica: usize, from: Micros, to: Micros) -> bool {
+        !self.any_between(from, to, |kind| kind == DisruptionKind::LinkFault(replica))
+    }
+
+    fn any_between(
+        &self,
+        from: Micros,
+        to: Micros,
+        counts: impl Fn(DisruptionKind) -> bool,
+    ) -> bool {
+        let mut counted = self.disruptions.iter().filter(|one| counts(one.kind));
+        counted.any(|one| one.from <= to && from <= one.to)
+    }
+
     fn any_near(&self, from: Micros, to: Micros, counts: impl Fn(DisruptionKind) -> bool) -> bool {
         let counted = self.disruptions.iter().filter(|one| counts(one.kind));
         let mut near = counted.filter(|one| one.from <= to && from <= one.to + CONTACT_TIME);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -13,6 +13,7 @@
 use switchfold_kernel::clock::{epoch_micros, epoch_millis};
 use switchfold_platform::{
     REPLICA_KIND,
+    engine::{ORDER_PATH, REPORT_PATH},
     headers::{ATTEMPT_ID, ORGANISATION},
     objects::ObjectStore,
 };
@@ -29,6 +30,7 @@
 
 use crate::{
     checks::{EVENTS, own_body},
+    notices::ReplicaNotices,
     record::RunRecord,
 };
 
@@ -98,16 +100,18 @@
 /// Fails where no port or signal is to be had.
 pub async fn run_replica(arguments: ReplicaArguments) -> std::io::Result<()> {
     end_when_abandoned();
+    let mut term = signal(SignalKind::terminate())?;
+    let notices = ReplicaNotices::default();
+    notices.listen()?;
     let born = epoch_millis();
     let engine = StandinEngine::born_at(born);
     let replica = match arguments.service {
-        ServiceKind::Desk => start_desk(&arguments).await?,
-        ServiceKind::Engine => start_engine(&arguments, engine.clone()).await?,
+        ServiceKind::Desk => start_desk(&arguments, notices).await?,
+        ServiceKind::Engine => start_engine(&arguments, engine.clone(), notices).await?,
     };
     println!("{LISTENS}{}", replica.address());
     let running = engine.clone();
     tokio::spawn(async move { running.run().await });
-    let mut term = signal(SignalKind::terminate())?;
     let store = ObjectStore::new(&arguments.store.to_string(), STORE_PATIENCE);
     let mut told: Option<Instant> = None;
     let mut leaves = false;
@@ -200,12 +204,18 @@
     });
 }
 
-async fn start_desk(arguments: &ReplicaArguments) -> std::io::Result<StandinReplica> {
+async fn start_desk(
+    arguments: &ReplicaArguments,
+    notices: ReplicaNotices,
+) -> std::io::Result<StandinReplica> {
     let id = arguments.id.clone();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     StandinReplica::start_at(any, move |request: &SeenRequest| {
+        if let Some(reply) = turn_away(&id, request, &notices) {
+            return reply;
+        }
         let bad = bad_name(request);
-        note(&id, request, true, bad.clone());
+        note(&id, request, RunNote { bad: bad.clone(), ..RunNote::ran(&notices) });
         if bad.is_some() {
             end_soon();
             return Reply::Silence;
@@ -213,7 +223,7 @@
         let attempt = attempt_id(request);
         let fails = attempt.bytes().map(usize::from).sum::<usize>().is_multiple_of(FAILS_ONE_IN);
         let status = if fails { 500 } else { 200 };
-        match answer(request, status, &own_body(attempt)) {
+        match notices.mark(answer(request, status, &own_body(attempt))) {
             Reply::Bytes(bytes) => Reply::BytesLater(WORK, bytes),
             other => other,
         }
@@ -224,28 +234,34 @@
 async fn start_engine(
     arguments: &ReplicaArguments,
     engine: StandinEngine,
+    notices: ReplicaNotices,
 ) -> std::io::Result<StandinReplica> {
     let id = arguments.id.clone();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     StandinReplica::start_at(any, move |request: &SeenRequest| {
         let bad = bad_name(request);
         if request.target == BAD_PART {
-            note(&id, request, true, bad);
+            note(&id, request, RunNote { bad, ..RunNote::ran(&notices) });
             end_soon();
             return Reply::Silence;
         }
+        if let Some(reply) = turn_away(&id, request, &notices) {
+            return reply;
+        }
         let is_later = bad.as_ref().is_some_and(|name| name.starts_with(BAD_LATER));
         let reply = engine.answer(request, EVENTS, PAUSE, |event| {
             let began = event == EngineEvent::Began;
             let ends_here = began && !is_later;
-            note(&id, request, began, bad.clone().filter(|_| ends_here));
+            let bad_here = bad.clone().filter(|_| ends_here);
+            let noted = RunNote { ran: began, bad: bad_here, ..RunNote::ran(&notices) };
+            note(&id, request, noted);
             match began && bad.is_some() {
                 true if is_later => pass_bad_part(request),
                 true => end_soon(),
                 false => {}
             }
         });
-        match reply {
+        match notices.mark(reply) {
             // It begins, and has no end: whoever runs it is gone before.
             Reply::Stream { head, pause, owner, gate, .. } if bad.is_some() => {
                 Reply::Stream { head, ids: 0..0, pause, end: StreamEnd::Silence, owner, gate }
@@ -274,7 +290,33 @@
     request.header(ORGANISATION.as_str()).unwrap_or_default().to_owned()
 }
 
-fn note(replica: &str, request: &SeenRequest, ran: bool, bad: Option<String>) {
+/// Turns a caller's request away, where the replica does so at the moment.
+fn turn_away(replica: &str, request: &SeenRequest, notices: &ReplicaNotices) -> Option<Reply> {
+    if [REPORT_PATH, ORDER_PATH].contains(&request.target.as_str()) {
+        return None;
+    }
+    let (asked, reply) = notices.turn_away(request)?;
+    note(replica, request, RunNote { ran: false, asked, ..RunNote::ran(notices) });
+    Some(notices.mark(reply))
+}
+
+/// What a replica notes of a request beside what the request says.
+#[derive(Debug, Default)]
+struct RunNote {
+    ran: bool,
+    bad: Option<String>,
+    asked: Option<u64>,
+    leaving: bool,
+}
+
+impl RunNote {
+    fn ran(notices: &ReplicaNotices) -> Self {
+        Self { ran: true, leaving: notices.is_leaving(), ..Self::default() }
+    }
+}
+
+fn note(replica: &str, request: &SeenRequest, noted: RunNote) {
+    let RunNote { ran, bad, asked: backoff, leaving } = noted;
     let id = attempt_id(request);
     let asked = bad_name(request);
     let name = asked.as_deref().unwrap_or(id);
@@ -288,6 +330,8 @@
         organisation: organisation(request),
         at: epoch_micros(),
         bad,
+        asked: backoff,
+        leaving,
     };
     let line = serde_json::to_string(&record).expect("records are plain data");
     println!("{line}");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,8 @@
 use crate::{
     caller::{run_bad_caller, run_caller},
     checks::{Violation, check},
-    plan::{Fault, OUT_OF_REACH, PlannedFault, make_harm, make_plan},
+    notices::TURNS_AWAY,
+    plan::{Fault, OUT_OF_REACH, PlannedFault, make_harm, make_notices, make_plan},
     proxy::LinkMood,
     record::{CallEnd, CallKind, CallRecord, DisruptionKind},
     site::{GRACE_S, SiteConfig, SoakSite},
@@ -64,6 +65,7 @@
     let bad_caller = tokio::spawn(bad_caller);
     let mut plan = make_plan(seed, &shape, length);
     plan.extend(make_harm(seed, &shape, length));
+    plan.extend(make_notices(seed, &shape, length));
     plan.sort_by_key(|planned| planned.at);
     inject(&site, &plan, length).await;
     sleep(CALM_TIME).await;
@@ -155,7 +157,10 @@
         }
         Fault::KillRelays => {
             site.note_disruption(DisruptionKind::Fault, LEAST_DOWN + START_TIME);
-            (0..site.relay_count()).for_each(|number| site.kill_relay(number, LEAST_DOWN));
+            (0..site.relay_count()).for_each(|number| {
+                site.note_disruption(DisruptionKind::RelayFault(number), LEAST_DOWN + START_TIME);
+                site.kill_relay(number, LEAST_DOWN);
+            });
         }
         Fault::StopRelay(number) => {
             let grace = Duration::from_secs(GRACE_S + 1);
@@ -188,6 +193,7 @@
         }
         Fault::DisturbReplica(number, mood) => {
             site.note_disruption(DisruptionKind::Fault, lasts);
+            site.note_disruption(DisruptionKind::LinkFault(number), lasts);
             site.replica_link(number).set_mood(mood);
             sleep(lasts).await;
             site.replica_link(number).set_mood(LinkMood::Well);
@@ -214,6 +220,18 @@
         }
         Fault::BadRequest(kind, way) => site.begin_bad(kind, way),
         Fault::FreezeRelay(number) => freeze_relay(&site, number, lasts).await,
+        Fault::TurnAway(number) => {
+            // Callers are refused meanwhile, whatever else happens.
+            site.note_disruption(DisruptionKind::Fault, TURNS_AWAY);
+            site.notify_replica(number, Signal::SIGUSR1);
+        }
+        Fault::SayLeaving(number) => {
+            site.note_disruption(DisruptionKind::PlannedWork, lasts);
+            site.notify_replica(number, Signal::SIGUSR2);
+            sleep(lasts).await;
+            site.note_disruption(DisruptionKind::Fault, LEAST_DOWN + START_TIME);
+            site.kill_replica(number, LEAST_DOWN);
+        }
     }
 }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -93,6 +93,8 @@
     /// Id under which it starts again; nothing where the next start has a new one.
     kept_id: Mutex<Option<String>>,
     link: LinkProxy,
+    /// Whether its present process said where it listens.
+    listens: AtomicBool,
     service: &'static str,
     data_centre: &'static str,
 }
@@ -137,6 +139,7 @@
                 slot: Mutex::default(),
                 kept_id: Mutex::default(),
                 link: LinkProxy::start().await?,
+                listens: AtomicBool::default(),
                 service: if is_engine { "engine" } else { "desk" },
                 data_centre: DATA_CENTRES[number % DATA_CENTRES.len()],
             });
@@ -248,6 +251,13 @@
         lock(&self.replicas[number].slot).signal(signal);
     }
 
+    /// Sends a signal to a replica that hears it, and would end by it before.
+    pub fn notify_replica(&self, number: usize, signal: Signal) {
+        if self.replicas[number].listens.load(Ordering::Relaxed) {
+            self.signal_replica(number, signal);
+        }
+    }
+
     /// Kills a relay; it is down for a while.
     pub fn kill_relay(&self, number: usize, down: Duration) {
         lock(&self.relays[number].slot).kill(down);
@@ -412,6 +422,7 @@
             &linger,
         ];
         replica.link.set_target(None);
+        replica.listens.store(false, Ordering::Relaxed);
         match SoakProcess::start_read(&self.config.replica, &arguments) {
             Ok((process, lines)) => {
                 *lock(&replica.kept_id) = keeps_id(number).then(|| id.clone());
@@ -432,6 +443,7 @@
         while let Ok(Some(line)) = lines.next_line().await {
             if let Some(address) = line.strip_prefix(LISTENS) {
                 self.replicas[number].link.set_target(address.parse().ok());
+                self.replicas[number].listens.store(true, Ordering::Relaxed);
             } else if let Some(at) = line.strip_prefix(LEAVES) {
                 let at = at.parse().unwrap_or_else(|_| epoch_micros());
                 self.history().leaving.push((id.clone(), at));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -35,6 +35,8 @@
         organisation: ORGANISATION.to_owned(),
         at: 1_100_000,
         bad: None,
+        asked: None,
+        leaving: false,
     }
 }
 
@@ -53,6 +55,60 @@
     RunHistory { calls: vec![call], runs, ..RunHistory::default() }
 }
 
+/// Calls through relay 0 whose runs come at these times, in microseconds; their callers sent them then.
+fn timed(runs: Vec<RunRecord>) -> RunHistory {
+    let calls = runs.iter().map(|run| CallRecord {
+        sent: run.at,
+        ended: run.at + 1_000,
+        ..call(&run.id, CallKind::Safe, answer(200, true, true, &own_body(&run.id)))
+    });
+    RunHistory { calls: calls.collect(), runs, ..RunHistory::default() }
+}
+
+#[test]
+fn replicas_that_ask_for_time() {
+    let asking = RunRecord { ran: false, asked: Some(2_000), ..run("a", "i-1-0") };
+    let at = |id: &str, at: u64| RunRecord { at, ..run(id, "i-1-0") };
+    let begun = asking.at;
+    let within = [begun + 600_000, begun + 700_000, begun + 1_900_000];
+    let outside = [begun + 100_000, begun + 499_000, begun + 2_000_001];
+    let with = |times: &[u64]| {
+        let came = times.iter().enumerate().map(|(number, time)| at(&format!("b{number}"), *time));
+        timed(std::iter::once(asking.clone()).chain(came).collect())
+    };
+    assert_eq!(broken(&with(&within)), [Promise::AskedTime]);
+    assert_eq!(broken(&with(&within[..2])), []);
+    assert_eq!(broken(&with(&outside)), []);
+    for (kind, excuses) in [
+        (DisruptionKind::RelayFault(0), true),
+        (DisruptionKind::PlannedStop(0), true),
+        (DisruptionKind::LinkFault(1), true),
+        (DisruptionKind::RelayFault(1), false),
+        (DisruptionKind::LinkFault(2), false),
+        (DisruptionKind::Fault, false),
+        (DisruptionKind::StoreFault, false),
+    ] {
+        let mut history = with(&within);
+        let from = begun + 650_000;
+        history.disruptions.push(Disruption { kind, from, to: from + 1 });
+        assert_eq!(broken(&history).is_empty(), excuses, "{kind:?}");
+    }
+}
+
+#[test]
+fn replicas_that_say_they_are_leaving() {
+    let says = |id: &str, at: u64| RunRecord { at, leaving: true, ..run(id, "i-1-0") };
+    let late = 1_101_000 + DRAIN_TIME + 1;
+    assert_eq!(broken(&timed(vec![says("a", 1_100_000), says("b", late)])), [Promise::LeavingWord]);
+    assert_eq!(broken(&timed(vec![says("a", 1_100_000), says("b", late - 1)])), []);
+    let again = RunRecord { leaving: false, ..says("b", late) };
+    assert_eq!(broken(&timed(vec![says("a", 1_100_000), again])), []);
+    let mut history = timed(vec![says("a", 1_100_000), says("b", late)]);
+    let kind = DisruptionKind::RelayFault(0);
+    history.disruptions.push(Disruption { kind, from: 1_200_000, to: 1_300_000 });
+    assert_eq!(broken(&history), []);
+}
+
 #[test]
 fn answers() {
     use CallKind::{Safe, Stream};
