--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -92,6 +92,17 @@
     })
 }
 
+/// Days on which the store comes back from an older copy, once or twice, beside other troubles.
+fn day_of_copies() -> impl Strategy<Value = Day> {
+    let copy = (3_500..LENGTH - 6_000, 50..2_500_u64, 0..10_000_u64);
+    (day(), prop::collection::vec(copy, 1..3)).prop_map(|(mut day, copies)| {
+        let copies =
+            copies.into_iter().map(|(at, lasts, age)| lasting(at, lasts, Trouble::Copy { age }));
+        day.troubles.extend(copies);
+        day
+    })
+}
+
 /// Enough that each fault that these days ever found shows well before the last one.
 fn config() -> ProptestConfig {
     ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() }
@@ -110,6 +121,16 @@
         prop_assert!(ended.is_empty(), "{:?}", ended.first());
     }
 
+    /// The same where the store comes back from an older copy, and gives its revisions out again.
+    #[test]
+    fn an_older_copy_of_the_store_undoes_nothing(day in day_of_copies()) {
+        let Broken { leaving, lacking, ended, config } = play(&day);
+        prop_assert!(leaving.is_empty(), "{:?}", leaving.first());
+        prop_assert!(lacking.is_empty(), "{:?}", lacking.first());
+        prop_assert!(ended.is_empty(), "{:?}", ended.first());
+        prop_assert!(config.is_empty(), "{:?}", config.first());
+    }
+
     /// The same for the configuration.
     #[test]
     fn no_relay_in_touch_holds_an_old_configuration(day in day()) {
--- a/crates/router/tests/model/mod.rs
+++ b/crates/router/tests/model/mod.rs
@@ -41,6 +41,12 @@
 /// Heartbeats of silence after which an entry lapses, in milliseconds.
 const LAPSE: Millis = 3_600;
 
+/// Time between two copies of the store, in milliseconds.
+const COPY_EVERY: Millis = 250;
+
+/// Time for which a replica serves on once it says that it leaves, in milliseconds.
+const SERVES_ON: Millis = 2_500;
+
 /// Time within which lapsed entries are back after the store's return, in milliseconds.
 const BACK: Millis = 2_000;
 
@@ -73,6 +79,11 @@
         /// The relay.
         relay: usize,
     },
+    /// The store is away for all, and comes back from a copy that is so much older than the moment at which it went.
+    Copy {
+        /// Age of the copy, in milliseconds.
+        age: Millis,
+    },
     /// Messages to a relay come late, each twice: answers to its questions come after it gave them up.
     Late {
         /// The relay.
@@ -147,7 +158,10 @@
     /// Whether the store has been stable for the contact time.
     fn is_stable(&self) -> bool {
         let of_store = |trouble| {
-            matches!(trouble, Trouble::Outage { .. } | Trouble::Slow | Trouble::Compaction)
+            matches!(
+                trouble,
+                Trouble::Outage { .. } | Trouble::Copy { .. } | Trouble::Slow | Trouble::Compaction
+            )
         };
         self.now >= CONTACT && !self.any(CONTACT, of_store)
     }
@@ -164,11 +178,17 @@
         self.is_stable() && !self.any(CONTACT, own)
     }
 
+    /// Whether the store is away for all.
+    fn is_down(&self) -> bool {
+        self.any(0, |trouble| matches!(trouble, Trouble::Outage { .. } | Trouble::Copy { .. }))
+    }
+
     /// Whether the store answers a relay: nothing where it says nothing, else whether it serves.
     pub(crate) fn serves(&self, relay: usize) -> Option<bool> {
         let silent = self.has(Trouble::Outage { silent: true })
             || self.has(Trouble::TurnedAway { relay, silent: true });
-        let refuses = self.has(Trouble::Outage { silent: false })
+        let refuses = self.any(0, |trouble| matches!(trouble, Trouble::Copy { .. }))
+            || self.has(Trouble::Outage { silent: false })
             || self.has(Trouble::TurnedAway { relay, silent: false });
         (!silent).then_some(!refuses)
     }
@@ -204,6 +224,14 @@
     beat_at: [Option<Millis>; REPLICAS],
     /// Until when each replica's entry may be another writer's.
     odd_until: [Millis; REPLICAS],
+    /// Replicas whose entry went without a word.
+    vanished: [bool; REPLICAS],
+    /// When the entry of a replica that has ended lapses, where an older copy of the store has it.
+    lapses_at: [Option<Millis>; REPLICAS],
+    /// When the operator writes the newest version again.
+    config_at: Option<Millis>,
+    /// Copies of the store, with their times, where the day needs any.
+    copies: Vec<(Millis, ModelStore)>,
     /// Entries of before a restart that are still on their way to the store.
     late_beats: Vec<(Millis, usize, ReplicaEntry)>,
 }
@@ -226,12 +254,17 @@
         restarted: [None; REPLICAS],
         beat_at: [None; REPLICAS],
         odd_until: [0; REPLICAS],
+        vanished: [false; REPLICAS],
+        lapses_at: [None; REPLICAS],
+        config_at: None,
+        copies: Vec::new(),
         late_beats: Vec::new(),
     };
     let mut broken = Broken::default();
     let mut now = 0;
     while now < day.length {
         let weather = Weather { troubles: &day.troubles, now };
+        world.copy(&weather);
         world.change(&weather);
         world.lapse(&weather);
         world.beat(&weather);
@@ -249,11 +282,44 @@
 }
 
 impl World<'_> {
+    /// Copies the store now and then, and lets it come back from a copy.
+    fn copy(&mut self, weather: &Weather<'_>) {
+        let now = weather.now;
+        let ends = |one: &&Timed<Trouble>| now / TICK == (one.at + one.lasts) / TICK;
+        for one in self.day.troubles.iter().filter(ends) {
+            let Trouble::Copy { age } = one.what else { continue };
+            let is_old = |copy: &&(Millis, ModelStore)| copy.0 + age <= one.at;
+            let copy = self.copies.iter().rev().find(is_old).or(self.copies.first());
+            let (_, copy) = copy.expect("a copy of the beginning");
+            self.store.come_back(copy);
+            self.write_again(now);
+        }
+        let copies = self.day.troubles.iter().any(|one| matches!(one.what, Trouble::Copy { .. }));
+        if copies && now.is_multiple_of(COPY_EVERY) && !weather.is_down() {
+            self.copies.push((now, self.store.clone()));
+        }
+    }
+
+    /// What the operator and the replicas wrote is written again, within their heartbeat; the entry of one that has ended
+    /// lapses.
+    fn write_again(&mut self, now: Millis) {
+        self.config_at = Some(now + HEARTBEAT / 2);
+        for number in 0..REPLICAS {
+            let ended = match self.left[number] {
+                Some((at, _)) => self.vanished[number] || now > at + SERVES_ON,
+                None => false,
+            };
+            let beat = now + HEARTBEAT * (number as Millis + 1) / REPLICAS as Millis;
+            self.back_at[number] = (!ended).then_some(beat);
+            self.lapses_at[number] = ended.then_some(now + LAPSE);
+        }
+    }
+
     fn change(&mut self, weather: &Weather<'_>) {
         let now = weather.now;
         let due = self.day.changes.iter().filter(|change| change.at / TICK == now / TICK);
         for change in due {
-            let down = weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. }));
+            let down = weather.is_down();
             if let Change::Restart { replica, late_beat } = change.what {
                 self.restart(replica, late_beat, now);
             }
@@ -279,6 +345,7 @@
                 Change::Vanish(number) if self.left[number].is_none() => {
                     if self.store.remove(number) {
                         self.left[number] = Some((now, weather.is_stable()));
+                        self.vanished[number] = true;
                     }
                 }
                 Change::Leave(_) | Change::Vanish(_) => {}
@@ -289,13 +356,18 @@
                     });
                 }
                 Change::Configure => {
-                    self.store.configure();
                     self.versions.push((now, weather.is_stable()));
+                    self.store.configure(self.newest_version());
                 }
             }
         }
     }
 
+    /// Newest version that the operator wrote.
+    fn newest_version(&self) -> u64 {
+        self.versions.len() as u64 + 1
+    }
+
     fn restart(&mut self, number: usize, late_beat: bool, now: Millis) {
         if self.left[number].is_some() {
             return;
@@ -311,9 +383,19 @@
     /// Replicas write their entries.
     fn beat(&mut self, weather: &Weather<'_>) {
         let now = weather.now;
-        if weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. })) {
+        if weather.is_down() {
             return;
         }
+        if self.config_at.is_some_and(|at| now >= at) {
+            self.config_at = None;
+            self.store.configure(self.newest_version());
+        }
+        for number in 0..REPLICAS {
+            if self.lapses_at[number].is_some_and(|at| now >= at) {
+                self.lapses_at[number] = None;
+                self.store.remove(number);
+            }
+        }
         for number in 0..REPLICAS {
             if self.beat_at[number].is_some_and(|at| now >= at) {
                 self.beat_at[number] = None;
@@ -345,7 +427,7 @@
                 }
             }
         }
-        let down = weather.any(0, |trouble| matches!(trouble, Trouble::Outage { .. }));
+        let down = weather.is_down();
         for number in 0..REPLICAS {
             if !down && self.back_at[number].is_some_and(|back| now >= back) {
                 self.back_at[number] = None;
--- a/crates/router/tests/model/store.rs
+++ b/crates/router/tests/model/store.rs
@@ -58,8 +58,10 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ModelStore {
+    /// Times that it came back from a copy.
+    era: u64,
     revision: u64,
     entries: BTreeMap<usize, (u64, ReplicaEntry)>,
     /// Entries as their replicas know them, listed or not.
@@ -72,6 +74,7 @@
 impl ModelStore {
     pub(crate) fn new(replicas: usize) -> Self {
         let mut store = Self {
+            era: 0,
             revision: 1,
             entries: BTreeMap::new(),
             known: (0..replicas).map(entry).collect(),
@@ -140,10 +143,33 @@
         listed
     }
 
-    /// Writes a newer configuration.
-    pub(crate) fn configure(&mut self) {
-        self.revision += 1;
-        self.config = (self.revision, self.config.1 + 1);
+    /// Writes a version of the configuration, where it has an older one.
+    pub(crate) fn configure(&mut self, version: u64) {
+        if version > self.config.1 {
+            self.revision += 1;
+            self.config = (self.revision, version);
+        }
+    }
+
+    /// Comes back from a copy of before: what was written since is gone, and its revisions are given out again. Replicas
+    /// know what they knew.
+    pub(crate) fn come_back(&mut self, copy: &Self) {
+        let (era, known) = (self.era + 1, self.known.clone());
+        *self = Self { era, known, ..copy.clone() };
+    }
+
+    /// A revision as the platform's adapter tells it.
+    fn place(&self, revision: u64) -> u64 {
+        revision
+    }
+
+    fn placed(&self, news: &ReplicaNews) -> ReplicaNews {
+        ReplicaNews { revision: self.place(news.revision), ..news.clone() }
+    }
+
+    /// The revision to watch from; nothing where this store does not have it.
+    fn revision_of(&self, place: u64) -> Option<u64> {
+        (place <= self.revision && place >= self.forgotten).then_some(place)
     }
 
     fn note(&mut self, number: usize, entry: Option<ReplicaEntry>) {
@@ -176,7 +202,7 @@
         let over = now >= call.sent + call.times.wait;
         if weather.has(Trouble::Compaction) {
             // Nothing is heard, and the revision of nothing is not told.
-            return over.then(|| self.empty(call.kind, after));
+            return over.then(|| Self::empty(call.kind, after));
         }
         let cut = weather.troubles.iter().any(|one| {
             one.what == Trouble::Compaction && one.at + 1_000 <= now && call.sent < one.at + 1_000
@@ -185,37 +211,36 @@
             self.forgotten = self.forgotten.max(self.revision);
             return Some(Reply::Refused);
         }
-        if after < self.forgotten {
-            return Some(Reply::Gap);
-        }
+        let Some(after) = self.revision_of(after) else { return Some(Reply::Gap) };
         self.changes(call.kind, after)
-            .or_else(|| over.then(|| self.empty(call.kind, self.revision)))
+            .or_else(|| over.then(|| Self::empty(call.kind, self.place(self.revision))))
     }
 
     fn list(&self, kind: Kind) -> Reply {
-        let at = self.revision;
+        let at = self.place(self.revision);
         if kind == Kind::Config {
             return Reply::Config(Some(self.config.1), at);
         }
         let listed = self.entries.iter().map(|(number, (revision, entry))| ReplicaNews {
             id: replica_id(*number),
-            revision: *revision,
+            revision: self.place(*revision),
             entry: Some(entry.clone()),
         });
         Reply::List(FleetList { listed: listed.collect(), at })
     }
 
     fn changes(&self, kind: Kind, after: u64) -> Option<Reply> {
+        let at = self.place(self.revision);
         if kind == Kind::Config {
             let newer = self.config.0 > after;
-            return newer.then_some(Reply::Config(Some(self.config.1), self.revision));
+            return newer.then_some(Reply::Config(Some(self.config.1), at));
         }
         let news = self.history.iter().filter(|news| news.revision > after);
-        let news: Vec<ReplicaNews> = news.cloned().collect();
-        (!news.is_empty()).then_some(Reply::Changes(news, self.revision))
+        let news: Vec<ReplicaNews> = news.map(|news| self.placed(news)).collect();
+        (!news.is_empty()).then_some(Reply::Changes(news, at))
     }
 
-    fn empty(&self, kind: Kind, at: u64) -> Reply {
+    fn empty(kind: Kind, at: u64) -> Reply {
         match kind {
             Kind::Replicas => Reply::Changes(Vec::new(), at),
             Kind::Config => Reply::Config(None, at),
