--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -51,6 +51,8 @@
     pub restarted: Cell<u64>,
     /// Entries that are not a replica's own, each once for each revision, and objects that are none.
     pub odd_entries: Cell<u64>,
+    /// Times that the store came back from a copy of before.
+    pub store_copies: Cell<u64>,
     /// Changes that a list told and that a watch had passed by.
     pub passed_changes: Cell<u64>,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`runs`] | runs of requests at replicas, and what is left of lost ones |
 //! | [`pool`], [`engines`] | connections and calls to replicas |
 //! | [`watch`], [`replicas`], [`peers`], [`news`] | what the relay knows, from the store and from other relays |
+//! | [`copies`] | what the store lost when it came back from a copy |
 //! | [`notices`] | what replicas say of themselves in their answers |
 //! | [`quarantine`] | requests that end the replicas that run them |
 //! | [`survey`] | which engines are slow |
@@ -22,6 +23,7 @@
 
 pub mod admit;
 pub mod answers;
+pub mod copies;
 pub mod counts;
 pub mod engines;
 pub mod flow;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -231,6 +231,12 @@
     }
 }
 
+/// Tells the store again what this relay told it before it came back from a copy.
+pub fn write_again(relay: &Relay) {
+    relay.beliefs.borrow_mut().quarantine.forget_stored();
+    relay.quarantine_bell.notify_one();
+}
+
 /// Whether a relay of the data centre that comes before this one reads the store.
 fn is_read_by_other(settings: &RelaySettings, beliefs: &Beliefs, now: Millis) -> bool {
     let before = beliefs.peers.before(&settings.name, &settings.data_centre, now);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -161,7 +161,8 @@
     relay.beliefs.borrow_mut().listed_relays = Some(relays);
 }
 
-async fn register_for_good(relay: &Relay) {
+/// Leaves this relay's address in the store, however long that takes.
+pub async fn register_for_good(relay: &Relay) {
     while let Err(error) = register(relay).await {
         tracing::info!(event = "registration-failed", %error);
         sleep(REGISTER_AGAIN).await;
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -14,7 +14,7 @@
     Millis,
     fleet::{FleetChange, ReplicaEntry, ReplicaNews},
     life::ReplicaLife,
-    replicas::{FleetList, NewsSource, TakenList, TakenNews},
+    replicas::{EraStart, FleetList, NewsSource, TakenList, TakenNews},
 };
 use tokio::task::spawn_local;
 
@@ -35,8 +35,13 @@
     if is_first {
         tracing::info!(event = "replicas-listed", count = list.listed.len(), at, %source);
     }
-    let TakenList { taken, awaited, passed } =
+    let TakenList { taken, awaited, passed, began } =
         relay.beliefs.borrow_mut().fleet.take_list(list, source, sent, now_millis());
+    if let Some(EraStart { era, doubted }) = began {
+        count(&relay.counts.store_copies);
+        let (listed, awaited) = (taken.len(), awaited.len());
+        tracing::warn!(event = "store-copy", era, at, %source, listed, awaited, doubted);
+    }
     for (news, held) in passed {
         count(&relay.counts.passed_changes);
         tracing::warn!(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    copies::write_after_copies,
     counts::Counts,
     engines::ReportCache,
     logs::lines_left_out,
@@ -133,6 +134,7 @@
     spawn_local(serve_snapshots(relay.clone(), sockets.neighbours));
     spawn_local(follow_quarantine(relay.clone()));
     spawn_local(store_quarantine(relay.clone()));
+    spawn_local(write_after_copies(relay.clone()));
     spawn_local(place_layers(relay.clone()));
     spawn_local(survey_engines(relay.clone()));
     spawn_local(serve_readiness(relay.clone(), sockets.readiness));
@@ -248,6 +250,7 @@
         returned,
         restarted,
         odd_entries,
+        store_copies,
         passed_changes,
     } = &relay.counts;
     tracing::info!(
@@ -277,6 +280,7 @@
         returned = returned.get(),
         restarted = restarted.get(),
         odd_entries = odd_entries.get(),
+        store_copies = store_copies.get(),
         passed_changes = passed_changes.get(),
         in_flight = relay.stop.in_flight(),
         idle_links = relay.pool.idle_count(),
--- a/crates/relay/src/snapshot/take.rs
+++ b/crates/relay/src/snapshot/take.rs
@@ -64,6 +64,10 @@
     };
     let (teller, address) = fleet_teller(relay, holds_none)?;
     let told = fetch_snapshot(relay, CallKind::Replicas, &teller, address, held).await?;
+    if relay.beliefs.borrow().fleet.is_of_earlier_era(told.at) {
+        tracing::info!(event = "snapshot-untold", kind = %CallKind::Replicas, teller, reason = "of an earlier era");
+        return None;
+    }
     if let SnapshotBody::Replicas(records) = told.body {
         let listed = records.into_iter().map(ReplicaNews::from).collect();
         let sent = told.proof.proved.map_or(0, |proved| proved.max(0) as Millis);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -55,7 +55,8 @@
     pub config: ConfigSlot<Rc<RoutingConfig>>,
     /// When the configuration was last proved.
     pub config_lease: FreshnessLease,
-    /// Whether the newest configuration could not be read, so that none proves the one in force.
+    /// Whether the newest configuration could not be read, or the store holds an older one since it came back from a copy,
+    /// so that none proves the one in force.
     pub config_unreadable: bool,
     /// The object of the configuration in force, for neighbours.
     pub config_object: Option<ConfigObject>,
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use switchfold_platform::{
     CONFIG_KIND, ENTRY_KIND, QUARANTINE_KIND, REPLICA_KIND,
+    era::StoreEra,
     objects::{ObjectChanges, ObjectList, ObjectStore},
 };
 use switchfold_router::follow::ReadCause;
@@ -160,6 +161,8 @@
 /// Counts of calls since the process began.
 #[derive(Debug, Default)]
 pub struct CallTally {
+    /// The store's era, as far as any call told.
+    pub era: StoreEra,
     counts: RefCell<BTreeMap<(StoreCall, CallEnd), u64>>,
 }
 
@@ -204,7 +207,8 @@
 impl CountedStore {
     /// Makes a client that waits `patience` for an answer.
     pub fn new(address: &str, patience: Duration, tally: &Rc<CallTally>) -> Self {
-        Self { store: ObjectStore::new(address, patience), tally: tally.clone() }
+        let store = ObjectStore::sharing(address, patience, &tally.era);
+        Self { store, tally: tally.clone() }
     }
 
     fn note<T>(
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -23,6 +23,7 @@
         CONFIG_TIMES, FollowSight, FollowStep, FollowTimes, REPLICA_TIMES, ReadCause,
         STORE_PATIENCE, StoreFollower,
     },
+    place::era_of,
 };
 use switchfold_store::StoreError;
 use tokio::time::sleep;
@@ -258,14 +259,32 @@
     }
 }
 
+/// Notes that the store holds no newer version than the one in force. Where it came back from a copy and holds an older
+/// one, the operator writes again, and may have written more that was lost: nothing proves the one in force until it
+/// stands in the store again.
+fn note_older_config(relay: &Relay, is_in_force: bool, revision: u64, at: u64) {
+    let mut beliefs = relay.beliefs.borrow_mut();
+    if is_in_force {
+        beliefs.config_unreadable = false;
+        if let Some(object) = &mut beliefs.config_object {
+            object.revision = object.revision.max(revision);
+        }
+        return;
+    }
+    let read = beliefs.config_object.as_ref().map_or(0, |object| object.revision);
+    if era_of(at) > era_of(read) && !beliefs.config_unreadable {
+        beliefs.config_unreadable = true;
+        tracing::warn!(event = "config-behind", revision, at);
+    }
+}
+
 /// Takes over a configuration of a revision, read up to the revision `at`, from the store or from a neighbour;
 /// tells whether it is a newer one.
 pub fn take_config(relay: &Relay, spec: &serde_json::Value, revision: u64, at: u64) -> bool {
     let current = relay.config().map_or(0, |config| config.version);
     let decoded = match decode_version(spec) {
         Ok(version) if version <= current => {
-            // What is in force stands in the store again.
-            relay.beliefs.borrow_mut().config_unreadable &= version < current;
+            note_older_config(relay, version == current, revision, at);
             return false;
         }
         Ok(_) => decode_config(spec),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use switchfold_core::hash::hash_bytes;
 
-use crate::{Millis, life::ReplicaLife};
+use crate::{Millis, life::ReplicaLife, place::era_of};
 
 /// Layers `from..to` of the model.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -305,6 +305,22 @@
         is_news
     }
 
+    /// Keeps what is known of leaving replicas, whatever their entries say from now on: the store came back from a copy,
+    /// which may be of before they said so.
+    pub fn keep_leaving(&mut self) {
+        let held = self.replicas.values().map(|held| &held.entry);
+        let leaving = held.filter(|entry| entry.state == EntryState::Draining);
+        self.leaving.extend(leaving.map(|entry| entry.life.clone()));
+    }
+
+    /// Whether a listed life was gone before the era in which it is listed began.
+    pub fn was_gone_before(&self, news: &ReplicaNews) -> bool {
+        let Some(entry) = &news.entry else { return false };
+        self.gone.get(&news.id).is_some_and(|gone| {
+            era_of(gone.revision) < era_of(news.revision) && entry.life.born() <= gone.born
+        })
+    }
+
     /// Takes a replica's own word that it started again, where its entry is still one of an earlier life: it
     /// holds nothing that is known of. Gives the life that ended.
     pub fn note_start(&mut self, id: &str, born: Millis, now: Millis) -> Option<ReplicaLife> {
--- a/crates/router/src/lapse.rs
+++ b/crates/router/src/lapse.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashMap;
 
-use crate::Millis;
+use crate::{Millis, place::era_of};
 
 /// Shortest outage in which entries may lapse, in milliseconds: one of a second leaves replicas more than
 /// a heartbeat of the three that they may miss.
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Notes that the store came back from a copy of before, by a list sent for at `sent`: what was written since the copy
+    /// is missing, and written again.
+    pub fn note_copy(&mut self, sent: Millis) {
+        self.lost = None;
+        self.last_lost = self.last_lost.max(sent);
+        self.returned = Some(sent);
+    }
+
     /// Whether an entry that is missing from a list, sent for at `sent` and read at the revision `at`, is to
     /// be kept for now.
     pub fn keeps(&mut self, id: &str, at: u64, sent: Millis) -> bool {
@@ -73,7 +81,10 @@
         if away || returned.is_some() {
             let until = self.kept_until(returned.unwrap_or(sent));
             let entry = AwaitedEntry { until, missing_at: at };
-            self.awaited.entry(id.to_owned()).or_insert(entry);
+            let awaited = self.awaited.entry(id.to_owned()).or_insert(entry);
+            if era_of(awaited.missing_at) < era_of(at) {
+                awaited.missing_at = at;
+            }
         }
         self.awaited.contains_key(id)
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`mute`] | which first replicas begin no answers, and when a request goes elsewhere |
 //! | [`pace`] | how slow each engine is at the moment |
 //! | [`pipe`] | how many paths may cross from one data centre to another |
+//! | [`place`] | which of two states of the store is the newer one, also where it came back from a copy |
 //! | [`quarantine`] | which requests end the replicas that run them, and are sent nowhere |
 //! | [`replicas`] | what a relay believes of the replicas, by whose word |
 //! | [`returns`] | in which order callers come back to an entry that has just started |
@@ -49,6 +50,7 @@
 pub mod mute;
 pub mod pace;
 pub mod pipe;
+pub mod place;
 pub mod quarantine;
 pub mod replicas;
 pub mod returns;
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -437,6 +437,11 @@
         }
     }
 
+    /// Notes that the platform's store may have lost all that it was told.
+    pub fn forget_stored(&mut self) {
+        self.records.values_mut().for_each(|record| record.stored = 0);
+    }
+
     /// Requests that the platform's store may hold no longer; they count as removed from now on.
     pub fn take_removable(&mut self) -> Vec<RequestFingerprint> {
         std::mem::take(&mut self.removable)
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -4,7 +4,10 @@
 //! data centre. All of them are taken over here, each with where it came from, so that whoever holds this
 //! can tell of every change by what it was decided.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use derive_more::Display;
 
@@ -15,6 +18,7 @@
     lapse::LapseGrace,
     life::ReplicaLife,
     membership::{FOLLOWED_AGE, PeerProof},
+    place::era_of,
 };
 
 /// Where news of a replica came from.
@@ -90,6 +94,47 @@
     /// Changes that a watch should have told and did not, with what was held: this relay had gone on
     /// beyond their revisions.
     pub passed: Vec<(ReplicaNews, Option<u64>)>,
+    /// The era that it is the first list of, where the store came back from a copy.
+    pub began: Option<EraStart>,
+}
+
+/// The first list after the store came back from a copy of before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EraStart {
+    /// The era.
+    pub era: u64,
+    /// Listed replicas that this relay knows to be gone, and that are not taken back for now.
+    pub doubted: usize,
+}
+
+/// Time after the first list of an era for which it brings back no life that was known to be gone, in milliseconds: a
+/// copy names those that have ended since, until the store misses three of their heartbeats of 1.2 s.
+const DOUBT_TIME: Millis = 5_000;
+
+/// Listed replicas that are not taken back for now, since a copy of the store names them and they were gone before.
+#[derive(Clone, Debug, Default)]
+struct DoubtedNews {
+    until: Millis,
+    news: BTreeMap<String, ReplicaNews>,
+}
+
+impl DoubtedNews {
+    /// Drops what newer news of the replica overtakes.
+    fn note_news(&mut self, news: &ReplicaNews) {
+        if self.news.get(&news.id).is_some_and(|doubted| doubted.revision < news.revision) {
+            self.news.remove(&news.id);
+        }
+    }
+
+    /// Takes those that are listed still once the time is over; what was read up to the place `at` tells the era.
+    fn take_over(&mut self, at: u64, now: Millis) -> Vec<ReplicaNews> {
+        if now < self.until {
+            return Vec::new();
+        }
+        let news = std::mem::take(&mut self.news).into_values();
+        // A list of an earlier era says nothing any more.
+        news.filter(|news| era_of(news.revision) == era_of(at)).collect()
+    }
 }
 
 /// What a relay believes of the replicas.
@@ -98,6 +143,7 @@
     /// The replicas.
     pub view: FleetView,
     lapses: LapseGrace,
+    doubted: DoubtedNews,
     lease: FreshnessLease,
     watched: u64,
     /// When this relay last had an answer of the store itself.
@@ -140,8 +186,17 @@
         sent: Millis,
         now: Millis,
     ) -> TakenList {
-        let FleetList { listed, at } = list;
+        let FleetList { mut listed, at } = list;
         let mut result = TakenList { passed: self.passed_by(&listed), ..TakenList::default() };
+        let is_new_era = self.watched > 0 && era_of(at) > era_of(self.watched);
+        if is_new_era {
+            self.lapses.note_copy(sent);
+            self.view.keep_leaving();
+            self.doubted = DoubtedNews { until: now + DOUBT_TIME, news: BTreeMap::new() };
+        }
+        self.set_doubted_apart(&mut listed, now);
+        result.began =
+            is_new_era.then(|| EraStart { era: era_of(at), doubted: self.doubted.news.len() });
         for id in self.view.missing_from(&listed, at) {
             match self.lapses.keeps(&id, at, sent) {
                 true => result.awaited.push(id),
@@ -155,6 +210,19 @@
         result
     }
 
+    /// Sets replicas of a list apart that were gone before the store came back from a copy. What an earlier list named and
+    /// this one lacks has ended.
+    fn set_doubted_apart(&mut self, listed: &mut Vec<ReplicaNews>, now: Millis) {
+        self.doubted.news.clear();
+        if now >= self.doubted.until {
+            return;
+        }
+        let was_gone = |news: &mut ReplicaNews| self.view.was_gone_before(news);
+        for news in listed.extract_if(.., was_gone) {
+            self.doubted.news.insert(news.id.clone(), news);
+        }
+    }
+
     fn passed_by(&self, listed: &[ReplicaNews]) -> Vec<(ReplicaNews, Option<u64>)> {
         let due = listed.iter().filter(|news| news.revision <= self.watched);
         let with_held = due.map(|news| (news, self.view.revision(&news.id)));
@@ -186,8 +254,19 @@
         taken
     }
 
+    /// Era of the store up to which the list was read.
+    pub fn era(&self) -> u64 {
+        era_of(self.watched)
+    }
+
+    /// Whether what was read up to a place is of an earlier era than what this relay read: it holds no longer.
+    pub fn is_of_earlier_era(&self, at: u64) -> bool {
+        era_of(at) < era_of(self.watched)
+    }
+
     fn take_one(&mut self, news: ReplicaNews, source: NewsSource, now: Millis) -> TakenNews {
         let news = self.without_lost_start(news);
+        self.doubted.note_news(&news);
         let (id, revision) = (news.id.clone(), news.revision);
         let layers = news.entry.as_ref().and_then(|entry| entry.layers);
         let known = self.view.get(&id).map(|entry| (entry.life.clone(), entry.address));
@@ -196,7 +275,11 @@
         let told = news.entry.as_ref().map(|entry| (entry.life.clone(), entry.address));
         let (life, address) = told.or(known.clone()).unzip();
         let held = self.view.revision(&id);
-        let change = self.view.take(news, now);
+        let change = match self.is_of_earlier_era(revision) {
+            // A relay that stood still tells what it read before.
+            true => FleetChange::Older,
+            false => self.view.take(news, now),
+        };
         match change {
             FleetChange::Older => {}
             FleetChange::Gone => self.lapses.note_gone(&id),
@@ -333,10 +416,12 @@
         }
     }
 
-    /// Takes the news of replicas that were waited for too long: they are gone.
+    /// Takes the news of replicas that were waited for too long: they are gone. Those of which that was doubted, and which
+    /// the store lists still, are back.
     pub fn lapsed(&mut self, now: Millis) -> Vec<ReplicaNews> {
         let overdue = self.lapses.take_overdue(now).into_iter();
-        overdue.map(|(id, revision)| ReplicaNews { id, revision, entry: None }).collect()
+        let gone = overdue.map(|(id, revision)| ReplicaNews { id, revision, entry: None });
+        gone.chain(self.doubted.take_over(self.watched, now)).collect()
     }
 
     /// Whether a replica is missing from the list, and waited for.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -67,6 +67,8 @@
     /// A relay stands still for longer than the bound on removed keys; meanwhile a key is taken away, and the store is out of its
     /// reach for a while after.
     FreezeRelay(usize),
+    /// The store is away for a moment, and comes back from the copy that it made at the fault's beginning.
+    StoreCopy,
     /// A replica turns requests away for a while, and asks for a time without any.
     TurnAway(usize),
     /// A replica says in all its answers that it is leaving, and its entry does not; at the end it is killed, and starts again.
@@ -97,6 +99,23 @@
     planned
 }
 
+/// Oldest copy that the store comes back from, in milliseconds: with the time until the operator has written again it stays
+/// below the bound on removed keys, so that a relay which starts meanwhile cannot let one in for too long.
+const OLDEST_COPY: u64 = 3_000;
+
+/// Returns of the store from a copy, once or twice; drawn by themselves as well.
+pub fn make_copies(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ NOTICES);
+    let most = length.as_millis() as u64;
+    let count = random.random_range(1..3);
+    let copy = |_| {
+        let lasts = random.random_range(100..OLDEST_COPY.min(most));
+        let at = Duration::from_millis(random.random_range(0..=most - lasts));
+        PlannedFault { at, lasts: Duration::from_millis(lasts), fault: Fault::StoreCopy }
+    };
+    (0..count).map(copy).collect()
+}
+
 /// Tells the draws of [`make_notices`] apart from others of the same seed.
 const NOTICES: u64 = 0x6e6f_7469_6365_7321;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,7 @@
     caller::{run_bad_caller, run_caller},
     checks::{Violation, check},
     notices::TURNS_AWAY,
-    plan::{Fault, OUT_OF_REACH, PlannedFault, make_harm, make_notices, make_plan},
+    plan::{Fault, OUT_OF_REACH, PlannedFault, make_copies, make_harm, make_notices, make_plan},
     proxy::LinkMood,
     record::{CallEnd, CallKind, CallRecord, DisruptionKind},
     site::{GRACE_S, SiteConfig, SoakSite},
@@ -66,6 +66,7 @@
     let mut plan = make_plan(seed, &shape, length);
     plan.extend(make_harm(seed, &shape, length));
     plan.extend(make_notices(seed, &shape, length));
+    plan.extend(make_copies(seed, length));
     plan.sort_by_key(|planned| planned.at);
     inject(&site, &plan, length).await;
     sleep(CALM_TIME).await;
@@ -220,6 +221,7 @@
         }
         Fault::BadRequest(kind, way) => site.begin_bad(kind, way),
         Fault::FreezeRelay(number) => freeze_relay(&site, number, lasts).await,
+        Fault::StoreCopy => copy_store(&site, lasts).await,
         Fault::TurnAway(number) => {
             // Callers are refused meanwhile, whatever else happens.
             site.note_disruption(DisruptionKind::Fault, TURNS_AWAY);
@@ -249,6 +251,22 @@
     site.store_link(number).set_mood(LinkMood::Well);
 }
 
+/// Time that the store is away before it comes back from a copy, and from then until the operator has written again.
+const COPY_AWAY: Duration = Duration::from_millis(300);
+const OPERATOR_TIME: Duration = Duration::from_millis(500);
+
+/// Lets the store come back from a copy that is `age` old, and the operator write again. Replicas write anew with each
+/// heartbeat.
+async fn copy_store(site: &SoakSite, age: Duration) {
+    site.store().make_copy();
+    sleep(age).await;
+    site.note_disruption(DisruptionKind::StoreFault, COPY_AWAY + OPERATOR_TIME);
+    disturb_store(site, StoreMood::Busy, COPY_AWAY).await;
+    site.store().come_back();
+    sleep(OPERATOR_TIME).await;
+    site.write_config(0);
+}
+
 async fn disturb_store(site: &SoakSite, mood: StoreMood, lasts: Duration) {
     site.note_disruption(DisruptionKind::StoreFault, lasts);
     site.store().set_mood(mood);
