--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -7,6 +7,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use switchfold_router::{
+    backoff::BackoffTable,
     chain::{ChainCosts, PartOffer, PathRequest, choose_path},
     cover::{CoverConfig, LayerHolder, ModelShape, improve_group, plan_group},
     fleet::{EntryState, LayerRange, ReplicaEntry, ReplicaNews},
@@ -126,6 +127,22 @@
     });
 }
 
+/// Whether each of 3,000 replicas is held back, where none, one or a third of them asked for time: once for each choice. It
+/// takes 7 us, 65 us and 69 us of a core, beside a hunt; the sums of room above take 67 us.
+fn held_back(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("held_back");
+    let lives: Vec<ReplicaLife> =
+        (0..3_000).map(|number| ReplicaLife::new(&format!("i-{number:010x}"), 0)).collect();
+    for asked in [0, 1, 1_000] {
+        let mut table = BackoffTable::default();
+        lives.iter().step_by(3).take(asked).for_each(|life| table.note(life, 3_000, 0));
+        group.bench_function(BenchmarkId::new("3000 replicas", asked), |bencher| {
+            bencher.iter(|| lives.iter().filter_map(|life| table.left(black_box(life), 1)).count());
+        });
+    }
+    group.finish();
+}
+
 /// Taking over a list of 3,000 replicas, all of them known.
 fn lists(criterion: &mut Criterion) {
     let entry = |number: u32| ReplicaEntry {
@@ -154,5 +171,5 @@
     });
 }
 
-criterion_group!(benches, plans, searches, paths, sums, lists);
+criterion_group!(benches, plans, searches, paths, sums, held_back, lists);
 criterion_main!(benches);
