--- a/crates/relay/benches/backoffs.rs
+++ b/crates/relay/benches/backoffs.rs
@@ -87,6 +87,16 @@
     refused: usize,
 }
 
+impl Served {
+    fn note(&mut self, status: StatusCode, took: Duration) {
+        match status {
+            StatusCode::OK if took <= OBJECTIVE => self.in_time += 1,
+            StatusCode::OK => self.late += 1,
+            _ => self.refused += 1,
+        }
+    }
+}
+
 async fn play(path: &str, entry: fn(SocketAddr) -> Value, asking: usize, callers: usize) {
     let is_closed = Arc::new(AtomicBool::new(false));
     let store = StandinStore::start().await;
@@ -124,13 +134,7 @@
                 let id = format!("c{caller}-{number}");
                 let sent = Instant::now();
                 let called = relay.get(&format!("{path}{id}"), &id).await;
-                let mut served = served.lock().expect("no caller panics");
-                match called.status {
-                    StatusCode::OK if sent.elapsed() <= OBJECTIVE => served.in_time += 1,
-                    StatusCode::OK => served.late += 1,
-                    _ => served.refused += 1,
-                }
-                drop(served);
+                served.lock().expect("no caller panics").note(called.status, sent.elapsed());
                 number += 1;
                 sleep(THINK).await;
             }
