--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -176,6 +176,7 @@
             ("returned", counts.returned.get()),
             ("restarted", counts.restarted.get()),
             ("odd_entries", counts.odd_entries.get()),
+            ("store_era", beliefs.fleet.era()),
             ("store_copies", counts.store_copies.get()),
             ("passed_changes", counts.passed_changes.get()),
             ("in_flight", relay.stop.in_flight() as u64),
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -22,12 +22,17 @@
     collections::{HashMap, VecDeque},
 };
 
+mod record;
+mod results;
+mod runs;
+
+use self::{record::RequestRecord, results::ProvenSet, runs::chain_weight};
+pub use self::{
+    record::{MOST_RUNS, RequestNews, STOP_WEIGHT},
+    runs::{CrashRun, CrashSign, LostRun, PROVEN_AFTER, RunYield},
+};
 use crate::{Millis, fingerprint::RequestFingerprint, life::ReplicaLife};
 
-/// Weight of the lost runs, one after the other, at which a request is sent nowhere: three strong signs. One crash
-/// happens beside any request; at two, of 1,000 requests that kept meeting crashes of others several were stopped.
-pub const STOP_WEIGHT: u32 = 6;
-
 /// The same where each of its crashes is as well explained by another request, or where it had a result lately: the one that ends
 /// replicas goes on to do so, the others get a result. Where both hold it is never stopped: without that, calls of one kind
 /// that all callers make were refused for ten minutes in a model of two power failures in a row, 38,082 of 152,442.
@@ -42,13 +47,6 @@
 /// Time without news after which lost runs are forgotten, in milliseconds: callers come back within a minute.
 pub const FORGET_RUNS: Millis = 120_000;
 
-/// Time that a run must go on with events to count as a result, in milliseconds: ten times what a replica took to end
-/// after it had begun the request that ended it.
-pub const PROVEN_AFTER: Millis = 1_000;
-
-/// Time from its beginning up to which a run that gave something is still a sign, in milliseconds.
-const YOUNG: Millis = 400;
-
 /// Time from a run's loss until its replica must be found to have ended, in milliseconds: the list of replicas drops one after
 /// three heartbeats, some 3.6 s.
 const FOUND_WITHIN: Millis = 6_000;
@@ -56,94 +54,15 @@
 /// Time for which a replica's end is remembered for runs that turn out lost after it was found, in milliseconds.
 const END_KEPT: Millis = 2_000;
 
-/// Runs kept of one request.
-pub const MOST_RUNS: usize = 8;
-
 /// Requests kept.
 pub const MOST_RECORDS: usize = 1_024;
 
 /// Lost runs kept whose replicas may turn out to have ended.
 const MOST_OPEN: usize = 1_024;
 
-/// Requests remembered for having had a result, and twice as many at most.
-const MOST_PROVEN: usize = 4_096;
-
-/// Time for which they are remembered at least, in milliseconds.
-const PROVEN_FOR: Millis = 60_000;
-
 /// Ends of replicas kept.
 const MOST_ENDS: usize = 256;
 
-/// How much a lost run says of its request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CrashSign {
-    /// It had not begun, or had begun and given something.
-    Weak,
-    /// It had begun and given nothing.
-    Strong,
-}
-
-impl CrashSign {
-    fn weight(self) -> u32 {
-        match self {
-            Self::Weak => 1,
-            Self::Strong => 2,
-        }
-    }
-}
-
-/// What had come of a run when it was lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunYield {
-    /// Its answer comes as a whole, and had not come.
-    Whole,
-    /// Its answer is a stream, which began at that time and had given so many events.
-    Stream {
-        /// When its first replica began to run it; nothing where it had not.
-        begun: Option<Millis>,
-        /// Events since.
-        events: u64,
-    },
-}
-
-impl RunYield {
-    /// What a run lost at `now` says of its request; nothing where it had gone on for long.
-    pub fn sign(self, now: Millis) -> Option<CrashSign> {
-        match self {
-            Self::Whole | Self::Stream { begun: Some(_), events: 0 } => Some(CrashSign::Strong),
-            Self::Stream { begun: None, .. } => Some(CrashSign::Weak),
-            Self::Stream { begun: Some(begun), .. } => {
-                (now.saturating_sub(begun) < YOUNG).then_some(CrashSign::Weak)
-            }
-        }
-    }
-}
-
-/// A run that was lost, and its replica with it. Times are by the own clock, which begins at 0: what others saw may lie
-/// before.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CrashRun {
-    /// The replica's life that ended.
-    pub life: ReplicaLife,
-    /// When the request was sent there.
-    pub sent: i64,
-    /// When the run was lost.
-    pub lost: i64,
-    /// What it says of the request.
-    pub sign: CrashSign,
-}
-
-/// A run that was lost, whose replicas may turn out to have ended.
-#[derive(Clone, Debug)]
-pub struct LostRun<'a> {
-    /// Replicas of its path.
-    pub lives: &'a [ReplicaLife],
-    /// When it was sent.
-    pub sent: Millis,
-    /// What had come of it.
-    pub yielded: RunYield,
-}
-
 #[derive(Clone, Debug)]
 struct OpenRun {
     fingerprint: RequestFingerprint,
@@ -153,32 +72,6 @@
     sign: CrashSign,
 }
 
-#[derive(Clone, Debug, Default)]
-struct RequestRecord {
-    runs: Vec<CrashRun>,
-    /// Until when it is sent nowhere.
-    until: Option<Millis>,
-    /// Until when what is known of it is told to others.
-    told_until: Millis,
-    /// Whether this entry saw the latest run itself.
-    is_own: bool,
-    /// Weight up to which the platform's store has it.
-    stored: u32,
-    /// When something was last learnt of it.
-    touched: Millis,
-}
-
-/// What is told of one request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RequestNews {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Time for which it still is sent nowhere; nothing where it is not stopped.
-    pub left: Option<Millis>,
-    /// Its lost runs.
-    pub runs: Vec<CrashRun>,
-}
-
 /// How often lost runs of one's own, and what became of them, are told: through eight messages to the farthest entries.
 const TELL_FOR: Millis = 3_200;
 
@@ -191,30 +84,6 @@
     pub is_urgent: bool,
 }
 
-/// Requests that had a result lately, in two generations: the older one goes when the younger is full or old.
-#[derive(Clone, Debug, Default)]
-struct ProvenSet {
-    young: HashMap<RequestFingerprint, Millis>,
-    old: HashMap<RequestFingerprint, Millis>,
-    since: Millis,
-}
-
-impl ProvenSet {
-    fn add(&mut self, fingerprint: &RequestFingerprint, now: Millis) {
-        let is_full = self.young.len() >= MOST_PROVEN;
-        if is_full || now.saturating_sub(self.since) >= PROVEN_FOR {
-            self.old = std::mem::take(&mut self.young);
-            self.since = now;
-        }
-        self.young.insert(*fingerprint, now);
-    }
-
-    /// When a request last had a result, where it had one lately.
-    fn last(&self, fingerprint: &RequestFingerprint) -> Option<Millis> {
-        self.young.get(fingerprint).or_else(|| self.old.get(fingerprint)).copied()
-    }
-}
-
 /// What is known of requests that may end the replicas that run them.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
@@ -569,53 +438,3 @@
 
 /// Requests told in one message at most; those that say most come first.
 const MOST_TOLD: usize = 32;
-
-impl RequestRecord {
-    fn is_stopped(&self, now: Millis) -> bool {
-        self.until.is_some_and(|until| now < until)
-    }
-
-    /// Weight of its runs; above all others once it is sent nowhere.
-    fn weight(&self, now: Millis) -> u32 {
-        match self.is_stopped(now) {
-            true => u32::MAX,
-            false => chain_weight(&self.runs),
-        }
-    }
-
-    /// Adds a run; tells whether it is new. Of two words on one crash the earlier one holds.
-    fn add(&mut self, run: CrashRun) -> bool {
-        if self.runs.iter().any(|known| known.life == run.life) {
-            return false;
-        }
-        self.runs.push(run);
-        self.runs.sort_by_key(|run| run.lost);
-        if self.runs.len() > MOST_RUNS {
-            self.runs.remove(0);
-        }
-        true
-    }
-
-    fn forgive(&mut self) {
-        while chain_weight(&self.runs) >= STOP_WEIGHT {
-            self.runs.remove(0);
-        }
-    }
-
-    fn news(&self, fingerprint: RequestFingerprint, now: Millis) -> RequestNews {
-        let left = self.until.and_then(|until| until.checked_sub(now)).filter(|left| *left > 0);
-        RequestNews { fingerprint, left, runs: self.runs.clone() }
-    }
-}
-
-/// Weight of the heaviest series of runs in which each was sent after the one before was lost. Runs are in order of their
-/// losses.
-fn chain_weight(runs: &[CrashRun]) -> u32 {
-    let mut best: Vec<u32> = Vec::with_capacity(runs.len());
-    for run in runs {
-        let before = runs.iter().zip(&best).filter(|(earlier, _)| earlier.lost <= run.sent);
-        let heaviest = before.map(|(_, weight)| *weight).max().unwrap_or_default();
-        best.push(heaviest + run.sign.weight());
-    }
-    best.into_iter().max().unwrap_or_default()
-}
--- /dev/null
+++ b/crates/router/src/quarantine/runs.rs
@@ -0,0 +1,92 @@
+//! Runs of requests that were lost, and how much they say of their requests.
+
+use crate::{Millis, life::ReplicaLife};
+
+/// Time that a run must go on with events to count as a result, in milliseconds: ten times what a replica took to end
+/// after it had begun the request that ended it.
+pub const PROVEN_AFTER: Millis = 1_000;
+
+/// Time from its beginning up to which a run that gave something is still a sign, in milliseconds.
+const YOUNG: Millis = 400;
+
+/// How much a lost run says of its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashSign {
+    /// It had not begun, or had begun and given something.
+    Weak,
+    /// It had begun and given nothing.
+    Strong,
+}
+
+impl CrashSign {
+    pub(super) fn weight(self) -> u32 {
+        match self {
+            Self::Weak => 1,
+            Self::Strong => 2,
+        }
+    }
+}
+
+/// What had come of a run when it was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunYield {
+    /// Its answer comes as a whole, and had not come.
+    Whole,
+    /// Its answer is a stream, which began at that time and had given so many events.
+    Stream {
+        /// When its first replica began to run it; nothing where it had not.
+        begun: Option<Millis>,
+        /// Events since.
+        events: u64,
+    },
+}
+
+impl RunYield {
+    /// What a run lost at `now` says of its request; nothing where it had gone on for long.
+    pub fn sign(self, now: Millis) -> Option<CrashSign> {
+        match self {
+            Self::Whole | Self::Stream { begun: Some(_), events: 0 } => Some(CrashSign::Strong),
+            Self::Stream { begun: None, .. } => Some(CrashSign::Weak),
+            Self::Stream { begun: Some(begun), .. } => {
+                (now.saturating_sub(begun) < YOUNG).then_some(CrashSign::Weak)
+            }
+        }
+    }
+}
+
+/// A run that was lost, and its replica with it. Times are by the own clock, which begins at 0: what others saw may lie
+/// before.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CrashRun {
+    /// The replica's life that ended.
+    pub life: ReplicaLife,
+    /// When the request was sent there.
+    pub sent: i64,
+    /// When the run was lost.
+    pub lost: i64,
+    /// What it says of the request.
+    pub sign: CrashSign,
+}
+
+/// A run that was lost, whose replicas may turn out to have ended.
+#[derive(Clone, Debug)]
+pub struct LostRun<'a> {
+    /// Replicas of its path.
+    pub lives: &'a [ReplicaLife],
+    /// When it was sent.
+    pub sent: Millis,
+    /// What had come of it.
+    pub yielded: RunYield,
+}
+
+/// Weight of the heaviest series of runs in which each was sent after the one before was lost. Runs are in order of their
+/// losses.
+pub(super) fn chain_weight(runs: &[CrashRun]) -> u32 {
+    let mut best: Vec<u32> = Vec::with_capacity(runs.len());
+    for run in runs {
+        let before = runs.iter().zip(&best).filter(|(earlier, _)| earlier.lost <= run.sent);
+        let heaviest = before.map(|(_, weight)| *weight).max().unwrap_or_default();
+        best.push(heaviest + run.sign.weight());
+    }
+    best.into_iter().max().unwrap_or_default()
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -255,10 +255,18 @@
 const COPY_AWAY: Duration = Duration::from_millis(300);
 const OPERATOR_TIME: Duration = Duration::from_millis(500);
 
+/// Objects that others write between the copy and the return, and their kind.
+const OTHER_WRITES: u64 = 500;
+const OTHER_KIND: &str = "others";
+
 /// Lets the store come back from a copy that is `age` old, and the operator write again. Replicas write anew with each
 /// heartbeat.
 async fn copy_store(site: &SoakSite, age: Duration) {
     site.store().make_copy();
+    // What others write is lost as well, so that it takes long until revisions have caught up.
+    for number in 0..OTHER_WRITES {
+        site.store().put(OTHER_KIND, &number.to_string(), number.into());
+    }
     sleep(age).await;
     site.note_disruption(DisruptionKind::StoreFault, COPY_AWAY + OPERATOR_TIME);
     disturb_store(site, StoreMood::Busy, COPY_AWAY).await;
