--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -33,7 +33,7 @@
 };
 use crate::{Millis, fingerprint::RequestFingerprint, life::ReplicaLife};
 
-/// The same where each of its crashes is as well explained by another request, or where it had a result lately: the one that ends
+/// [`STOP_WEIGHT`] of a request each of whose crashes another one explains as well, or that had a result lately: the one that ends
 /// replicas goes on to do so, the others get a result. Where both hold it is never stopped: without that, calls of one kind
 /// that all callers make were refused for ten minutes in a model of two power failures in a row, 38,082 of 152,442.
 pub const DOUBTFUL_WEIGHT: u32 = 10;
