--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_kernel::clock::epoch_micros;
+use switchfold_platform::REPLICA_KIND;
 use switchfold_platform_standin::{StoreMood, samples::ORGANISATION};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -263,10 +264,11 @@
 /// heartbeat.
 async fn copy_store(site: &SoakSite, age: Duration) {
     site.store().make_copy();
-    // What others write is lost as well, so that it takes long until revisions have caught up.
+    // What others write is lost as well, so that it takes long until revisions have caught up with those that entries had.
     for number in 0..OTHER_WRITES {
         site.store().put(OTHER_KIND, &number.to_string(), number.into());
     }
+    site.store().touch(REPLICA_KIND);
     sleep(age).await;
     site.note_disruption(DisruptionKind::StoreFault, COPY_AWAY + OPERATOR_TIME);
     disturb_store(site, StoreMood::Busy, COPY_AWAY).await;
