--- a/crates/relay/benches/backoffs.rs
+++ b/crates/relay/benches/backoffs.rs
@@ -32,7 +32,7 @@
 };
 
 use futures_util::future::join_all;
-use harness::{ROUTES, RunningRelay, bounds, run_test};
+use harness::{ROUTES, RunningRelay, bounds, run_test, serve};
 use http::StatusCode;
 use serde_json::Value;
 use switchfold_platform::{
@@ -40,8 +40,8 @@
     engine::{ORDER_PATH, REPORT_PATH},
 };
 use switchfold_platform_standin::{
-    Reply, SeenRequest, StandinReplica, StandinStore, StreamEnd, answer, events, reject,
-    samples::{KEY, LAYERS, config, desk_entry, model_entry, report},
+    SeenRequest, StandinReplica, StandinStore, reject,
+    samples::{KEY, LAYERS, config, desk_entry, model_entry},
     with_header,
 };
 use tokio::time::sleep;
@@ -56,17 +56,6 @@
     [REPORT_PATH, ORDER_PATH].contains(&request.target.as_str())
 }
 
-fn serve(request: &SeenRequest) -> Reply {
-    match request.target.as_str() {
-        REPORT_PATH => answer(request, 200, &report(0, LAYERS, &[])),
-        ORDER_PATH => answer(request, 200, ""),
-        path if path.starts_with("/stream") => {
-            events(request, 3, Duration::from_millis(5), StreamEnd::Whole)
-        }
-        _ => answer(request, 200, "confirmed"),
-    }
-}
-
 /// Where a replica was reached in the time in which it wanted nothing.
 #[derive(Clone, Default)]
 struct Reached(Arc<Mutex<(Option<Instant>, usize)>>);
--- a/crates/relay/tests/copies.rs
+++ b/crates/relay/tests/copies.rs
@@ -4,16 +4,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use harness::{ROUTES, RunningRelay, bounds, call, request, run_test, wait_until};
+use harness::{ROUTES, RunningRelay, bounds, call, request, run_test, serve, wait_until};
 use http::StatusCode;
 use serde_json::Value;
-use switchfold_platform::{
-    CONFIG_KIND, CONFIG_NAME, ENTRY_KIND, REPLICA_KIND,
-    engine::{ORDER_PATH, REPORT_PATH},
-};
+use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, ENTRY_KIND, REPLICA_KIND};
 use switchfold_platform_standin::{
-    Reply, SeenRequest, StandinReplica, StandinStore, StoreMood, StreamEnd, answer, events,
-    samples::{KEY, LAYERS, config, desk_entry, draining, in_data_centre, model_entry, report},
+    StandinReplica, StandinStore, StoreMood,
+    samples::{KEY, LAYERS, config, desk_entry, draining, in_data_centre, model_entry},
 };
 use tokio::time::sleep;
 
@@ -27,17 +24,6 @@
 /// that have ended within it.
 const DOUBTED: Duration = Duration::from_millis(1_500);
 
-fn serve(request: &SeenRequest) -> Reply {
-    match request.target.as_str() {
-        REPORT_PATH => answer(request, 200, &report(0, LAYERS, &[])),
-        ORDER_PATH => answer(request, 200, ""),
-        path if path.starts_with("/stream") => {
-            events(request, 3, Duration::from_millis(5), StreamEnd::Whole)
-        }
-        _ => answer(request, 200, "confirmed"),
-    }
-}
-
 fn whole_model(address: SocketAddr) -> Value {
     model_entry(address, 0, LAYERS)
 }
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -12,10 +12,11 @@
 use switchfold_kernel::shutdown::ShutdownSignal;
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
+    engine::{ORDER_PATH, REPORT_PATH},
     headers::{ATTEMPT_ID, DEADLINE, REPLICA_SEAL},
 };
 use switchfold_platform_standin::{
-    StandinReplica, StandinStore,
+    Reply, SeenRequest, StandinReplica, StandinStore, StreamEnd, answer, events,
     samples::{self, HOST, KEY, RouteSample},
 };
 use switchfold_relay::{
@@ -268,6 +269,18 @@
     timeout(PATIENCE, exchange).await.expect("the call ends")
 }
 
+/// What a replica of either service answers while it is well; an engine holds all layers.
+pub(crate) fn serve(request: &SeenRequest) -> Reply {
+    match request.target.as_str() {
+        REPORT_PATH => answer(request, 200, &samples::report(0, samples::LAYERS, &[])),
+        ORDER_PATH => answer(request, 200, ""),
+        path if path.starts_with("/stream") => {
+            events(request, 3, Duration::from_millis(5), StreamEnd::Whole)
+        }
+        _ => answer(request, 200, "confirmed"),
+    }
+}
+
 /// Waits until something holds.
 pub(crate) async fn wait_until(mut holds: impl AsyncFnMut() -> bool) {
     let waiting = async {
--- a/crates/relay/tests/notices.rs
+++ b/crates/relay/tests/notices.rs
@@ -29,7 +29,7 @@
 };
 
 use futures_util::future::join_all;
-use harness::{RunningRelay, bounds, listed, run_test, wait_until};
+use harness::{RunningRelay, bounds, listed, run_test, serve, wait_until};
 use http::StatusCode;
 use serde_json::Value;
 use switchfold_platform::{
@@ -37,8 +37,8 @@
     engine::{ORDER_PATH, REPORT_PATH},
 };
 use switchfold_platform_standin::{
-    Reply, SeenRequest, StandinReplica, StreamEnd, answer, events, reject,
-    samples::{LAYERS, born_at, desk_entry, in_data_centre, model_entry, report},
+    Reply, SeenRequest, StandinReplica, reject,
+    samples::{LAYERS, born_at, desk_entry, in_data_centre, model_entry},
     with_header,
 };
 use switchfold_relay::settings::BoundSettings;
@@ -67,18 +67,6 @@
     move |address| in_data_centre(entry(address), "far")
 }
 
-/// What a replica of either service answers while it is well.
-fn serve(request: &SeenRequest) -> Reply {
-    match request.target.as_str() {
-        REPORT_PATH => answer(request, 200, &report(0, LAYERS, &[])),
-        ORDER_PATH => answer(request, 200, ""),
-        path if path.starts_with("/stream") => {
-            events(request, 3, Duration::from_millis(5), StreamEnd::Whole)
-        }
-        _ => answer(request, 200, "confirmed"),
-    }
-}
-
 fn is_control(request: &SeenRequest) -> bool {
     [REPORT_PATH, ORDER_PATH].contains(&request.target.as_str())
 }
