A relay's object is written again also where the return came before the first look

Cause: the era was first noted a quarter of a second after the start; a return before that was taken for the beginning, so that the object was missed until the next round of 12 s. Seen as the test of returns taking 15 s now and then. Change: the era is noted with the registration itself.

--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -19,16 +19,12 @@
 
 /// Writes again after each return of the store, for good.
 pub async fn write_after_copies(relay: Rc<Relay>) {
-    let mut era = None;
     loop {
         sleep(LOOK_EVERY).await;
         let present = store_era(&relay);
-        // What this relay wrote before its first answer is of no earlier era.
-        let known = *era.get_or_insert(present);
-        if present <= known {
+        if relay.registered_era.get().is_none_or(|era| present <= era) {
             continue;
         }
-        era = Some(present);
         sleep(Duration::from_millis(relay.draw(SPREAD))).await;
         register_for_good(&relay).await;
         write_again(&relay);
@@ -37,6 +33,6 @@
 }
 
 /// The newest era of the store that this relay read, or that a neighbour told it.
-fn store_era(relay: &Relay) -> u64 {
+pub fn store_era(relay: &Relay) -> u64 {
     relay.calls.era.known().max(relay.beliefs.borrow().fleet.era())
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    copies::store_era,
     peers::tell_state,
     settings::RelaySettings,
     snapshot::take::ask_relays,
@@ -66,6 +67,8 @@
                 let is_new = verb == CallVerb::List && !relay.settings.first_start;
                 tracing::info!(event = "registration-missing", is_new);
                 register_for_good(relay).await;
+            } else if relay.registered_era.get().is_none() {
+                relay.registered_era.set(Some(store_era(relay)));
             }
             verb = CallVerb::StaleList;
             take_relays(relay, relays).await;
@@ -163,11 +166,15 @@
 
 /// Leaves this relay's address in the store, however long that takes.
 pub async fn register_for_good(relay: &Relay) {
+    // As it was before the call: one that the store lost meanwhile is written once more.
+    let mut era = store_era(relay);
     while let Err(error) = register(relay).await {
         tracing::info!(event = "registration-failed", %error);
         sleep(REGISTER_AGAIN).await;
         wait_for_store(relay).await;
+        era = store_era(relay);
     }
+    relay.registered_era.set(Some(era));
 }
 
 /// Forgets relays whose VMs are gone. The relay that gives the orders removes their objects from the
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -201,6 +201,7 @@
         incarnation: random.random(),
         counts: Counts::default(),
         metrics,
+        registered_era: Cell::default(),
         is_aside: Cell::new(false),
         stop: StopState::default(),
         random: RefCell::new(random),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -150,6 +150,8 @@
     pub counts: Counts,
     /// Histograms, and what is served on the metrics address.
     pub metrics: RelayMetrics,
+    /// Era of the store in which this relay's object was last known to stand there.
+    pub registered_era: Cell<Option<u64>>,
     /// Whether new callers were left to other relays when readiness was last asked for.
     pub is_aside: Cell<bool>,
     /// Whether it is stopping.
