Soak: an asking that came after the relay had given the request up is not heard

Traced in the relay's log: no answer came in the 152 ms before the relay left, and its caller had its answer by then. Change: the check leaves out askings that came after their caller's end; a row of its table shows it.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -264,9 +264,9 @@
     violations
 }
 
-/// Relay that took the request of a run, with the time at which its caller sent it.
-fn senders(history: &RunHistory) -> HashMap<&str, (usize, Micros)> {
-    history.calls.iter().map(|call| (call.id.as_str(), (call.relay, call.sent))).collect()
+/// Calls by the ids of their requests.
+fn calls_by_id(history: &RunHistory) -> HashMap<&str, &CallRecord> {
+    history.calls.iter().map(|call| (call.id.as_str(), call)).collect()
 }
 
 /// Number of a replica, which its id names.
@@ -278,25 +278,29 @@
 /// Runs by relay and replica.
 fn runs_by_way<'a>(
     history: &'a RunHistory,
-    senders: &HashMap<&str, (usize, Micros)>,
+    calls: &HashMap<&str, &CallRecord>,
 ) -> BTreeMap<(usize, &'a str), Vec<&'a RunRecord>> {
     let mut ways: BTreeMap<(usize, &str), Vec<&RunRecord>> = BTreeMap::new();
     for run in &history.runs {
-        let Some((relay, _)) = senders.get(run.id.as_str()) else { continue };
-        ways.entry((*relay, run.replica.as_str())).or_default().push(run);
+        let Some(call) = calls.get(run.id.as_str()) else { continue };
+        ways.entry((call.relay, run.replica.as_str())).or_default().push(run);
     }
     ways
 }
 
 /// Few requests of a relay reach a replica from half a second after it asked that relay to stay away until the end of the
-/// time that it asked for. A start, stop or pause of the relay excuses it, and a harmed link between the two.
+/// time that it asked for. A start, stop or pause of the relay excuses it, and a harmed link between the two. One that had
+/// given the request up before, and told its caller, hears no answer to it: the replica stood still meanwhile.
 fn check_asked_times(history: &RunHistory) -> Vec<Violation> {
     let mut violations = Vec::new();
-    for ((relay, replica), runs) in runs_by_way(history, &senders(history)) {
+    let calls = calls_by_id(history);
+    for ((relay, replica), runs) in runs_by_way(history, &calls) {
         for asking in &runs {
             let Some(asked) = asking.asked else { continue };
             let (from, to) = (asking.at + ON_THE_WAY, asking.at + asked * 1_000);
-            let is_excused = !history.ran_on(relay, asking.at, to)
+            let is_heard = asking.at < calls[asking.id.as_str()].ended;
+            let is_excused = !is_heard
+                || !history.ran_on(relay, asking.at, to)
                 || !history.link_was_well(replica_number(replica), asking.at, to);
             let came = runs.iter().filter(|run| run.at > from && run.at < to).count();
             if came > MOST_UNWANTED && !is_excused {
@@ -314,24 +318,22 @@
 /// A request that was sent later than the drain time after a relay had passed on an answer of a replica that says it is
 /// leaving does not reach that replica from that relay. A start, stop or pause of the relay since excuses it.
 fn check_leaving_words(history: &RunHistory) -> Vec<Violation> {
-    let senders = senders(history);
-    let ended: HashMap<&str, &CallRecord> =
-        history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let calls = calls_by_id(history);
     let mut violations = Vec::new();
-    for ((relay, replica), runs) in runs_by_way(history, &senders) {
+    for ((relay, replica), runs) in runs_by_way(history, &calls) {
         let passed_on = |run: &&&RunRecord| run.leaving && run.ran && run.bad.is_none();
         let answers = runs.iter().filter(passed_on).filter_map(|run| {
-            let call = ended[run.id.as_str()];
+            let call = calls[run.id.as_str()];
             let answered = matches!(&call.end, CallEnd::Answered(answer) if answer.sealed);
             answered.then_some(call.ended)
         });
         let Some(told) = answers.min() else { continue };
         // One that started again under its id says so no more.
         let is_late =
-            |run: &&&RunRecord| run.leaving && senders[run.id.as_str()].1 > told + DRAIN_TIME;
+            |run: &&&RunRecord| run.leaving && calls[run.id.as_str()].sent > told + DRAIN_TIME;
         let late = runs.iter().find(is_late);
         if let Some(late) = late.filter(|late| history.ran_on(relay, told, late.at)) {
-            let after_ms = (senders[late.id.as_str()].1 - told) / 1_000;
+            let after_ms = (calls[late.id.as_str()].sent - told) / 1_000;
             let what =
                 format!("{} by relay {relay} reached {replica}, sent {after_ms} ms after", late.id);
             violations.push(broken(Promise::LeavingWord, what));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -79,6 +79,10 @@
     assert_eq!(broken(&with(&within)), [Promise::AskedTime]);
     assert_eq!(broken(&with(&within[..2])), []);
     assert_eq!(broken(&with(&outside)), []);
+    // The relay had given the request up before its replica read it.
+    let mut unheard = with(&within);
+    unheard.calls[0].ended = begun - 1;
+    assert_eq!(broken(&unheard), []);
     for (kind, excuses) in [
         (DisruptionKind::RelayFault(0), true),
         (DisruptionKind::PlannedStop(0), true),
