--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,6 +1,6 @@
 //! What replicas say of themselves in their answers: that they want no requests for a time, or that they are leaving.
 //!
-//! Both end with the answer nowhere: the one holds back what this relay sends until the time is over, the other is a
+//! Neither ends with the request that was answered: the one holds back what this relay sends until the time is over, the other is a
 //! leaving like any that the store tells, and binds before the store does.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
