Kernel: failed calls name their cause

The client's message is "client error (SendRequest)" whether the server closed the connection, reset it, or sent something malformed, so the two known red tests could not be told apart by their reports. The sources of the error are added to it.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -244,6 +244,12 @@
     },
 }
 
+/// Returns the messages of an error and of its sources.
+fn with_sources(error: &dyn std::error::Error) -> String {
+    let sources = std::iter::successors(error.source(), |error| error.source());
+    sources.fold(error.to_string(), |text, source| format!("{text}: {source}"))
+}
+
 /// Response with its complete body.
 #[derive(Clone, Debug)]
 pub struct FullResponse {
@@ -290,9 +296,9 @@
         match time::timeout(self.timeout, self.client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => {
-                Err(CallError::NotConnected { detail: error.to_string() })
+                Err(CallError::NotConnected { detail: with_sources(&error) })
             }
-            Ok(Err(error)) => Err(CallError::NoResponse { detail: error.to_string() }),
+            Ok(Err(error)) => Err(CallError::NoResponse { detail: with_sources(&error) }),
             Err(_) => Err(CallError::NoResponse { detail: "timed out".to_owned() }),
         }
     }
--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -153,3 +153,18 @@
     });
     assert!(matches!(http.call(post(&address, 1)).await, Err(CallError::NoResponse { .. })));
 }
+
+/// A failed call names what failed: the client's own message is the same for most causes.
+#[tokio::test]
+async fn failed_calls_name_their_cause() {
+    let http = HttpClient::new(Duration::from_secs(5), 1_000);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("connected");
+        let mut buffer = [0; 1_024];
+        let _read = stream.read(&mut buffer).await;
+    });
+    let error = http.call(post(&address, 1)).await.expect_err("the server does not respond");
+    assert!(error.to_string().contains("connection closed before message completed"), "{error}");
+}
