Kernel: a stopping server keeps a connection for a second after its last response

What callers saw: a request on a kept connection of a stopping entry got no response, so nobody could tell whether it had run.

Cause: responses made after the signal say `Connection: close`, but the head of a stream that began before it did not. One second after the signal the server disabled keep-alive, and hyper closed the connection behind the last chunk of the stream. The caller, told nothing, sent its next request there.

Change: a connection is now closed without an announcement only when no request is in progress and a second has passed since its last response (or its opening).

Evidence: a_request_after_a_stream_that_outlives_the_grace_period_is_answered fails with the former wait in the same function ("stream 200 ms, signal at 50, reuse after 900: Canceled"), and passes here for 1280 combinations of moments. a_connection_that_was_just_opened_is_not_closed held before, too: connections closed at a fixed moment were one of the hypotheses, and are none of the causes.

--- /dev/null
+++ b/crates/kernel/src/connection.rs
@@ -0,0 +1,182 @@
+//! One HTTP/1 connection of a server, and how a graceful shutdown ends it.
+//!
+//! A caller that has been told nothing else expects its connection to be kept after a response. If
+//! the server closes the connection while the next request is on its way, the caller cannot know
+//! whether that request ran. So a shutdown closes a connection only after a response that announced
+//! it by `Connection: close`, or once the connection has not been used for a while.
+
+use std::{
+    error::Error,
+    future::Future,
+    pin::{Pin, pin},
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use http::{Request, Response};
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    sync::watch,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// Settings of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Maximum number of headers of a request.
+    pub max_headers: usize,
+    /// Maximum size of the request line and headers, in bytes. At least 8192 are allowed.
+    pub max_header_bytes: usize,
+    /// Time in which the headers of a request must arrive, and for which a connection may stay
+    /// idle.
+    pub idle_timeout: Duration,
+}
+
+/// When a graceful shutdown closes connections that are not used.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownDelays {
+    /// Time after the signal in which no connection is closed without an announcement.
+    pub after_signal: Duration,
+    /// Time without use after which a connection is closed, counted from its opening or the end of
+    /// its last response.
+    pub idle: Duration,
+}
+
+/// Whether a request of a connection is in progress.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionUse {
+    in_progress: bool,
+    /// Time of the last change.
+    since: Instant,
+}
+
+/// Marks a connection as in use until dropped.
+#[derive(Debug)]
+struct UseGuard {
+    uses: Arc<watch::Sender<ConnectionUse>>,
+}
+
+impl UseGuard {
+    fn new(uses: &Arc<watch::Sender<ConnectionUse>>) -> Self {
+        uses.send_replace(ConnectionUse { in_progress: true, since: Instant::now() });
+        Self { uses: Arc::clone(uses) }
+    }
+}
+
+impl Drop for UseGuard {
+    fn drop(&mut self) {
+        self.uses.send_replace(ConnectionUse { in_progress: false, since: Instant::now() });
+    }
+}
+
+/// Body of a response that marks its connection as in use until it has been sent.
+struct GuardedBody<B> {
+    body: B,
+    _use_guard: UseGuard,
+}
+
+impl<B: Body + Unpin> Body for GuardedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Serves the requests of one connection until either side closes it.
+///
+/// `stopping` completes when a graceful shutdown begins. From then on `handler` should add
+/// `Connection: close` to its responses; a connection without such a response is closed by
+/// `delays`.
+///
+/// # Errors
+///
+/// Returns the error of a connection that failed, or whose caller sent something malformed.
+pub async fn serve_connection<I, F, R, B, E>(
+    stream: I,
+    limits: ConnectionLimits,
+    delays: ShutdownDelays,
+    stopping: impl Future<Output = ()>,
+    handler: F,
+) -> Result<(), hyper::Error>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Response<B>, E>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    E: Into<Box<dyn Error + Send + Sync>>,
+{
+    let opened = ConnectionUse { in_progress: false, since: Instant::now() };
+    let uses = Arc::new(watch::Sender::new(opened));
+    let service = service_fn(|request| {
+        let use_guard = UseGuard::new(&uses);
+        let response = handler(request);
+        async move {
+            let response = response.await?;
+            Ok::<_, E>(response.map(|body| GuardedBody { body, _use_guard: use_guard }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_headers(limits.max_headers)
+        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = wait_for_idle_close(stopping, &uses, delays) => None,
+    };
+    match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    }
+}
+
+/// Waits for the shutdown and then until the connection may be closed without an announcement.
+async fn wait_for_idle_close(
+    stopping: impl Future<Output = ()>,
+    uses: &watch::Sender<ConnectionUse>,
+    delays: ShutdownDelays,
+) {
+    stopping.await;
+    sleep(delays.after_signal).await;
+    let mut changes = uses.subscribe();
+    loop {
+        let last_use = *changes.borrow_and_update();
+        let idle_end = async {
+            match last_use.in_progress {
+                true => std::future::pending().await,
+                false => sleep_until(last_use.since + delays.idle).await,
+            }
+        };
+        tokio::select! {
+            () = idle_end => return,
+            // `uses` outlives this wait, so it ends only with a change.
+            _ = changes.changed() => {}
+        }
+    }
+}
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -2,8 +2,8 @@
 //!
 //! The server passes requests to a handler. It limits connections, headers and idle time, and
 //! [`read_body`] limits bodies. On shutdown it keeps serving for a second, then accepts no
-//! further connections and closes each one after the current request. The client limits the time
-//! and size of each response.
+//! further connections and closes each one as [`connection`](crate::connection) describes. The
+//! client limits the time and size of each response.
 
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
@@ -11,10 +11,10 @@
 use derive_more::{Display, Error};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::TokioExecutor,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -22,7 +22,10 @@
     time,
 };
 
-use crate::shutdown::ShutdownSignal;
+use crate::{
+    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    shutdown::ShutdownSignal,
+};
 
 /// Body of every response.
 pub type ResponseBody = BoxBody<Bytes, Infallible>;
@@ -61,21 +64,19 @@
 pub struct ConnectionDropped;
 
 /// Time for which a server keeps accepting connections and requests after the shutdown signal, so
-/// that its handler can refuse them. If a connection is closed at the moment at which a caller
-/// reuses it, the caller does not know whether its request ran.
+/// that its handler can refuse them. It also keeps each connection for this long after its last
+/// use, since a caller whose request meets a close does not know whether that request ran.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(1);
 
-/// Time for which the client keeps an idle connection: half of [`SHUTDOWN_GRACE`].
-///
-/// A stopping server closes connections that were idle for the grace period. A request written at
-/// that moment ends without a response and may have run; this happened to one request of 105 at a
-/// load average of 28. The other half of the grace period is a margin for clients that are delayed.
+/// Time for which the client keeps an idle connection. Half of [`SHUTDOWN_GRACE`], so that a
+/// stopping server does not close a connection that a delayed client is about to reuse.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_millis(SHUTDOWN_GRACE.as_millis() as u64 / 2);
 
 /// Serves requests until shutdown.
 ///
 /// After the signal is raised, the server serves for another second, in which each response closes
-/// its connection. Then it closes the idle connections, and returns after the last response.
+/// its connection. Then it accepts no more connections, closes each one that has not been used for
+/// a second, and returns after the last response.
 pub async fn serve<F, R>(
     listener: TcpListener,
     limits: HttpLimits,
@@ -100,7 +101,7 @@
         };
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         tokio::spawn(async move {
-            serve_connection(stream, limits, &shutdown, handler).await;
+            serve_until_closed(stream, limits, &shutdown, handler).await;
             drop(permit);
         });
     }
@@ -115,7 +116,7 @@
     time::sleep(SHUTDOWN_GRACE).await;
 }
 
-async fn serve_connection<F, R>(
+async fn serve_until_closed<F, R>(
     stream: TcpStream,
     limits: HttpLimits,
     shutdown: &ShutdownSignal,
@@ -125,30 +126,25 @@
     R: Future<Output = Result<HttpResponse, ConnectionDropped>>,
 {
     let _ignored = stream.set_nodelay(true);
-    let close_on_shutdown = |mut response: HttpResponse| {
-        if shutdown.is_raised() {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    let handler = |request| {
+        let response = handler(request);
+        async move {
+            let mut response = response.await?;
+            if shutdown.is_raised() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, ConnectionDropped>(response)
         }
-        response
     };
-    let service = service_fn(|request| {
-        let response = handler(request);
-        async move { response.await.map(close_on_shutdown) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_headers(limits.max_headers)
-        .max_buf_size(limits.max_header_bytes.max(8_192))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let finished = tokio::select! {
-        finished = connection.as_mut() => Some(finished),
-        () = grace_period_over(shutdown) => None,
+    let limits = ConnectionLimits {
+        max_headers: limits.max_headers,
+        max_header_bytes: limits.max_header_bytes,
+        idle_timeout: limits.idle_timeout,
     };
-    if finished.is_none() {
-        connection.as_mut().graceful_shutdown();
-        let _result = connection.await;
+    let delays = ShutdownDelays { after_signal: SHUTDOWN_GRACE, idle: SHUTDOWN_GRACE };
+    if let Err(error) = serve_connection(stream, limits, delays, shutdown.raised(), handler).await {
+        log::debug!("connection=failed error={error:?}");
     }
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 pub mod clock;
+pub mod connection;
 pub mod exit;
 pub mod http;
 pub mod listen;
--- /dev/null
+++ b/crates/kernel/tests/connections.rs
@@ -0,0 +1,144 @@
+//! Connections of callers while a server shuts down.
+
+use std::{convert::Infallible, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, channel::Channel};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use switchfold_kernel::{
+    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    http::{HttpResponse, full_response},
+    shutdown::ShutdownSignal,
+};
+use tokio::{
+    io::{AsyncReadExt, DuplexStream, duplex},
+    time::sleep,
+};
+
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    max_headers: 64,
+    max_header_bytes: 8_192,
+    idle_timeout: Duration::from_secs(60),
+};
+
+const DELAYS: ShutdownDelays =
+    ShutdownDelays { after_signal: Duration::from_secs(1), idle: Duration::from_secs(1) };
+
+/// Time for which a caller may keep an idle connection before it reuses it.
+const REUSE_DELAYS_MS: [u64; 4] = [0, 1, 100, 900];
+
+type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+/// Responds at once, or with a stream that ends after the time in the path.
+async fn respond(request: Request<Incoming>) -> Result<HttpResponse, Infallible> {
+    let stream_ms = request.uri().path().strip_prefix("/stream/");
+    let Some(stream_ms) = stream_ms.and_then(|text| text.parse().ok()) else {
+        return Ok(full_response(StatusCode::OK, "text/plain", "whole"));
+    };
+    let (mut sender, body) = Channel::new(1);
+    tokio::spawn(async move {
+        let _caller_may_have_gone = sender.send_data(Bytes::from_static(b"first")).await;
+        sleep(Duration::from_millis(stream_ms)).await;
+        let _caller_may_have_gone = sender.send_data(Bytes::from_static(b"last")).await;
+    });
+    Ok(Response::new(body.boxed()))
+}
+
+/// Serves one connection and returns the caller's side of it.
+fn open_connection(signal: &ShutdownSignal) -> DuplexStream {
+    let (caller, server) = duplex(1_024);
+    let signal = signal.clone();
+    tokio::spawn(async move {
+        let stopping = signal.clone();
+        let handler = move |request| {
+            let is_stopping = signal.is_raised();
+            async move {
+                let mut response = respond(request).await?;
+                if is_stopping {
+                    let close = http::HeaderValue::from_static("close");
+                    response.headers_mut().insert(http::header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
+        };
+        let _ended = serve_connection(server, LIMITS, DELAYS, stopping.raised(), handler).await;
+    });
+    caller
+}
+
+async fn open_client(signal: &ShutdownSignal) -> RequestSender {
+    let stream = TokioIo::new(open_connection(signal));
+    let (sender, connection) = http1::handshake(stream).await.expect("a connection");
+    tokio::spawn(connection);
+    sender
+}
+
+/// Sends a request and reads the response to its end.
+async fn call(sender: &mut RequestSender, path: &str) -> Result<Bytes, hyper::Error> {
+    let request = Request::get(path).header("host", "server").body(Full::default());
+    let response = sender.send_request(request.expect("a request")).await?;
+    Ok(response.into_body().collect().await?.to_bytes())
+}
+
+/// Raises the signal in the middle of a stream, and reuses the connection after the stream.
+async fn reuse_after_stream(stream_ms: u64, signal_ms: u64, reuse_ms: u64) {
+    let signal = ShutdownSignal::new();
+    let mut sender = open_client(&signal).await;
+    let raised = signal.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(signal_ms)).await;
+        raised.raise();
+    });
+    call(&mut sender, &format!("/stream/{stream_ms}")).await.expect("a whole stream");
+    sleep(Duration::from_millis(reuse_ms)).await;
+    let reused = call(&mut sender, "/").await;
+    let moment = format!("stream {stream_ms} ms, signal at {signal_ms}, reuse after {reuse_ms}");
+    assert_eq!(reused.expect(&moment), "whole");
+}
+
+/// Guards against connections that were closed without a word after a stream that outlived the
+/// grace period, which lost the caller's next request.
+#[tokio::test(start_paused = true)]
+async fn a_request_after_a_stream_that_outlives_the_grace_period_is_answered() {
+    for stream_ms in (100..4_000).step_by(100) {
+        for signal_ms in (50..stream_ms).step_by(250) {
+            for reuse_ms in REUSE_DELAYS_MS {
+                reuse_after_stream(stream_ms, signal_ms, reuse_ms).await;
+            }
+        }
+    }
+}
+
+/// A connection that was opened less than a second ago is not closed, whenever the signal comes.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_was_just_opened_is_not_closed() {
+    for opened_ms in (0..3_000).step_by(50) {
+        for reuse_ms in REUSE_DELAYS_MS {
+            let signal = ShutdownSignal::new();
+            let raised = signal.clone();
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(1_000)).await;
+                raised.raise();
+            });
+            sleep(Duration::from_millis(opened_ms)).await;
+            let mut sender = open_client(&signal).await;
+            sleep(Duration::from_millis(reuse_ms)).await;
+            let called = call(&mut sender, "/").await;
+            let moment = format!("opened at {opened_ms} ms, used after {reuse_ms}");
+            assert_eq!(called.expect(&moment), "whole");
+        }
+    }
+}
+
+/// A connection that nobody uses does not hold up a shutdown.
+#[tokio::test(start_paused = true)]
+async fn an_unused_connection_is_closed_at_a_shutdown() {
+    let signal = ShutdownSignal::new();
+    let mut stream = open_connection(&signal);
+    signal.raise();
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.expect("the end of the stream");
+    assert!(rest.is_empty());
+}
