Kernel: new connections do not prolong a shutdown, and queued ones are served

What callers saw: a stopping server accepted and refused requests for as long as somebody opened a connection every second, and never ended.

Cause: the second of grace was a sleep inside the accept loop, begun anew with each connection. It also hid a second fault: had it ended on time, the connections in the listen queue would have been reset together with the requests on them, which callers must take for unknown.

Change: one sleep for the whole shutdown; then the listener is closed by draining its queue, and those connections are served (refused with a response) like the others. A connection whose handshake completes between the last accept and the close is still reset: microseconds on a VM.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -5,7 +5,7 @@
 //! further connections and closes each one as [`connection`](crate::connection) describes. The
 //! client limits the time and size of each response.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -18,7 +18,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
     time,
 };
 
@@ -87,29 +87,65 @@
     R: Future<Output = Result<HttpResponse, ConnectionDropped>> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(limits.max_connections));
-    loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = grace_period_over(&shutdown) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+    let spawn = |stream: TcpStream, permit: OwnedSemaphorePermit| {
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         tokio::spawn(async move {
             serve_until_closed(stream, limits, &shutdown, handler).await;
             drop(permit);
         });
+    };
+    {
+        let mut grace_period = pin!(grace_period_over(&shutdown));
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept_within(&listener, &permits) => accepted,
+                () = grace_period.as_mut() => break,
+            };
+            match accepted {
+                Ok((stream, permit)) => spawn(stream, permit),
+                Err(error) => {
+                    log::warn!("accept=failed error={error}");
+                    time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+    // Closing the listener would reset the connections in its queue, with the requests on them.
+    for stream in take_queued(listener) {
+        if let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
+            spawn(stream, permit);
+        }
     }
     // All permits are available again once the last connection has ended.
     let all = u32::try_from(limits.max_connections).unwrap_or(u32::MAX);
     let _all_ended = permits.acquire_many(all).await;
 }
 
+/// Accepts a connection as soon as the number of connections allows it.
+async fn accept_within(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.map_err(std::io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
+/// Closes a listener and returns the connections that were waiting in its queue.
+pub fn take_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    // The listener does not block, so the first failure is an empty queue.
+    let queued = std::iter::from_fn(|| listener.accept().ok());
+    queued
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 /// Waits until the grace period after the signal is over.
 async fn grace_period_over(shutdown: &ShutdownSignal) {
     shutdown.raised().await;
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -9,11 +9,12 @@
 use hyper_util::rt::TokioIo;
 use switchfold_kernel::{
     connection::{ConnectionLimits, ShutdownDelays, serve_connection},
-    http::{HttpResponse, full_response},
+    http::{HttpLimits, HttpResponse, full_response, serve},
     shutdown::ShutdownSignal,
 };
 use tokio::{
-    io::{AsyncReadExt, DuplexStream, duplex},
+    io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
+    net::{TcpListener, TcpStream},
     time::sleep,
 };
 
@@ -142,3 +143,53 @@
     stream.read_to_end(&mut rest).await.expect("the end of the stream");
     assert!(rest.is_empty());
 }
+
+/// Guards against connections in the listen queue that were reset at the end of a shutdown, with
+/// the requests on them.
+#[tokio::test]
+async fn connections_in_the_listen_queue_are_served_at_a_shutdown() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let signal = ShutdownSignal::new();
+    let limits = HttpLimits { max_connections: 1, ..HttpLimits::default() };
+    let handler = |request| async { Ok(respond(request).await.expect("infallible")) };
+    let server = tokio::spawn(serve(listener, limits, signal.clone(), handler));
+    let connect = async |path: &str| {
+        let mut stream = TcpStream::connect(address).await.expect("the server listens");
+        let request = format!("GET {path} HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("a request fits the buffer");
+        stream
+    };
+    let mut held = connect("/stream/1500").await;
+    let mut response = vec![0; 15];
+    held.read_exact(&mut response).await.expect("the first response begins");
+    let mut queued = Vec::new();
+    for _ in 0..20 {
+        queued.push(connect("/").await);
+    }
+    signal.raise();
+    for mut stream in queued {
+        response.clear();
+        stream.read_to_end(&mut response).await.expect("a response, not a reset");
+        assert!(response.ends_with(b"whole"));
+    }
+    drop(held);
+    server.await.expect("the server ends");
+}
+
+/// Guards against a shutdown that never ended while callers opened a connection every second.
+#[tokio::test(start_paused = true)]
+async fn new_connections_do_not_prolong_a_shutdown() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let signal = ShutdownSignal::new();
+    let handler = |request| async { Ok(respond(request).await.expect("infallible")) };
+    tokio::spawn(serve(listener, HttpLimits::default(), signal.clone(), handler));
+    signal.raise();
+    let mut accepted = 0;
+    while TcpStream::connect(address).await.is_ok() {
+        accepted += 1;
+        assert!(accepted < 40, "the server still accepts connections");
+        sleep(Duration::from_millis(250)).await;
+    }
+}
