Kernel: a caller that still sends its body reads the response

What callers saw: a call that was rejected before its body had been read (unknown token, stopping, body too large) could end with a reset instead of the rejection, which says nothing about whether the call ran.

Cause: the server closed the socket behind the response while bytes of the request were unread or on their way.

Change: after its last response a connection is closed for sending only, and read for up to a second (16 MiB). What is read there is logged; a request among it crossed the close.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -22,11 +22,18 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    io::{AsyncRead, AsyncWrite},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     sync::watch,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
+/// Time for which a connection that the server has closed is read, so that a caller that is still
+/// sending reads the response rather than a reset.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of bytes that are read from a closed connection.
+const MAX_LINGER_BYTES: usize = 16 << 20;
+
 /// Settings of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -112,7 +119,7 @@
 ///
 /// Returns the error of a connection that failed, or whose caller sent something malformed.
 pub async fn serve_connection<I, F, R, B, E>(
-    stream: I,
+    mut stream: I,
     limits: ConnectionLimits,
     delays: ShutdownDelays,
     stopping: impl Future<Output = ()>,
@@ -136,24 +143,31 @@
             Ok::<_, E>(response.map(|body| GuardedBody { body, _use_guard: use_guard }))
         }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_headers(limits.max_headers)
-        .max_buf_size(limits.max_header_bytes.max(8_192))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
-        () = wait_for_idle_close(stopping, &uses, delays) => None,
-    };
-    match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let ended = {
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout)
+            .max_headers(limits.max_headers)
+            .max_buf_size(limits.max_header_bytes.max(8_192))
+            .serve_connection(TokioIo::new(&mut stream), service);
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            () = wait_for_idle_close(stopping, &uses, delays) => None,
+        };
+        match ended {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
+    };
+    // A failure means that the caller has closed the connection as well.
+    if let Ok(Ok(unread @ 1..)) = timeout(LINGER_TIME, linger(&mut stream)).await {
+        log::info!("connection=closed unread_bytes={unread}");
     }
+    ended
 }
 
 /// Waits for the shutdown and then until the connection may be closed without an announcement.
@@ -180,3 +194,18 @@
         }
     }
 }
+
+/// Closes the sending direction and discards what the caller still sends. Returns the number of
+/// bytes discarded.
+async fn linger(stream: &mut (impl AsyncRead + AsyncWrite + Unpin)) -> std::io::Result<usize> {
+    stream.shutdown().await?;
+    let mut buffer = [0; 4_096];
+    let mut discarded = 0;
+    while discarded < MAX_LINGER_BYTES {
+        match stream.read(&mut buffer).await? {
+            0 => break,
+            count => discarded += count,
+        }
+    }
+    Ok(discarded)
+}
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -144,6 +144,22 @@
     assert!(rest.is_empty());
 }
 
+/// Guards against rejections that were lost because the server closed the connection while the
+/// caller was sending its body.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_still_sends_its_body_reads_the_rejection() {
+    const BODY_BYTES: usize = 256 << 10;
+    let mut stream = open_connection(&ShutdownSignal::new());
+    let head = format!("POST / HTTP/1.1\r\nhost: server\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("the head is accepted");
+    let mut response = vec![0; 15];
+    stream.read_exact(&mut response).await.expect("a response before the body");
+    assert_eq!(response, b"HTTP/1.1 200 OK");
+    stream.write_all(&vec![b'x'; BODY_BYTES]).await.expect("the body is accepted");
+    stream.read_to_end(&mut response).await.expect("the rest of the response");
+    assert!(response.ends_with(b"whole"));
+}
+
 /// Guards against connections in the listen queue that were reset at the end of a shutdown, with
 /// the requests on them.
 #[tokio::test]
