Kernel: requests that the client did not write are sent again, not reported as unknown

The same client makes the agents' calls to services, the store's writes and the operators' calls, and each of them took such a call for one that may have run.

Cause: every error of the client but a failed connect was taken for "may have been sent". The client reports separately that it did not begin to write a request, because the kept connection that it had chosen was closed before.

Change: such a request is sent on another connection; what still fails unwritten is NotConnected, by which callers know that it did not run.

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -5,7 +5,10 @@
 //! further connections and closes each one as [`connection`](crate::connection) describes. The
 //! client limits the time and size of each response.
 
-use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, error::Error as StdError, future::Future, pin::pin, sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -13,7 +16,7 @@
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{self, Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use tokio::{
@@ -262,7 +265,8 @@
 /// Failure of a call.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum CallError {
-    /// The connection could not be established, so nothing was sent.
+    /// The connection could not be established, or was closed before the request was written, so
+    /// nothing was sent.
     #[display("not connected: {detail}")]
     NotConnected {
         /// Error of the HTTP library.
@@ -276,9 +280,15 @@
     },
 }
 
+/// Returns whether the client reports that it did not begin to write the request.
+fn is_unwritten(error: &legacy::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_canceled)
+}
+
 /// Returns the messages of an error and of its sources.
-fn with_sources(error: &dyn std::error::Error) -> String {
-    let sources = std::iter::successors(error.source(), |error| error.source());
+fn with_sources(error: &dyn StdError) -> String {
+    let sources = std::iter::successors(error.source(), |source| (*source).source());
     sources.fold(error.to_string(), |text, source| format!("{text}: {source}"))
 }
 
@@ -310,7 +320,7 @@
         connector.set_connect_timeout(Some(timeout.min(Duration::from_secs(2))));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
+            .retry_canceled_requests(true)
             .build(connector);
         Self { client, body_limit, timeout }
     }
@@ -327,7 +337,7 @@
     ) -> Result<Response<Incoming>, CallError> {
         match time::timeout(self.timeout, self.client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => {
+            Ok(Err(error)) if error.is_connect() || is_unwritten(&error) => {
                 Err(CallError::NotConnected { detail: with_sources(&error) })
             }
             Ok(Err(error)) => Err(CallError::NoResponse { detail: with_sources(&error) }),
--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -168,3 +168,32 @@
     let error = http.call(post(&address, 1)).await.expect_err("the server does not respond");
     assert!(error.to_string().contains("connection closed before message completed"), "{error}");
 }
+
+/// Guards against requests that the client never wrote, since their connection had just been closed,
+/// and that callers had to take for unknown.
+#[tokio::test]
+async fn a_request_that_was_not_written_is_sent_on_a_new_connection() {
+    let http = HttpClient::new(Duration::from_secs(5), 1_000);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let serve_one = async || {
+        let (mut stream, _) = listener.accept().await.expect("connected");
+        let mut buffer = [0; 1_024];
+        let _read = stream.read(&mut buffer).await.expect("a request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.expect("sent");
+        stream
+    };
+    let (first, stream) = tokio::join!(http.call(post(&address, 1)), serve_one());
+    first.expect("a response");
+    drop(stream);
+    // The close is noticed only after the next call has chosen the connection.
+    tokio::task::yield_now().await;
+    let serve_next = async {
+        let _stream = serve_one().await;
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        second = http.call(post(&address, 1)) => drop(second.expect("a response")),
+        () = serve_next => {}
+    }
+}
