Relay: a stopping relay keeps a connection for a second after its last response

A stream that began before SIGTERM and ended later than 2.5 s after it was followed by a close that nothing had announced, and the caller's next request on the connection got no response. A relay also exited at the moment at which no request was in flight, with connections open whose last response had just ended, and with whatever was in the listen queue.

Cause: as in the kernel's server; the relay had a copy of it.

Change: both use the same function. A relay that has no request in flight closes its listener, serves what was in the queue, and exits once the callers' connections are closed, at most a second after their last use and never later than the deadline of before. The line "stopped" names the connections that were cut.

Evidence: a_request_after_a_stream_that_outlives_the_shutdown_delay_is_answered failed before ("Canceled: connection was not ready").

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -37,8 +37,8 @@
 /// Settings of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
-    /// Maximum number of headers of a request.
-    pub max_headers: usize,
+    /// Maximum number of headers of a request; `None` for the HTTP library's own limit.
+    pub max_headers: Option<usize>,
     /// Maximum size of the request line and headers, in bytes. At least 8192 are allowed.
     pub max_header_bytes: usize,
     /// Time in which the headers of a request must arrive, and for which a connection may stay
@@ -143,13 +143,16 @@
             Ok::<_, E>(response.map(|body| GuardedBody { body, _use_guard: use_guard }))
         }
     });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_header_bytes.max(8_192));
+    if let Some(max_headers) = limits.max_headers {
+        builder.max_headers(max_headers);
+    }
     let ended = {
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle_timeout)
-            .max_headers(limits.max_headers)
-            .max_buf_size(limits.max_header_bytes.max(8_192))
-            .serve_connection(TokioIo::new(&mut stream), service);
+        let connection = builder.serve_connection(TokioIo::new(&mut stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -177,7 +177,7 @@
         }
     };
     let limits = ConnectionLimits {
-        max_headers: limits.max_headers,
+        max_headers: Some(limits.max_headers),
         max_header_bytes: limits.max_header_bytes,
         idle_timeout: limits.idle_timeout,
     };
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -19,7 +19,7 @@
 };
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_headers: 64,
+    max_headers: None,
     max_header_bytes: 8_192,
     idle_timeout: Duration::from_secs(60),
 };
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -161,6 +161,7 @@
         event = "stopped",
         requests = relay.counts.requests.get(),
         in_flight = relay.shutdown.in_flight(),
+        connections = relay.shutdown.open_connections(),
     );
     Ok(())
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,12 +1,16 @@
 //! HTTP servers for callers, readiness checks and metrics.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use switchfold_kernel::clock::now_millis;
+use hyper_util::rt::TokioIo;
+use switchfold_kernel::{
+    clock::now_millis,
+    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    http::take_queued,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -16,7 +20,7 @@
 use crate::{
     request::handle,
     responses::{RelayResponse, full_body},
-    shutdown::IDLE_CLOSE_DELAY,
+    shutdown::{ConnectionGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
     state::Relay,
 };
 
@@ -32,74 +36,69 @@
 
 /// Serves callers until the shutdown is complete.
 pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
-    let shutdown = wait_until_stopped(&relay);
-    tokio::pin!(shutdown);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.as_mut() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => drop(spawn_local(serve_connection(relay.clone(), stream))),
-            Err(error) => {
-                tracing::warn!(event = "accept-failed", %error);
-                sleep(Duration::from_millis(10)).await;
+    let spawn = |stream| drop(spawn_local(serve_caller(relay.clone(), stream)));
+    {
+        let mut drained = pin!(wait_until_drained(&relay));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = drained.as_mut() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => spawn(stream),
+                Err(error) => {
+                    tracing::warn!(event = "accept-failed", %error);
+                    sleep(Duration::from_millis(10)).await;
+                }
             }
         }
     }
+    // Closing the listener would reset the connections in its queue, with the requests on them.
+    take_queued(listener).into_iter().for_each(spawn);
+    wait_while(&relay, |relay| relay.shutdown.open_connections() > 0).await;
 }
 
-/// Waits until a shutdown is complete: no request is in flight and callers had time to move to
-/// other relays, or the shutdown deadline has passed.
-async fn wait_until_stopped(relay: &Relay) {
+/// Waits until a shutdown needs no new connections any more: no request is in flight and callers
+/// had time to move to other relays, or the shutdown deadline has passed.
+async fn wait_until_drained(relay: &Relay) {
     relay.shutdown.wait_until_stopping().await;
     let remaining = relay.shutdown.deadline().saturating_sub(now_millis());
     sleep(MIN_SHUTDOWN_TIME.min(Duration::from_millis(remaining))).await;
+    wait_while(relay, |relay| relay.shutdown.in_flight() > 0).await;
+}
+
+/// Waits while a condition holds, at most until the shutdown deadline.
+async fn wait_while(relay: &Relay, condition: impl Fn(&Relay) -> bool) {
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
-    while relay.shutdown.in_flight() > 0 && now_millis() < relay.shutdown.deadline() {
+    while condition(relay) && now_millis() < relay.shutdown.deadline() {
         sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn serve_connection(relay: Rc<Relay>, stream: TcpStream) {
+async fn serve_caller(relay: Rc<Relay>, stream: TcpStream) {
+    let _open = ConnectionGuard::new(&relay);
     let _nodelay = stream.set_nodelay(true);
     let limits = relay.config().and_then(|config| config.limits);
-    let idle_timeout =
-        limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.idle_timeout));
-    let max_header_bytes =
-        limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
-    let service = service_fn(|request: Request<Incoming>| {
+    let limits = ConnectionLimits {
+        max_headers: None,
+        max_header_bytes: limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes),
+        idle_timeout: limits
+            .map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.idle_timeout)),
+    };
+    let delays = ShutdownDelays {
+        after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
+        idle: Duration::from_millis(LAST_USE_DELAY),
+    };
+    let handler = |request| {
         let relay = relay.clone();
         async move { Ok::<RelayResponse, Infallible>(handle(relay, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(max_header_bytes.max(8_192))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = wait_until_idle_close(&relay) => None,
-    };
-    let result = match result {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
     };
-    if let Err(error) = result {
+    let stopping = relay.shutdown.wait_until_stopping();
+    if let Err(error) = serve_connection(stream, limits, delays, stopping, handler).await {
         tracing::debug!(event = "connection-ended", %error);
     }
 }
 
-/// Waits for the time in a shutdown at which idle connections are closed.
-async fn wait_until_idle_close(relay: &Relay) {
-    relay.shutdown.wait_until_stopping().await;
-    sleep(Duration::from_millis(IDLE_CLOSE_DELAY)).await;
-}
-
 /// Serves the readiness endpoint until the process ends.
 pub async fn serve_readiness(relay: Rc<Relay>, listener: TcpListener) {
     serve_each(listener, move || readiness_response(is_ready(&relay))).await;
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -3,18 +3,26 @@
 //! From SIGTERM on, the relay is not ready and each response closes its connection; requests are
 //! served as before. Once the load balancer has noticed that the relay is not ready, idle
 //! connections are closed and no stream is started any more, because it could not end in time. The
-//! process exits when the last request has been answered, or just before it would be killed.
+//! process exits when the last request has been answered and the connections are closed, or just
+//! before it would be killed.
 
-use std::cell::Cell;
+use std::{cell::Cell, rc::Rc};
 
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::Millis;
 use tokio::sync::Notify;
 
+use crate::state::Relay;
+
 /// Time from SIGTERM until idle connections are closed, in milliseconds. The load balancer checks
 /// readiness once a second and removes a VM after two failed checks.
 pub const IDLE_CLOSE_DELAY: Millis = 2_500;
 
+/// Time without use after which a shutdown closes a connection, in milliseconds. A stream that began
+/// before SIGTERM has not announced that its connection closes, so its caller may send another
+/// request on it.
+pub const LAST_USE_DELAY: Millis = 1_000;
+
 /// Time from SIGTERM in which streams are still started, in milliseconds. After it callers are sent
 /// to another relay at once, rather than losing their stream midway.
 const STREAM_START_WINDOW: Millis = 2_800;
@@ -32,6 +40,7 @@
     began_at: Cell<Option<Millis>>,
     deadline: Cell<Millis>,
     in_flight: Cell<usize>,
+    open_connections: Cell<usize>,
     began: Notify,
 }
 
@@ -76,6 +85,11 @@
         self.in_flight.get()
     }
 
+    /// Returns the number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
     fn enter(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
     }
@@ -88,12 +102,12 @@
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
-    relay: std::rc::Rc<crate::state::Relay>,
+    relay: Rc<Relay>,
 }
 
 impl InFlightGuard {
     /// Counts one more request as in flight.
-    pub fn new(relay: &std::rc::Rc<crate::state::Relay>) -> Self {
+    pub fn new(relay: &Rc<Relay>) -> Self {
         relay.shutdown.enter();
         Self { relay: relay.clone() }
     }
@@ -104,3 +118,25 @@
         self.relay.shutdown.leave();
     }
 }
+
+/// Counts a caller's connection as open until dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    relay: Rc<Relay>,
+}
+
+impl ConnectionGuard {
+    /// Counts one more connection as open.
+    pub fn new(relay: &Rc<Relay>) -> Self {
+        let open = &relay.shutdown.open_connections;
+        open.set(open.get() + 1);
+        Self { relay: relay.clone() }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.relay.shutdown.open_connections;
+        open.set(open.get() - 1);
+    }
+}
