Entry: no token is wrong, and no event unknown, before the whole configuration has arrived

What callers saw: 401 wrong-token for a valid token from an entry that had just started, which says that trying again is useless.

Cause: the list of VMs and the objects of the store arrive separately. An entry that had the list alone said that it was ready, since any message counted as contact, and looked tokens up among no organisations. If by the list it was not one of its data centre's two watchers, it stopped reading the store and waited for others to send the objects: a second as a rule, for good if none of them responded.

Change: an entry knows whether it holds every object of the store, from a full read or from an exchange with an entry that does (a field in the answer to a digest). Until then it is not ready, reads the store itself whether it is a watcher or not, and answers 503 no-configuration with Retry-After where something is missing. Readiness also requires the list of VMs: without it no request can be served. Beside entries of an earlier version, whose answers lack the field, a new entry reads the store itself, and is not ready in an outage of the store until one of its own version answers.

The local deployment now waits for readiness, as a load balancer does, before it sends the first request: it counted endpoints, which come with the list of VMs alone.

--- a/crates/entry/src/commands/change.rs
+++ b/crates/entry/src/commands/change.rs
@@ -328,8 +328,11 @@
     };
     let contents = (!is_delete).then(|| Arc::from(value));
     let copy = ObjectCopy { version, value: contents };
-    let merge =
-        Merge { copies: vec![NamedCopy { key: key.clone(), copy }], origin: MergeOrigin::Local };
+    let merge = Merge {
+        copies: vec![NamedCopy { key: key.clone(), copy }],
+        origin: MergeOrigin::Local,
+        is_complete: false,
+    };
     context.config.send(merge).await.map_err(|_| CommandError::Stopping)?;
     log::info!(
         "object={}/{} version={version} command={command} state=accepted",
--- a/crates/entry/src/config/peer_server.rs
+++ b/crates/entry/src/config/peer_server.rs
@@ -49,7 +49,8 @@
             true => MergeOrigin::Exchanged,
             false => MergeOrigin::Pushed { root: push.sender },
         };
-        self.config.send(Merge { copies, origin }).await.map_err(stopping)?;
+        let merge = Merge { copies, origin, is_complete: false };
+        self.config.send(merge).await.map_err(stopping)?;
         Ok(Response::new(PushAnswer {}))
     }
 
--- a/crates/entry/src/config/service.rs
+++ b/crates/entry/src/config/service.rs
@@ -35,6 +35,8 @@
     pushes: mpsc::UnboundedSender<PendingPush>,
     peers: BTreeMap<String, PeerSyncStatus>,
     last_contact: watch::Sender<Millis>,
+    /// Whether every kind of object has been received in full.
+    is_complete: bool,
 }
 
 /// Source of merged objects, which determines to which entries they are pushed.
@@ -52,6 +54,16 @@
     Exchanged,
 }
 
+impl MergeOrigin {
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Local => "store",
+            Self::Pushed { root } => root,
+            Self::Exchanged => "exchange",
+        }
+    }
+}
+
 /// Merges objects by version. Returns the number of objects that were new or newer.
 #[derive(Debug)]
 pub struct Merge {
@@ -59,6 +71,8 @@
     pub copies: Vec<NamedCopy>,
     /// Source of the objects.
     pub origin: MergeOrigin,
+    /// Whether this entry holds every object of the store after the merge.
+    pub is_complete: bool,
 }
 
 /// A version of an object, with the object's key.
@@ -84,6 +98,8 @@
     pub peer: String,
     /// Hash over all its versions.
     pub hash: u64,
+    /// Whether it holds every object of the store.
+    pub is_complete: bool,
 }
 
 /// Returns the versions of all objects.
@@ -139,7 +155,23 @@
             pushes,
             peers: BTreeMap::new(),
             last_contact,
+            is_complete: false,
+        }
+    }
+
+    /// Publishes the current objects.
+    fn publish(&self) {
+        let view = ConfigView::new(&self.objects, self.is_complete);
+        for error in &view.errors {
+            log::warn!("object=unreadable error={error:?}");
         }
+        self.view.send_replace(Arc::new(view));
+    }
+
+    fn mark_complete(&mut self, source: &str) {
+        log::info!("config=complete source={source} objects={}", self.objects.iter().count());
+        self.is_complete = true;
+        self.publish();
     }
 
     fn versions(&self) -> Vec<peer::ObjectVersion> {
@@ -185,14 +217,14 @@
                 changed.push(copy_to_message(&named.key, &named.copy));
             }
         }
+        if message.is_complete && !self.is_complete {
+            self.mark_complete(message.origin.as_str());
+        } else if !changed.is_empty() {
+            self.publish();
+        }
         if changed.is_empty() {
             return 0;
         }
-        let view = ConfigView::new(&self.objects);
-        for error in &view.errors {
-            log::warn!("object=unreadable error={error:?}");
-        }
-        self.view.send_replace(Arc::new(view));
         let count = changed.len();
         let root = match message.origin {
             MergeOrigin::Local => Some(self.process.clone()),
@@ -281,13 +313,19 @@
         let digest = message.0;
         self.record_peer_hash(&digest.sender, digest.hash);
         if digest.hash == self.objects.hash() {
-            return DigestAnswer { same: true, versions: Vec::new(), newer: Vec::new() };
+            return DigestAnswer {
+                same: true,
+                versions: Vec::new(),
+                newer: Vec::new(),
+                complete: self.is_complete,
+            };
         }
         let newer = match digest.full {
             true => self.newer_than(&digest.versions),
             false => Vec::new(),
         };
-        DigestAnswer { same: false, versions: self.versions(), newer }
+        let complete = self.is_complete;
+        DigestAnswer { same: false, versions: self.versions(), newer, complete }
     }
 }
 
@@ -296,6 +334,9 @@
 
     async fn handle(&mut self, message: RecordPeerHash, _: &mut Context<Self>) {
         self.record_peer_hash(&message.peer, message.hash);
+        if message.is_complete && message.hash == self.objects.hash() && !self.is_complete {
+            self.mark_complete(&message.peer);
+        }
     }
 }
 
--- a/crates/entry/src/config/view.rs
+++ b/crates/entry/src/config/view.rs
@@ -50,14 +50,17 @@
     pub plans: Vec<VersionedPlan>,
     /// The platform's list of VMs.
     pub vms: VmList,
+    /// Whether every object of the store has been received. Until then an object that is missing
+    /// here may exist.
+    pub is_complete: bool,
     /// Errors of the objects that could not be parsed and were left out; logged by the service.
     pub errors: Vec<String>,
 }
 
 impl ConfigView {
     /// Parses all objects. An object that cannot be parsed is left out, with its error in `errors`.
-    pub fn new(objects: &VersionedObjects) -> Self {
-        let mut view = Self::default();
+    pub fn new(objects: &VersionedObjects, is_complete: bool) -> Self {
+        let mut view = Self { is_complete, ..Self::default() };
         view.read_events(objects);
         view.read_organisations(objects);
         for (key, value) in objects.of_kind(DRAIN_KIND) {
--- a/crates/entry/src/config/watch.rs
+++ b/crates/entry/src/config/watch.rs
@@ -63,7 +63,7 @@
 }
 
 /// Watches the configuration kinds while this entry is a watcher. At startup every entry reads them
-/// once, unless it has received the list of VMs from another entry before.
+/// once, unless another entry sends it the whole configuration before.
 pub async fn watch_config(
     store: StoreClient,
     selection: WatcherSelection,
@@ -73,7 +73,7 @@
     let mut backoff = Backoff::new(ChaCha8Rng::seed_from_u64(seed));
     let mut revision = None;
     while config.is_connected() {
-        if !selection.is_watcher() {
+        if !selection.is_watcher() && selection.view.borrow().is_complete {
             // Changes now arrive from other entries. A later watch starts with a full read.
             revision = None;
             sleep(SELECTION_INTERVAL).await;
@@ -88,14 +88,14 @@
                 revision = Some(batch.revision);
                 backoff.reset();
                 let copies = batch.changes.into_iter().map(named_copy).collect();
-                let _config_may_have_stopped =
-                    config.send(Merge { copies, origin: MergeOrigin::Local }).await;
+                let merge = Merge { copies, origin: MergeOrigin::Local, is_complete: true };
+                let _config_may_have_stopped = config.send(merge).await;
             }
             Err(error) => {
                 if error == StoreError::RevisionExpired {
                     revision = None;
                 }
-                log::debug!("store=watch error={error:?}");
+                log::warn!("store=watch error={error:?}");
                 sleep(Duration::from_millis(backoff.next_wait())).await;
             }
         }
@@ -128,8 +128,8 @@
             let copy = ObjectCopy { version: list.revision, value: Some(value.into()) };
             let key = ObjectKey::new(VM_LIST_KIND, "platform");
             let copies = vec![NamedCopy { key, copy }];
-            let _config_may_have_stopped =
-                config.send(Merge { copies, origin: MergeOrigin::Local }).await;
+            let merge = Merge { copies, origin: MergeOrigin::Local, is_complete: false };
+            let _config_may_have_stopped = config.send(merge).await;
         }
         sleep(VM_LIST_INTERVAL).await;
     }
--- a/crates/entry/src/web/access.rs
+++ b/crates/entry/src/web/access.rs
@@ -20,6 +20,9 @@
 /// `Retry-After` in seconds for an event that is not open.
 const EVENT_RETRY_AFTER: &str = "5";
 
+/// `Retry-After` in seconds of an entry that has just started.
+const CONFIG_RETRY_AFTER: &str = "1";
+
 /// Organisation and class of an authorised request.
 pub(super) struct CallerAccess {
     pub(super) organisation: OrganisationConfig,
@@ -70,10 +73,22 @@
     });
     found.cloned().ok_or_else(|| {
         let message = "the bearer token is missing, or belongs to no organisation";
-        Box::new(rejection(StatusCode::UNAUTHORIZED, "wrong-token", message))
+        missing(&view, rejection(StatusCode::UNAUTHORIZED, "wrong-token", message))
     })
 }
 
+/// Returns the response for an object that is not in the configuration: `response`, unless the
+/// configuration is not complete yet and the caller should try again.
+fn missing(view: &ConfigView, response: HttpResponse) -> Box<HttpResponse> {
+    if view.is_complete {
+        return Box::new(response);
+    }
+    let message = "this entry has not received the whole configuration yet";
+    let mut response = rejection(StatusCode::SERVICE_UNAVAILABLE, "no-configuration", message);
+    set_header(&mut response, "retry-after", CONFIG_RETRY_AFTER);
+    Box::new(response)
+}
+
 /// Checks a caller's token, event and class, and that the event is open and uses `target`. The
 /// error is the response to send.
 pub(super) fn check_caller(
@@ -118,7 +133,7 @@
     };
     view.events.get(name).cloned().ok_or_else(|| {
         let message = format!("no event {name:?}");
-        Box::new(rejection(StatusCode::NOT_FOUND, "unknown-event", &message))
+        missing(view, rejection(StatusCode::NOT_FOUND, "unknown-event", &message))
     })
 }
 
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -101,21 +101,25 @@
         })
     }
 
-    /// Returns status 200 unless the entry is shutting down, has no configuration yet, or has had
-    /// no contact to the store or another entry for longer than the setting `cut_off_ms`.
+    /// Returns status 200 unless the entry is shutting down, has not received the whole configuration
+    /// and the list of VMs yet, or has had no contact to the store or another entry for longer than
+    /// the setting `cut_off_ms`.
     fn readiness(&self) -> HttpResponse {
         if self.shutdown.is_raised() {
             return full_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
         }
-        let last_contact = *self.last_contact.borrow();
-        if last_contact == 0 {
+        let has_config = {
+            let view = self.view.borrow();
+            view.is_complete && view.vms.revision > 0
+        };
+        if !has_config {
             return full_response(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "text/plain",
                 "no configuration yet\n",
             );
         }
-        let without_contact = now_millis().saturating_sub(last_contact);
+        let without_contact = now_millis().saturating_sub(*self.last_contact.borrow());
         if without_contact > self.settings.cut_off_ms {
             return full_response(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -142,7 +142,7 @@
 }
 
 impl LocalCluster {
-    /// Starts a deployment and waits until every entry sees every replica.
+    /// Starts a deployment and waits until every entry is ready and sees every replica.
     ///
     /// # Errors
     ///
@@ -353,6 +353,10 @@
             sleep(START_POLL_INTERVAL).await;
             detail.clear();
             for entry in &self.entries {
+                if let Err(error) = self.check_ready(&entry.web).await {
+                    detail += &format!("{}: {error}; ", entry.name);
+                    continue;
+                }
                 match self.statement(&entry.web, "show endpoints where state = live").await {
                     Ok(table) if table.rows.len() >= expected => {}
                     Ok(table) => {
@@ -372,6 +376,21 @@
         })
     }
 
+    /// Checks the readiness of an entry as a load balancer does.
+    async fn check_ready(&self, web: &str) -> Result<(), ClusterError> {
+        let request = Request::get(format!("http://{web}/readyz")).body(Full::default());
+        let Ok(request) = request else {
+            return Err(ClusterError::UnknownVm { name: web.to_owned() });
+        };
+        let response =
+            self.http.call(request).await.map_err(|source| ClusterError::Call { source })?;
+        if response.status != StatusCode::OK {
+            let body = String::from_utf8_lossy(&response.body).into_owned();
+            return Err(ClusterError::Refused { status: response.status, body });
+        }
+        Ok(())
+    }
+
     /// Sends an operator's statement to an entry. Statements that change something return an empty
     /// table.
     ///
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -53,11 +53,15 @@
 }
 
 /// Faults of the store.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StoreFaults {
     /// Whether every call fails with status 503.
     pub outage: bool,
+    /// Kinds of objects of which lists fail with status 503.
+    pub unlisted_kinds: Vec<String>,
+    /// Whether the list of VMs fails with status 503.
+    pub unlisted_vms: bool,
     /// Delay of each call in milliseconds.
     pub delay_ms: u64,
     /// Number of writes, from the next one, that are processed but whose response is lost.
@@ -65,6 +69,15 @@
     pub lose_responses: u32,
 }
 
+impl StoreFaults {
+    /// Returns whether the list at this path fails.
+    fn unlists(&self, path: &str) -> bool {
+        let kind = object_kind(path).unwrap_or_default();
+        self.unlisted_kinds.iter().any(|unlisted| unlisted == kind)
+            || (self.unlisted_vms && path == "/v1/vms")
+    }
+}
+
 /// Number of calls of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct StoreCalls {
@@ -202,7 +215,7 @@
         if request.uri().path() == "/standin/vms" {
             return Ok(self.handle_set_vm(request).await);
         }
-        let faults = self.state().faults;
+        let faults = self.state().faults.clone();
         if faults.delay_ms > 0 {
             sleep(Duration::from_millis(faults.delay_ms)).await;
         }
@@ -221,6 +234,9 @@
         if is_write {
             return self.handle_write(request).await;
         }
+        if faults.unlists(request.uri().path()) {
+            return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unlisted"));
+        }
         Ok(self.handle_read(&request).await)
     }
 
@@ -228,8 +244,9 @@
         let body = read_body(request.into_body(), MAX_VALUE_BYTES).await.unwrap_or_default();
         match serde_json::from_slice(&body) {
             Ok(faults) => {
+                let response = json_response(StatusCode::OK, &faults);
                 self.set_faults(faults);
-                json_response(StatusCode::OK, &faults)
+                response
             }
             Err(error) => full_response(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
         }
