Soak: callers reuse connections the moment a long stream ends, and relays start while the store lacks one kind

Two guarantees are new: a connection that a relay kept serves the next request for half a second, whatever stops are planned (kept-connection), and no relay calls a valid key unknown (valid-key). Four callers per run send streams of 3.6 s and their next request at once, on the same connection, even if it has been closed. Relays are killed while the store rejects the configuration, the replicas or the relays.

A test of the order of classes counts refused keys among its calls; the keys are now removed ones in its history, since a valid key that is refused is a violation of its own.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    record::{CallKind, CallOutcome, CallRecord, CallResponse},
+    record::{CallKind, CallOutcome, CallRecord, CallResponse, Micros},
     replica::{request_body, request_path},
 };
 
@@ -44,6 +44,8 @@
 struct CallerConnection {
     relay: usize,
     sender: RequestSender,
+    /// Time of the end of its last call; `None` on a new connection.
+    idle_since: Option<Micros>,
 }
 
 /// A request that crashes the replicas that run it.
@@ -68,6 +70,8 @@
 }
 
 /// Makes calls of randomly chosen kinds until the context stops running, and returns their records.
+/// After a long stream the next call follows at once, on the same connection, even if the relay has
+/// closed it meanwhile.
 ///
 /// # Panics
 ///
@@ -80,13 +84,20 @@
 ) -> Vec<CallRecord> {
     let mut calls = Vec::new();
     let mut idle: Option<CallerConnection> = None;
+    let mut reuses_at_once = false;
     while context.is_running() {
-        sleep(Duration::from_millis(random.random_range(THINK_TIME_MS))).await;
+        let think_time = Duration::from_millis(random.random_range(THINK_TIME_MS));
+        if !reuses_at_once {
+            sleep(think_time).await;
+        }
         let kind = kinds[random.random_range(0..kinds.len())];
         let id = format!("{name}x{}", calls.len());
         let key = context.choose_key(&mut random);
         let sent_at = epoch_micros();
-        let reusable = idle.take().filter(|connection| connection.sender.is_ready());
+        let is_usable =
+            |connection: &CallerConnection| reuses_at_once || connection.sender.is_ready();
+        let reusable = idle.take().filter(is_usable);
+        let idle_since = reusable.as_ref().and_then(|connection| connection.idle_since);
         let connected = match reusable {
             Some(connection) => Ok(connection),
             None => connect(context.choose_relay(&mut random)).await,
@@ -99,11 +110,22 @@
                 let outcome = call(&mut connection.sender, &spec).await;
                 let relay = connection.relay;
                 let (outcome, keep_alive) = outcome.unwrap_or((CallOutcome::NoResponse, false));
+                connection.idle_since = Some(epoch_micros());
                 idle = Some(connection).filter(|_| keep_alive);
                 (relay, outcome)
             }
         };
-        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at: epoch_micros(), outcome });
+        reuses_at_once = kind == CallKind::LongStream && idle.is_some();
+        calls.push(CallRecord {
+            id,
+            kind,
+            key,
+            relay,
+            sent_at,
+            ended_at: epoch_micros(),
+            outcome,
+            reused_after: idle_since.map(|since| sent_at.saturating_sub(since)),
+        });
     }
     calls
 }
@@ -143,7 +165,16 @@
                 (connection.relay, outcome.map_or(CallOutcome::NoResponse, |(outcome, _)| outcome))
             }
         };
-        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at: epoch_micros(), outcome });
+        calls.push(CallRecord {
+            id,
+            kind,
+            key,
+            relay,
+            sent_at,
+            ended_at: epoch_micros(),
+            outcome,
+            reused_after: None,
+        });
     }
     calls
 }
@@ -158,7 +189,7 @@
         // A call on this connection gets the error as well.
         let _closed = driver.await;
     });
-    Ok(CallerConnection { relay, sender })
+    Ok(CallerConnection { relay, sender, idle_since: None })
 }
 
 /// A call to be made.
@@ -183,6 +214,7 @@
         .body(Full::new(Bytes::from(body.clone())))
         .expect("request parts are valid");
     let exchange = async {
+        sender.ready().await.ok()?;
         let response = sender.send_request(request).await.ok()?;
         Some(read_response(response).await)
     };
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -22,6 +22,14 @@
 /// Time for which a leaving replica may still get requests, in microseconds.
 pub const DRAIN_TIME: Micros = 2_000_000;
 
+/// Time for which a relay keeps a connection after a response that did not announce its close, in
+/// microseconds.
+pub const KEPT_TIME: Micros = 500_000;
+
+/// Time from the beginning of a relay's planned stop in which its connections are kept, in
+/// microseconds. Later ones may be cut by the end of the grace period.
+pub const STOP_TIME: Micros = 5_500_000;
+
 /// Largest resident memory of a relay, in KB.
 pub const MAX_MEMORY_KB: u64 = 128 * 1_024;
 
@@ -103,6 +111,12 @@
     /// A planned stop of a relay interrupts no request.
     #[display("planned-stop")]
     PlannedStop,
+    /// A connection that a relay kept after a response serves the next request.
+    #[display("kept-connection")]
+    KeptConnection,
+    /// No relay says that a valid key is unknown.
+    #[display("valid-key")]
+    ValidKey,
     /// A request that crashes the replicas that run it is quarantined.
     #[display("bad-request")]
     CrashRequest,
@@ -153,6 +167,8 @@
         violations.extend(check_response(call));
         violations.extend(check_runs(call, ran(call)));
         violations.extend(check_planned_stop(history, call, ran(call)));
+        violations.extend(check_kept_connection(history, call));
+        violations.extend(check_valid_key(history, call));
     }
     violations.extend(check_attempts(history, &runs));
     violations.extend(check_unchanged_requests(history, organisation));
@@ -248,6 +264,30 @@
     })
 }
 
+/// A request gets a response on a connection that was kept and not idle for [`KEPT_TIME`], unless the
+/// relay had a fault or must end.
+fn check_kept_connection(history: &RunHistory, call: &CallRecord) -> Option<Violation> {
+    let is_kept = call.reused_after.is_some_and(|idle| idle < KEPT_TIME);
+    let is_lost = is_kept
+        && call.outcome == CallOutcome::NoResponse
+        && history.was_serving(call.relay, call.sent_at, call.ended_at, STOP_TIME);
+    is_lost.then(|| {
+        let detail = format!("{} got no response from relay {}", call.id, call.relay);
+        violation(Guarantee::KeptConnection, detail)
+    })
+}
+
+/// A request with a key that was not removed before its end is not refused for its key.
+fn check_valid_key(history: &RunHistory, call: &CallRecord) -> Option<Violation> {
+    let is_refused =
+        matches!(&call.outcome, CallOutcome::Responded(response) if response.status == 401);
+    let was_removed =
+        history.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at);
+    (is_refused && !was_removed).then(|| {
+        violation(Guarantee::ValidKey, format!("{}: {} was called unknown", call.id, call.key))
+    })
+}
+
 fn check_attempts(
     history: &RunHistory,
     runs: &HashMap<&str, Vec<&RunRecord>>,
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -579,14 +579,17 @@
         kind: match kind {
             CallKind::Safe => "idempotent",
             CallKind::Once => "non_idempotent",
-            CallKind::Stream | CallKind::StreamOnce | CallKind::Class(_) => "streaming",
+            CallKind::Stream | CallKind::StreamOnce | CallKind::LongStream | CallKind::Class(_) => {
+                "streaming"
+            }
         },
         service: if kind.is_stream() { "model" } else { "desk" },
         timeout_ms: 6_000,
         max_attempts: 2,
         resumable: kind.is_stream() && !kind.runs_once(),
     };
-    CallKind::ALL.into_iter().chain(CallKind::CLASSES).map(route).collect()
+    let kinds = CallKind::ALL.into_iter().chain([CallKind::LongStream]);
+    kinds.chain(CallKind::CLASSES).map(route).collect()
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use switchfold_platform::{CONFIG_KIND, RELAY_KIND, REPLICA_KIND};
+
 use crate::{proxy::LinkCondition, record::CallKind};
 
 /// Size of a cluster.
@@ -58,6 +60,8 @@
     StoreUnavailable,
     /// The store does not respond.
     StoreUnresponsive,
+    /// The store rejects calls for objects of one kind.
+    StoreKindUnavailable(&'static str),
     /// The store compacts its history, so that watches from older revisions fail.
     CompactStore,
     /// The operator writes a new configuration version with the same content.
@@ -140,7 +144,33 @@
     (0..count).map(restore).collect()
 }
 
-/// Salt of the seeds of [`make_notice_faults`], [`make_limit_faults`] and [`make_restore_faults`].
+/// Kinds of objects that a starting relay reads.
+const READ_KINDS: [&str; 3] = [CONFIG_KIND, REPLICA_KIND, RELAY_KIND];
+
+/// Longest time for which objects of one kind cannot be read, in milliseconds.
+const MAX_KIND_OUTAGE_MS: u64 = 4_000;
+
+/// Plans starts of relays while the store serves some kinds of objects and not another. Uses a
+/// random generator of its own.
+pub fn make_start_faults(seed: u64, size: &ClusterSize, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(24) ^ SEED_SALT);
+    let length_ms = length.as_millis() as u64;
+    let mut planned = Vec::new();
+    for _ in 0..random.random_range(1..4) {
+        let duration = random.random_range(500..MAX_KIND_OUTAGE_MS.min(length_ms));
+        let at = Duration::from_millis(random.random_range(0..=length_ms - duration));
+        let kind = READ_KINDS[random.random_range(0..READ_KINDS.len())];
+        let (relay, duration) =
+            (random.random_range(0..size.relays), Duration::from_millis(duration));
+        let start = Fault::KillRelay(relay);
+        planned.push(PlannedFault { at, duration, fault: Fault::StoreKindUnavailable(kind) });
+        planned.push(PlannedFault { at, duration: Duration::ZERO, fault: start });
+    }
+    planned
+}
+
+/// Salt of the seeds of [`make_notice_faults`], [`make_limit_faults`], [`make_restore_faults`] and
+/// [`make_start_faults`].
 const SEED_SALT: u64 = 0x6e6f_7469_6365_7321;
 
 /// The replica that a request crashes.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -19,6 +19,8 @@
     Stream,
     /// A stream that runs at most once.
     StreamOnce,
+    /// A stream that may be resumed, and that outlives most of a relay's planned stop.
+    LongStream,
     /// A stream of a class, that may be resumed. Classes compete for the same engines; 0 is the most
     /// urgent.
     Class(u8),
@@ -31,6 +33,9 @@
     /// The kinds without a class.
     pub const ALL: [Self; 4] = [Self::Safe, Self::Once, Self::Stream, Self::StreamOnce];
 
+    /// The kinds of callers that send the next request the moment a long stream ends.
+    pub const REUSING: [Self; 2] = [Self::LongStream, Self::Safe];
+
     /// The classes, the most urgent first.
     pub const CLASSES: [Self; CLASS_PREFIXES.len()] =
         [Self::Class(0), Self::Class(1), Self::Class(2)];
@@ -46,13 +51,14 @@
             Self::Once => "/once/",
             Self::Stream => "/stream/",
             Self::StreamOnce => "/stream-once/",
+            Self::LongStream => "/long-stream/",
             Self::Class(number) => CLASS_PREFIXES[usize::from(number)],
         }
     }
 
     /// Whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream | Self::StreamOnce | Self::Class(_))
+        matches!(self, Self::Stream | Self::StreamOnce | Self::LongStream | Self::Class(_))
     }
 
     /// Whether a request may run at most once.
@@ -102,6 +108,8 @@
     pub ended_at: Micros,
     /// Outcome.
     pub outcome: CallOutcome,
+    /// Time for which its connection had been idle; `None` if the connection was new.
+    pub reused_after: Option<Micros>,
 }
 
 impl CallRecord {
@@ -239,6 +247,18 @@
         !self.any_between(from, to, counts)
     }
 
+    /// Whether a relay had no fault in a time span or within [`SETTLE_TIME`] before it, and no planned
+    /// stop of it began longer than `stop_time` before the span.
+    pub fn was_serving(&self, relay: usize, from: Micros, to: Micros, stop_time: Micros) -> bool {
+        let is_late = |stop: &Disruption| {
+            stop.kind == DisruptionKind::PlannedStop(relay)
+                && stop.from + stop_time < from
+                && from <= stop.to
+        };
+        !self.any_near(from, to, |kind| kind == DisruptionKind::RelayFault(relay))
+            && !self.disruptions.iter().any(is_late)
+    }
+
     /// Whether the link to a replica had no fault in a time span.
     pub fn link_was_healthy(&self, replica: usize, from: Micros, to: Micros) -> bool {
         !self.any_between(from, to, |kind| kind == DisruptionKind::LinkFault(replica))
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -43,6 +43,9 @@
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The same for a long stream.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(120);
+
 /// Time that a request of the plain service takes.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 
@@ -308,7 +311,11 @@
             return notices.add_headers(reject(request, 503, None));
         }
         let crashes_second = bad.as_ref().is_some_and(|name| name.starts_with(CRASH_SECOND_PREFIX));
-        let reply = engine.respond(request, EVENT_COUNT, EVENT_INTERVAL, |event| {
+        let interval = match request.target.starts_with(CallKind::LongStream.prefix()) {
+            true => LONG_EVENT_INTERVAL,
+            false => EVENT_INTERVAL,
+        };
+        let reply = engine.respond(request, EVENT_COUNT, interval, |event| {
             let has_started = event == EngineEvent::Started;
             let crashes_here = has_started && !crashes_second;
             let crashed_by = bad.clone().filter(|_| crashes_here);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,7 +20,7 @@
     notices::{LIMIT_DURATION, REJECT_DURATION},
     plan::{
         Fault, PlannedFault, STORE_OUTAGE_AFTER_FREEZE, make_crash_faults, make_limit_faults,
-        make_notice_faults, make_plan, make_restore_faults,
+        make_notice_faults, make_plan, make_restore_faults, make_start_faults,
     },
     proxy::LinkCondition,
     record::{CallKind, CallOutcome, CallRecord, DisruptionKind},
@@ -39,6 +39,9 @@
 /// twice as many streams at once as an engine has slots, six.
 const OVERLOAD_CALLERS_PER_ENGINE: usize = 4;
 
+/// Callers that send the next request the moment a long stream ends.
+const REUSING_CALLERS: u64 = 4;
+
 /// Shortest downtime of a killed process.
 const MIN_DOWNTIME: Duration = Duration::from_millis(300);
 
@@ -82,6 +85,13 @@
         })
         .collect();
     let class_callers = start_class_callers(&cluster, seed, "k", 1);
+    let reusing_callers: Vec<_> = (0..REUSING_CALLERS)
+        .map(|number| {
+            let random = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ number);
+            let name = format!("s{seed}r{number}");
+            tokio::spawn(run_caller(name, &CallKind::REUSING, cluster.clone(), random))
+        })
+        .collect();
     let random = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + size.callers as u64);
     let crash_caller = run_crash_caller(format!("s{seed}bad"), cluster.clone(), random);
     let crash_caller = tokio::spawn(crash_caller);
@@ -90,6 +100,7 @@
     plan.extend(make_notice_faults(seed, &size, length));
     plan.extend(make_restore_faults(seed, length));
     plan.extend(make_limit_faults(seed, &size, length));
+    plan.extend(make_start_faults(seed, &size, length));
     plan.sort_by_key(|planned| planned.at);
     inject(&cluster, &plan, length).await;
     sleep(RECONNECT_TIME).await;
@@ -101,6 +112,7 @@
     let calls = join_callers(callers).await?;
     let crash_calls = crash_caller.await.map_err(io::Error::other)?;
     let mut class_calls = join_callers(class_callers).await?;
+    class_calls.extend(join_callers(reusing_callers).await?);
     class_calls.extend(overload(&cluster, seed, size.engines).await?);
     cluster.shut_down().await;
     let calls = SoakCalls { calls, class_calls, crash_calls };
@@ -155,7 +167,7 @@
 struct SoakCalls {
     /// Calls without a class, among them those that are counted after the last fault.
     calls: Vec<CallRecord>,
-    /// Calls of the classes.
+    /// Calls of the classes, and of the callers that reuse their connections at once.
     class_calls: Vec<CallRecord>,
     /// Requests that crash replicas.
     crash_calls: Vec<CallRecord>,
@@ -199,6 +211,7 @@
         CallKind::Once => "once".to_owned(),
         CallKind::Stream => "stream".to_owned(),
         CallKind::StreamOnce => "stream-once".to_owned(),
+        CallKind::LongStream => "long-stream".to_owned(),
         CallKind::Class(number) => format!("class-{number}"),
     };
     match &call.outcome {
@@ -295,6 +308,9 @@
         Fault::StoreUnresponsive => {
             disrupt_store(&cluster, StoreBehaviour::Unresponsive, duration).await
         }
+        Fault::StoreKindUnavailable(kind) => {
+            disrupt_store(&cluster, StoreBehaviour::KindUnavailable(kind), duration).await
+        }
         Fault::CompactStore => {
             cluster.record_disruption(DisruptionKind::StoreFault, Duration::ZERO);
             cluster.store().compact();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,7 +2,8 @@
 
 use switchfold_soak::{
     checks::{
-        DRAIN_TIME, EVENT_COUNT, Guarantee, MAX_MEMORY_KB, REVOKE_TIME, check, response_body,
+        DRAIN_TIME, EVENT_COUNT, Guarantee, KEPT_TIME, MAX_MEMORY_KB, REVOKE_TIME, check,
+        response_body,
     },
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, Disruption, DisruptionKind, RunHistory,
@@ -25,6 +26,7 @@
         sent_at: 1_000_000,
         ended_at: 1_500_000,
         outcome,
+        reused_after: None,
     }
 }
 
@@ -330,6 +332,42 @@
     assert_eq!(violated_guarantees(&not_run), []);
 }
 
+/// Also guards against a check that never applies: a stop alone does not excuse a lost request.
+#[test]
+fn requests_lost_on_kept_connections_are_reported() {
+    let lost = |reused_after| CallRecord {
+        reused_after,
+        ..call("a", CallKind::Safe, CallOutcome::NoResponse)
+    };
+    let with = |reused_after, kind, from| {
+        let mut history = history(lost(reused_after), Vec::new());
+        history.disruptions.push(Disruption { kind, from, to: from + 9_000_000 });
+        history.calls[0].sent_at += 6_000_000;
+        history.calls[0].ended_at += 6_000_000;
+        violated_guarantees(&history)
+    };
+    use DisruptionKind::{PlannedStop, RelayFault};
+    assert_eq!(with(Some(KEPT_TIME - 1), PlannedStop(0), 2_000_000), [Guarantee::KeptConnection]);
+    assert_eq!(with(Some(KEPT_TIME), PlannedStop(0), 2_000_000), []);
+    assert_eq!(with(None, PlannedStop(0), 2_000_000), []);
+    assert_eq!(with(Some(0), PlannedStop(0), 0), [], "the grace period may have ended");
+    assert_eq!(with(Some(0), RelayFault(0), 2_000_000), []);
+    assert_eq!(with(Some(0), RelayFault(1), 2_000_000), [Guarantee::KeptConnection]);
+}
+
+#[test]
+fn valid_keys_that_are_called_unknown_are_reported() {
+    let refused = call("a", CallKind::Safe, response(401, false, true, ""));
+    let with = |revoked: &[(&str, u64)]| {
+        let mut history = history(refused.clone(), Vec::new());
+        history.revoked = revoked.iter().map(|(key, at)| ((*key).to_owned(), *at)).collect();
+        violated_guarantees(&history)
+    };
+    assert_eq!(with(&[]), [Guarantee::ValidKey]);
+    assert_eq!(with(&[("other", 0), ("key", 1_500_001)]), [Guarantee::ValidKey]);
+    assert_eq!(with(&[("key", 1_500_000)]), []);
+}
+
 #[test]
 fn process_exits_memory_and_recovery_are_checked() {
     let rows = [
@@ -429,7 +467,8 @@
     let refused =
         |number| call(&format!("n{number}"), CallKind::Class(0), response(401, false, true, ""));
     calls.extend((0..100).map(refused));
-    let history = RunHistory { calls, ..RunHistory::default() };
+    let revoked = vec![("key".to_owned(), 0)];
+    let history = RunHistory { calls, revoked, ..RunHistory::default() };
     assert_eq!(violated_guarantees(&history), [], "refused for their key, not for their class");
     // Too few calls to tell.
     assert_eq!(violated([(99, 10), (100, 90), (100, 90)]), []);
