--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -307,6 +307,20 @@
     assert_eq!(missing.take_overdue(2_500 + MAX_MISSING_TIME), [("missing".to_owned(), 7)]);
 }
 
+/// A relay that stood still through an outage cannot know when the store was back, so it awaits no
+/// entry whose time has passed since its last unanswered read, however recent its own first answer
+/// is.
+#[test]
+fn missing_entries_are_not_awaited_after_standing_still() {
+    let mut missing = MissingEntries::default();
+    missing.record_loss(1_000);
+    let resumed = 1_000 + MAX_MISSING_TIME;
+    missing.record_answer(resumed - 200);
+    assert!(missing.should_keep("short", 7, resumed - 200));
+    assert_eq!(missing.take_overdue(resumed), [("short".to_owned(), 7)]);
+    assert!(!missing.should_keep("long", 7, resumed));
+}
+
 proptest! {
     /// Relays that exchange their suspicions keep one no longer than the relay that saw the
     /// failure, plus the delay of its message.
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use switchfold_kernel::clock::epoch_micros;
-use switchfold_platform::headers::{ATTEMPT_ID, DEADLINE, REPLICA_SEAL};
+use switchfold_platform::headers::{ATTEMPT_ID, DEADLINE, PROMPT_PARTS, REPLICA_SEAL};
 use switchfold_platform_standin::samples::HOST;
 use tokio::{
     net::TcpStream,
@@ -23,7 +23,7 @@
 
 use crate::{
     record::{CallKind, CallOutcome, CallRecord, CallResponse, Micros},
-    replica::{request_body, request_path},
+    replica::{CRASH_PART_PREFIX, request_body, request_path},
 };
 
 /// Time limit of a call. It is longer than the timeout of any route.
@@ -38,6 +38,9 @@
 /// Range of the pause between two calls of a caller, in milliseconds.
 const THINK_TIME_MS: std::ops::Range<u64> = 2..60;
 
+/// Part of the prompt that all requests share.
+const SHARED_PART: &str = "c0de";
+
 type RequestSender = SendRequest<Full<Bytes>>;
 
 /// A connection to a relay, with the relay's number.
@@ -53,7 +56,8 @@
 pub struct CrashRequest {
     /// Kind of the call.
     pub kind: CallKind,
-    /// Name of the request, which is also its body.
+    /// Name of the request, which is also its body, or the id of the part of its prompt that crashes
+    /// the replicas.
     pub name: String,
 }
 
@@ -106,7 +110,8 @@
             Err(relay) => (relay, CallOutcome::NotConnected),
             Ok(mut connection) => {
                 let body = request_body(&id);
-                let spec = CallSpec { kind, id: &id, key: &key, name: &id, body };
+                let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
+                let spec = CallSpec { kind, id: &id, key: &key, name: &id, body, parts };
                 let outcome = call(&mut connection.sender, &spec).await;
                 let relay = connection.relay;
                 let (outcome, keep_alive) = outcome.unwrap_or((CallOutcome::NoResponse, false));
@@ -154,13 +159,13 @@
         let (relay, outcome) = match connect(context.choose_relay(&mut random)).await {
             Err(relay) => (relay, CallOutcome::NotConnected),
             Ok(mut connection) => {
-                let spec = CallSpec {
-                    kind,
-                    id: &id,
-                    key: &key,
-                    name: &crash_name,
-                    body: crash_name.clone(),
+                let is_part = crash_name.starts_with(CRASH_PART_PREFIX);
+                let (name, body, part) = match is_part {
+                    true => (&id, request_body(&id), crash_name.as_str()),
+                    false => (&crash_name, crash_name.clone(), SHARED_PART),
                 };
+                let parts = format!("{SHARED_PART}:40,{part}:100,{sent_at:x}:30");
+                let spec = CallSpec { kind, id: &id, key: &key, name, body, parts };
                 let outcome = call(&mut connection.sender, &spec).await;
                 (connection.relay, outcome.map_or(CallOutcome::NoResponse, |(outcome, _)| outcome))
             }
@@ -200,16 +205,19 @@
     /// Last part of the path.
     name: &'a str,
     body: String,
+    /// Parts of the prompt.
+    parts: String,
 }
 
 /// Makes one call. Returns its outcome and whether the connection can be reused, or `None` if the
 /// connection failed before the response's head or the call timed out.
 async fn call(sender: &mut RequestSender, spec: &CallSpec<'_>) -> Option<(CallOutcome, bool)> {
-    let CallSpec { kind, id, key, name, body } = spec;
+    let CallSpec { kind, id, key, name, body, parts } = spec;
     let request = Request::post(request_path(kind.prefix(), name))
         .header(header::HOST, HOST)
         .header(ATTEMPT_ID, *id)
         .header(DEADLINE, DEADLINE_MS)
+        .header(PROMPT_PARTS, parts)
         .header(header::AUTHORIZATION, format!("Bearer {key}"))
         .body(Full::new(Bytes::from(body.clone())))
         .expect("request parts are valid");
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,9 +7,12 @@
 
 use derive_more::Display;
 
-use crate::record::{
-    CallKind, CallOutcome, CallRecord, CallResponse, DisruptionKind, Micros, RunHistory, RunRecord,
-    SETTLE_TIME,
+use crate::{
+    record::{
+        CallKind, CallOutcome, CallRecord, CallResponse, DisruptionKind, Micros, RunHistory,
+        RunRecord, SETTLE_TIME,
+    },
+    replica::CRASH_PART_PREFIX,
 };
 
 /// Number of events in a complete stream.
@@ -50,6 +53,9 @@
 /// Number of replicas that a request may crash before relays must quarantine it.
 const CRASHES_BEFORE_QUARANTINE: usize = 3;
 
+/// Number of replicas that requests with a common part may crash before relays must quarantine it.
+const CRASHES_BEFORE_PART_QUARANTINE: usize = 5;
+
 /// Largest number of replicas that the request may crash later than [`SETTLE_TIME`] after the last
 /// of those.
 const MAX_LATE_CRASHES: usize = 3;
@@ -167,7 +173,7 @@
         violations.extend(check_response(call));
         violations.extend(check_runs(call, ran(call)));
         violations.extend(check_planned_stop(history, call, ran(call)));
-        violations.extend(check_kept_connection(history, call));
+        violations.extend(check_kept_connection(history, call, ran(call)));
         violations.extend(check_valid_key(history, call));
     }
     violations.extend(check_attempts(history, &runs));
@@ -264,11 +270,16 @@
     })
 }
 
-/// A request gets a response on a connection that was kept and not idle for [`KEPT_TIME`], unless the
-/// relay had a fault or must end.
-fn check_kept_connection(history: &RunHistory, call: &CallRecord) -> Option<Violation> {
+/// A request is read on a connection that was kept and not idle for [`KEPT_TIME`], unless the relay
+/// had a fault or must end. One that reached a replica was read, and ended as its stream did.
+fn check_kept_connection(
+    history: &RunHistory,
+    call: &CallRecord,
+    runs: &[&RunRecord],
+) -> Option<Violation> {
     let is_kept = call.reused_after.is_some_and(|idle| idle < KEPT_TIME);
     let is_lost = is_kept
+        && runs.is_empty()
         && call.outcome == CallOutcome::NoResponse
         && history.was_serving(call.relay, call.sent_at, call.ended_at, STOP_TIME);
     is_lost.then(|| {
@@ -466,9 +477,11 @@
             let call = calls[run.id.as_str()];
             let is_signed =
                 matches!(&call.outcome, CallOutcome::Responded(response) if response.signed);
-            is_signed.then_some(call.ended_at)
+            is_signed.then_some((call.ended_at, run))
         });
-        let Some(passed_on_at) = passed_on.min() else { continue };
+        let Some((passed_on_at, notice)) = passed_on.min_by_key(|(ended_at, _)| *ended_at) else {
+            continue;
+        };
         // A replica that restarted under the same id no longer sends the header.
         let is_late = |run: &&&RunRecord| {
             run.leaving && calls[run.id.as_str()].sent_at > passed_on_at + DRAIN_TIME
@@ -477,8 +490,11 @@
         if let Some(late) = late.filter(|late| history.ran_throughout(relay, passed_on_at, late.at))
         {
             let after_ms = (calls[late.id.as_str()].sent_at - passed_on_at) / 1_000;
-            let detail =
-                format!("{} by relay {relay} reached {replica}, sent {after_ms} ms after", late.id);
+            let detail = format!(
+                "{} by relay {relay} reached {replica}, sent {after_ms} ms after the end of {}, \
+                 which had arrived there at {} and ended at {passed_on_at}",
+                late.id, notice.id, notice.at
+            );
             violations.push(violation(Guarantee::LeavingNotice, detail));
         }
     }
@@ -556,7 +572,8 @@
     None
 }
 
-/// A request that has crashed [`CRASHES_BEFORE_QUARANTINE`] replicas crashes at most
+/// A request that has crashed [`CRASHES_BEFORE_QUARANTINE`] replicas, or a part of prompts that has
+/// crashed [`CRASHES_BEFORE_PART_QUARANTINE`], crashes at most
 /// [`MAX_LATE_CRASHES`] more after [`SETTLE_TIME`]. Only crashes through stable relays count.
 fn check_crash_requests(history: &RunHistory) -> Vec<Violation> {
     let relays: HashMap<&str, usize> =
@@ -569,7 +586,11 @@
     let mut violations = Vec::new();
     for (name, mut runs) in crashes {
         runs.sort_by_key(|run| run.at);
-        let Some(last_allowed) = runs.get(CRASHES_BEFORE_QUARANTINE - 1) else { continue };
+        let allowed = match name.starts_with(CRASH_PART_PREFIX) {
+            true => CRASHES_BEFORE_PART_QUARANTINE,
+            false => CRASHES_BEFORE_QUARANTINE,
+        };
+        let Some(last_allowed) = runs.get(allowed - 1) else { continue };
         let late = runs.iter().filter(|run| {
             let relay = relays.get(run.id.as_str());
             let is_stable = relay.is_some_and(|relay| history.is_relay_stable(*relay, run.at));
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -36,8 +36,8 @@
     proxy::LinkProxy,
     record::{CallKind, Disruption, DisruptionKind, RunHistory, RunRecord},
     replica::{
-        CRASH_EXIT_CODE, CRASH_PREFIX, CRASH_SECOND_PREFIX, HEARTBEAT, LEAVING_PREFIX, LINGER,
-        LISTENING_PREFIX, LONG_LINGER,
+        CRASH_EXIT_CODE, CRASH_PART_PREFIX, CRASH_PREFIX, CRASH_SECOND_PREFIX, HEARTBEAT,
+        LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
     },
     slot::ProcessSlot,
 };
@@ -248,6 +248,7 @@
         let prefix = match target {
             CrashTarget::First => CRASH_PREFIX,
             CrashTarget::Second => CRASH_SECOND_PREFIX,
+            CrashTarget::FirstByPart => CRASH_PART_PREFIX,
         };
         let name = format!("{prefix}{}", crash_requests.len());
         crash_requests.push(CrashRequest { kind, name });
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -180,6 +180,9 @@
     First,
     /// The second replica of its path.
     Second,
+    /// The replica that it is sent to, by a part of its prompt. The requests have only that part in
+    /// common.
+    FirstByPart,
 }
 
 /// A fault with its time and duration.
@@ -220,6 +223,9 @@
 /// Time from the end of a freeze until the relay can reach the store again.
 pub const STORE_OUTAGE_AFTER_FREEZE: Duration = Duration::from_millis(3_000);
 
+/// One in this many seeds has requests that share a part which crashes replicas.
+const SEEDS_PER_CRASH_PART: u64 = 2;
+
 /// Range of the duration of a freeze, in milliseconds. It is above the bound on removed keys, so
 /// that the relay's state is too old when it resumes.
 const FREEZE_DURATION_MS: std::ops::Range<u64> = 5_500..7_500;
@@ -246,6 +252,10 @@
     if duration + STORE_OUTAGE_AFTER_FREEZE.as_millis() as u64 <= length_ms {
         faults.push(planned(duration, Fault::FreezeRelay(relay), &mut random));
     }
+    let crash_part = Fault::CrashRequest(CallKind::Stream, CrashTarget::FirstByPart);
+    if seed.is_multiple_of(SEEDS_PER_CRASH_PART) {
+        faults.push(planned(length_ms / 2, crash_part, &mut random));
+    }
     faults
 }
 
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -16,7 +16,7 @@
 use switchfold_platform::{
     REPLICA_KIND,
     engine::{ORDER_PATH, REPORT_PATH},
-    headers::{ATTEMPT_ID, ORGANISATION, PRIORITY},
+    headers::{ATTEMPT_ID, ORGANISATION, PRIORITY, PROMPT_PARTS},
     objects::ObjectStore,
 };
 use switchfold_platform_standin::{
@@ -187,6 +187,16 @@
 /// Prefix of the names of requests that crash the second replica of their path.
 pub const CRASH_SECOND_PREFIX: &str = "bad-later-";
 
+/// Prefix of the ids of parts of a prompt that crash replicas, which are hexadecimal digits.
+pub const CRASH_PART_PREFIX: &str = "dead";
+
+/// Returns the part of a request's prompt that crashes replicas, if it has one.
+fn crash_part(request: &ReceivedRequest) -> Option<String> {
+    let parts = request.header(PROMPT_PARTS.as_str()).unwrap_or_default().split(',');
+    let mut ids = parts.filter_map(|part| part.split_once(':')).map(|(id, _)| id);
+    ids.find(|id| id.starts_with(CRASH_PART_PREFIX)).map(str::to_owned)
+}
+
 /// Returns the name of a request that crashes replicas, which is its body; `None` for any other
 /// request.
 fn crash_request_name(request: &ReceivedRequest) -> Option<String> {
@@ -297,7 +307,7 @@
     let class_streams = ClassStreams::default();
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     StandinReplica::start_at(any_port, move |request: &ReceivedRequest| {
-        let bad = crash_request_name(request);
+        let bad = crash_request_name(request).or_else(|| crash_part(request));
         if request.target == CRASH_PATH {
             write_record(&id, request, RunDetails { bad, ..RunDetails::ran(&notices) });
             crash_soon();
