Soak: a notice of leaving counts as heard only if the replica read the request before its caller's end

The check leaving-word took the end of a call for the moment at which its relay had heard that a replica leaves, if the call had run there. A replica that stood still reads the request when it resumes, seconds after another replica has answered the caller, and its notice reaches nobody.

Narrowed as the check of asked-time was; the new case of its test failed before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -477,7 +477,8 @@
             let call = calls[run.id.as_str()];
             let is_signed =
                 matches!(&call.outcome, CallOutcome::Responded(response) if response.signed);
-            is_signed.then_some((call.ended_at, run))
+            // A paused replica may read a request that another one has answered meanwhile.
+            (is_signed && run.at < call.ended_at).then_some((call.ended_at, run))
         });
         let Some((passed_on_at, notice)) = passed_on.min_by_key(|(ended_at, _)| *ended_at) else {
             continue;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -132,6 +132,9 @@
     let kind = DisruptionKind::RelayFault(0);
     history.disruptions.push(Disruption { kind, from: 1_200_000, to: 1_300_000 });
     assert_eq!(violated_guarantees(&history), []);
+    let mut history = history_of_runs(vec![leaving_run("a", 1_100_000), leaving_run("b", late)]);
+    history.calls[0].ended_at = history.calls[0].sent_at;
+    assert_eq!(violated_guarantees(&history), [], "the replica read it after its caller's end");
 }
 
 /// A replica that limits itself to one request a second may get eleven in four seconds, counted
