Relay: one guard for what a shutdown waits for, one permit for the next send

No behaviour changes. Requests in flight and open connections were counted by two guards of the same shape. The decision between a first send, a charged retry and none stood in the path of streams and, spelled differently, in that of plain calls. The bounds on retries were read twice, and the state locked twice, for each request that the budget counts.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -31,7 +31,7 @@
     request::CallerRequest,
     responses::{BodyAborted, RelayBody},
     run_tracker::RunTracker,
-    shutdown::InFlightGuard,
+    shutdown::CountGuard,
     state::Relay,
     stream::{OpenStream, SendHistory},
 };
@@ -87,7 +87,7 @@
     /// What a stream of a ranked service waits for before it is looked at again.
     move_wait: MoveWait,
     has_ended: bool,
-    _in_flight: InFlightGuard,
+    _in_flight: CountGuard,
 }
 
 /// Returns a response body that forwards a stream.
@@ -97,7 +97,7 @@
     permit: Permit,
     history: SendHistory,
     opened: OpenStream,
-    in_flight: InFlightGuard,
+    in_flight: CountGuard,
 ) -> RelayBody {
     let forwarder = StreamForwarder {
         seen_epoch: relay.path_check_epoch.get(),
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -22,8 +22,8 @@
     run_tracker::RunTracker,
     state::StageState,
     stream::{
-        OpenOutcome, OpenStream, RetryPermit, StreamTarget, find_stalled_replica, open_stream,
-        suspect_at, take_retry,
+        OpenOutcome, OpenStream, StreamTarget, find_stalled_replica, open_stream, suspect_at,
+        take_retry,
     },
 };
 
@@ -314,7 +314,7 @@
         sleep(self.draw_delay(MAX_RESUME_DELAY)).await;
         loop {
             let retry = take_retry(&self.relay, &self.permit, &self.history).await;
-            if matches!(retry, RetryPermit::Denied) {
+            if retry.is_denied() {
                 return Err("no attempt left".to_owned());
             }
             self.permit = match admit(&self.relay, &self.request.admission) {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -36,7 +36,7 @@
     quarantine::{check_quarantine, record_result},
     request::{CallerRequest, ReplicaTarget},
     responses::{Refusal, RelayResponse, full_body},
-    retries::RetryCharge,
+    retries::{RetryCharge, RetryPermit},
     run_tracker::RunTracker,
     state::Relay,
 };
@@ -288,14 +288,14 @@
         let has_others = choose_replica(relay, &permit, &tried).is_some();
         let is_possible =
             has_attempts && has_time && has_others && needs_retry(&outcome, repeatable);
-        charge = match is_possible && sends > 0 {
-            true => RetryCharge::obtain(relay, &permit.service).await,
-            false => None,
+        let retry = match is_possible {
+            true => RetryPermit::obtain(relay, &permit.service, sends).await,
+            false => RetryPermit::Denied,
         };
         let state = AttemptState {
             repeatable,
             may_have_run: may_have_run && !matches!(outcome.end, AttemptEnd::Answered(_)),
-            can_repeat: is_possible && (sends == 0 || charge.is_some()),
+            can_repeat: !retry.is_denied(),
         };
         let next = decide_next(state, outcome.end);
         request.log_attempt(
@@ -318,6 +318,7 @@
                     count(&relay.counts.repeats);
                 }
                 permit = admit(relay, &request.admission)?;
+                charge = retry.into_charge();
             }
             (NextStep::AnswerNotRun, _) => {
                 return Err(refusal(relay, &permit, Refusal::NotRun));
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -30,7 +30,7 @@
     plain::run_plain,
     quarantine::check_quarantine,
     responses::{Refusal, RelayResponse},
-    shutdown::InFlightGuard,
+    shutdown::CountGuard,
     state::Relay,
     stream::run_stream,
 };
@@ -253,7 +253,7 @@
 
 /// Handles a request. Every failure becomes a refusal, so there is always a response.
 pub async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> RelayResponse {
-    let in_flight = InFlightGuard::new(&relay);
+    let in_flight = CountGuard::for_request(&relay);
     count(&relay.counts.requests);
     let arrived_at = now_millis();
     let (parts, body) = request.into_parts();
@@ -308,7 +308,7 @@
 async fn serve(
     relay: &Rc<Relay>,
     arrival: RequestArrival,
-    in_flight: InFlightGuard,
+    in_flight: CountGuard,
     class: &mut RequestClass,
 ) -> Result<RelayResponse, Refusal> {
     let RequestArrival { parts, body, headers, arrived_at } = arrival;
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -22,7 +22,7 @@
 use crate::{
     counts::count,
     messages::{LoanMessage, PeerMessage},
-    state::Relay,
+    state::{Relay, RelayState},
 };
 
 /// Longest wait of a retry for a loan, in milliseconds: a few round trips within a region.
@@ -106,6 +106,41 @@
     }
 }
 
+/// Whether a request may be sent once more.
+#[derive(Debug)]
+pub enum RetryPermit {
+    /// No replica has received it yet, so sending it is no retry.
+    FirstSend,
+    /// It may be sent as a retry.
+    Charged(RetryCharge),
+    /// The maximum number of attempts or the retry budget does not allow it.
+    Denied,
+}
+
+impl RetryPermit {
+    /// Returns the permit for the next send of a request that replicas of `service` received
+    /// `earlier_sends` times. May wait for a loan of other relays.
+    pub async fn obtain(relay: &Rc<Relay>, service: &str, earlier_sends: u32) -> Self {
+        match earlier_sends {
+            0 => Self::FirstSend,
+            _ => RetryCharge::obtain(relay, service).await.map_or(Self::Denied, Self::Charged),
+        }
+    }
+
+    /// Returns whether the request may not be sent again.
+    pub fn is_denied(&self) -> bool {
+        matches!(self, Self::Denied)
+    }
+
+    /// Returns the charge for the retry, if there is one.
+    pub fn into_charge(self) -> Option<RetryCharge> {
+        match self {
+            Self::Charged(charge) => Some(charge),
+            Self::FirstSend | Self::Denied => None,
+        }
+    }
+}
+
 /// Registers a retry that waits for a loan. Dropping it ends the wait.
 #[derive(Debug)]
 struct LoanWait {
@@ -211,6 +246,12 @@
     relay.loan_notify.notify_waiters();
 }
 
+fn allowance_fraction(state: &mut RelayState, config: &BudgetConfig, now: Millis) -> f64 {
+    let relays = state.peers.known_count() + 1;
+    state.allowance_share.record_relays(relays, now);
+    state.allowance_share.fraction(config.window, now)
+}
+
 impl Relay {
     /// Returns the bounds on retries in force.
     pub fn budget_config(&self) -> BudgetConfig {
@@ -224,11 +265,7 @@
 
     /// Returns the fraction of the retry allowances that this relay holds.
     pub fn allowance_fraction(&self, now: Millis) -> f64 {
-        let window = self.budget_config().window;
-        let mut state = self.state.borrow_mut();
-        let relays = state.peers.known_count() + 1;
-        state.allowance_share.record_relays(relays, now);
-        state.allowance_share.fraction(window, now)
+        allowance_fraction(&mut self.state.borrow_mut(), &self.budget_config(), now)
     }
 
     /// Returns whether a service's budget allows a retry.
@@ -248,8 +285,8 @@
         apply: impl FnOnce(&mut RetryBudget, &BudgetConfig, f64) -> T,
     ) -> T {
         let config = self.budget_config();
-        let share = self.allowance_fraction(now);
         let mut state = self.state.borrow_mut();
+        let share = allowance_fraction(&mut state, &config, now);
         apply(state.retry_budgets.entry(service.to_owned()).or_default(), &config, share)
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::{
     request::handle,
     responses::{RelayResponse, full_body},
-    shutdown::{ConnectionGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
+    shutdown::{CountGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
     state::Relay,
 };
 
@@ -76,7 +76,7 @@
 }
 
 async fn serve_caller(relay: Rc<Relay>, stream: TcpStream) {
-    let _open = ConnectionGuard::new(&relay);
+    let _open = CountGuard::for_connection(&relay);
     let _nodelay = stream.set_nodelay(true);
     let limits = relay.config().and_then(|config| config.limits);
     let limits = ConnectionLimits {
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -89,54 +89,34 @@
     pub fn open_connections(&self) -> usize {
         self.open_connections.get()
     }
-
-    fn enter(&self) {
-        self.in_flight.set(self.in_flight.get() + 1);
-    }
-
-    fn leave(&self) {
-        self.in_flight.set(self.in_flight.get() - 1);
-    }
 }
 
-/// Counts a request as in flight until dropped.
+/// Counts a request or a connection that a shutdown waits for, until dropped.
 #[derive(Debug)]
-pub struct InFlightGuard {
+pub struct CountGuard {
     relay: Rc<Relay>,
+    counter: fn(&ShutdownState) -> &Cell<usize>,
 }
 
-impl InFlightGuard {
+impl CountGuard {
     /// Counts one more request as in flight.
-    pub fn new(relay: &Rc<Relay>) -> Self {
-        relay.shutdown.enter();
-        Self { relay: relay.clone() }
+    pub fn for_request(relay: &Rc<Relay>) -> Self {
+        Self::new(relay, |shutdown| &shutdown.in_flight)
     }
-}
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.relay.shutdown.leave();
+    /// Counts one more connection as open.
+    pub fn for_connection(relay: &Rc<Relay>) -> Self {
+        Self::new(relay, |shutdown| &shutdown.open_connections)
     }
-}
-
-/// Counts a caller's connection as open until dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard {
-    relay: Rc<Relay>,
-}
 
-impl ConnectionGuard {
-    /// Counts one more connection as open.
-    pub fn new(relay: &Rc<Relay>) -> Self {
-        let open = &relay.shutdown.open_connections;
-        open.set(open.get() + 1);
-        Self { relay: relay.clone() }
+    fn new(relay: &Rc<Relay>, counter: fn(&ShutdownState) -> &Cell<usize>) -> Self {
+        counter(&relay.shutdown).update(|count| count + 1);
+        Self { relay: relay.clone(), counter }
     }
 }
 
-impl Drop for ConnectionGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        let open = &self.relay.shutdown.open_connections;
-        open.set(open.get() - 1);
+        (self.counter)(&self.relay.shutdown).update(|count| count - 1);
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -34,9 +34,9 @@
     request::{CallerRequest, ReplicaTarget},
     response_head::{HeadError, HeadWait, PendingHead, ReceivedHead},
     responses::{Refusal, RelayResponse, full_body},
-    retries::RetryCharge,
+    retries::{RetryCharge, RetryPermit},
     run_tracker::RunTracker,
-    shutdown::InFlightGuard,
+    shutdown::CountGuard,
     state::Relay,
 };
 
@@ -91,7 +91,7 @@
     relay: &Rc<Relay>,
     request: Rc<CallerRequest>,
     permit: Permit,
-    in_flight: InFlightGuard,
+    in_flight: CountGuard,
 ) -> Result<RelayResponse, Refusal> {
     let mut permit = permit;
     if wait_to_reconnect(relay, &request).await {
@@ -124,7 +124,7 @@
         let state = AttemptState {
             repeatable: permit.route.is_repeatable(),
             may_have_run: history.sends > 0,
-            can_repeat: !matches!(retry, RetryPermit::Denied),
+            can_repeat: !retry.is_denied(),
         };
         let next = decide_next(state, end);
         let first = history.excluded.last();
@@ -174,38 +174,15 @@
 /// Time until the deadline below which a retry is not worth its cost, in milliseconds.
 const MIN_RETRY_TIME: Millis = 100;
 
-/// Whether a request may be sent once more.
-#[derive(Debug)]
-pub enum RetryPermit {
-    /// No replica has received it yet, so sending it is no retry.
-    FirstSend,
-    /// It may be sent as a retry.
-    Charged(RetryCharge),
-    /// The maximum number of attempts or the retry budget does not allow it.
-    Denied,
-}
-
-impl RetryPermit {
-    /// Returns the charge for the retry, if there is one.
-    pub fn into_charge(self) -> Option<RetryCharge> {
-        match self {
-            Self::Charged(charge) => Some(charge),
-            Self::FirstSend | Self::Denied => None,
-        }
-    }
-}
-
 /// Returns whether the maximum number of attempts and the retry budget allow another send, and
 /// charges the budget for it if it is a retry. May wait for a loan of other relays.
 pub async fn take_retry(relay: &Rc<Relay>, permit: &Permit, history: &SendHistory) -> RetryPermit {
     let has_attempts =
         history.sends < permit.route.max_attempts.max(1) && history.rejections < MAX_REJECTIONS;
-    match history.sends + history.rejections {
-        _ if !has_attempts => RetryPermit::Denied,
-        0 => RetryPermit::FirstSend,
-        _ => RetryCharge::obtain(relay, &permit.service)
-            .await
-            .map_or(RetryPermit::Denied, RetryPermit::Charged),
+    let earlier_sends = history.sends + history.rejections;
+    match has_attempts {
+        true => RetryPermit::obtain(relay, &permit.service, earlier_sends).await,
+        false => RetryPermit::Denied,
     }
 }
 
@@ -511,7 +488,7 @@
     permit: Permit,
     history: SendHistory,
     stream: OpenStream,
-    in_flight: InFlightGuard,
+    in_flight: CountGuard,
 ) -> RelayResponse {
     let took = now_millis() - request.arrived_at;
     relay.metrics.record_head(&permit, took);
