Kernel, relay: the end of a connection is returned, and each program logs it

Bytes that arrive after the close were logged by the kernel through `log`, which the relay's log does not read, so its operators never saw the line that names a lost request. serve_connection returns how the connection ended; relays log `connection-unread`. HttpLimits holds the limits of a connection instead of a second list of the same fields.

The tests' construction of limits follows; their assertions are as they were.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -34,7 +34,7 @@
 /// Maximum number of bytes that are read from a closed connection.
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
-/// Settings of a connection.
+/// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
     /// Maximum number of headers of a request; `None` for the HTTP library's own limit.
@@ -56,6 +56,16 @@
     pub idle: Duration,
 }
 
+/// How a connection ended.
+#[derive(Debug)]
+pub struct ClosedConnection {
+    /// Error of a connection that failed, or whose caller sent something malformed.
+    pub error: Option<hyper::Error>,
+    /// Number of bytes that arrived after the server had closed the connection. A request among them
+    /// was lost, and its caller does not know whether it ran.
+    pub unread_bytes: usize,
+}
+
 /// Whether a request of a connection is in progress.
 #[derive(Clone, Copy, Debug)]
 struct ConnectionUse {
@@ -115,16 +125,14 @@
 /// `Connection: close` to its responses; a connection without such a response is closed by
 /// `delays`.
 ///
-/// # Errors
-///
-/// Returns the error of a connection that failed, or whose caller sent something malformed.
+/// Returns how the connection ended, for the caller's log.
 pub async fn serve_connection<I, F, R, B, E>(
     mut stream: I,
     limits: ConnectionLimits,
     delays: ShutdownDelays,
     stopping: impl Future<Output = ()>,
     handler: F,
-) -> Result<(), hyper::Error>
+) -> ClosedConnection
 where
     I: AsyncRead + AsyncWrite + Unpin,
     F: Fn(Request<Incoming>) -> R,
@@ -151,26 +159,21 @@
     if let Some(max_headers) = limits.max_headers {
         builder.max_headers(max_headers);
     }
-    let ended = {
+    let served = {
         let connection = builder.serve_connection(TokioIo::new(&mut stream), service);
         let mut connection = pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => Some(ended),
-            () = wait_for_idle_close(stopping, &uses, delays) => None,
-        };
-        match ended {
-            Some(ended) => ended,
-            None => {
+        tokio::select! {
+            served = connection.as_mut() => served,
+            () = wait_for_idle_close(stopping, &uses, delays) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
         }
     };
     // A failure means that the caller has closed the connection as well.
-    if let Ok(Ok(unread @ 1..)) = timeout(LINGER_TIME, linger(&mut stream)).await {
-        log::info!("connection=closed unread_bytes={unread}");
-    }
-    ended
+    let lingered = timeout(LINGER_TIME, linger(&mut stream)).await;
+    let unread_bytes = lingered.ok().and_then(Result::ok).unwrap_or_default();
+    ClosedConnection { error: served.err(), unread_bytes }
 }
 
 /// Waits for the shutdown and then until the connection may be closed without an announcement.
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -41,22 +41,19 @@
 pub struct HttpLimits {
     /// Maximum number of concurrent connections. Further ones wait in the listen queue.
     pub max_connections: usize,
-    /// Maximum size of the request line and headers, in bytes. At least 8192 are allowed.
-    pub max_header_bytes: usize,
-    /// Maximum number of headers of a request.
-    pub max_headers: usize,
-    /// Time in which the headers of a request must arrive, and for which a connection may stay
-    /// idle.
-    pub idle_timeout: Duration,
+    /// Limits of each connection.
+    pub connection: ConnectionLimits,
 }
 
 impl Default for HttpLimits {
     fn default() -> Self {
         Self {
             max_connections: 10_000,
-            max_header_bytes: 16 * 1_024,
-            max_headers: 64,
-            idle_timeout: Duration::from_secs(60),
+            connection: ConnectionLimits {
+                max_headers: Some(64),
+                max_header_bytes: 16 * 1_024,
+                idle_timeout: Duration::from_secs(60),
+            },
         }
     }
 }
@@ -93,7 +90,7 @@
     let spawn = |stream: TcpStream, permit: OwnedSemaphorePermit| {
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         tokio::spawn(async move {
-            serve_until_closed(stream, limits, &shutdown, handler).await;
+            serve_until_closed(stream, limits.connection, &shutdown, handler).await;
             drop(permit);
         });
     };
@@ -157,7 +154,7 @@
 
 async fn serve_until_closed<F, R>(
     stream: TcpStream,
-    limits: HttpLimits,
+    limits: ConnectionLimits,
     shutdown: &ShutdownSignal,
     handler: F,
 ) where
@@ -176,15 +173,14 @@
             Ok::<_, ConnectionDropped>(response)
         }
     };
-    let limits = ConnectionLimits {
-        max_headers: Some(limits.max_headers),
-        max_header_bytes: limits.max_header_bytes,
-        idle_timeout: limits.idle_timeout,
-    };
     let delays = ShutdownDelays { after_signal: SHUTDOWN_GRACE, idle: SHUTDOWN_GRACE };
-    if let Err(error) = serve_connection(stream, limits, delays, shutdown.raised(), handler).await {
+    let closed = serve_connection(stream, limits, delays, shutdown.raised(), handler).await;
+    if let Some(error) = closed.error {
         log::debug!("connection=failed error={error:?}");
     }
+    if closed.unread_bytes > 0 {
+        log::info!("connection=closed unread_bytes={}", closed.unread_bytes);
+    }
 }
 
 /// Failure to read a body.
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -83,15 +83,19 @@
     Ok(response.into_body().collect().await?.to_bytes())
 }
 
+fn raise_after(signal: &ShutdownSignal, delay_ms: u64) {
+    let signal = signal.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(delay_ms)).await;
+        signal.raise();
+    });
+}
+
 /// Raises the signal in the middle of a stream, and reuses the connection after the stream.
 async fn reuse_after_stream(stream_ms: u64, signal_ms: u64, reuse_ms: u64) {
     let signal = ShutdownSignal::new();
     let mut sender = open_client(&signal).await;
-    let raised = signal.clone();
-    tokio::spawn(async move {
-        sleep(Duration::from_millis(signal_ms)).await;
-        raised.raise();
-    });
+    raise_after(&signal, signal_ms);
     call(&mut sender, &format!("/stream/{stream_ms}")).await.expect("a whole stream");
     sleep(Duration::from_millis(reuse_ms)).await;
     let reused = call(&mut sender, "/").await;
@@ -118,11 +122,7 @@
     for opened_ms in (0..3_000).step_by(50) {
         for reuse_ms in REUSE_DELAYS_MS {
             let signal = ShutdownSignal::new();
-            let raised = signal.clone();
-            tokio::spawn(async move {
-                sleep(Duration::from_millis(1_000)).await;
-                raised.raise();
-            });
+            raise_after(&signal, 1_000);
             sleep(Duration::from_millis(opened_ms)).await;
             let mut sender = open_client(&signal).await;
             sleep(Duration::from_millis(reuse_ms)).await;
--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -6,6 +6,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use switchfold_kernel::{
+    connection::ConnectionLimits,
     http::{CallError, HttpClient, HttpLimits, full_response, read_body, serve},
     metrics::{LabelBudget, MetricsHub, OTHER_LABEL},
     registry::{RegistryError, ServiceName, ServiceRegistry},
@@ -78,6 +79,17 @@
     );
 }
 
+/// Limits of a connection that no test reaches.
+const CONNECTION: ConnectionLimits = ConnectionLimits {
+    max_headers: None,
+    max_header_bytes: 16 * 1_024,
+    idle_timeout: Duration::from_secs(60),
+};
+
+fn limits_of(connection: ConnectionLimits) -> HttpLimits {
+    HttpLimits { connection, ..HttpLimits::default() }
+}
+
 async fn start_server(limits: HttpLimits) -> (String, ShutdownSignal) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound").to_string();
@@ -106,7 +118,7 @@
 #[tokio::test]
 async fn bodies_headers_and_connections_are_limited() {
     let (address, signal) =
-        start_server(HttpLimits { max_headers: 8, ..HttpLimits::default() }).await;
+        start_server(limits_of(ConnectionLimits { max_headers: Some(8), ..CONNECTION })).await;
     let http = HttpClient::new(Duration::from_secs(10), 1_000);
     assert_eq!(http.call(post(&address, 100)).await.expect("a response").status, StatusCode::OK);
     let large = http.call(post(&address, 101)).await.expect("a response");
@@ -125,11 +137,9 @@
 /// The server closes the connection of a caller that sends its headers too slowly.
 #[tokio::test]
 async fn idle_connections_are_closed() {
-    let (address, _signal) = start_server(HttpLimits {
-        idle_timeout: Duration::from_millis(50),
-        ..HttpLimits::default()
-    })
-    .await;
+    let idle_timeout = Duration::from_millis(50);
+    let (address, _signal) =
+        start_server(limits_of(ConnectionLimits { idle_timeout, ..CONNECTION })).await;
     let mut stream = TcpStream::connect(&address).await.expect("connected");
     stream.write_all(b"POST / HTTP/1.1\r\n").await.expect("sent");
     let mut rest = Vec::new();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -94,9 +94,13 @@
         async move { Ok::<RelayResponse, Infallible>(handle(relay, request).await) }
     };
     let stopping = relay.shutdown.wait_until_stopping();
-    if let Err(error) = serve_connection(stream, limits, delays, stopping, handler).await {
+    let closed = serve_connection(stream, limits, delays, stopping, handler).await;
+    if let Some(error) = closed.error {
         tracing::debug!(event = "connection-ended", %error);
     }
+    if closed.unread_bytes > 0 {
+        tracing::info!(event = "connection-unread", bytes = closed.unread_bytes);
+    }
 }
 
 /// Serves the readiness endpoint until the process ends.
