Entry: a configuration becomes complete in one place

A digest that is the same as the peer's marked the configuration complete by a path of its own, beside the merge; it is now a merge of no objects. Rejections with Retry-After were put together in three places of the access checks.

--- a/crates/entry/src/config/gossip.rs
+++ b/crates/entry/src/config/gossip.rs
@@ -19,7 +19,7 @@
 
 use super::{
     service::{
-        BuildDigest, BuildFullDigest, CollectNewer, ConfigService, Merge, MergeOrigin, PendingPush,
+        BuildDigest, BuildFullDigest, CollectNewer, ConfigService, Merge, PendingPush,
         RecordPeerHash, copy_from_message,
     },
     view::ConfigView,
@@ -206,15 +206,14 @@
     let hash = digest.hash;
     let response = client.exchange(digest).await.ok()?.into_inner();
     if response.same {
-        let is_complete = response.complete;
-        config.send(RecordPeerHash { peer: peer.name.clone(), hash, is_complete }).await.ok()?;
+        config.send(RecordPeerHash { peer: peer.name.clone(), hash }).await.ok()?;
+        config.send(Merge::from_exchange(Vec::new(), response.complete)).await.ok()?;
         return Some(());
     }
     let full = config.send(BuildFullDigest).await.ok()?;
     let response = client.exchange(full).await.ok()?.into_inner();
     let copies = response.newer.into_iter().map(copy_from_message).collect();
-    let is_complete = response.complete;
-    config.send(Merge { copies, origin: MergeOrigin::Exchanged, is_complete }).await.ok()?;
+    config.send(Merge::from_exchange(copies, response.complete)).await.ok()?;
     let newer = config.send(CollectNewer(response.versions)).await.ok()?;
     if !newer.is_empty() {
         // The empty sender marks the push as part of an exchange, which the peer does not forward.
--- a/crates/entry/src/config/service.rs
+++ b/crates/entry/src/config/service.rs
@@ -54,16 +54,6 @@
     Exchanged,
 }
 
-impl MergeOrigin {
-    fn as_str(&self) -> &str {
-        match self {
-            Self::Local => "store",
-            Self::Pushed { root } => root,
-            Self::Exchanged => "exchange",
-        }
-    }
-}
-
 /// Merges objects by version. Returns the number of objects that were new or newer.
 #[derive(Debug)]
 pub struct Merge {
@@ -75,6 +65,14 @@
     pub is_complete: bool,
 }
 
+impl Merge {
+    /// Merges what another entry sent in an exchange. `is_complete` states whether that entry holds
+    /// every object of the store.
+    pub fn from_exchange(copies: Vec<NamedCopy>, is_complete: bool) -> Self {
+        Self { copies, origin: MergeOrigin::Exchanged, is_complete }
+    }
+}
+
 /// A version of an object, with the object's key.
 #[derive(Clone, Debug)]
 pub struct NamedCopy {
@@ -98,8 +96,6 @@
     pub peer: String,
     /// Hash over all its versions.
     pub hash: u64,
-    /// Whether it holds every object of the store.
-    pub is_complete: bool,
 }
 
 /// Returns the versions of all objects.
@@ -168,12 +164,6 @@
         self.view.send_replace(Arc::new(view));
     }
 
-    fn mark_complete(&mut self, source: &str) {
-        log::info!("config=complete source={source} objects={}", self.objects.iter().count());
-        self.is_complete = true;
-        self.publish();
-    }
-
     fn versions(&self) -> Vec<peer::ObjectVersion> {
         let versions = self.objects.iter();
         versions
@@ -217,9 +207,12 @@
                 changed.push(copy_to_message(&named.key, &named.copy));
             }
         }
-        if message.is_complete && !self.is_complete {
-            self.mark_complete(message.origin.as_str());
-        } else if !changed.is_empty() {
+        let becomes_complete = message.is_complete && !self.is_complete;
+        if becomes_complete {
+            log::info!("config=complete origin={:?}", message.origin);
+            self.is_complete = true;
+        }
+        if becomes_complete || !changed.is_empty() {
             self.publish();
         }
         if changed.is_empty() {
@@ -312,19 +305,14 @@
     async fn handle(&mut self, message: CompareDigest, _: &mut Context<Self>) -> DigestAnswer {
         let digest = message.0;
         self.record_peer_hash(&digest.sender, digest.hash);
+        let complete = self.is_complete;
         if digest.hash == self.objects.hash() {
-            return DigestAnswer {
-                same: true,
-                versions: Vec::new(),
-                newer: Vec::new(),
-                complete: self.is_complete,
-            };
+            return DigestAnswer { same: true, complete, ..DigestAnswer::default() };
         }
         let newer = match digest.full {
             true => self.newer_than(&digest.versions),
             false => Vec::new(),
         };
-        let complete = self.is_complete;
         DigestAnswer { same: false, versions: self.versions(), newer, complete }
     }
 }
@@ -334,9 +322,6 @@
 
     async fn handle(&mut self, message: RecordPeerHash, _: &mut Context<Self>) {
         self.record_peer_hash(&message.peer, message.hash);
-        if message.is_complete && message.hash == self.objects.hash() && !self.is_complete {
-            self.mark_complete(&message.peer);
-        }
     }
 }
 
--- a/crates/entry/src/web/access.rs
+++ b/crates/entry/src/web/access.rs
@@ -6,9 +6,12 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use switchfold_core::config::{ClassConfig, EventConfig, EventState, OrganisationConfig};
-use switchfold_kernel::http::{HttpResponse, set_header};
+use switchfold_kernel::http::HttpResponse;
 
-use super::{WebContext, responses::rejection};
+use super::{
+    WebContext,
+    responses::{rejection, unavailable},
+};
 use crate::config::ConfigView;
 
 /// Header that names the event of a request.
@@ -20,6 +23,9 @@
 /// `Retry-After` in seconds for an event that is not open.
 const EVENT_RETRY_AFTER: &str = "5";
 
+/// `Retry-After` in seconds of an entry that is stopping.
+const STOPPING_RETRY_AFTER: &str = "1";
+
 /// `Retry-After` in seconds of an entry that has just started.
 const CONFIG_RETRY_AFTER: &str = "1";
 
@@ -84,9 +90,7 @@
         return Box::new(response);
     }
     let message = "this entry has not received the whole configuration yet";
-    let mut response = rejection(StatusCode::SERVICE_UNAVAILABLE, "no-configuration", message);
-    set_header(&mut response, "retry-after", CONFIG_RETRY_AFTER);
-    Box::new(response)
+    Box::new(unavailable("no-configuration", message, CONFIG_RETRY_AFTER))
 }
 
 /// Checks a caller's token, event and class, and that the event is open and uses `target`. The
@@ -97,10 +101,8 @@
     target: &str,
 ) -> Result<CallerAccess, Box<HttpResponse>> {
     if context.shutdown.is_raised() {
-        let mut response =
-            rejection(StatusCode::SERVICE_UNAVAILABLE, "stopping", "this entry is stopping");
-        set_header(&mut response, "retry-after", "1");
-        return Err(Box::new(response));
+        let message = "this entry is stopping";
+        return Err(Box::new(unavailable("stopping", message, STOPPING_RETRY_AFTER)));
     }
     let organisation = find_organisation(context, headers)?;
     let view = context.view.borrow().clone();
@@ -119,9 +121,7 @@
     let class = find_class(&event, headers)?;
     if event.state != EventState::Open {
         let message = format!("event {:?} is {}", event.name, event.state.as_str());
-        let mut response = rejection(StatusCode::SERVICE_UNAVAILABLE, "event-not-open", &message);
-        set_header(&mut response, "retry-after", EVENT_RETRY_AFTER);
-        return Err(Box::new(response));
+        return Err(Box::new(unavailable("event-not-open", &message, EVENT_RETRY_AFTER)));
     }
     Ok(CallerAccess { organisation, class })
 }
--- a/crates/entry/src/web/responses.rs
+++ b/crates/entry/src/web/responses.rs
@@ -43,6 +43,13 @@
     response
 }
 
+/// Returns the rejection of a request that may succeed after `retry_after` seconds.
+pub(super) fn unavailable(reason: &str, message: &str, retry_after: &str) -> HttpResponse {
+    let mut response = rejection(StatusCode::SERVICE_UNAVAILABLE, reason, message);
+    set_header(&mut response, RETRY_AFTER_HEADER, retry_after);
+    response
+}
+
 /// Returns the response to a request that did not run, with `Retry-After` in seconds.
 pub(super) fn not_run(id: RequestId, reason: NotRunReason, retry_after: Millis) -> HttpResponse {
     let status = match reason {
