--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -16,7 +16,7 @@
 };
 use switchfold_entry::{EntrySockets, commands::ResultTable, run_entry, settings::EntrySettings};
 use switchfold_kernel::{
-    http::{CallError, HttpClient},
+    http::{CallError, FullResponse, HttpClient},
     shutdown::ShutdownSignal,
 };
 use switchfold_standin::{
@@ -379,16 +379,7 @@
     /// Checks the readiness of an entry as a load balancer does.
     async fn check_ready(&self, web: &str) -> Result<(), ClusterError> {
         let request = Request::get(format!("http://{web}/readyz")).body(Full::default());
-        let Ok(request) = request else {
-            return Err(ClusterError::UnknownVm { name: web.to_owned() });
-        };
-        let response =
-            self.http.call(request).await.map_err(|source| ClusterError::Call { source })?;
-        if response.status != StatusCode::OK {
-            let body = String::from_utf8_lossy(&response.body).into_owned();
-            return Err(ClusterError::Refused { status: response.status, body });
-        }
-        Ok(())
+        call_entry(&self.http, web, request).await.map(drop)
     }
 
     /// Sends an operator's statement to an entry. Statements that change something return an empty
@@ -455,6 +446,16 @@
         .uri(format!("http://{web}/v1/operator"))
         .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
         .body(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    let response = call_entry(http, web, request).await?;
+    Ok(serde_json::from_slice(&response.body).unwrap_or_default())
+}
+
+/// Makes a call that an entry must answer with status 200.
+async fn call_entry(
+    http: &HttpClient,
+    web: &str,
+    request: Result<Request<Full<Bytes>>, http::Error>,
+) -> Result<FullResponse, ClusterError> {
     let Ok(request) = request else {
         return Err(ClusterError::UnknownVm { name: web.to_owned() });
     };
@@ -463,5 +464,5 @@
         let body = String::from_utf8_lossy(&response.body).into_owned();
         return Err(ClusterError::Refused { status: response.status, body });
     }
-    Ok(serde_json::from_slice(&response.body).unwrap_or_default())
+    Ok(response)
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -121,16 +121,9 @@
             }
         };
         reuses_at_once = kind == CallKind::LongStream && idle.is_some();
-        calls.push(CallRecord {
-            id,
-            kind,
-            key,
-            relay,
-            sent_at,
-            ended_at: epoch_micros(),
-            outcome,
-            reused_after: idle_since.map(|since| sent_at.saturating_sub(since)),
-        });
+        let ended_at = epoch_micros();
+        let reused_after = idle_since.map(|since| sent_at.saturating_sub(since));
+        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at, outcome, reused_after });
     }
     calls
 }
@@ -170,16 +163,9 @@
                 (connection.relay, outcome.map_or(CallOutcome::NoResponse, |(outcome, _)| outcome))
             }
         };
-        calls.push(CallRecord {
-            id,
-            kind,
-            key,
-            relay,
-            sent_at,
-            ended_at: epoch_micros(),
-            outcome,
-            reused_after: None,
-        });
+        let ended_at = epoch_micros();
+        let reused_after = None;
+        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at, outcome, reused_after });
     }
     calls
 }
