Relay: a relay that starts is not ready before it knows the quarantined requests

What callers saw: a request that all other relays rejected was sent to a replica by a relay that had just started. The replica crashed, and the streams of other callers on it were lost.

Cause: a relay was ready once it knew the configuration and the replicas. The quarantine came later, by datagrams from relays that noticed the new one, or from the store, which one relay of each data centre reads.

Evidence: a_relay_that_has_just_become_ready_refuses_quarantined_requests failed before ("KindUnavailable, data centre far": status 200, four replicas crashed) and passes.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -6,6 +6,8 @@
 //! relays that are partitioned from each other but not from the store. It is written only after a
 //! second crash in a row, so it gets no calls while there are no crashes.
 
+pub mod start;
+
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
@@ -252,7 +254,10 @@
             continue;
         }
         match read_store(&relay, &store, revision, &mut stored).await {
-            Ok(read_revision) => revision = Some(read_revision),
+            Ok(read_revision) => {
+                revision = Some(read_revision);
+                relay.knows_quarantine.set(true);
+            }
             Err(error) => {
                 revision = None;
                 tracing::info!(event = "quarantine-unread", %error);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -28,7 +28,7 @@
     notices::ReplicaResponse,
     paths::fullest_replica,
     plain::run_plain,
-    quarantine::check_quarantine,
+    quarantine::{check_quarantine, start::wait_for_quarantine},
     responses::{Refusal, RelayResponse},
     shutdown::CountGuard,
     state::Relay,
@@ -357,6 +357,7 @@
         attempt_count: Cell::new(0),
         is_dispatched: Cell::new(false),
     };
+    wait_for_quarantine(relay).await;
     check_quarantine(relay, &request)?;
     relay.record_request(&permit.service, now_millis());
     let service = permit.config.services.get(&permit.service);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -37,7 +37,7 @@
     peers::run_gossip,
     placer::place_layers,
     pool::ConnectionPool,
-    quarantine::{follow_quarantine, store_quarantine},
+    quarantine::{follow_quarantine, start::learn_quarantine, store_quarantine},
     reload::follow_settings,
     restore::rewrite_after_restores,
     serve::{serve_callers, serve_metrics, serve_readiness},
@@ -140,6 +140,7 @@
     spawn_local(serve_snapshots(relay.clone(), sockets.snapshots));
     spawn_local(follow_quarantine(relay.clone()));
     spawn_local(store_quarantine(relay.clone()));
+    spawn_local(learn_quarantine(relay.clone()));
     spawn_local(rewrite_after_restores(relay.clone()));
     spawn_local(exchange_grants(relay.clone()));
     spawn_local(place_layers(relay.clone()));
@@ -220,6 +221,7 @@
         capacity_notify: Notify::new(),
         limit_notify: Notify::new(),
         loan_notify: Notify::new(),
+        knows_quarantine: Cell::new(false),
         quarantine_notify: Notify::new(),
         send_notify: Notify::new(),
         pending_send: Cell::new(None),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -150,8 +150,8 @@
     response
 }
 
-/// Returns whether the relay can admit requests: it knows the configuration and the replicas, and
-/// is not shutting down. A relay without contact to the store stays ready for as long as it may
+/// Returns whether the relay can admit requests: it knows the configuration, the replicas and the
+/// quarantined requests, and is not shutting down. A relay without contact to the store stays ready for as long as it may
 /// admit keys, unless other relays still have contact: the load balancer needs two seconds to move
 /// new callers to them.
 pub fn is_ready(relay: &Relay) -> bool {
@@ -162,7 +162,7 @@
         return false;
     }
     let state = relay.state.borrow();
-    let has_state = state.config.get().is_some() && !state.fleet.view.is_empty();
+    let has_state = state.has_objects() && relay.knows_quarantine.get();
     let max_age = relay.bounds.borrow().revoke();
     has_state && !relay.shutdown.is_stopping() && state.config_lease.is_valid(max_age, now)
 }
--- a/crates/relay/src/snapshot/apply.rs
+++ b/crates/relay/src/snapshot/apply.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     counts::count,
+    quarantine::apply_change,
     registry::{PeerAddress, relays_digest},
     replicas::apply_list,
     settings::RelaySettings,
@@ -110,7 +111,9 @@
     let records = match snapshot.body {
         SnapshotBody::Relays(records) => records,
         SnapshotBody::Same => return relay.state.borrow().listed_relays.clone(),
-        SnapshotBody::Config { .. } | SnapshotBody::Replicas(_) => return None,
+        SnapshotBody::Config { .. } | SnapshotBody::Replicas(_) | SnapshotBody::Quarantine(_) => {
+            return None;
+        }
     };
     let relays = records.into_iter().map(|record| {
         let RelayRecord { name, address, data_centre } = record;
@@ -118,3 +121,28 @@
     });
     Some(relays.collect())
 }
+
+/// Fetches the quarantined requests from another relay and applies them. Returns whether a relay
+/// provided them.
+pub async fn fetch_quarantine(relay: &Relay) -> bool {
+    for (source, address) in quarantine_sources(relay) {
+        let kind = CallKind::Quarantine;
+        let snapshot = fetch_snapshot(relay, kind, &source, address, 0).await;
+        let Some(SnapshotBody::Quarantine(records)) = snapshot.map(|snapshot| snapshot.body) else {
+            continue;
+        };
+        let now = now_millis();
+        let reports = records.iter().map(|record| record.report(now)).collect();
+        let change = relay.state.borrow_mut().quarantine.merge(reports, false, now);
+        apply_change(relay, &change);
+        return true;
+    }
+    false
+}
+
+fn quarantine_sources(relay: &Relay) -> Vec<(String, SocketAddr)> {
+    let RelaySettings { name, data_centre, .. } = &relay.settings;
+    let state = relay.state.borrow();
+    let sources = state.peers.quarantine_sources(name, data_centre, now_millis());
+    sources.map(|source| (source.name.to_owned(), source.address)).collect()
+}
--- a/crates/relay/src/snapshot/fetch.rs
+++ b/crates/relay/src/snapshot/fetch.rs
@@ -110,5 +110,6 @@
         (CallKind::Config, SnapshotBody::Config { .. } | SnapshotBody::Same)
             | (CallKind::Replicas, SnapshotBody::Replicas(_) | SnapshotBody::Same)
             | (CallKind::Relays, SnapshotBody::Relays(_) | SnapshotBody::Same)
+            | (CallKind::Quarantine, SnapshotBody::Quarantine(_))
     )
 }
--- a/crates/relay/src/snapshot/mod.rs
+++ b/crates/relay/src/snapshot/mod.rs
@@ -21,7 +21,10 @@
 use serde::{Deserialize, Serialize};
 use switchfold_router::Millis;
 
-use crate::{messages::ReplicaRecord, store_calls::CallKind};
+use crate::{
+    messages::{CrashRecord, ReplicaRecord},
+    store_calls::CallKind,
+};
 
 pub mod apply;
 pub mod fetch;
@@ -79,6 +82,8 @@
     Replicas(Vec<ReplicaRecord>),
     /// The relays that have an object in the store.
     Relays(Vec<RelayRecord>),
+    /// The quarantined requests.
+    Quarantine(Vec<CrashRecord>),
 }
 
 /// Name and address of a relay.
--- a/crates/relay/src/snapshot/serve.rs
+++ b/crates/relay/src/snapshot/serve.rs
@@ -18,7 +18,7 @@
 use super::{RelayRecord, Snapshot, SnapshotBody, parse_target};
 use crate::{
     counts::count,
-    messages::ReplicaRecord,
+    messages::{CrashRecord, ReplicaRecord},
     registry::{PeerAddress, relays_digest},
     responses::{RelayResponse, full_body},
     state::{Relay, RelayState},
@@ -102,7 +102,7 @@
         CallKind::Config => config_snapshot(&state, held, now)?,
         CallKind::Replicas => replica_snapshot(&state, held, now)?,
         CallKind::Relays => relay_snapshot(&state, held)?,
-        CallKind::Quarantine => return None,
+        CallKind::Quarantine => quarantine_snapshot(relay, &state, now)?,
     };
     Some(Snapshot { source: relay.settings.name.clone(), ..snapshot })
 }
@@ -149,7 +149,21 @@
         true => SnapshotBody::Same,
         false => SnapshotBody::Relays(listed.iter().map(relay_record).collect()),
     };
-    Some(Snapshot { source: String::new(), at: 0, proved_age: 0, answered_age: 0, body })
+    Some(unversioned(body))
+}
+
+fn quarantine_snapshot(relay: &Relay, state: &RelayState, now: Millis) -> Option<Snapshot> {
+    if !relay.knows_quarantine.get() {
+        return None;
+    }
+    let reports = state.quarantine.quarantined(now);
+    let records = reports.map(|report| CrashRecord::new(&report, now)).collect();
+    Some(unversioned(SnapshotBody::Quarantine(records)))
+}
+
+/// Returns a snapshot of contents whose age does not matter.
+fn unversioned(body: SnapshotBody) -> Snapshot {
+    Snapshot { source: String::new(), at: 0, proved_age: 0, answered_age: 0, body }
 }
 
 fn relay_record((name, peer): (&String, &PeerAddress)) -> RelayRecord {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -129,6 +129,11 @@
         self.config.get().map_or(0, |config| config.version)
     }
 
+    /// Returns whether the configuration and the replicas are known.
+    pub fn has_objects(&self) -> bool {
+        self.config.get().is_some() && !self.fleet.view.is_empty()
+    }
+
     /// Returns the milliseconds until a request of a rank may be sent to a replica, by the
     /// replica's backoff and rate limit, or `None` if it may be sent now.
     pub fn send_wait(&self, instance: &ReplicaInstance, rank: u8, now: Millis) -> Option<Millis> {
@@ -215,6 +220,8 @@
     pub limit_notify: Notify,
     /// Wakes the retries that wait for a loan.
     pub loan_notify: Notify,
+    /// Whether the quarantined requests have been learned since the start.
+    pub knows_quarantine: Cell<bool>,
     /// Wakes the task that writes quarantined requests to the store.
     pub quarantine_notify: Notify,
     /// Wakes the task that sends state to the other relays.
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -24,8 +24,8 @@
     engine::{ORDER_PATH, REPORT_PATH},
 };
 use switchfold_platform_standin::{
-    ReceivedOrder, ReceivedRequest, Reply, StandinReplica, StandinStore, StreamEnd, events,
-    parse_order,
+    ReceivedOrder, ReceivedRequest, Reply, StandinReplica, StandinStore, StoreBehaviour, StreamEnd,
+    events, parse_order,
     samples::{KEY, LAYERS, config, desk_entry, model_entry, report},
     signed_response,
 };
@@ -287,6 +287,50 @@
     });
 }
 
+/// Guards against relays that called themselves ready before they knew the quarantined requests, and
+/// sent one of them to another replica.
+#[test]
+fn a_relay_that_has_just_become_ready_refuses_quarantined_requests() {
+    let kind_is_lost = StoreBehaviour::KindUnavailable(QUARANTINE_KIND);
+    for (behaviour, data_centre) in
+        [(StoreBehaviour::Healthy, "hall"), (kind_is_lost, "hall"), (kind_is_lost, "far")]
+    {
+        run_test(async {
+            let engines = start_replicas(8, crashing_engine).await;
+            let store = start_store(&engines, full_model).await;
+            let relays = start_relays(&["hall"], &store).await;
+            for attempt in 0..3 {
+                relays[0].get("/stream/bad", &format!("bad-{attempt}")).await;
+                sleep(LOCAL_INTERVAL).await;
+            }
+            assert_eq!(count_crashed(&engines), MAX_CRASHED);
+            wait_until(async || count_stored(&store) > 0).await;
+            store.set_behaviour(behaviour);
+            let late = BoundRelay::new_in(data_centre, "late", store.clone(), bounds()).await.run();
+            late.wait_ready(StatusCode::OK).await;
+            let refused = late.get("/stream/bad", "bad-again").await;
+            assert_eq!(
+                (refused.status, count_crashed(&engines)),
+                (StatusCode::SERVICE_UNAVAILABLE, MAX_CRASHED),
+                "{behaviour:?}, data centre {data_centre}"
+            );
+        });
+    }
+}
+
+/// Guards against a relay that never serves, because neither the store nor another relay can tell it
+/// which requests are quarantined.
+#[test]
+fn a_relay_serves_without_a_quarantine_that_nobody_knows() {
+    run_test(async {
+        let engines = start_replicas(1, crashing_engine).await;
+        let store = start_store(&engines, full_model).await;
+        store.set_behaviour(StoreBehaviour::KindUnavailable(QUARANTINE_KIND));
+        let relays = start_relays(&["hall", "hall", "far"], &store).await;
+        assert_eq!(relays[2].get("/stream/good", "good").await.status, StatusCode::OK);
+    });
+}
+
 /// Returns the number of quarantine entries created in the store.
 fn count_stored(store: &StandinStore) -> usize {
     store
--- a/crates/router/src/membership/sources.rs
+++ b/crates/router/src/membership/sources.rs
@@ -137,7 +137,9 @@
             let direct = self.first_source(own, data_centre, now, reads);
             return direct.or_else(|| self.reported_reader(own, now));
         }
-        let hashed = self.hashed_source(own, data_centre, now, |peer| peer.state.fleet_is_fresh);
+        let hashed = self.hashed_source(own, now, |peer| {
+            peer.data_centre == data_centre && peer.state.fleet_is_fresh
+        });
         hashed.or_else(|| {
             self.first_source(own, data_centre, now, |peer| peer.state.fleet_age.is_some())
         })
@@ -148,13 +150,11 @@
     fn hashed_source<'a>(
         &'a self,
         own: &str,
-        data_centre: &str,
         now: Millis,
         can_provide: impl Fn(&Peer) -> bool,
     ) -> Option<SnapshotSource<'a>> {
         let seed = hash_bytes(0, own.as_bytes());
-        let near = self.peers.iter().filter(|(_, peer)| peer.data_centre == data_centre);
-        let able = near.filter(|(_, peer)| peer.is_live(now) && can_provide(peer));
+        let able = self.peers.iter().filter(|(_, peer)| peer.is_live(now) && can_provide(peer));
         let (name, peer) = able.max_by_key(|(name, _)| hash_bytes(seed, name.as_bytes()))?;
         Some(SnapshotSource { name, address: peer.address, order: source_order(name, own) })
     }
@@ -215,6 +215,19 @@
         self.first_source(own, data_centre, now, |_| true)
     }
 
+    /// Returns the relays to ask for the quarantined requests: the first live one of the data
+    /// centre, which reads them from the store, and one of another data centre.
+    pub fn quarantine_sources<'a>(
+        &'a self,
+        own: &str,
+        data_centre: &str,
+        now: Millis,
+    ) -> impl Iterator<Item = SnapshotSource<'a>> {
+        let near = self.first_live_peer(own, data_centre, now);
+        let far = self.hashed_source(own, now, |peer| peer.data_centre != data_centre);
+        near.into_iter().chain(far)
+    }
+
     /// Returns whether no live relay of the data centre precedes this one by name.
     pub fn is_data_centre_leader(&self, own: &str, data_centre: &str, now: Millis) -> bool {
         self.preceding_peers(own, data_centre, now).next().is_none()
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -317,6 +317,12 @@
         self.share_all_until = now + SHARE_TIME;
     }
 
+    /// Returns the reports of all quarantined requests.
+    pub fn quarantined(&self, now: Millis) -> impl Iterator<Item = CrashReport> {
+        let held = self.records.iter().filter(move |(_, record)| record.is_quarantined(now));
+        held.map(move |(fingerprint, record)| record.report(*fingerprint, now))
+    }
+
     /// Returns the reports to send to other relays now, heaviest first.
     pub fn shared_with(&self, audience: UpdateAudience, now: Millis) -> Vec<CrashReport> {
         let shares_all = now < self.share_all_until;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use switchfold_platform::{CONFIG_KIND, RELAY_KIND, REPLICA_KIND};
+use switchfold_platform::{CONFIG_KIND, QUARANTINE_KIND, RELAY_KIND, REPLICA_KIND};
 
 use crate::{proxy::LinkCondition, record::CallKind};
 
@@ -144,22 +144,26 @@
     (0..count).map(restore).collect()
 }
 
-/// Kinds of objects that a starting relay reads.
+/// Kinds of objects that a starting relay cannot serve without.
 const READ_KINDS: [&str; 3] = [CONFIG_KIND, REPLICA_KIND, RELAY_KIND];
 
 /// Longest time for which objects of one kind cannot be read, in milliseconds.
 const MAX_KIND_OUTAGE_MS: u64 = 4_000;
 
-/// Plans starts of relays while the store serves some kinds of objects and not another. Uses a
-/// random generator of its own.
+/// Plans starts of relays while the store serves some kinds of objects and not another, the
+/// quarantine once. Uses a random generator of its own.
 pub fn make_start_faults(seed: u64, size: &ClusterSize, length: Duration) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(24) ^ SEED_SALT);
     let length_ms = length.as_millis() as u64;
     let mut planned = Vec::new();
-    for _ in 0..random.random_range(1..4) {
+    let count = random.random_range(1..4);
+    for number in 0..=count {
         let duration = random.random_range(500..MAX_KIND_OUTAGE_MS.min(length_ms));
         let at = Duration::from_millis(random.random_range(0..=length_ms - duration));
-        let kind = READ_KINDS[random.random_range(0..READ_KINDS.len())];
+        let kind = match number < count {
+            true => READ_KINDS[random.random_range(0..READ_KINDS.len())],
+            false => QUARANTINE_KIND,
+        };
         let (relay, duration) =
             (random.random_range(0..size.relays), Duration::from_millis(duration));
         let start = Fault::KillRelay(relay);
