--- a/crates/router/benches/crashes.rs
+++ b/crates/router/benches/crashes.rs
@@ -82,6 +82,10 @@
     RequestFingerprint::from_bytes(bytes)
 }
 
+fn part_fingerprints(count: u64) -> Vec<RequestFingerprint> {
+    (0..count).map(|part| RequestFingerprint::of_prompt_part("model", part)).collect()
+}
+
 fn main() {
     print_simulation();
     let mut criterion = Criterion::default().configure_from_args();
@@ -118,5 +122,19 @@
     criterion.bench_function("look, 1,000 stopped", |bencher| {
         bencher.iter(|| black_box(&full).remaining(&fingerprint(500), 1));
     });
+    for count in [1, 10, 100] {
+        criterion.bench_function(&format!("fingerprints of {count} parts"), |bencher| {
+            bencher.iter(|| part_fingerprints(black_box(count)));
+        });
+        let parts = part_fingerprints(count);
+        for (known, table) in [("nothing", &empty), ("1,000 stopped", &full)] {
+            criterion.bench_function(&format!("look, {count} parts, {known} known"), |bencher| {
+                bencher.iter(|| {
+                    let table = black_box(table);
+                    parts.iter().filter_map(|part| table.remaining(part, 1)).max()
+                });
+            });
+        }
+    }
     criterion.final_summary();
 }
