Relay: a request without a path logs what each data centre lacks

Refusals for want of a path could not be told apart: lost, leaving, suspect and full replicas all gave "no-replica". The line no-path names their numbers and the first layer that no usable replica holds, once a second at most; the limit of the line about dropped datagrams is the same code now.

Evidence: a_missing_path_names_the_first_gap.

--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -6,6 +6,7 @@
 //! lines never displaces them. Lines dropped by these limits are counted.
 
 use std::{
+    cell::Cell,
     io::{self, Write},
     sync::atomic::{AtomicU64, Ordering},
 };
@@ -60,6 +61,28 @@
     }
 }
 
+/// Minimum interval between two lines of a kind that could be written for each request, in
+/// milliseconds.
+const LINE_INTERVAL: u64 = 1_000;
+
+/// Limits a kind of line to one in each [`LINE_INTERVAL`].
+#[derive(Debug, Default)]
+pub struct LineInterval {
+    written_at: Cell<Option<u64>>,
+}
+
+impl LineInterval {
+    /// Returns whether a line may be written at `now`, in milliseconds.
+    pub fn admit(&self, now: u64) -> bool {
+        let written = self.written_at.get();
+        let is_due = written.is_none_or(|written| now.saturating_sub(written) >= LINE_INTERVAL);
+        if is_due {
+            self.written_at.set(Some(now));
+        }
+        is_due
+    }
+}
+
 static INFO_LIMIT: LineLimit = LineLimit::new(MAX_INFO_LINES);
 static FAILURE_LIMIT: LineLimit = LineLimit::new(MAX_FAILURE_LINES);
 
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -1,5 +1,7 @@
 //! Chooses paths over engines by what the relay knows of the replicas.
 
+pub mod missing;
+
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -66,15 +66,9 @@
 /// memory.
 const MAX_RELAYS: usize = 8_192;
 
-/// Minimum interval of log lines about dropped datagrams, in milliseconds.
-const DROP_LOG_INTERVAL: Millis = 1_000;
-
 fn drop_datagram(relay: &Relay, from: SocketAddr, why: &str) {
     count(&relay.counts.bad_datagrams);
-    let now = now_millis();
-    let logged = relay.drop_logged_at.get();
-    if logged.is_none_or(|logged| now.saturating_sub(logged) >= DROP_LOG_INTERVAL) {
-        relay.drop_logged_at.set(Some(now));
+    if relay.dropped_datagram_lines.admit(now_millis()) {
         let dropped = relay.counts.bad_datagrams.get();
         tracing::warn!(event = "datagram-dropped", %from, why, dropped);
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -32,7 +32,7 @@
     engine_poll::poll_engines,
     engines::ReportCache,
     limits::exchange_grants,
-    logs::dropped_lines,
+    logs::{LineInterval, dropped_lines},
     metrics::RelayMetrics,
     peers::run_gossip,
     placer::place_layers,
@@ -225,7 +225,8 @@
         quarantine_notify: Notify::new(),
         send_notify: Notify::new(),
         pending_send: Cell::new(None),
-        drop_logged_at: Cell::new(None),
+        dropped_datagram_lines: LineInterval::default(),
+        missing_path_lines: LineInterval::default(),
         gossip_plan: RefCell::default(),
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -45,6 +45,7 @@
     counts::{Counts, count},
     engines::ReportCache,
     gossip::{SendScope, send_state},
+    logs::LineInterval,
     metrics::RelayMetrics,
     plain::ServiceLoads,
     pool::ConnectionPool,
@@ -228,8 +229,10 @@
     pub send_notify: Notify,
     /// Relays that it should send state to before the next round.
     pub pending_send: Cell<Option<SendScope>>,
-    /// Time at which dropped datagrams were last logged.
-    pub drop_logged_at: Cell<Option<Millis>>,
+    /// Limit of the lines about dropped datagrams.
+    pub dropped_datagram_lines: LineInterval,
+    /// Limit of the lines about requests without a path.
+    pub missing_path_lines: LineInterval,
     /// Relays that this one sends its state to.
     pub gossip_plan: RefCell<GossipPlan>,
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -27,7 +27,9 @@
     engines::{ReportState, probe_replicas, recent_report},
     forward::stream_body,
     notices::{SendGate, apply_notices, refusal_without_replica},
-    paths::{PathCriteria, PathReservation, can_start_path, wait_for_path},
+    paths::{
+        PathCriteria, PathReservation, can_start_path, missing::log_missing_path, wait_for_path,
+    },
     plain::{drain_rejection, end_from_headers},
     pool::{ActiveConnection, SendError},
     quarantine::{check_quarantine, record_result},
@@ -220,19 +222,23 @@
         load_aware: relay.settings.load_aware_paths,
         overcommit: overcommit_rule(relay, permit),
     };
-    let path = match controls_overload(relay, permit) {
-        false => wait_for_path(relay, &criteria, max_wait).await?,
+    let found = match controls_overload(relay, permit) {
+        false => wait_for_path(relay, &criteria, max_wait).await,
         true => {
             let wait = match history.sends + history.rejections == 0 && last_event_id.is_none() {
                 true => CapacityWait::of_new(relay, request, permit),
                 false => CapacityWait::of_resumed(now_millis() + max_wait.as_millis() as Millis),
             };
             match wait_for_capacity(relay, request, &criteria, permit, wait).await {
-                Ok(path) => path?,
+                Ok(path) => path,
                 Err(refusal) => return Some(OpenOutcome::Refused(refusal)),
             }
         }
     };
+    let Some(path) = found else {
+        log_missing_path(relay, &criteria, &request.headers.attempt_id);
+        return None;
+    };
     let first = relay.state.borrow().fleet.view.get_current(&path[0].instance).cloned()?;
     if let Err(refusal) = check_quarantine(relay, request) {
         return Some(OpenOutcome::Refused(refusal));
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
 
@@ -13,13 +13,14 @@
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use serde_json::Value;
+use serde_json::{Value, json};
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica, StreamEnd, events,
     samples::{LAYERS, ORGANISATION, in_data_centre, model_entry},
 };
 use switchfold_relay::logs::start_to;
 use tracing::level_filters::LevelFilter;
+use tracing_appender::non_blocking::WorkerGuard;
 
 /// Output that keeps the written log lines.
 #[derive(Clone, Default)]
@@ -52,6 +53,16 @@
     }
 }
 
+/// Returns the output of all tests of this file: only the first start of the log takes effect.
+fn captured_output() -> CapturedOutput {
+    static OUTPUT: OnceLock<(CapturedOutput, WorkerGuard)> = OnceLock::new();
+    let start = || {
+        let output = CapturedOutput::default();
+        (output.clone(), start_to(LevelFilter::INFO, output))
+    };
+    OUTPUT.get_or_init(start).0.clone()
+}
+
 /// Responds as a healthy replica, but breaks streams that must not be resumed.
 fn breaks_after_two_events(request: &ReceivedRequest) -> Reply {
     match request.target.starts_with("/stream-once/") {
@@ -63,8 +74,7 @@
 /// A line without the class cannot be counted by class: the account would show it under no rank.
 #[test]
 fn lines_of_a_request_name_its_class() {
-    let output = CapturedOutput::default();
-    let _guard = start_to(LevelFilter::INFO, output.clone());
+    let output = captured_output();
     run_test(async {
         let engine = StandinReplica::start(breaks_after_two_events).await;
         let entry = |address| in_data_centre(model_entry(address, 0, LAYERS), "far");
@@ -105,3 +115,20 @@
         assert!(refused["rank"].is_null(), "not admitted: {refused}");
     });
 }
+
+/// A refusal for want of a path named no layer, so that lost replicas could not be told from leaving
+/// or full ones.
+#[test]
+fn a_missing_path_names_the_first_gap() {
+    let output = captured_output();
+    run_test(async {
+        let engine = StandinReplica::start(respond_healthy).await;
+        let entry = |address| model_entry(address, 0, LAYERS / 2);
+        let relay = RunningRelay::start(bounds(), &[entry_of("i-1", &engine, entry)]).await;
+        let refused = relay.get("/stream/e", "e").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        let line = output.line("no-path", "e").await;
+        assert_eq!((&line["replicas"], &line["leaving"]), (&json!(1), &json!(0)), "{line}");
+        assert_eq!(line["first_gap"], LAYERS / 2, "{line}");
+    });
+}
