--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -110,7 +110,7 @@
             folder: folder.clone(),
         };
         let report = run_seed(seed, Duration::from_secs(self.seconds), config).await?;
-        if report.violations.is_empty() {
+        if !report.needs_logs() {
             std::fs::remove_dir_all(&folder)?;
         }
         Ok(report)
@@ -163,10 +163,13 @@
         report.faults,
         report.violations.len()
     );
+    for (outcome, count) in &report.unserved {
+        println!("    not served: {count} {outcome}");
+    }
     for violation in &report.violations {
         println!("    {violation}");
     }
-    if !report.violations.is_empty() {
+    if report.needs_logs() {
         println!("    logs in {}", folder.join(format!("seed-{}", report.seed)).display());
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,17 @@
     pub faults: usize,
     /// Number of calls counted after the last fault, and of those that were served.
     pub after_faults: (usize, usize),
+    /// Number of those that were not served, by kind and outcome.
+    pub unserved: BTreeMap<String, usize>,
+}
+
+impl SoakReport {
+    /// Returns whether the logs of the run are worth reading: a guarantee was violated, or few calls
+    /// were served after the last fault.
+    pub fn needs_logs(&self) -> bool {
+        let (calls, served) = self.after_faults;
+        !self.violations.is_empty() || served * 2 < calls
+    }
 }
 
 /// Injects the faults of a seed for `length`, waits until requests must be served again, and checks
@@ -185,9 +196,13 @@
         .iter()
         .filter(|call| call.sent_at >= measured_from && cluster.is_valid_key(&call.key));
     let (mut count, mut served) = (0, 0);
+    let mut unserved = BTreeMap::new();
     for call in counted {
         count += 1;
-        served += usize::from(call.is_served());
+        match call.is_served() {
+            true => served += 1,
+            false => *unserved.entry(describe_outcome(call)).or_default() += 1,
+        }
     }
     let mut outcomes = BTreeMap::new();
     calls.extend(class_calls);
@@ -202,7 +217,7 @@
     history.calls = calls;
     history.after_faults = (count, served);
     let violations = check(&history, ORGANISATION);
-    SoakReport { seed, violations, outcomes, faults, after_faults: (count, served) }
+    SoakReport { seed, violations, outcomes, faults, after_faults: (count, served), unserved }
 }
 
 fn describe_outcome(call: &CallRecord) -> String {
