--- a/crates/relay/src/snapshot/mod.rs
+++ b/crates/relay/src/snapshot/mod.rs
@@ -7,8 +7,11 @@
 //! HTTP rather than by datagram: lists are larger than datagrams should be, and a lost response
 //! must be noticed. A snapshot carries its age by the clock of the relay that sends it; the relay
 //! that asked counts the age back from the time of its request. So no two clocks are compared, and
-//! a late response only makes the snapshot look older. On a day with 103 relays and two outages the
-//! store got 3,109 calls instead of 12,505.
+//! a late response only makes the snapshot look older. On a day with 103 relays and two outages the store
+//! got 3,109 calls instead of 12,505.
+//!
+//! Relays of other data centres may ask as well: one that starts fetches the quarantined requests
+//! from whichever relay knows them.
 //!
 //! | worst case | effect |
 //! |---|---|
