Relay: a retry that is not admitted leaves the outcome unknown

What callers saw: 503, 401 or 404, which say that the request did not run, for a request that a replica had run.

Cause: a request is admitted anew before each retry, by the configuration then in force. The refusal of that admission was passed on, although an earlier attempt may have run; all other ends of the loop ask for that.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -72,6 +72,22 @@
     })
 }
 
+/// Admits a request for another attempt. If an earlier one may have run, a refusal does not deny it.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives.
+pub fn admit_retry(
+    relay: &Relay,
+    request: &AdmissionRequest,
+    may_have_run: bool,
+) -> Result<Permit, Refusal> {
+    admit(relay, request).map_err(|refusal| match may_have_run {
+        true => Refusal::OutcomeUnknown,
+        false => refusal,
+    })
+}
+
 /// Returns whether the configuration is recent enough to accept API keys: it was last proved to be
 /// the current one within the platform's revocation bound.
 pub fn is_config_fresh(relay: &Relay, now: Millis) -> bool {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -28,7 +28,7 @@
 };
 
 use crate::{
-    admit::{Permit, admit},
+    admit::{Permit, admit_retry},
     counts::count,
     limits::{GrantWait, request_grant},
     notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
@@ -317,7 +317,7 @@
                 if sends > 0 {
                     count(&relay.counts.repeats);
                 }
-                permit = admit(relay, &request.admission)?;
+                permit = admit_retry(relay, &request.admission, may_have_run)?;
                 charge = retry.into_charge();
             }
             (NextStep::AnswerNotRun, _) => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -22,7 +22,7 @@
     admission::{
         CapacityWait, controls_overload, overcommit_rule, record_first_event, wait_for_capacity,
     },
-    admit::{Permit, admit},
+    admit::{Permit, admit, admit_retry},
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
     forward::stream_body,
@@ -134,7 +134,7 @@
         match next {
             NextStep::TryElsewhere => {
                 count(&relay.counts.repeats);
-                permit = admit(relay, &request.admission)?;
+                permit = admit_retry(relay, &request.admission, history.sends > 0)?;
                 charge = retry.into_charge();
             }
             NextStep::AnswerNotRun => {
