Kernel: a standstill of the process does not count as idle time of its connections

What callers saw: beside heavy load a stopping entry still closed connections whose last response had announced nothing, and requests sent on them had no outcome: "client error (SendRequest): connection closed before message completed", 3 of 105, in 1 of 40 runs of entry_stops_as_planned_with_streams_in_flight and vm_list_marks_a_vm_as_leaving at load average 84.

Cause: the second without use was one sleep. A process that stood still or had no processor for longer than it found the sleep over when it ran again, and closed connections before it had read what was sent meanwhile, and before callers that stood still with it could use them.

Change: the time is slept in steps of 200 ms, of which a standstill takes one, and at least one step is slept before a connection is closed; a connection is read before its idle time is looked at.

Evidence: a_standstill_does_not_count_as_idle_time failed before (reuse 50 ms into the delay, then a standstill of 4 s: no response) and passes.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -24,7 +24,7 @@
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     sync::watch,
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Time for which a connection that the server has closed is read, so that a caller that is still
@@ -34,6 +34,9 @@
 /// Maximum number of bytes that are read from a closed connection.
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
+/// Longest part of the time without use that passes at once, see [`sleep_awake`].
+const IDLE_STEP: Duration = Duration::from_millis(200);
+
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -191,6 +194,8 @@
         let connection = builder.serve_connection(TokioIo::new(&mut stream), service);
         let mut connection = pin!(connection);
         tokio::select! {
+            // A request that has arrived is read before its connection counts as idle.
+            biased;
             served = connection.as_mut() => served,
             () = wait_for_idle_close(stopping, &uses, delays) => {
                 connection.as_mut().graceful_shutdown();
@@ -211,24 +216,35 @@
     delays: ShutdownDelays,
 ) {
     stopping.await;
-    sleep(delays.after_signal).await;
+    sleep_awake(delays.after_signal).await;
     let mut changes = uses.subscribe();
     loop {
         let last_use = *changes.borrow_and_update();
         let idle_end = async {
             match last_use.in_progress {
                 true => std::future::pending().await,
-                false => sleep_until(last_use.since + delays.idle).await,
+                false => sleep_awake(delays.idle.saturating_sub(last_use.since.elapsed())).await,
             }
         };
         tokio::select! {
-            () = idle_end => return,
+            biased;
             // `uses` outlives this wait, so it ends only with a change.
             _ = changes.changed() => {}
+            () = idle_end => return,
         }
     }
 }
 
+/// Sleeps for `duration`, at least for one [`IDLE_STEP`], while this process runs. A standstill
+/// counts as a single step: requests that were sent meanwhile have not been read yet.
+async fn sleep_awake(duration: Duration) {
+    let duration = duration.max(IDLE_STEP);
+    let steps = duration.as_millis().div_ceil(IDLE_STEP.as_millis()) as u32;
+    for _ in 0..steps {
+        sleep(duration / steps).await;
+    }
+}
+
 /// Closes the sending direction and discards what the caller still sends. Returns the number of
 /// bytes discarded.
 async fn linger(stream: &mut (impl AsyncRead + AsyncWrite + Unpin)) -> std::io::Result<usize> {
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -15,7 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{advance, sleep},
 };
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
@@ -103,6 +103,35 @@
     assert_eq!(reused.expect(&moment), "whole");
 }
 
+/// Writes a request to a connection and reads the response; nothing if the connection is closed.
+async fn call_raw(caller: &mut DuplexStream) -> String {
+    const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+    let _may_be_closed = caller.write_all(REQUEST).await;
+    let mut response = [0; 1_024];
+    let len = caller.read(&mut response).await.unwrap_or_default();
+    String::from_utf8_lossy(&response[..len]).into_owned()
+}
+
+/// Time for which the process stands still in a test, longer than any delay of a shutdown.
+const STANDSTILL: Duration = Duration::from_secs(4);
+
+/// Guards against connections that are closed the moment the process runs again, before callers
+/// that stood still with it can use them.
+#[tokio::test(start_paused = true)]
+async fn a_standstill_does_not_count_as_idle_time() {
+    for moment_ms in (0..1_000).step_by(50) {
+        let signal = ShutdownSignal::new();
+        let mut caller = open_connection(&signal);
+        assert!(call_raw(&mut caller).await.ends_with("whole"));
+        signal.raise();
+        sleep(Duration::from_millis(moment_ms)).await;
+        advance(STANDSTILL).await;
+        sleep(Duration::from_millis(1)).await;
+        let response = call_raw(&mut caller).await;
+        assert!(response.ends_with("whole"), "after {moment_ms} ms: {response:?}");
+    }
+}
+
 /// Guards against connections that were closed without a word after a stream that outlived the
 /// grace period, which lost the caller's next request.
 #[tokio::test(start_paused = true)]
