--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -65,7 +65,7 @@
 /// milliseconds.
 const LINE_INTERVAL: u64 = 1_000;
 
-/// Limits a kind of line to one in each [`LINE_INTERVAL`].
+/// Limits a kind of line to one in a second.
 #[derive(Debug, Default)]
 pub struct LineInterval {
     written_at: Cell<Option<u64>>,
--- a/crates/relay/src/quarantine/start.rs
+++ b/crates/relay/src/quarantine/start.rs
@@ -3,7 +3,7 @@
 //! Until then the relay is not ready, and requests wait: one of them may be quarantined at all other
 //! relays, and would crash another replica. A relay that knows the quarantine is asked first, since
 //! only one relay of each data centre reads the store. If neither can provide it, for example when no
-//! relay has kept its state, the relay serves without it after [`MAX_WAIT`].
+//! relay has kept its state, the relay serves without it after a while.
 
 use std::{rc::Rc, time::Duration};
 
@@ -39,7 +39,7 @@
     }
 }
 
-/// Waits until the quarantine is known, at most for [`MAX_WAIT`].
+/// Waits until the quarantine is known or this relay serves without it.
 pub async fn wait_for_quarantine(relay: &Relay) {
     let until = now_millis() + MAX_WAIT;
     while !relay.knows_quarantine.get() && now_millis() < until {
