--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -262,6 +262,20 @@
     }
 }
 
+/// Sends a request that crashes replicas until it is quarantined and the store holds its entry.
+async fn quarantine_request(
+    relay: &RunningRelay,
+    engines: &[StandinReplica],
+    store: &StandinStore,
+) {
+    for attempt in 0..3 {
+        relay.get("/stream/bad", &format!("bad-{attempt}")).await;
+        sleep(LOCAL_INTERVAL).await;
+    }
+    assert_eq!(count_crashed(engines), MAX_CRASHED);
+    wait_until(async || count_stored(store) > 0).await;
+}
+
 /// All relays stop and lose their state. The relays that start next learn of the quarantine from
 /// the store.
 #[test]
@@ -270,12 +284,7 @@
         let engines = start_replicas(8, crashing_engine).await;
         let store = start_store(&engines, full_model).await;
         let relays = start_relays(&["hall"], &store).await;
-        for attempt in 0..3 {
-            relays[0].get("/stream/bad", &format!("bad-{attempt}")).await;
-            sleep(LOCAL_INTERVAL).await;
-        }
-        assert_eq!(count_crashed(&engines), MAX_CRASHED);
-        wait_until(async || count_stored(&store) > 0).await;
+        quarantine_request(&relays[0], &engines, &store).await;
         relays.into_iter().for_each(|relay| relay.task.abort());
         let relays = start_relays(&["far", "hall"], &store).await;
         for relay in &relays {
@@ -299,12 +308,7 @@
             let engines = start_replicas(8, crashing_engine).await;
             let store = start_store(&engines, full_model).await;
             let relays = start_relays(&["hall"], &store).await;
-            for attempt in 0..3 {
-                relays[0].get("/stream/bad", &format!("bad-{attempt}")).await;
-                sleep(LOCAL_INTERVAL).await;
-            }
-            assert_eq!(count_crashed(&engines), MAX_CRASHED);
-            wait_until(async || count_stored(&store) > 0).await;
+            quarantine_request(&relays[0], &engines, &store).await;
             store.set_behaviour(behaviour);
             let late = BoundRelay::new_in(data_centre, "late", store.clone(), bounds()).await.run();
             late.wait_ready(StatusCode::OK).await;
