review: case 1 beside a neighbour that knows the newer configuration

The case now has both relays in one data centre, and the operator writes again 2 s after the store's return.

--- a/review/standins/restore.rs
+++ b/review/standins/restore.rs
@@ -1,10 +1,9 @@
 //! A drill in which the store comes back from a copy that is older than the removal of a key,
-//! beside the planned restart of a relay that is the only one of its data centre.
+//! beside the planned restart of one of two relays.
 
 use std::{
     collections::HashMap,
     io::{self, ErrorKind},
-    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -32,7 +31,7 @@
 const DEADLINE_MS: u64 = 3_000;
 
 /// Interval between two requests of a caller.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Longest time until all relays are ready.
 const START_TIME: Duration = Duration::from_secs(15);
@@ -41,17 +40,20 @@
 const COPY_LEAD: Duration = Duration::from_millis(500);
 
 /// Time from the removal of the key to SIGTERM.
-const TIME_BEFORE_STOP: Duration = Duration::from_millis(2_500);
+const TIME_BEFORE_STOP: Duration = Duration::from_millis(3_000);
 
 /// Time for which the store is away.
 const AWAY_TIME: Duration = Duration::from_millis(300);
 
+/// Time from the return of the store to the start of the relay that was stopped.
+const START_DELAY: Duration = Duration::from_millis(300);
+
 /// Interval at which a replica writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// Time from the return of the store until the operator has written the configuration again, at
-/// least that until a replica has written its entry again.
-const REWRITE_TIME: Duration = Duration::from_millis(1_500);
+/// Time from the return of the store until the operator has written the configuration again: that
+/// in which entries that lapsed are back.
+const REWRITE_TIME: Duration = Duration::from_millis(2_000);
 
 /// Time of traffic after that.
 const TIME_AFTER: Duration = Duration::from_secs(4);
@@ -81,9 +83,8 @@
     let with_both = config(1, &format!(r#""{KEPT_KEY}","{REMOVED_KEY}""#));
     let with_one = config(2, &format!(r#""{KEPT_KEY}""#));
     store.put("config", "main", &with_both);
-    for (id, data_centre) in [("i-desk1", "hall-a"), ("i-desk2", "hall-b")] {
-        let replica =
-            PlainReplica::new(id, ("desk", data_centre), (SLOTS, WORK_TIME), record, &runs);
+    for id in ["i-desk1", "i-desk2"] {
+        let replica = PlainReplica::new(id, ("desk", "hall"), (SLOTS, WORK_TIME), record, &runs);
         let entry = replica.entry(replica.start()?);
         let store = store.clone();
         store.put("servers", id, &entry);
@@ -94,20 +95,20 @@
             }
         });
     }
-    let mut first = RelayProcess::new("edge-hall-a-1", "hall-a", platform, &context.folder)?;
-    let mut second = RelayProcess::new("edge-hall-b-1", "hall-b", platform, &context.folder)?;
-    first.start()?;
-    second.start()?;
-    let balancers = [&first, &second].map(|relay| {
-        ZoneBalancer::start(&[(relay.name, relay.address(), relay.ready_address())], record)
-    });
-    wait_until(START_TIME, || balancers.iter().all(ZoneBalancer::all_in))?;
+    let mut stays = RelayProcess::new("edge-hall-1", "hall", platform, &context.folder)?;
+    let mut restarts = RelayProcess::new("edge-hall-2", "hall", platform, &context.folder)?;
+    stays.start()?;
+    restarts.start()?;
+    let addresses =
+        [&stays, &restarts].map(|relay| (relay.name, relay.address(), relay.ready_address()));
+    let balancer = ZoneBalancer::start(&addresses, record);
+    wait_until(START_TIME, || balancer.all_in())?;
 
     let calls: Arc<Mutex<Vec<CallRecord>>> = Arc::default();
     let has_ended = Arc::new(AtomicBool::new(false));
     let callers = [KEPT_KEY, REMOVED_KEY].map(|key| {
         let (record, calls, has_ended) = (record.clone(), calls.clone(), has_ended.clone());
-        let balancers = balancers.clone();
+        let balancer = balancer.clone();
         spawn(move || {
             let mut number = 0;
             while !has_ended.load(Ordering::Relaxed) {
@@ -115,7 +116,7 @@
                 let id = format!("{key}-{number:04x}");
                 let target = "POST /confirm/sale";
                 let request = CallerRequest { id, target, key, deadline_ms: DEADLINE_MS };
-                let call = request.send(choose(&balancers, number), &record);
+                let call = request.send(balancer.choose(number), &record);
                 calls.lock().expect("no thread panics while it holds this").push(call);
                 sleep(REQUEST_INTERVAL);
             }
@@ -127,10 +128,10 @@
     store.put("config", "main", &with_one);
     let removed_at = record.write("version 2, without the removed key, is acknowledged");
     sleep(TIME_BEFORE_STOP);
-    first.signal(Signal::Terminate);
-    record.write("SIGTERM to edge-hall-a-1");
-    wait_until(Duration::from_secs(GRACE_S), || first.has_ended())?;
-    record.write("edge-hall-a-1 has ended");
+    restarts.signal(Signal::Terminate);
+    record.write("SIGTERM to edge-hall-2");
+    wait_until(Duration::from_secs(GRACE_S), || restarts.has_ended())?;
+    record.write("edge-hall-2 has ended");
     if context.has_trouble {
         store.go_away();
         record.write("the store is away");
@@ -138,10 +139,11 @@
         store.come_back();
         record.write("the store is back from the copy");
     }
-    first.kill();
-    first.start()?;
-    record.write("edge-hall-a-1 is started again");
-    sleep(REWRITE_TIME);
+    sleep(START_DELAY);
+    restarts.kill();
+    restarts.start()?;
+    record.write("edge-hall-2 is started again");
+    sleep(REWRITE_TIME.saturating_sub(START_DELAY));
     store.put("config", "main", &with_one);
     record.write("version 2 is in the store, written again if it was lost");
     sleep(TIME_AFTER);
@@ -172,13 +174,6 @@
     Ok(broken)
 }
 
-/// Chooses the relay of the callers' data centre, or the one of the nearest other data centre while
-/// it is out.
-fn choose(balancers: &[ZoneBalancer; 2], caller: usize) -> (&'static str, SocketAddr) {
-    let [near, far] = balancers;
-    if near.all_in() { near.choose(caller) } else { far.choose(caller) }
-}
-
 fn wait_until(longest: Duration, mut condition: impl FnMut() -> bool) -> io::Result<()> {
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     for _ in 0..longest.as_millis() / POLL_INTERVAL.as_millis() {
