review: a restored store makes relays send to a replica that they saw leave

Cause: 3.8 s after the first list from a restored store, a relay adds every replica that the copy still lists, also those that it saw leave before; the store drops their entries after three silent heartbeats of 1.2 s, at the earliest 0.2 s before.

Adds case 3: a replica leaves without saying so, and the store comes back from a copy that still lists it.

--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, BufRead, BufReader, ErrorKind, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -147,20 +150,29 @@
     response.ok_or(ErrorKind::UnexpectedEof.into())
 }
 
-/// Serves requests at a free loopback port until the process ends; returns the address. A handler
+/// Interval at which a server looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Serves requests at a free loopback port until `has_ended` is set; returns the address. A handler
 /// that returns `None` closes the connection.
 ///
 /// # Errors
 ///
 /// Fails if no port is free.
 pub fn serve(
+    has_ended: Arc<AtomicBool>,
     handler: impl Fn(HttpMessage) -> Option<HttpMessage> + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !has_ended.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
             let handler = handler.clone();
             thread::spawn(move || serve_connection(stream, handler.as_ref()));
         }
@@ -172,6 +184,7 @@
     stream: TcpStream,
     handler: &dyn Fn(HttpMessage) -> Option<HttpMessage>,
 ) -> io::Result<()> {
+    stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut stream = stream;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,10 +9,13 @@
     io::{self, ErrorKind},
     path::{Path, PathBuf},
     process::{ExitCode, id},
+    thread::sleep,
+    time::Duration,
 };
 
 mod balancer;
 mod caller;
+mod drained;
 mod http;
 mod record;
 mod relay;
@@ -63,6 +66,7 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let outcome = match case {
+        "drained" => drained::run(&context),
         "restore" => restore::run(&context),
         "shutdown" => shutdown::run(&context),
         _ => Err(ErrorKind::InvalidInput.into()),
@@ -76,3 +80,19 @@
     }
     outcome
 }
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Fails if it does not hold within `longest`.
+pub fn wait_until(longest: Duration, mut condition: impl FnMut() -> bool) -> io::Result<()> {
+    const POLL_INTERVAL: Duration = Duration::from_millis(20);
+    for _ in 0..longest.as_millis() / POLL_INTERVAL.as_millis() {
+        if condition() {
+            return Ok(());
+        }
+        sleep(POLL_INTERVAL);
+    }
+    Err(ErrorKind::TimedOut.into())
+}
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -3,7 +3,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::sleep,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -20,6 +23,10 @@
     pub id: String,
     /// Organisation in whose name it ran.
     pub organisation: String,
+    /// Id of the replica.
+    pub replica: String,
+    /// Time at which it began, in milliseconds.
+    pub began_at: u64,
 }
 
 /// Runs of all replicas, in the order of their starts.
@@ -38,6 +45,7 @@
     record: RunRecord,
     runs: SharedRuns,
     running: Arc<Mutex<usize>>,
+    has_ended: Arc<AtomicBool>,
 }
 
 impl PlainReplica {
@@ -51,8 +59,19 @@
     ) -> Self {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let (record, runs) = (record.clone(), runs.clone());
-        let running = Arc::default();
-        Self { id: id.into(), service, data_centre, slots, work_time, born, record, runs, running }
+        let (running, has_ended) = Default::default();
+        Self {
+            id: id.into(),
+            service,
+            data_centre,
+            slots,
+            work_time,
+            born,
+            record,
+            runs,
+            running,
+            has_ended,
+        }
     }
 
     /// Starts serving, and returns the address.
@@ -62,7 +81,16 @@
     /// Fails if no port is free.
     pub fn start(&self) -> io::Result<SocketAddr> {
         let replica = self.clone();
-        serve(move |request| Some(replica.respond(&request)))
+        serve(self.has_ended.clone(), move |request| {
+            let response = replica.respond(&request);
+            (!replica.has_ended.load(Ordering::Relaxed)).then_some(response)
+        })
+    }
+
+    /// Ends the replica: it refuses connections, and closes those on which it works without an
+    /// answer.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
     }
 
     /// Returns its entry in the store.
@@ -102,8 +130,10 @@
     }
 
     fn run(&self, id: &str, organisation: &str) {
-        self.record.write(&format!("replica {} runs {id} for {organisation}", self.id));
-        let run = ReplicaRun { id: id.into(), organisation: organisation.into() };
+        let began_at =
+            self.record.write(&format!("replica {} runs {id} for {organisation}", self.id));
+        let (id, organisation, replica) = (id.to_owned(), organisation.into(), self.id.clone());
+        let run = ReplicaRun { id: id.clone(), organisation, replica, began_at };
         self.runs.lock().expect("no thread panics while it holds this").push(run);
         sleep(self.work_time);
         self.record.write(&format!("replica {} has run {id}", self.id));
--- a/review/standins/restore.rs
+++ b/review/standins/restore.rs
@@ -19,6 +19,7 @@
     relay::{GRACE_S, REVOKE_MS, RelayProcess, Signal},
     replica::{PlainReplica, SharedRuns},
     store::PlatformStore,
+    wait_until,
 };
 
 /// Time that a replica works on a request.
@@ -173,14 +174,3 @@
     }
     Ok(broken)
 }
-
-fn wait_until(longest: Duration, mut condition: impl FnMut() -> bool) -> io::Result<()> {
-    const POLL_INTERVAL: Duration = Duration::from_millis(20);
-    for _ in 0..longest.as_millis() / POLL_INTERVAL.as_millis() {
-        if condition() {
-            return Ok(());
-        }
-        sleep(POLL_INTERVAL);
-    }
-    Err(ErrorKind::TimedOut.into())
-}
--- a/review/standins/shutdown.rs
+++ b/review/standins/shutdown.rs
@@ -15,6 +15,7 @@
     relay::{GRACE_S, RelayProcess, Signal},
     replica::{PlainReplica, SharedRuns},
     store::PlatformStore,
+    wait_until,
 };
 
 /// Names of the relays, all in one data centre.
@@ -86,7 +87,7 @@
     let addresses: Vec<_> =
         relays.iter().map(|relay| (relay.name, relay.address(), relay.ready_address())).collect();
     let balancer = ZoneBalancer::start(&addresses, record);
-    wait_until_ready(&balancer)?;
+    wait_until(START_TIME, || balancer.all_in())?;
 
     let calls: Arc<Mutex<Vec<CallRecord>>> = Arc::default();
     let mut threads = Vec::new();
@@ -139,17 +140,6 @@
     Ok(lost.len())
 }
 
-fn wait_until_ready(balancer: &ZoneBalancer) -> io::Result<()> {
-    const POLL_INTERVAL: Duration = Duration::from_millis(100);
-    for _ in 0..START_TIME.as_millis() / POLL_INTERVAL.as_millis() {
-        if balancer.all_in() {
-            return Ok(());
-        }
-        sleep(POLL_INTERVAL);
-    }
-    Err(ErrorKind::TimedOut.into())
-}
-
 /// Starts the relays again that have ended, and kills those whose grace period is over.
 fn end_stops(
     relays: &mut [RelayProcess],
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -52,7 +52,7 @@
     /// Fails if no port is free.
     pub fn start(&self) -> io::Result<SocketAddr> {
         let store = self.clone();
-        serve(move |request| Some(store.respond(&request)))
+        serve(Arc::default(), move |request| Some(store.respond(&request)))
     }
 
     /// Writes an object for its owner. Unchanged contents get no new revision.
@@ -66,6 +66,12 @@
         self.changed.notify_all();
     }
 
+    /// Removes an object, as the platform does once its owner has left.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().contents.remove(kind, name);
+        self.changed.notify_all();
+    }
+
     /// Takes the copy from which [`PlatformStore::come_back`] restores.
     pub fn take_copy(&self) {
         let mut state = self.lock();
