review: a sound request is refused for ten minutes after replicas crashed

Cause: a relay that has just started knows no results, so that three replicas that crash in a row while they run a request quarantine it at all relays, whatever ended them; nothing is sent that could clear it.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -12,7 +12,7 @@
 	exit 2
 }
 # At the limit, `timeout` ends the whole process group, the relays included.
-timeout --kill-after=5 "$LIMIT_S" "$program" drained "$case_folder/record.txt"
+timeout --kill-after=5 "$LIMIT_S" "$program" shutdown "$case_folder/record.txt"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -15,8 +15,8 @@
 
 mod balancer;
 mod caller;
-mod drained;
 mod http;
+mod quarantined;
 mod record;
 mod relay;
 mod replica;
@@ -66,7 +66,7 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let outcome = match case {
-        "drained" => drained::run(&context),
+        "quarantined" => quarantined::run(&context),
         "restore" => restore::run(&context),
         "shutdown" => shutdown::run(&context),
         _ => Err(ErrorKind::InvalidInput.into()),
--- a/review/standins/relay.rs
+++ b/review/standins/relay.rs
@@ -24,11 +24,8 @@
 /// Bound on removed keys, in milliseconds.
 pub const REVOKE_MS: u64 = 5_000;
 
-/// Time for which a leaving replica may still get requests, in milliseconds.
-pub const DRAIN_MS: u64 = 2_000;
-
-/// Time without a disruption after which a relay counts as in touch, in milliseconds.
-pub const CONTACT_MS: u64 = 3_000;
+/// Time after which requests are to be served again, in milliseconds.
+pub const RECOVERY_MS: u64 = 12_000;
 
 /// Values of the timing bounds in the template, as in the site files.
 const TIMING_BOUNDS: [(&str, &str); 8] = [
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::sleep,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -16,6 +16,9 @@
     record::RunRecord,
 };
 
+/// Longest part of the work on a request in which the replica does not notice its own end.
+const WORK_STEP: Duration = Duration::from_millis(10);
+
 /// A run of a request.
 #[derive(Clone, Debug)]
 pub struct ReplicaRun {
@@ -23,10 +26,6 @@
     pub id: String,
     /// Organisation in whose name it ran.
     pub organisation: String,
-    /// Id of the replica.
-    pub replica: String,
-    /// Time at which it began, in milliseconds.
-    pub began_at: u64,
 }
 
 /// Runs of all replicas, in the order of their starts.
@@ -130,13 +129,15 @@
     }
 
     fn run(&self, id: &str, organisation: &str) {
-        let began_at =
-            self.record.write(&format!("replica {} runs {id} for {organisation}", self.id));
-        let (id, organisation, replica) = (id.to_owned(), organisation.into(), self.id.clone());
-        let run = ReplicaRun { id: id.clone(), organisation, replica, began_at };
+        self.record.write(&format!("replica {} runs {id} for {organisation}", self.id));
+        let run = ReplicaRun { id: id.to_owned(), organisation: organisation.into() };
         self.runs.lock().expect("no thread panics while it holds this").push(run);
-        sleep(self.work_time);
-        self.record.write(&format!("replica {} has run {id}", self.id));
+        let until = Instant::now() + self.work_time;
+        while Instant::now() < until && !self.has_ended.load(Ordering::Relaxed) {
+            sleep(WORK_STEP.min(until.saturating_duration_since(Instant::now())));
+        }
+        let end = if self.has_ended.load(Ordering::Relaxed) { "ends within" } else { "has run" };
+        self.record.write(&format!("replica {} {end} {id}", self.id));
         *self.running.lock().expect("no thread panics while it holds this") -= 1;
     }
 }
