--- a/review/standins/relay.rs
+++ b/review/standins/relay.rs
@@ -5,6 +5,7 @@
     fs::{self, File},
     io::{self, ErrorKind},
     net::{SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -49,9 +50,18 @@
     Terminate = 15,
 }
 
+/// Option of `prctl` by which a process receives a signal once the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
+/// SIGKILL.
+const SIGKILL: std::ffi::c_ulong = 9;
+
 unsafe extern "C" {
     /// Sends a signal to a process.
     fn kill(pid: i32, signal: i32) -> i32;
+
+    /// Sets an attribute of this process.
+    fn prctl(option: i32, argument: std::ffi::c_ulong) -> i32;
 }
 
 /// Addresses of a relay.
@@ -112,6 +122,14 @@
         let mut command = Command::new(PROGRAM);
         command.env("SWITCHFOLD_NODE_FILE", &settings).stdin(Stdio::null());
         command.stdout(log.try_clone()?).stderr(log);
+        // SAFETY: `prctl` allocates nothing and takes no lock. Without it a relay would go on running
+        // if this process were killed.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
         self.child = Some(command.spawn()?);
         Ok(())
     }
