--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -82,10 +82,7 @@
     request: &AdmissionRequest,
     may_have_run: bool,
 ) -> Result<Permit, Refusal> {
-    admit(relay, request).map_err(|refusal| match may_have_run {
-        true => Refusal::OutcomeUnknown,
-        false => refusal,
-    })
+    admit(relay, request).map_err(|refusal| refusal.unless_run(may_have_run))
 }
 
 /// Returns whether the configuration is recent enough to accept API keys: it was last proved to be
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -186,8 +186,17 @@
 /// Interval between two checks whether a replica accepts requests again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Returns whether the shutdown could cut off a request that is sent now.
+fn is_stopped(relay: &Relay, request: &CallerRequest, permit: &Permit) -> bool {
+    let Some(schedule) = relay.shutdown.schedule() else { return false };
+    let now = now_millis();
+    let route = &permit.route;
+    let expected = relay.state.borrow().route_times.expected(&route.name, route.objective, now);
+    !schedule.allows_send(request.time_remaining(now), expected, now)
+}
+
 /// Chooses a replica. If none accepts requests at the moment but one will in time for this request,
-/// waits for it.
+/// waits for it. Returns `None` if there is none, or the relay stops too soon.
 async fn wait_for_replica(
     relay: &Rc<Relay>,
     request: &CallerRequest,
@@ -200,6 +209,9 @@
     let Permit { service, priority, .. } = permit;
     let mut grant_wait = None;
     loop {
+        if is_stopped(relay, request, permit) {
+            return None;
+        }
         if let Some(replica) = choose_replica(relay, permit, tried) {
             if grant_wait.is_none() {
                 request_grant(relay, service, *priority, untried);
@@ -249,28 +261,29 @@
 ) -> Result<RelayResponse, Refusal> {
     let mut permit = permit;
     let mut tried = Vec::new();
-    let (mut sends, mut unsent, mut may_have_run) = (0, 0, false);
+    let (mut sends, mut unsent) = (0, 0);
+    let may_have_run = &request.may_have_run;
     let mut charge: Option<RetryCharge> = None;
     loop {
         let replica = wait_for_replica(relay, request, &permit, &tried).await;
         let Some(replica) = replica else {
-            return Err(match may_have_run {
-                true => Refusal::OutcomeUnknown,
+            let refusal = match is_stopped(relay, request, &permit) {
+                true => Refusal::Stopping,
                 false => refusal(relay, &permit, Refusal::NoReplica),
-            });
+            };
+            return Err(refusal.unless_run(may_have_run.get()));
         };
         if let Err(refusal) = check_quarantine(relay, request) {
-            return Err(if may_have_run { Refusal::OutcomeUnknown } else { refusal });
+            return Err(refusal.unless_run(may_have_run.get()));
         }
         if let Some(retry) = charge.take() {
             charge = retry.begin_send(&permit.service);
             if charge.is_none() {
-                return Err(match may_have_run {
-                    true => Refusal::OutcomeUnknown,
-                    false => refusal(relay, &permit, Refusal::NotRun),
-                });
+                let refusal = refusal(relay, &permit, Refusal::NotRun);
+                return Err(refusal.unless_run(may_have_run.get()));
             }
         }
+        let ran_before = may_have_run.replace(true);
         let outcome = attempt(relay, request, &permit, &replica, sends).await;
         if let Some(charge) = charge.take_if(|_| outcome.end == AttemptEnd::NotSent) {
             charge.cancel_send();
@@ -280,7 +293,8 @@
             AttemptEnd::NotSent => unsent += 1,
             _ => sends += 1,
         }
-        may_have_run |= matches!(outcome.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
+        let ran_now = matches!(outcome.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
+        may_have_run.set(ran_before || ran_now);
         let now = now_millis();
         let repeatable = permit.route.is_repeatable();
         let has_time = request.time_remaining(now) > MIN_RETRY_TIME;
@@ -294,7 +308,7 @@
         };
         let state = AttemptState {
             repeatable,
-            may_have_run: may_have_run && !matches!(outcome.end, AttemptEnd::Answered(_)),
+            may_have_run: may_have_run.get() && !matches!(outcome.end, AttemptEnd::Answered(_)),
             can_repeat: !retry.is_denied(),
         };
         let next = decide_next(state, outcome.end);
@@ -317,7 +331,7 @@
                 if sends > 0 {
                     count(&relay.counts.repeats);
                 }
-                permit = admit_retry(relay, &request.admission, may_have_run)?;
+                permit = admit_retry(relay, &request.admission, may_have_run.get())?;
                 charge = retry.into_charge();
             }
             (NextStep::AnswerNotRun, _) => {
@@ -373,7 +387,12 @@
             run.record_loss(relay, request, &outcome.detail);
             check_reachable(relay, replica).await;
         }
-        AttemptEnd::Answered(_) => record_result(relay, request),
+        AttemptEnd::Answered(_) => {
+            record_result(relay, request);
+            let now = now_millis();
+            let times = &mut relay.state.borrow_mut().route_times;
+            times.record(&permit.route.name, now - started, now);
+        }
         AttemptEnd::NotSent | AttemptEnd::Rejected => {}
     }
     if outcome.is_throttled {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -68,6 +68,8 @@
     pub deadline: Millis,
     /// Number of sends to plain services so far.
     pub attempt_count: Cell<u32>,
+    /// Whether a replica may have run it.
+    pub may_have_run: Rc<Cell<bool>>,
     /// Whether it was dispatched before; the wait for the first dispatch is recorded.
     pub is_dispatched: Cell<bool>,
 }
@@ -260,8 +262,16 @@
     let headers = read_request_headers(&parts.headers);
     let id = headers.attempt_id.clone();
     let mut class = RequestClass::default();
-    let arrival = RequestArrival { parts, body, headers, arrived_at };
-    let outcome = serve(&relay, arrival, in_flight, &mut class).await;
+    let may_have_run = Rc::default();
+    let arrival =
+        RequestArrival { parts, body, headers, arrived_at, may_have_run: Rc::clone(&may_have_run) };
+    let outcome = tokio::select! {
+        biased;
+        outcome = serve(&relay, arrival, in_flight, &mut class) => outcome,
+        () = relay.shutdown.wait_until_answer_due() => {
+            Err(Refusal::Stopping.unless_run(may_have_run.get()))
+        }
+    };
     let mut response = match outcome {
         Ok(response) => {
             let status = response.status().as_u16();
@@ -302,6 +312,7 @@
     body: Incoming,
     headers: RequestHeaders,
     arrived_at: Millis,
+    may_have_run: Rc<Cell<bool>>,
 }
 
 /// Serves a request, and sets `class` once it is admitted.
@@ -311,7 +322,7 @@
     in_flight: CountGuard,
     class: &mut RequestClass,
 ) -> Result<RelayResponse, Refusal> {
-    let RequestArrival { parts, body, headers, arrived_at } = arrival;
+    let RequestArrival { parts, body, headers, arrived_at, may_have_run } = arrival;
     let admission = read_admission(&parts, &headers);
     wait_for_config(relay).await;
     let permit = admit(relay, &admission)?;
@@ -355,6 +366,7 @@
         arrived_at,
         deadline: arrived_at + timeout,
         attempt_count: Cell::new(0),
+        may_have_run,
         is_dispatched: Cell::new(false),
     };
     wait_for_quarantine(relay).await;
@@ -364,7 +376,6 @@
     match service.is_some_and(|service| service.engine.is_some()) {
         true if relay.shutdown.refuses_streams() => Err(Refusal::Stopping),
         true => run_stream(relay, Rc::new(request), permit, in_flight).await,
-        false if relay.shutdown.would_cut(timeout) => Err(Refusal::Stopping),
         false => run_plain(relay, &request, permit).await,
     }
 }
--- a/crates/relay/src/responses.rs
+++ b/crates/relay/src/responses.rs
@@ -82,6 +82,15 @@
 }
 
 impl Refusal {
+    /// Returns this refusal, or [`OutcomeUnknown`](Self::OutcomeUnknown) if a replica may have run the
+    /// request.
+    pub fn unless_run(self, may_have_run: bool) -> Self {
+        match may_have_run {
+            true => Self::OutcomeUnknown,
+            false => self,
+        }
+    }
+
     /// Returns the HTTP status of the response. 503 promises that the request did not run.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -237,6 +237,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         relay.pool.close_expired();
+        relay.state.borrow_mut().route_times.remove_expired(now_millis());
         sweeps += 1;
         if sweeps.is_multiple_of(SWEEPS_PER_FIGURES) {
             log_figures(&relay);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -11,6 +11,7 @@
     connection::{ConnectionLimits, ShutdownDelays, serve_connection},
     http::take_queued,
 };
+use switchfold_router::Millis;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -55,22 +56,24 @@
     }
     // Closing the listener would reset the connections in its queue, with the requests on them.
     take_queued(listener).into_iter().for_each(spawn);
-    wait_while(&relay, |relay| relay.shutdown.open_connections() > 0).await;
+    let exit_by = relay.shutdown.schedule().map_or(0, |schedule| schedule.exit_by);
+    wait_while(&relay, exit_by, |relay| relay.shutdown.open_connections() > 0).await;
 }
 
 /// Waits until a shutdown needs no new connections any more: no request is in flight and callers
-/// had time to move to other relays, or the shutdown deadline has passed.
+/// had time to move to other relays, or the last responses are due.
 async fn wait_until_drained(relay: &Relay) {
     relay.shutdown.wait_until_stopping().await;
-    let remaining = relay.shutdown.deadline().saturating_sub(now_millis());
+    let answer_by = relay.shutdown.schedule().map_or(0, |schedule| schedule.answer_by);
+    let remaining = answer_by.saturating_sub(now_millis());
     sleep(MIN_SHUTDOWN_TIME.min(Duration::from_millis(remaining))).await;
-    wait_while(relay, |relay| relay.shutdown.in_flight() > 0).await;
+    wait_while(relay, answer_by, |relay| relay.shutdown.in_flight() > 0).await;
 }
 
-/// Waits while a condition holds, at most until the shutdown deadline.
-async fn wait_while(relay: &Relay, condition: impl Fn(&Relay) -> bool) {
+/// Waits while a condition holds, at most until `end`.
+async fn wait_while(relay: &Relay, end: Millis, condition: impl Fn(&Relay) -> bool) {
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
-    while condition(relay) && now_millis() < relay.shutdown.deadline() {
+    while condition(relay) && now_millis() < end {
         sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -1,16 +1,19 @@
 //! Graceful shutdown.
 //!
 //! From SIGTERM on, the relay is not ready and each response closes its connection; requests are
-//! served as before. Once the load balancer has noticed that the relay is not ready, idle
-//! connections are closed and no stream is started any more, because it could not end in time. The
-//! process exits when the last request has been answered and the connections are closed, or just
-//! before it would be killed.
+//! served as long as they can be expected to end in time, see [`stops`]. Once the load balancer has
+//! noticed that the relay is not ready, idle connections are closed and no stream is started any
+//! more, because it could not end in time. The process exits when the last request has been
+//! responded to and the connections are closed. Shortly before it would be killed, requests that
+//! are still in flight get a refusal that tells whether they may have run.
+//!
+//! [`stops`]: switchfold_router::stops
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::Millis;
-use tokio::sync::Notify;
+use switchfold_router::{Millis, stops::StopSchedule};
+use tokio::{sync::Notify, time::sleep};
 
 use crate::state::Relay;
 
@@ -23,53 +26,53 @@
 /// request on it.
 pub const LAST_USE_DELAY: Millis = 1_000;
 
-/// Time from SIGTERM in which streams are still started, in milliseconds. After it callers are sent
-/// to another relay at once, rather than losing their stream midway.
-const STREAM_START_WINDOW: Millis = 2_800;
-
-/// Time before the process would be killed at which the shutdown ends, in milliseconds.
-const KILL_MARGIN: Millis = 900;
-
-/// Longest timeout that counts when deciding whether the end of the shutdown could cut off a
-/// request, in milliseconds. Plain services respond in a tenth of it.
-const MAX_REQUEST_TIME: Millis = 1_500;
-
 /// State of the shutdown, and the number of requests in flight.
 #[derive(Debug, Default)]
 pub struct ShutdownState {
-    began_at: Cell<Option<Millis>>,
-    deadline: Cell<Millis>,
+    schedule: Cell<Option<StopSchedule>>,
     in_flight: Cell<usize>,
     open_connections: Cell<usize>,
     began: Notify,
 }
 
 impl ShutdownState {
-    /// Begins the shutdown; the process would be killed after `grace` milliseconds.
+    /// Begins the shutdown; the process is killed after `grace` milliseconds. Beginning it again
+    /// has no effect.
     pub fn begin(&self, grace: Millis) {
-        self.deadline.set(now_millis() + grace.saturating_sub(KILL_MARGIN));
-        self.began_at.set(self.began_at.get().or(Some(now_millis())));
+        if self.is_stopping() {
+            return;
+        }
+        self.schedule.set(Some(StopSchedule::new(now_millis(), grace)));
         self.began.notify_waiters();
     }
 
+    /// Returns the times of the shutdown, once it has begun.
+    pub fn schedule(&self) -> Option<StopSchedule> {
+        self.schedule.get()
+    }
+
     /// Returns whether the shutdown has begun.
     pub fn is_stopping(&self) -> bool {
-        self.began_at.get().is_some()
+        self.schedule.get().is_some()
     }
 
     /// Returns whether the shutdown has gone too far to start a stream.
     pub fn refuses_streams(&self) -> bool {
-        self.began_at.get().is_some_and(|began| now_millis() - began > STREAM_START_WINDOW)
+        self.schedule.get().is_some_and(|schedule| !schedule.starts_streams(now_millis()))
     }
 
-    /// Returns the time at which the shutdown ends at the latest; 0 before it begins.
-    pub fn deadline(&self) -> Millis {
-        self.deadline.get()
+    /// Waits until the requests in flight must be responded to.
+    pub async fn wait_until_answer_due(&self) {
+        self.wait_until(|schedule| schedule.answer_by).await;
     }
 
-    /// Returns whether the end of the shutdown could cut off a request with this timeout.
-    pub fn would_cut(&self, timeout: Millis) -> bool {
-        self.is_stopping() && now_millis() + timeout.min(MAX_REQUEST_TIME) > self.deadline.get()
+    /// Waits for a time of the shutdown.
+    async fn wait_until(&self, time: impl Fn(&StopSchedule) -> Millis) {
+        self.wait_until_stopping().await;
+        let Some(schedule) = self.schedule.get() else { return };
+        while now_millis() < time(&schedule) {
+            sleep(Duration::from_millis(time(&schedule) - now_millis())).await;
+        }
     }
 
     /// Waits until the shutdown begins.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -36,6 +36,7 @@
     routing::{ConfigSlot, RoutingConfig},
     slowdown::SlowdownTable,
     stall::StallDetector,
+    stops::RouteTimes,
     suspect::SuspectList,
 };
 use tokio::{net::UdpSocket, sync::Notify};
@@ -118,6 +119,8 @@
     pub loan_requests: HashMap<String, LoanRequests>,
     /// Load of the replicas of plain services.
     pub service_loads: ServiceLoads,
+    /// Response times of the routes to plain services.
+    pub route_times: RouteTimes,
     /// Admission of streams to ranked services, by service.
     pub admissions: HashMap<String, ServiceAdmission>,
     /// The other relays.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -106,17 +106,19 @@
         let max_wait = memory_wait(&request, &permit);
         let target = StreamTarget { last_event_id, max_wait, charge: charge.take() };
         let opened = open_stream(relay, &request, &permit, &mut history, target).await;
+        request.may_have_run.set(history.sends > 0);
         let (end, detail) = match opened {
-            None if history.sends > 0 => return Err(Refusal::OutcomeUnknown),
-            None => return Err(refusal(relay, &permit, Refusal::NoReplica)),
+            None => {
+                let refusal = refusal(relay, &permit, Refusal::NoReplica);
+                return Err(refusal.unless_run(history.sends > 0));
+            }
             Some(OpenOutcome::Opened(stream)) => {
                 return Ok(begin_response(relay, request, permit, history, *stream, in_flight));
             }
             Some(OpenOutcome::Responded(response)) => return Ok(response),
-            Some(OpenOutcome::Refused(_)) if history.sends > 0 => {
-                return Err(Refusal::OutcomeUnknown);
+            Some(OpenOutcome::Refused(refusal)) => {
+                return Err(refusal.unless_run(history.sends > 0));
             }
-            Some(OpenOutcome::Refused(refusal)) => return Err(refusal),
             Some(OpenOutcome::Failed(end, detail)) => (end, detail),
         };
         let now = now_millis();
@@ -258,6 +260,7 @@
     let new_connection = !permit.route.is_repeatable();
     let mut run = RunTracker::over_path(&path);
     let head = PendingHead::new(relay, &first.instance);
+    request.may_have_run.set(true);
     let sent_at = now_millis();
     let sent = {
         let gate = SendGate::new(relay, &first.instance, permit.priority);
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -242,7 +242,10 @@
         let peers = settings.peer_listen;
         let shutdown = ShutdownSignal::new();
         let running = run_relay(settings, sockets, None, shutdown.clone());
-        let task = spawn_local(async move { running.await.expect("the relay runs") });
+        // Its tasks end with it, as they do when the process exits.
+        let task = spawn_local(async move {
+            LocalSet::new().run_until(running).await.expect("the relay runs");
+        });
         RunningRelay { store, address, ready, metrics, peers, shutdown, task }
     }
 }
@@ -280,12 +283,21 @@
 
 /// Sends a request on a new connection and reads the response.
 pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> CallResult {
+    try_call(address, request).await.expect("a response")
+}
+
+/// Sends a request on a new connection and reads the response. Returns `None` if there is no
+/// connection, or if it ends before the head of a response.
+pub(crate) async fn try_call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<CallResult> {
     let exchange = async {
-        let stream = TcpStream::connect(address).await.expect("the relay listens");
+        let stream = TcpStream::connect(address).await.ok()?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.expect("a connection");
         let connection = tokio::spawn(connection);
-        let response = sender.send_request(request).await.expect("a response");
+        let response = sender.send_request(request).await.ok()?;
         let (parts, mut body) = response.into_parts();
         let (mut bytes, mut is_complete) = (Vec::new(), true);
         while let Some(frame) = body.frame().await {
@@ -299,7 +311,7 @@
         }
         connection.abort();
         let body = String::from_utf8_lossy(&bytes).into_owned();
-        CallResult { status: parts.status, headers: parts.headers, body, is_complete }
+        Some(CallResult { status: parts.status, headers: parts.headers, body, is_complete })
     };
     timeout(WAIT_TIMEOUT, exchange).await.expect("the call takes too long")
 }
--- a/crates/relay/tests/shutdowns.rs
+++ b/crates/relay/tests/shutdowns.rs
@@ -4,16 +4,28 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use switchfold_platform::headers::ATTEMPT_ID;
 use switchfold_platform_standin::{
-    ReceivedRequest, StandinReplica, StreamEnd, events,
+    ReceivedRequest, Reply, StandinReplica, StreamEnd, events,
     samples::{self, desk_entry},
+    signed_response,
+};
+use switchfold_relay::settings::BoundSettings;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::spawn_local,
+    time::sleep,
 };
-use tokio::{net::TcpStream, task::spawn_local};
 
-use harness::{RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, respond_healthy, run_test};
+use harness::{
+    RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, respond_healthy, run_test, try_call,
+    wait_until,
+};
 
 /// Events of a stream that outlives the time after which idle connections are closed.
 const LONG_EVENTS: u64 = 32;
@@ -21,7 +33,7 @@
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
-fn respond_slowly(received: &ReceivedRequest) -> switchfold_platform_standin::Reply {
+fn respond_slowly(received: &ReceivedRequest) -> Reply {
     match received.target.starts_with("/stream") {
         true => events(received, LONG_EVENTS, EVENT_PAUSE, StreamEnd::Complete),
         false => respond_healthy(received),
@@ -73,3 +85,85 @@
             .expect("the relay does not panic");
     });
 }
+
+/// Bounds with a short grace period.
+fn short_grace() -> BoundSettings {
+    BoundSettings { grace_s: 4.0, ..bounds() }
+}
+
+/// Guards against plain requests that took longer than a stopping relay assumed and were cut off
+/// without a response when it exited.
+#[test]
+fn a_planned_stop_does_not_cut_slow_plain_requests() {
+    const WORK_TIME: Duration = Duration::from_millis(1_800);
+    run_test(async {
+        let slow = |received: &ReceivedRequest| match signed_response(received, 200, "confirmed") {
+            Reply::Bytes(bytes) => Reply::BytesLater(WORK_TIME, bytes),
+            other => other,
+        };
+        let replica = StandinReplica::start(slow).await;
+        let relay =
+            RunningRelay::start(short_grace(), &[entry_of("i-1", &replica, desk_entry)]).await;
+        let address = relay.address;
+        assert_eq!(relay.get("/once/a", "first").await.status, StatusCode::OK);
+
+        relay.shutdown.raise();
+        let mut calls = Vec::new();
+        // New requests keep the relay running to the end of its grace period.
+        while !relay.task.is_finished() {
+            let number = calls.len();
+            let id = format!("a{number}");
+            calls.push(spawn_local(async move {
+                (try_call(address, request("/once/a", &id)).await, id)
+            }));
+            sleep(Duration::from_millis(50)).await;
+        }
+        let (mut served, mut refused) = (0, 0);
+        for call in calls {
+            let (called, id) = call.await.expect("no panic");
+            let is_own =
+                |received: &ReceivedRequest| received.header(ATTEMPT_ID.as_str()) == Some(&id);
+            let was_sent = replica.requests().iter().any(is_own);
+            match called.map(|called| (called.status, called.is_complete)) {
+                Some((StatusCode::OK, true)) => served += 1,
+                Some((StatusCode::SERVICE_UNAVAILABLE, true)) if !was_sent => refused += 1,
+                None if !was_sent => {}
+                other => panic!("request {id} was sent to the replica and got {other:?}"),
+            }
+        }
+        assert!(served > 0, "requests that end in time are served");
+        assert!(refused > 0, "requests that could be cut off are refused");
+    });
+}
+
+/// Guards against requests in flight whose connections were closed without a response when a
+/// stopping relay exited.
+#[test]
+fn a_stopping_relay_responds_to_requests_that_are_still_in_flight() {
+    run_test(async {
+        let replica = StandinReplica::start(|_| Reply::Silence).await;
+        let relay =
+            RunningRelay::start(short_grace(), &[entry_of("i-1", &replica, desk_entry)]).await;
+        let address = relay.address;
+        let sent = spawn_local(try_call(address, request("/once/a", "sent")));
+        wait_until(async || !replica.requests().is_empty()).await;
+        let mut partial = TcpStream::connect(address).await.expect("the relay listens");
+        let head = format!(
+            "POST /once/a HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {}\r\nx-attempt-id: part\r\n\
+             content-length: 10\r\n\r\nhalf",
+            samples::HOST,
+            samples::KEY,
+        );
+        partial.write_all(head.as_bytes()).await.expect("the relay reads");
+        relay.shutdown.raise();
+
+        let sent = sent.await.expect("no panic").expect("a response");
+        assert_eq!((sent.status, sent.is_complete), (StatusCode::BAD_GATEWAY, true));
+        let mut response = Vec::new();
+        partial.read_to_end(&mut response).await.expect("a response");
+        let response = String::from_utf8_lossy(&response).into_owned();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.to_ascii_lowercase().contains("\r\nretry-after: "), "{response}");
+        assert_eq!(replica.requests().len(), 1);
+    });
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -41,6 +41,7 @@
 //! | [`routing`] | the configuration: route, service and organisation of a request |
 //! | [`slowdown`] | how slow each engine is at the moment |
 //! | [`stall`] | which first replicas begin no responses, and when a request goes elsewhere |
+//! | [`stops`] | which requests a stopping relay still sends to replicas |
 //! | [`suspect`] | which replicas are avoided for a while after a failure |
 //!
 //! The trade-off: a relay chooses alone, from what it last received. Two relays may choose the same
@@ -80,6 +81,7 @@
 pub mod routing;
 pub mod slowdown;
 pub mod stall;
+pub mod stops;
 pub mod suspect;
 
 pub use switchfold_core::Millis;
