Relay: the grace period counts from the begin of a pause

Cause: the end of the shutdown was counted from the moment at which the signal was handled. The platform counts from when it was sent.

Change: the relay notes every 200 ms that it is running. A gap of over 400 ms that ends with the signal counts as part of the grace period. Responses that arrived meanwhile still get 200 ms.

Test: the_grace_period_counts_from_the_begin_of_a_pause; the type it tests is new, so it did not compile before.

--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -81,6 +81,7 @@
             }
         }
         round += 1;
+        relay.shutdown.record_awake();
         remove_expired(relay);
         plan_gossip(relay);
         send_to_links(relay, |name, link| due_sections(name, link, round));
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -12,7 +12,10 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::{Millis, stops::StopSchedule};
+use switchfold_router::{
+    Millis,
+    stops::{AwakeTimes, StopSchedule},
+};
 use tokio::{sync::Notify, time::sleep};
 
 use crate::state::Relay;
@@ -30,19 +33,29 @@
 #[derive(Debug, Default)]
 pub struct ShutdownState {
     schedule: Cell<Option<StopSchedule>>,
+    awake: Cell<AwakeTimes>,
     in_flight: Cell<usize>,
     open_connections: Cell<usize>,
     began: Notify,
 }
 
 impl ShutdownState {
-    /// Begins the shutdown; the process is killed after `grace` milliseconds. Beginning it again
-    /// has no effect.
+    /// Records that the process is running, so that a pause can be told from a late signal.
+    pub fn record_awake(&self) {
+        let mut awake = self.awake.get();
+        awake.record(now_millis());
+        self.awake.set(awake);
+    }
+
+    /// Begins the shutdown; the process is killed `grace` milliseconds after the signal. Beginning
+    /// it again has no effect.
     pub fn begin(&self, grace: Millis) {
         if self.is_stopping() {
             return;
         }
-        self.schedule.set(Some(StopSchedule::new(now_millis(), grace)));
+        let now = now_millis();
+        let signalled_at = self.awake.get().earliest_signal(now);
+        self.schedule.set(Some(StopSchedule::new(signalled_at, grace, now)));
         self.began.notify_waiters();
     }
 
--- a/crates/router/src/stops.rs
+++ b/crates/router/src/stops.rs
@@ -19,6 +19,10 @@
 /// Longest time before the kill at which the process exits, in milliseconds.
 const MAX_EXIT_MARGIN: Millis = 400;
 
+/// Shortest time for responses to requests in flight if the signal is handled late, in
+/// milliseconds. Responses that arrived meanwhile only have to be passed on.
+const MIN_ANSWER_TIME: Millis = 200;
+
 /// Times of one graceful shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopSchedule {
@@ -31,14 +35,15 @@
 }
 
 impl StopSchedule {
-    /// Plans a shutdown whose process is killed `grace` milliseconds after the signal.
-    pub fn new(signalled_at: Millis, grace: Millis) -> Self {
+    /// Plans a shutdown whose signal was sent at `signalled_at` and is handled at `now`. The process
+    /// is killed `grace` milliseconds after the signal.
+    pub fn new(signalled_at: Millis, grace: Millis, now: Millis) -> Self {
         let before_kill =
             |margin: Millis, divisor: Millis| signalled_at + grace - margin.min(grace / divisor);
         Self {
             signalled_at,
-            answer_by: before_kill(MAX_ANSWER_MARGIN, 10),
-            exit_by: before_kill(MAX_EXIT_MARGIN, 20),
+            answer_by: before_kill(MAX_ANSWER_MARGIN, 10).max(now + MIN_ANSWER_TIME),
+            exit_by: before_kill(MAX_EXIT_MARGIN, 20).max(now + MIN_ANSWER_TIME * 2),
         }
     }
 
@@ -55,6 +60,36 @@
     }
 }
 
+/// Longest time between two records of [`AwakeTimes`] that is no pause, in milliseconds: twice the
+/// interval at which they are made.
+const MAX_RECORD_INTERVAL: Millis = 400;
+
+/// The last times at which the process was seen running. A signal that arrives while the process is
+/// paused is handled after the pause, but the grace period counts from its arrival.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AwakeTimes {
+    previous: Millis,
+    latest: Millis,
+}
+
+impl AwakeTimes {
+    /// Records that the process runs at `now`. Called at least every 200 ms.
+    pub fn record(&mut self, now: Millis) {
+        (self.previous, self.latest) = (self.latest, now);
+    }
+
+    /// Returns the earliest time at which a signal that is handled now may have been sent: the
+    /// beginning of a pause that has just ended, or now.
+    pub fn earliest_signal(&self, now: Millis) -> Millis {
+        let is_pause = |from: Millis, to: Millis| to.saturating_sub(from) > MAX_RECORD_INTERVAL;
+        match () {
+            () if is_pause(self.latest, now) => self.latest,
+            () if is_pause(self.previous, self.latest) => self.previous,
+            () => now,
+        }
+    }
+}
+
 /// Length of the window over which the longest response time is kept, in milliseconds.
 const TIME_WINDOW: Millis = 60_000;
 
--- a/crates/router/tests/stops.rs
+++ b/crates/router/tests/stops.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use switchfold_router::{
     Millis,
-    stops::{RouteTimes, StopSchedule},
+    stops::{AwakeTimes, RouteTimes, StopSchedule},
 };
 
 /// Time of the signal in every drawn shutdown, in milliseconds.
@@ -80,7 +80,7 @@
         earlier in prop::collection::vec(0..10_000u64, 0..40),
         requests in prop::collection::vec(drawn_request(), 1..60),
     ) {
-        let schedule = StopSchedule::new(SIGNALLED_AT, grace);
+        let schedule = StopSchedule::new(SIGNALLED_AT, grace, SIGNALLED_AT);
         prop_assert!(schedule.answer_by < schedule.exit_by);
         prop_assert!(schedule.exit_by < SIGNALLED_AT + grace);
         let mut times = RouteTimes::default();
@@ -117,7 +117,7 @@
         timeout in 30_000..600_000u64,
         took in 0..200u64,
     ) {
-        let schedule = StopSchedule::new(SIGNALLED_AT, grace);
+        let schedule = StopSchedule::new(SIGNALLED_AT, grace, SIGNALLED_AT);
         let mut times = RouteTimes::default();
         (0..16).for_each(|_| times.record("route", took, SIGNALLED_AT));
         let sent_at = schedule.answer_by - took - took / 8 - 50;
@@ -126,6 +126,30 @@
     }
 }
 
+/// Guards against requests that were cut off since a relay counted its grace period from the end of
+/// a pause, during which the signal had arrived.
+#[test]
+fn the_grace_period_counts_from_the_begin_of_a_pause() {
+    let mut awake = AwakeTimes::default();
+    awake.record(9_800);
+    awake.record(10_000);
+    assert_eq!(awake.earliest_signal(10_150), 10_150);
+    // Paused from 10,000 to 13,000; the signal is handled before or after the next record.
+    assert_eq!(awake.earliest_signal(13_000), 10_000);
+    awake.record(13_000);
+    assert_eq!(awake.earliest_signal(13_001), 10_000);
+    awake.record(13_200);
+    assert_eq!(awake.earliest_signal(13_201), 13_201);
+}
+
+/// Responses that arrived during a pause are passed on even if the grace period seems to be over.
+#[test]
+fn a_stop_handled_late_leaves_time_for_responses_that_have_arrived() {
+    let schedule = StopSchedule::new(10_000, 8_000, 30_000);
+    assert!(schedule.answer_by > 30_000);
+    assert!(schedule.exit_by > schedule.answer_by);
+}
+
 #[test]
 fn old_response_times_lose_their_effect() {
     let mut times = RouteTimes::default();
