Relay: a waiting stream is refused once a stopping relay starts no more

What callers saw: a stream that waited for capacity when SIGTERM came stayed in the queue for up to 7.2 s (objective 3 s), was refused at the end of its wait with the delay of an overloaded service, or was sent when the relay could not end it any more.

Cause: the same as of the cut plain requests: the shutdown was checked at the arrival only.

Change: the wait ends when the relay stops starting streams, and each attempt checks before it begins. The caller gets 503 and retries at another relay, or 502 if an earlier attempt may have run.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -374,7 +374,6 @@
     relay.record_request(&permit.service, now_millis());
     let service = permit.config.services.get(&permit.service);
     match service.is_some_and(|service| service.engine.is_some()) {
-        true if relay.shutdown.refuses_streams() => Err(Refusal::Stopping),
         true => run_stream(relay, Rc::new(request), permit, in_flight).await,
         false => run_plain(relay, &request, permit).await,
     }
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -74,6 +74,11 @@
         self.schedule.get().is_some_and(|schedule| !schedule.starts_streams(now_millis()))
     }
 
+    /// Waits until the shutdown has gone too far to start a stream.
+    pub async fn wait_until_streams_refused(&self) {
+        self.wait_until(StopSchedule::streams_until).await;
+    }
+
     /// Waits until the requests in flight must be responded to.
     pub async fn wait_until_answer_due(&self) {
         self.wait_until(|schedule| schedule.answer_by).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -102,10 +102,19 @@
     let mut history = SendHistory::default();
     let mut charge = None;
     loop {
+        if relay.shutdown.refuses_streams() {
+            return Err(Refusal::Stopping.unless_run(history.sends > 0));
+        }
         let last_event_id = request.headers.last_event_id;
         let max_wait = memory_wait(&request, &permit);
         let target = StreamTarget { last_event_id, max_wait, charge: charge.take() };
-        let opened = open_stream(relay, &request, &permit, &mut history, target).await;
+        let opened = tokio::select! {
+            biased;
+            () = wait_until_refused(relay, &request) => {
+                return Err(Refusal::Stopping.unless_run(history.sends > 0));
+            }
+            opened = open_stream(relay, &request, &permit, &mut history, target) => opened,
+        };
         request.may_have_run.set(history.sends > 0);
         let (end, detail) = match opened {
             None => {
@@ -148,6 +157,15 @@
     }
 }
 
+/// Waits until the relay stops too soon for a stream that has not been sent yet. Never returns once
+/// it has been sent.
+async fn wait_until_refused(relay: &Relay, request: &CallerRequest) {
+    relay.shutdown.wait_until_streams_refused().await;
+    if request.may_have_run.get() {
+        std::future::pending().await
+    }
+}
+
 fn refusal(relay: &Relay, permit: &Permit, otherwise: Refusal) -> Refusal {
     refusal_without_replica(relay, &permit.service, permit.priority, can_start_path, otherwise)
 }
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -312,3 +312,20 @@
         });
     }
 }
+
+/// Guards against streams that waited for capacity at a stopping relay until their wait was over,
+/// or were sent when it was too late to end them.
+#[test]
+fn a_waiting_stream_is_refused_once_a_stopping_relay_starts_no_more() {
+    run_test(async {
+        let (relay, replica, holder) = start_occupied(Mode::Ranked, LONG_OBJECTIVE_MS).await;
+        let waiting = spawn_call(&relay, "/stream/a", "waiting");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        relay.shutdown.raise();
+        let refused = waiting.await.expect("no panic");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(refused.headers[RETRY_AFTER], "0.010");
+        assert_eq!(sent_ids(&replica), [HOLDER]);
+        holder.abort();
+    });
+}
--- a/crates/router/src/stops.rs
+++ b/crates/router/src/stops.rs
@@ -49,7 +49,12 @@
 
     /// Returns whether streams are still started.
     pub fn starts_streams(&self, now: Millis) -> bool {
-        now <= (self.signalled_at + STREAM_START_WINDOW).min(self.answer_by)
+        now <= self.streams_until()
+    }
+
+    /// Returns the time after which no stream is started.
+    pub fn streams_until(&self) -> Millis {
+        (self.signalled_at + STREAM_START_WINDOW).min(self.answer_by)
     }
 
     /// Returns whether a request may be sent that has `remaining` milliseconds until its deadline.
