Soak: slow plain requests while most relays stop

A last phase stops all relays but one at once, with 24 callers of a route whose requests take up to 4 s; the load balancer then uses the stopping relays as well.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -579,7 +579,7 @@
         prefix: kind.prefix(),
         kind: match kind {
             CallKind::Safe => "idempotent",
-            CallKind::Once => "non_idempotent",
+            CallKind::Once | CallKind::SlowOnce => "non_idempotent",
             CallKind::Stream | CallKind::StreamOnce | CallKind::LongStream | CallKind::Class(_) => {
                 "streaming"
             }
@@ -589,7 +589,7 @@
         max_attempts: 2,
         resumable: kind.is_stream() && !kind.runs_once(),
     };
-    let kinds = CallKind::ALL.into_iter().chain([CallKind::LongStream]);
+    let kinds = CallKind::ALL.into_iter().chain([CallKind::LongStream, CallKind::SlowOnce]);
     kinds.chain(CallKind::CLASSES).map(route).collect()
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -21,6 +21,8 @@
     StreamOnce,
     /// A stream that may be resumed, and that outlives most of a relay's planned stop.
     LongStream,
+    /// Not idempotent, and takes seconds.
+    SlowOnce,
     /// A stream of a class, that may be resumed. Classes compete for the same engines; 0 is the most
     /// urgent.
     Class(u8),
@@ -52,6 +54,7 @@
             Self::Stream => "/stream/",
             Self::StreamOnce => "/stream-once/",
             Self::LongStream => "/long-stream/",
+            Self::SlowOnce => "/slow-once/",
             Self::Class(number) => CLASS_PREFIXES[usize::from(number)],
         }
     }
@@ -63,7 +66,7 @@
 
     /// Whether a request may run at most once.
     pub fn runs_once(self) -> bool {
-        matches!(self, Self::Once | Self::StreamOnce)
+        matches!(self, Self::Once | Self::StreamOnce | Self::SlowOnce)
     }
 }
 
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -12,6 +12,7 @@
 
 use clap::{Args, ValueEnum};
 use serde_json::Value;
+use switchfold_core::hash::hash_bytes;
 use switchfold_kernel::clock::{epoch_micros, epoch_millis};
 use switchfold_platform::{
     REPLICA_KIND,
@@ -49,6 +50,9 @@
 /// Time that a request of the plain service takes.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 
+/// Longest time that a slow request takes, in milliseconds. It is drawn by the id of the request.
+const MAX_SLOW_TIME_MS: u64 = 4_000;
+
 /// One in this many requests of the plain service fails.
 const REQUESTS_PER_FAILURE: usize = 19;
 
@@ -252,13 +256,23 @@
             request_id.bytes().map(usize::from).sum::<usize>().is_multiple_of(REQUESTS_PER_FAILURE);
         let status = if fails { 500 } else { 200 };
         match notices.add_headers(signed_response(request, status, &response_body(request_id))) {
-            Reply::Bytes(bytes) => Reply::BytesLater(PROCESSING_TIME, bytes),
+            Reply::Bytes(bytes) => Reply::BytesLater(processing_time(request), bytes),
             other => other,
         }
     })
     .await
 }
 
+fn processing_time(request: &ReceivedRequest) -> Duration {
+    match request.target.starts_with(CallKind::SlowOnce.prefix()) {
+        true => {
+            let draw = hash_bytes(0, attempt_id(request).as_bytes());
+            Duration::from_millis(draw % MAX_SLOW_TIME_MS)
+        }
+        false => PROCESSING_TIME,
+    }
+}
+
 /// Number of streams of classes that an engine runs at once if their `Priority` is 0.
 const CLASS_CAPACITY: usize = 10;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -42,6 +42,12 @@
 /// Callers that send the next request the moment a long stream ends.
 const REUSING_CALLERS: u64 = 4;
 
+/// Callers of slow requests while most relays stop.
+const SLOW_CALLERS: u64 = 24;
+
+/// Time in which they call before that.
+const SLOW_TIME: Duration = Duration::from_secs(3);
+
 /// Shortest downtime of a killed process.
 const MIN_DOWNTIME: Duration = Duration::from_millis(300);
 
@@ -124,6 +130,7 @@
     let crash_calls = crash_caller.await.map_err(io::Error::other)?;
     let mut class_calls = join_callers(class_callers).await?;
     class_calls.extend(join_callers(reusing_callers).await?);
+    class_calls.extend(stop_most_relays(&cluster, seed).await?);
     class_calls.extend(overload(&cluster, seed, size.engines).await?);
     cluster.shut_down().await;
     let calls = SoakCalls { calls, class_calls, crash_calls };
@@ -161,6 +168,27 @@
     Ok(calls)
 }
 
+/// Stops all relays but one while callers make slow requests. The load balancer uses all relays
+/// then, so requests arrive at the stopping ones until they exit.
+async fn stop_most_relays(cluster: &Arc<SoakCluster>, seed: u64) -> io::Result<Vec<CallRecord>> {
+    cluster.allow_callers();
+    let callers = (0..SLOW_CALLERS).map(|number| {
+        let random = ChaCha8Rng::seed_from_u64(seed.rotate_left(12) ^ number);
+        let name = format!("s{seed}w{number}");
+        tokio::spawn(run_caller(name, &[CallKind::SlowOnce], cluster.clone(), random))
+    });
+    let callers = callers.collect();
+    sleep(SLOW_TIME).await;
+    let grace = Duration::from_secs(GRACE_PERIOD_S + 1);
+    for number in 1..cluster.relay_count() {
+        cluster.record_disruption(DisruptionKind::PlannedStop(number), grace);
+        cluster.stop_relay(number);
+    }
+    sleep(grace).await;
+    cluster.stop_callers();
+    join_callers(callers).await
+}
+
 /// Lets many callers of each class call at once, after all others have stopped.
 async fn overload(
     cluster: &Arc<SoakCluster>,
@@ -227,6 +255,7 @@
         CallKind::Stream => "stream".to_owned(),
         CallKind::StreamOnce => "stream-once".to_owned(),
         CallKind::LongStream => "long-stream".to_owned(),
+        CallKind::SlowOnce => "slow-once".to_owned(),
         CallKind::Class(number) => format!("class-{number}"),
     };
     match &call.outcome {
