Relay: responses without end stay within its memory

Cause: 16 MiB were allowed for each response and nothing bounded their sum; a declared length was not compared with the limit before reading.

Change: buffers.rs in the router bounds all buffered responses by two pools; a response that declares its length reserves it, the others share theirs by what is left. Events have a limit and are searched once. Responses that are no stream end with the deadline of their request. A replica that sends too much is avoided, and not taken for crashed.

Why it works: what one response may hold falls with the number of those that grow, so the sum never exceeds the pool, and a new or small one still has room.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
     engine::{
@@ -26,6 +25,7 @@
 use tokio::{task::spawn_local, time::timeout};
 
 use crate::{
+    buffers::read_body,
     counts::count,
     notices::{ReplicaResponse, apply_notices_at},
     pool::SendError,
@@ -270,10 +270,10 @@
         address,
         ReplicaResponse { status: parts.status, headers: &headers, sent_at, is_own: true },
     );
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = read_body(&relay.buffers, body, MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|error| SendError::NoResponse { detail: error.to_string() })?;
     if !headers.closes_connection {
         connection.return_to(&relay.pool, headers.keep_alive);
     }
-    Ok((parts.status, body.to_bytes()))
+    Ok((parts.status, body))
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -15,7 +15,7 @@
     events::EventFramer,
     headers::{ResponseHeaders, read_response_headers},
 };
-use switchfold_router::{Millis, path::PathStage};
+use switchfold_router::{Millis, buffers::LengthKind, path::PathStage};
 use tokio::time::{Instant, sleep_until};
 
 mod moves;
@@ -24,6 +24,7 @@
 use self::{moves::MoveWait, recovery::StreamLoss};
 use crate::{
     admit::Permit,
+    buffers::BufferShare,
     counts::count,
     paths::PathReservation,
     pool::ActiveConnection,
@@ -52,6 +53,9 @@
 /// the route allows.
 const SUSPECT_PAUSE: Millis = 70;
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Interval between two checks of a stream without events, in milliseconds.
 const CHECK_INTERVAL: Millis = 100;
 
@@ -68,6 +72,8 @@
     reservation: PathReservation,
     run: RunTracker,
     framer: EventFramer,
+    /// Memory for the incomplete event.
+    partial_event: BufferShare,
     opened_at: Millis,
     /// Time of the last bytes.
     last_progress: Millis,
@@ -102,6 +108,7 @@
     let forwarder = StreamForwarder {
         seen_epoch: relay.path_check_epoch.get(),
         framer: EventFramer::resume_after(request.headers.last_event_id),
+        partial_event: relay.buffers.share(LengthKind::Open),
         headers: read_response_headers(&opened.head.headers),
         body: opened.body,
         connection: Some(opened.connection),
@@ -159,8 +166,12 @@
                     if let Some(events) = self.framer.push(chunk) {
                         self.run.record_event(&self.relay, &self.request);
                         self.leave_when_due().await;
+                        self.partial_event.resize(self.framer.partial_len());
                         return Some(Ok(Frame::data(events)));
                     }
+                    if !self.can_buffer_event() {
+                        self.recover("an event is too large", StreamLoss::Excessive).await;
+                    }
                 }
                 WaitOutcome::End if !self.framer.has_partial() => {
                     self.finish();
@@ -181,6 +192,12 @@
         Some(Err(BodyAborted))
     }
 
+    /// Returns whether the incomplete event may be buffered, alone and with all other responses.
+    fn can_buffer_event(&mut self) -> bool {
+        let len = self.framer.partial_len();
+        len <= MAX_EVENT_BYTES && self.partial_event.resize(len)
+    }
+
     async fn wait(&mut self) -> WaitOutcome {
         let now = now_millis();
         let pause = match self.is_suspect {
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -57,6 +57,8 @@
 pub(super) enum StreamLoss {
     /// The response ended early.
     Broken,
+    /// The replica sent more than the relay accepts.
+    Excessive,
     /// No events arrive, or a replica of the path seems lost; the stream may still continue.
     Silent,
 }
@@ -288,9 +290,16 @@
             // The replica may be lost, and with it other streams whose path it is part of.
             probe_replicas(&self.relay, std::iter::once(self.path[0].address));
         }
+        if loss == StreamLoss::Excessive {
+            self.framer.drop_partial();
+            self.partial_event.resize(0);
+            self.relay.avoid(&self.path[0].instance, why);
+        }
         match (self.resume().await, loss) {
             (Ok(stream), _) => self.switch_to(stream),
-            (Err(not_resumed), StreamLoss::Broken) => self.give_up(why, &not_resumed),
+            (Err(not_resumed), StreamLoss::Broken | StreamLoss::Excessive) => {
+                self.give_up(why, &not_resumed);
+            }
             // A quarantined request can be resumed nowhere, so its caller need not wait.
             (Err(not_resumed), StreamLoss::Silent)
                 if quarantine_remaining(&self.relay, &self.request).is_some() =>
@@ -363,6 +372,7 @@
         );
         self.end_move_wait();
         self.framer.drop_partial();
+        self.partial_event.resize(0);
         self.headers = read_response_headers(&stream.head.headers);
         self.body = stream.body;
         self.connection = Some(stream.connection);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`stream`], [`response_head`], [`forward`], [`paths`] | streams over engines |
 //! | [`run_tracker`] | runs of requests at replicas, and evidence from lost runs |
 //! | [`pool`], [`engines`], [`probes`] | connections, calls and probes to replicas |
+//! | [`buffers`] | memory for responses of replicas |
 //! | [`state`] | what a relay knows, shared by its tasks |
 //! | [`watch`], [`replicas`], [`store_calls`] | state from the store |
 //! | [`registry`], [`peers`], [`gossip`], [`messages`] | other relays, and state exchanged with them |
@@ -30,6 +31,7 @@
 
 pub mod admission;
 pub mod admit;
+pub mod buffers;
 pub mod counts;
 pub mod engine_poll;
 pub mod engines;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     admit::{Permit, admit_retry},
+    buffers::read_body,
     counts::count,
     limits::{GrantWait, request_grant},
     notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
@@ -241,11 +242,13 @@
     detail: String,
     /// Whether it was not sent because the replica accepts no requests at the moment.
     is_throttled: bool,
+    /// Whether the replica sent more than the relay accepts.
+    is_excessive: bool,
 }
 
 impl AttemptOutcome {
     fn without_response(end: AttemptEnd, detail: String) -> Self {
-        Self { end, response: None, detail, is_throttled: false }
+        Self { end, response: None, detail, is_throttled: false, is_excessive: false }
     }
 }
 
@@ -383,6 +386,10 @@
         AttemptOutcome::without_response(AttemptEnd::Broken, detail)
     });
     match outcome.end {
+        // The replica is not lost, so the request did not crash it.
+        AttemptEnd::Broken if outcome.is_excessive => {
+            relay.avoid(&replica.instance, &outcome.detail);
+        }
         AttemptEnd::Broken => {
             run.record_loss(relay, request, &outcome.detail);
             check_reachable(relay, replica).await;
@@ -488,14 +495,13 @@
         drain_rejection(relay, connection, body, &headers).await;
         return AttemptOutcome::without_response(end, format!("status {}", parts.status));
     }
-    match Limited::new(body, MAX_RESPONSE).collect().await {
+    match read_body(&relay.buffers, body, MAX_RESPONSE).await {
         Ok(body) => {
             if !headers.closes_connection {
                 connection.return_to(&relay.pool, headers.keep_alive);
             }
             let end = AttemptEnd::Answered(parts.status.as_u16());
-            let response =
-                BufferedResponse { head: Response::from_parts(parts, ()), body: body.to_bytes() };
+            let response = BufferedResponse { head: Response::from_parts(parts, ()), body };
             AttemptOutcome {
                 response: Some(response),
                 ..AttemptOutcome::without_response(end, String::new())
@@ -503,7 +509,10 @@
         }
         Err(error) => {
             let detail = format!("response body incomplete: {error}");
-            AttemptOutcome::without_response(AttemptEnd::Broken, detail)
+            AttemptOutcome {
+                is_excessive: error.is_excessive(),
+                ..AttemptOutcome::without_response(AttemptEnd::Broken, detail)
+            }
         }
     }
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -40,6 +40,9 @@
 /// rest avoids requests that cross the replica's close.
 const IDLE_PERCENT: Millis = 60;
 
+/// Size of the read buffer of a connection, which also bounds the head of a response, in bytes.
+const MAX_BUFFER: usize = 32 << 10;
+
 /// Maximum number of idle connections to one replica.
 const MAX_IDLE: usize = 16;
 
@@ -219,7 +222,8 @@
         Err(_) => return Err(not_sent("connection timed out".to_owned())),
     };
     set_options(&stream).map_err(|error| not_sent(error.to_string()))?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     let task = spawn_local(async move {
         // The request on the connection receives the error.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    buffers::ResponseBuffers,
     counts::Counts,
     engine_poll::poll_engines,
     engines::ReportCache,
@@ -207,6 +208,7 @@
         settings,
         state: RefCell::new(state),
         pool: ConnectionPool::default(),
+        buffers: ResponseBuffers::default(),
         reports: ReportCache::default(),
         peer_socket,
         incarnation: random.random(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -43,6 +43,7 @@
 
 use crate::{
     admission::ServiceAdmission,
+    buffers::ResponseBuffers,
     counts::{Counts, count},
     engines::ReportCache,
     gossip::{SendScope, send_state},
@@ -189,6 +190,8 @@
     pub state: RefCell<RelayState>,
     /// Connections to replicas.
     pub pool: ConnectionPool,
+    /// Memory for buffered responses.
+    pub buffers: ResponseBuffers,
     /// Latest status reports of engines.
     pub reports: ReportCache,
     /// Client of the platform's object store.
@@ -251,11 +254,16 @@
         self.random.borrow_mut().random_range(0..=max)
     }
 
-    /// Records a failure of a replica. If the replica becomes suspected, sends that to the other
-    /// relays; `why` is logged.
+    /// Records that a replica may be lost, and avoids it; `why` is logged.
     pub fn suspect(&self, instance: &ReplicaInstance, why: &str) {
-        let now = now_millis();
         record_replica_loss(self, instance);
+        self.avoid(instance, why);
+    }
+
+    /// Records a failure of a replica, which may still be running. If the replica becomes suspected,
+    /// sends that to the other relays; `why` is logged.
+    pub fn avoid(&self, instance: &ReplicaInstance, why: &str) {
+        let now = now_millis();
         let until = self.state.borrow_mut().suspects.record_failure(instance, now);
         if let Some(until) = until {
             self.request_path_check();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{Response, StatusCode, response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
@@ -16,13 +15,14 @@
     path::PathStage,
     reconnects::reconnect_delay,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     admission::{
         CapacityWait, controls_overload, overcommit_rule, record_first_event, wait_for_capacity,
     },
     admit::{Permit, admit, admit_retry},
+    buffers::read_body,
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
     forward::stream_body,
@@ -426,7 +426,11 @@
             run,
         }));
     }
-    let outcome = read_full_response(relay, head, body, connection, &headers).await;
+    let remaining = Duration::from_millis(request.time_remaining(now_millis()));
+    let reading = read_full_response(relay, head, body, connection, &headers);
+    let outcome = timeout(remaining, reading)
+        .await
+        .unwrap_or_else(|_| OpenOutcome::Failed(AttemptEnd::Broken, "deadline passed".to_owned()));
     if matches!(
         outcome,
         OpenOutcome::Responded(_) | OpenOutcome::Failed(AttemptEnd::Answered(_), _)
@@ -494,7 +498,7 @@
     /// Maximum size of a response that is not a stream, in bytes.
     const MAX_RESPONSE: usize = 1 << 20;
     let status = head.status.as_u16();
-    match Limited::new(body, MAX_RESPONSE).collect().await {
+    match read_body(&relay.buffers, body, MAX_RESPONSE).await {
         Ok(body) if status < 500 => {
             if !headers.closes_connection {
                 connection.return_to(&relay.pool, headers.keep_alive);
@@ -502,7 +506,7 @@
             let mut head = head;
             strip_hop_headers(&mut head.headers);
             head.headers.remove(http::header::CONTENT_LENGTH);
-            OpenOutcome::Responded(Response::from_parts(head, full_body(body.to_bytes())))
+            OpenOutcome::Responded(Response::from_parts(head, full_body(body)))
         }
         Ok(_) => OpenOutcome::Failed(AttemptEnd::Answered(status), format!("status {status}")),
         Err(error) => OpenOutcome::Failed(AttemptEnd::Broken, error.to_string()),
--- /dev/null
+++ b/crates/router/src/buffers.rs
@@ -0,0 +1,57 @@
+//! How many bytes of responses a relay buffers at a time.
+//!
+//! A limit for each response does not bound the memory of the process, since many responses may be
+//! large at once. All buffered bytes together are bounded by two pools. Responses that declare their
+//! length reserve it. The others may not end at all: each of them may use at most a part of what its
+//! pool has left, so that the limit falls the more of them there are, and a new one always has room.
+
+/// Bytes of each response that are not counted: small responses need no room in a pool.
+pub const FREE_BYTES: usize = 16 << 10;
+
+/// Size of each pool, in bytes.
+const POOL_BYTES: usize = 20 << 20;
+
+/// Whether a response declares its length.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LengthKind {
+    /// It does.
+    Declared,
+    /// It ends when the replica says so.
+    Open,
+}
+
+/// Bytes that are buffered at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BufferLedger {
+    declared: usize,
+    open: usize,
+}
+
+impl BufferLedger {
+    /// Changes the size of one response's buffer from `held` to `wanted` bytes. Returns whether that
+    /// is allowed; if not, nothing changes. A smaller size always is.
+    pub fn resize(&mut self, kind: LengthKind, held: usize, wanted: usize) -> bool {
+        let held = held.saturating_sub(FREE_BYTES);
+        let wanted = wanted.saturating_sub(FREE_BYTES);
+        let used = match kind {
+            LengthKind::Declared => &mut self.declared,
+            LengthKind::Open => &mut self.open,
+        };
+        let others = *used - held;
+        let left = POOL_BYTES.saturating_sub(others);
+        let limit = match kind {
+            LengthKind::Declared => left,
+            LengthKind::Open => left / 5 * 4,
+        };
+        let is_allowed = wanted <= held.max(limit);
+        if is_allowed {
+            *used = others + wanted;
+        }
+        is_allowed
+    }
+
+    /// Returns the number of counted bytes in both pools.
+    pub fn counted_bytes(&self) -> usize {
+        self.declared + self.open
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`backoff`] | which replicas asked this VM to back off |
 //! | [`bandwidth`] | how many paths may cross from one data centre to another |
 //! | [`budget`] | how many retries a service may still get |
+//! | [`buffers`] | how many bytes of responses are buffered at a time |
 //! | [`clocks`] | which time of the receiver a message's time stamp corresponds to |
 //! | [`coordinator`] | which relay hands out the grants for a replica's rate limit |
 //! | [`era`] | which of two states of the store is newer, also after a restore from a backup |
@@ -53,6 +54,7 @@
 pub mod backoff;
 pub mod bandwidth;
 pub mod budget;
+pub mod buffers;
 pub mod clocks;
 pub mod coordinator;
 pub mod era;
