--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -12,7 +12,10 @@
     routing::{KeyCheck, RouteRule, RoutingConfig},
 };
 
-use crate::{responses::Refusal, state::Relay};
+use crate::{
+    responses::Refusal,
+    state::{Relay, RelayState},
+};
 
 /// The parts of a request that decide on its admission.
 #[derive(Clone, Debug)]
@@ -85,9 +88,29 @@
     admit(relay, request).map_err(|refusal| refusal.unless_run(may_have_run))
 }
 
+/// Time from the start for which a relay waits for a message of another one before it trusts the
+/// configuration in the store, in milliseconds.
+const HEARING_TIME: Millis = 1_000;
+
 /// Returns whether the configuration is recent enough to accept API keys: it was last proved to be
 /// the current one within the platform's revocation bound.
+///
+/// A relay that has just started may have read it from a restored store while others hold a newer
+/// one. So it must have heard from another relay first, unless there is none, and none may name a
+/// newer version. Once it has run for as long as the bound, its first read proves nothing more.
 pub fn is_config_fresh(relay: &Relay, now: Millis) -> bool {
     let bound = relay.bounds.borrow().revoke();
-    relay.state.borrow().config_lease.is_valid(bound, now)
+    let state = relay.state.borrow();
+    if !state.config_lease.is_valid(bound, now) {
+        return false;
+    }
+    let age = now.saturating_sub(relay.started_at);
+    let is_behind = || state.peers.had_newer_config(state.config_version(), now, now);
+    let has_heard = || age >= HEARING_TIME || has_heard_peers(relay, &state, now);
+    age >= bound || has_heard() && !is_behind()
+}
+
+fn has_heard_peers(relay: &Relay, state: &RelayState, now: Millis) -> bool {
+    let is_alone = || state.listed_relays.is_some() && state.peers.known_count() == 0;
+    relay.settings.first_start || state.peers.live_count(now) > 0 || is_alone()
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -23,7 +23,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    admit::{AdmissionRequest, Permit, admit},
+    admit::{AdmissionRequest, Permit, admit, is_config_fresh},
     counts::count,
     notices::ReplicaResponse,
     paths::fullest_replica,
@@ -297,11 +297,11 @@
     response
 }
 
-/// Waits for the first configuration of a relay that has just started, up to the time that
+/// Waits until a relay that has just started trusts its first configuration, up to the time that
 /// [`awaits_config`] allows.
 async fn wait_for_config(relay: &Relay) {
     const POLL_INTERVAL: Duration = Duration::from_millis(10);
-    while awaits_config(now_millis(), relay.config().is_some()) {
+    while awaits_config(now_millis(), is_config_fresh(relay, now_millis())) {
         sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -211,6 +211,7 @@
         buffers: ResponseBuffers::default(),
         reports: ReportCache::default(),
         peer_socket,
+        started_at: now_millis(),
         incarnation: random.random(),
         counts: Counts::default(),
         metrics,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    admit::is_config_fresh,
     request::handle,
     responses::{RelayResponse, full_body},
     shutdown::{CountGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
@@ -166,6 +167,5 @@
     }
     let state = relay.state.borrow();
     let has_state = state.has_objects() && relay.knows_quarantine.get();
-    let max_age = relay.bounds.borrow().revoke();
-    has_state && !relay.shutdown.is_stopping() && state.config_lease.is_valid(max_age, now)
+    has_state && !relay.shutdown.is_stopping() && is_config_fresh(relay, now)
 }
--- a/crates/relay/src/snapshot/serve.rs
+++ b/crates/relay/src/snapshot/serve.rs
@@ -107,15 +107,22 @@
     Some(Snapshot { source: relay.settings.name.clone(), ..snapshot })
 }
 
+/// An unconfirmed configuration is provided to a relay that holds an older one, as of its own last
+/// change: the receiver then reads the store from there, and finds out by itself that the store
+/// does not confirm it.
 fn config_snapshot(state: &RelayState, held: u64, now: Millis) -> Option<Snapshot> {
-    let object = state.config_object.as_ref().filter(|_| !state.config_unconfirmed)?;
+    let object = state.config_object.as_ref()?;
+    if state.config_unconfirmed && held >= state.config_version() {
+        return None;
+    }
+    let at = if state.config_unconfirmed { object.revision } else { object.at };
     let body = match held == state.config_version() {
         true => SnapshotBody::Same,
         false => SnapshotBody::Config { revision: object.revision, spec: object.spec.to_vec() },
     };
     Some(Snapshot {
         source: String::new(),
-        at: object.at,
+        at,
         proved_age: state.config_lease.age(now)?,
         answered_age: state.config_lease.answer_age(now)?,
         body,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -200,6 +200,8 @@
     pub calls: Rc<CallTally>,
     /// Client for requests to neighbours.
     pub neighbour_client: HttpClient,
+    /// Time of its start.
+    pub started_at: Millis,
     /// Random number of this run of the process, which distinguishes its stamps from those of
     /// earlier runs.
     pub incarnation: u32,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -68,9 +68,14 @@
         },
         record_read: |relay, sent, at| {
             let mut state = relay.state.borrow_mut();
-            if !state.config_unconfirmed {
+            let (version, now) = (state.config_version(), now_millis());
+            let is_behind = state.peers.had_newer_config(version, sent, now);
+            if is_behind {
+                tracing::warn!(event = "config-behind-peers", version, at);
+            }
+            if !state.config_unconfirmed && !is_behind {
                 state.config_lease.record_proof(sent);
-                state.config_lease.record_answer(now_millis());
+                state.config_lease.record_answer(now);
             }
             if let Some(object) = &mut state.config_object {
                 object.at = at;
--- a/crates/relay/tests/store_restore.rs
+++ b/crates/relay/tests/store_restore.rs
@@ -4,7 +4,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use harness::{ROUTES, RunningRelay, bounds, call, request, respond_healthy, run_test, wait_until};
+use harness::{
+    BoundRelay, ROUTES, RunningRelay, bounds, call, request, respond_healthy, run_test, wait_until,
+};
 use http::StatusCode;
 use serde_json::Value;
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, RELAY_KIND, REPLICA_KIND};
@@ -126,3 +128,50 @@
         });
     }
 }
+
+/// Guards against a relay that started from a restored store, took the older configuration there for
+/// the current one and accepted a removed key, beside relays that held the newer one.
+#[test]
+fn a_relay_that_starts_from_a_restored_store_accepts_no_removed_key() {
+    for data_centre in ["hall", "far"] {
+        run_test(async {
+            let replica = StandinReplica::start(respond_healthy).await;
+            let store = StandinStore::start().await;
+            store.put(CONFIG_KIND, CONFIG_NAME, config(1, &ROUTES, &[KEY, REVOKED_KEY]));
+            store.put(REPLICA_KIND, "i-1", desk_entry(replica.address()));
+            let holder = RunningRelay::start_with_store(store.clone(), bounds()).await;
+            holder.wait_ready(StatusCode::OK).await;
+            wait_until(async || registration_count(&store) > 0).await;
+            sleep(OUTAGE).await;
+            store.take_backup();
+            let new_config = config(2, &ROUTES, &[KEY]);
+            store.put(CONFIG_KIND, CONFIG_NAME, new_config.clone());
+            let status = async |relay: &RunningRelay, key: &str, id: &str| {
+                let mut request = request(&format!("/once/{id}"), id);
+                let key = format!("Bearer {key}").parse().expect("a value");
+                request.headers_mut().insert("authorization", key);
+                call(relay.address, request).await.status
+            };
+            wait_until(async || {
+                status(&holder, REVOKED_KEY, "held").await == StatusCode::UNAUTHORIZED
+            })
+            .await;
+            restore_after_outage(&store).await;
+
+            let started =
+                BoundRelay::new_in(data_centre, "relay-2", store.clone(), bounds()).await.run();
+            let started_at = std::time::Instant::now();
+            let mut count = 0;
+            while started_at.elapsed() < UNCONFIRMED_TIME {
+                count += 1;
+                let refused = status(&started, REVOKED_KEY, &format!("o{count}")).await;
+                assert_ne!(refused, StatusCode::OK, "{data_centre}: request {count}");
+                sleep(Duration::from_millis(20)).await;
+            }
+            store.put(CONFIG_KIND, CONFIG_NAME, new_config);
+            wait_until(async || status(&started, KEY, "valid").await == StatusCode::OK).await;
+            let refused = status(&started, REVOKED_KEY, "last").await;
+            assert_eq!(refused, StatusCode::UNAUTHORIZED);
+        });
+    }
+}
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -94,6 +94,8 @@
     /// When its last message arrived.
     last_received: Option<Millis>,
     state: PeerState,
+    /// When its present version of the configuration was first heard of.
+    config_since: Millis,
     last_stamp: Option<(PeerStamp, Millis)>,
     /// Hash of its name.
     hash: u32,
@@ -184,6 +186,7 @@
             added_at: now,
             last_received: None,
             state: PeerState::default(),
+            config_since: now,
             last_stamp: None,
             hash: name_hash(name),
             report: None,
@@ -240,6 +243,9 @@
         }
         peer.last_received = Some(now);
         peer.skipped_until = 0;
+        if state.config_version != peer.state.config_version {
+            peer.config_since = now;
+        }
         peer.state = state;
         peer.last_stamp = Some((stamp, now));
         true
