Relay: lists the relays again once it has registered

Cause: a relay that is not registered yet lists, registers, and goes by the list of before. Two that list before either is registered both see nobody.

Change: one more list right after the registration.

Why it works: lists are linearizable, so that of the relay that registers last names all others, and its message makes it known to them.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -67,13 +67,18 @@
                 list_relays(relay, verb).await
             }
         };
-        if let Some(relays) = listed {
+        if let Some(mut relays) = listed {
             let own = relays.get(&relay.settings.name);
             relay.state.borrow_mut().allowance_share.record_list(own.is_some());
             if own != Some(&own_address(&relay.settings)) {
                 let is_new = verb == CallVerb::List && !relay.settings.first_start;
                 tracing::info!(event = "registration-missing", is_new);
                 register_until_stored(relay).await;
+                // Another relay may have listed before this object was there and registered after
+                // this list; one of the two must list again to learn of the other.
+                if let Some(listed) = list_relays(relay, CallVerb::List).await {
+                    relays = listed;
+                }
             } else if relay.registered_era.get().is_none() {
                 relay.registered_era.set(Some(store_era(relay)));
             }
