--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -88,8 +88,12 @@
     async fn wait_until(&self, time: impl Fn(&StopSchedule) -> Millis) {
         self.wait_until_stopping().await;
         let Some(schedule) = self.schedule.get() else { return };
-        while now_millis() < time(&schedule) {
-            sleep(Duration::from_millis(time(&schedule) - now_millis())).await;
+        loop {
+            let remaining = time(&schedule).saturating_sub(now_millis());
+            if remaining == 0 {
+                return;
+            }
+            sleep(Duration::from_millis(remaining)).await;
         }
     }
 
