Tests: ports of child processes cannot be taken by other sockets

Cause: the tests choose free ports by binding 127.0.0.1:0, close the sockets, and pass the numbers to a child process.

Each such socket now has a loopback address of its own, derived from the process id and a counter, on which nothing else binds or connects from. No check is changed.

--- a/crates/local/tests/processes.rs
+++ b/crates/local/tests/processes.rs
@@ -3,9 +3,10 @@
 use std::{
     collections::BTreeMap,
     fs,
-    net::TcpListener,
+    net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -35,9 +36,14 @@
     path
 }
 
-/// Returns a loopback address with a port that was free at the time of the call.
-fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+/// Returns a socket address for a child process. Its loopback address is different for each call,
+/// so no other socket takes the port before the child does.
+fn unused_address() -> String {
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed) % 254;
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let address = Ipv4Addr::new(127, call as u8 + 1, high, low);
+    let listener = TcpListener::bind((address, 0)).expect("a loopback address");
     listener.local_addr().expect("bound").to_string()
 }
 
@@ -88,7 +94,7 @@
     async fn start(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("switchfold-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let platform = free_address();
+        let platform = unused_address();
         let mut processes = Processes::default();
         processes.start("platform", "switchfold-standin", &["platform", "--listen", &platform]);
         let http = HttpClient::new(Duration::from_secs(30), 8 << 20);
@@ -167,7 +173,7 @@
     }
 
     async fn start_replica(&mut self, stage: u32, replica: u32) {
-        let (engine, agent) = (free_address(), free_address());
+        let (engine, agent) = (unused_address(), unused_address());
         let name = format!("engine-{stage}-{replica}");
         let width = LAYERS / 2;
         let engine_settings = self.settings(&name, &json!({
@@ -188,7 +194,7 @@
     }
 
     async fn start_entry(&mut self, number: usize) {
-        let (web, peer) = (free_address(), free_address());
+        let (web, peer) = (unused_address(), unused_address());
         let name = format!("entry-{number}");
         let settings = self.settings(&name, &json!({
             "name": name, "data_centre": "here", "listen": web, "peer_listen": peer, "cluster_token": "secret",
--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -5,9 +5,10 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command},
+    process::{self, Child, Command},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use futures_util::future::join_all;
@@ -37,6 +38,17 @@
 const ENDLESS_STREAM: RouteSample =
     RouteSample { prefix: "/stream-endless/", max_attempts: 1, ..STREAM };
 
+/// Returns a socket address for a child process. Its loopback address is different for each call,
+/// so no other socket takes the port before the child does.
+fn unused_address() -> SocketAddr {
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed) % 254;
+    let [.., high, low] = process::id().to_be_bytes();
+    let address = Ipv4Addr::new(127, call as u8 + 1, high, low);
+    let listener = TcpListener::bind((address, 0)).expect("a loopback address");
+    listener.local_addr().expect("bound")
+}
+
 /// A relay that runs as a process, killed when dropped.
 struct RelayProcess {
     child: Child,
@@ -55,18 +67,12 @@
 
 impl RelayProcess {
     async fn start(store: &StandinStore, name: &str) -> Self {
-        let callers = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let ready = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let metrics = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        // The same port must be free for UDP.
-        let peers = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = |listener: &TcpListener| listener.local_addr().expect("bound");
-        let (callers_at, ready_at) = (address(&callers), address(&ready));
+        let (callers, ready) = (unused_address(), unused_address());
         let bounds = bounds();
         let settings = json!({
             "name": "relay-1", "data_centre": "hall", "region": "west",
-            "listen": callers_at, "ready_listen": ready_at, "metrics_listen": address(&metrics),
-            "peer_listen": address(&peers),
+            "listen": callers, "ready_listen": ready, "metrics_listen": unused_address(),
+            "peer_listen": unused_address(),
             "platform": store.address(), "first_start": true,
             "bounds": {
                 "revoke_ms": bounds.revoke_ms, "grace_s": bounds.grace_s,
@@ -74,16 +80,15 @@
                 "retry_allowance": bounds.retry_allowance,
             },
         });
-        drop((callers, ready, metrics, peers));
-        let path = std::env::temp_dir()
-            .join(format!("switchfold-endless-{name}-{}.json", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("switchfold-endless-{name}-{}.json", process::id()));
         fs::write(&path, settings.to_string()).expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_switchfold-relay"))
             .args(["--log-level", "error", "--settings"])
             .arg(&path)
             .spawn()
             .expect("the relay starts");
-        let relay = Self { child, callers: callers_at, ready: ready_at, settings: path };
+        let relay = Self { child, callers, ready, settings: path };
         let is_ready = async || {
             let request = http::Request::get("/readyz").body(Default::default());
             let response = try_call(relay.ready, request.expect("a request")).await;
