--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -34,7 +34,7 @@
     limits::{GrantWait, request_grant},
     notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
     pool::{ActiveConnection, SendError},
-    quarantine::{check_quarantine, record_result},
+    quarantine::{check_send, record_result},
     request::{CallerRequest, ReplicaTarget},
     responses::{Refusal, RelayResponse, full_body},
     retries::{RetryCharge, RetryPermit},
@@ -276,7 +276,7 @@
             };
             return Err(refusal.unless_run(may_have_run.get()));
         };
-        if let Err(refusal) = check_quarantine(relay, request) {
+        if let Err(refusal) = check_send(relay, request) {
             return Err(refusal.unless_run(may_have_run.get()));
         }
         if let Some(retry) = charge.take() {
@@ -293,7 +293,10 @@
         }
         tried.push(replica.instance.clone());
         match outcome.end {
-            AttemptEnd::NotSent => unsent += 1,
+            AttemptEnd::NotSent => {
+                request.record_unsent();
+                unsent += 1;
+            }
             _ => sends += 1,
         }
         let ran_now = matches!(outcome.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -7,6 +7,7 @@
 //! second crash in a row, so it gets no calls while there are no crashes.
 
 pub mod start;
+mod trials;
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -24,6 +25,8 @@
 use switchfold_store::StoreError;
 use tokio::time::sleep;
 
+pub use self::trials::QuarantineTrial;
+use self::trials::{begin_trial, parse_trial_name, trial_name};
 use crate::{
     counts::count,
     gossip::{SendScope, send_state},
@@ -44,13 +47,34 @@
     request.suspects().filter_map(|suspect| state.quarantine.remaining(suspect, now)).max()
 }
 
-/// Refuses a quarantined request.
+/// Refuses a quarantined request when it arrives, unless it is a trial.
 ///
 /// # Errors
 ///
 /// Returns the refusal that the caller receives.
-pub fn check_quarantine(relay: &Relay, request: &CallerRequest) -> Result<(), Refusal> {
+pub fn check_arrival(relay: &Rc<Relay>, request: &CallerRequest) -> Result<(), Refusal> {
     let Some(remaining) = quarantine_remaining(relay, request) else { return Ok(()) };
+    if begin_trial(relay, request) {
+        return Ok(());
+    }
+    Err(refuse_quarantined(relay, request, remaining))
+}
+
+/// Refuses a quarantined request before it is sent to a replica, unless it is a trial that has not
+/// been sent yet.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives.
+pub fn check_send(relay: &Relay, request: &CallerRequest) -> Result<(), Refusal> {
+    let Some(remaining) = quarantine_remaining(relay, request) else { return Ok(()) };
+    if request.trial.get().is_some_and(QuarantineTrial::begin_send) {
+        return Ok(());
+    }
+    Err(refuse_quarantined(relay, request, remaining))
+}
+
+fn refuse_quarantined(relay: &Relay, request: &CallerRequest, remaining: Millis) -> Refusal {
     count(&relay.counts.quarantined);
     tracing::warn!(
         event = "request-quarantined",
@@ -58,7 +82,7 @@
         fingerprint = %request.fingerprint,
         left_ms = remaining,
     );
-    Err(Refusal::Quarantined(remaining))
+    Refusal::Quarantined(remaining)
 }
 
 /// Records that a replica is lost: it is silent, refuses connections, or is no longer listed
@@ -121,8 +145,8 @@
     }
 }
 
-/// Entry of the store for one request. Times are Unix milliseconds by the writer's wall clock. A
-/// step of that clock only shifts the end of a quarantine.
+/// Entry of the store for one request, or for a trial of it. Times are Unix milliseconds by the
+/// writer's wall clock. A step of that clock only shifts the end of a quarantine.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct StoredRequest {
     /// End of the quarantine; 0 if the request is not quarantined.
@@ -195,11 +219,13 @@
         let table = &mut relay.state.borrow_mut().quarantine;
         (table.unstored(now), table.take_removable())
     };
-    for fingerprint in removable {
-        if let Err(error) = relay.store.remove(CallKind::Quarantine, &fingerprint.to_string()).await
-        {
-            // The entry expires. A relay that starts before then quarantines the request.
-            tracing::warn!(event = "quarantine-not-removed", %fingerprint, %error);
+    for (fingerprint, trials) in removable {
+        let trials = (0..trials).map(|number| trial_name(&fingerprint, number));
+        for name in std::iter::once(fingerprint.to_string()).chain(trials) {
+            if let Err(error) = relay.store.remove(CallKind::Quarantine, &name).await {
+                // The entry expires. A relay that starts before then quarantines the request.
+                tracing::warn!(event = "quarantine-not-removed", name, %error);
+            }
         }
     }
     let mut is_complete = true;
@@ -282,8 +308,8 @@
     preceding.live > preceding.lost_config
 }
 
-/// Unix times in milliseconds at which the entries of the store expire.
-type ExpiryTimes = BTreeMap<RequestFingerprint, u64>;
+/// Unix times in milliseconds at which the entries of the store expire, by their names.
+type ExpiryTimes = BTreeMap<String, u64>;
 
 /// Lists the entries of the store, or watches for changes after `revision`. Returns the revision up
 /// to which the store has been read.
@@ -312,31 +338,40 @@
     if !change.removed {
         return merge_objects(relay, std::slice::from_ref(&change.object), stored);
     }
-    let Some(fingerprint) = RequestFingerprint::parse(&change.object.metadata.name) else { return };
-    stored.remove(&fingerprint);
+    let name = &change.object.metadata.name;
+    stored.remove(name);
+    let Some(fingerprint) = RequestFingerprint::parse(name) else { return };
     relay.state.borrow_mut().quarantine.release(&fingerprint, now_millis());
     tracing::info!(event = "request-released", %fingerprint);
 }
 
 fn merge_objects(relay: &Relay, objects: &[ListedObject], stored: &mut ExpiryTimes) {
     let (now, epoch) = (now_millis(), epoch_millis());
-    let mut reports = Vec::new();
+    let (mut reports, mut trials) = (Vec::new(), Vec::new());
     for object in objects {
         let name = &object.metadata.name;
         let entry = StoredRequest::deserialize(&object.spec);
-        let (Some(fingerprint), Ok(entry)) = (RequestFingerprint::parse(name), entry) else {
-            count(&relay.counts.odd_entries);
-            tracing::warn!(event = "quarantine-unreadable", name);
-            continue;
-        };
-        stored.insert(fingerprint, entry.expires_at());
-        reports.push(entry.report(fingerprint, now, epoch));
+        match (RequestFingerprint::parse(name), parse_trial_name(name), entry) {
+            (Some(fingerprint), _, Ok(entry)) => {
+                stored.insert(name.clone(), entry.expires_at());
+                reports.push(entry.report(fingerprint, now, epoch));
+            }
+            (None, Some(trial), Ok(entry)) => {
+                stored.insert(name.clone(), entry.until);
+                trials.push(trial);
+            }
+            _ => {
+                count(&relay.counts.odd_entries);
+                tracing::warn!(event = "quarantine-unreadable", name);
+            }
+        }
     }
-    if reports.is_empty() {
-        return;
+    if !reports.is_empty() {
+        let change = relay.state.borrow_mut().quarantine.merge(reports, true, now);
+        apply_change(relay, &change);
     }
-    let change = relay.state.borrow_mut().quarantine.merge(reports, true, now);
-    apply_change(relay, &change);
+    let table = &mut relay.state.borrow_mut().quarantine;
+    trials.iter().for_each(|(fingerprint, number)| table.record_trial(fingerprint, *number, false));
 }
 
 impl StoredRequest {
@@ -354,16 +389,16 @@
     if !relay.state.borrow().peers.is_leader(&relay.settings.name, is_fresh, now) {
         return;
     }
-    let expired: Vec<RequestFingerprint> = stored
+    let expired: Vec<String> = stored
         .iter()
         .filter(|(_, expiry)| **expiry < epoch)
-        .map(|(fingerprint, _)| *fingerprint)
+        .map(|(name, _)| name.clone())
         .collect();
-    for fingerprint in expired {
-        match relay.store.remove(CallKind::Quarantine, &fingerprint.to_string()).await {
-            Ok(()) => drop(stored.remove(&fingerprint)),
+    for name in expired {
+        match relay.store.remove(CallKind::Quarantine, &name).await {
+            Ok(()) => drop(stored.remove(&name)),
             Err(error) => {
-                tracing::info!(event = "quarantine-not-removed", %fingerprint, %error);
+                tracing::info!(event = "quarantine-not-removed", name, %error);
                 return;
             }
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,6 +1,10 @@
 //! Handles a caller's request from its arrival to the response.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, request::Parts};
@@ -28,7 +32,7 @@
     notices::ReplicaResponse,
     paths::fullest_replica,
     plain::run_plain,
-    quarantine::{check_quarantine, start::wait_for_quarantine},
+    quarantine::{QuarantineTrial, check_arrival, start::wait_for_quarantine},
     responses::{Refusal, RelayResponse},
     shutdown::CountGuard,
     state::Relay,
@@ -72,6 +76,8 @@
     pub may_have_run: Rc<Cell<bool>>,
     /// Whether it was dispatched before; the wait for the first dispatch is recorded.
     pub is_dispatched: Cell<bool>,
+    /// Set if it is sent although it is quarantined.
+    pub trial: OnceCell<QuarantineTrial>,
 }
 
 /// Where one attempt of a request is sent.
@@ -97,6 +103,13 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Records that the send that began reached no replica.
+    pub fn record_unsent(&self) {
+        if let Some(trial) = self.trial.get() {
+            trial.cancel_send();
+        }
+    }
+
     /// Returns whether a response with these headers belongs to this request. A response without an
     /// attempt id is assumed to.
     pub fn matches_response(&self, headers: &ResponseHeaders) -> bool {
@@ -368,9 +381,10 @@
         attempt_count: Cell::new(0),
         may_have_run,
         is_dispatched: Cell::new(false),
+        trial: OnceCell::new(),
     };
     wait_for_quarantine(relay).await;
-    check_quarantine(relay, &request)?;
+    check_arrival(relay, &request)?;
     relay.record_request(&permit.service, now_millis());
     let service = permit.config.services.get(&permit.service);
     match service.is_some_and(|service| service.engine.is_some()) {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,7 +32,7 @@
     },
     plain::{drain_rejection, end_from_headers},
     pool::{ActiveConnection, SendError},
-    quarantine::{check_quarantine, record_result},
+    quarantine::{check_send, record_result},
     request::{CallerRequest, ReplicaTarget},
     response_head::{HeadError, HeadWait, PendingHead, ReceivedHead},
     responses::{Refusal, RelayResponse, full_body},
@@ -260,7 +260,7 @@
         return None;
     };
     let first = relay.state.borrow().fleet.view.get_current(&path[0].instance).cloned()?;
-    if let Err(refusal) = check_quarantine(relay, request) {
+    if let Err(refusal) = check_send(relay, request) {
         return Some(OpenOutcome::Refused(refusal));
     }
     let charge = match charge.map(|charge| charge.begin_send(&permit.service)) {
@@ -287,6 +287,7 @@
         let sent = wait.run(sending).await;
         if matches!(&sent, Err(HeadError::Send(error)) if error.is_unsent()) {
             gate.record_unsent();
+            request.record_unsent();
             if let Some(charge) = charge {
                 charge.cancel_send();
             }
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -9,8 +9,11 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use harness::{
@@ -29,6 +32,7 @@
     samples::{KEY, LAYERS, config, desk_entry, model_entry, report},
     signed_response,
 };
+use switchfold_router::quarantine::TRIAL_DELAYS;
 use tokio::time::sleep;
 
 /// Number of events of a complete stream.
@@ -44,6 +48,9 @@
 /// Time between two attempts at one relay: long enough for it to process a crash.
 const LOCAL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time after the trial of a quarantined request in which there must be no other.
+const LATER: Duration = Duration::from_millis(4_000);
+
 /// Maximum number of replicas that a request may crash.
 const MAX_CRASHED: usize = 3;
 
@@ -344,6 +351,68 @@
         .count()
 }
 
+/// A request whose first runs were lost with their replicas for other reasons was refused for ten
+/// minutes by relays that remembered no result of it.
+#[test]
+fn a_sound_request_is_served_again_after_replicas_crashed_in_a_row() {
+    run_test(async {
+        let crashes = Arc::new(AtomicUsize::new(0));
+        let script = move |request: &ReceivedRequest| {
+            let is_sound = request.target.contains("/sound");
+            match is_sound && crashes.fetch_add(1, Ordering::Relaxed) < MAX_CRASHED {
+                true => Reply::Crash(Vec::new(), PAUSE),
+                false => signed_response(request, 200, "confirmed"),
+            }
+        };
+        let desks = start_replicas(8, script).await;
+        let store = start_store(&desks, desk_entry).await;
+        let relays = start_relays(&["hall", "far"], &store).await;
+        for attempt in 0..MAX_CRASHED {
+            relays[0].get("/safe/sound", &format!("lost-{attempt}")).await;
+            sleep(LOCAL_INTERVAL).await;
+        }
+        let refused = relays[0].get("/safe/sound", "refused").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "quarantined");
+        for relay in &relays {
+            let mut attempt = 0;
+            wait_until(async || {
+                attempt += 1;
+                sleep(LOCAL_INTERVAL).await;
+                let response = relay.get("/safe/sound", &format!("again-{attempt}")).await;
+                response.status == StatusCode::OK
+            })
+            .await;
+        }
+    });
+}
+
+/// All relays get a quarantined request again and again. One of them tries it, and none does while
+/// the store cannot decide which.
+#[test]
+fn one_relay_tries_a_quarantined_request() {
+    let kind_is_lost = StoreBehaviour::KindUnavailable(QUARANTINE_KIND);
+    for (behaviour, trials) in [(StoreBehaviour::Healthy, 1), (kind_is_lost, 0)] {
+        run_test(async {
+            let engines = start_replicas(8, crashing_engine).await;
+            let store = start_store(&engines, full_model).await;
+            let relays = start_relays(&["hall", "hall", "far"], &store).await;
+            quarantine_request(&relays[0], &engines, &store).await;
+            for relay in &relays {
+                wait_until(async || knows_quarantine(relay).await).await;
+            }
+            store.set_behaviour(behaviour);
+            let until = Instant::now() + Duration::from_millis(TRIAL_DELAYS[0]) + LATER;
+            while Instant::now() < until {
+                for relay in &relays {
+                    relay.get("/stream/bad", "bad-again").await;
+                }
+                sleep(PAUSE).await;
+            }
+            assert_eq!(count_crashed(&engines), MAX_CRASHED + trials, "{behaviour:?}");
+        });
+    }
+}
+
 /// Returns whether a relay knows one quarantined request, according to its metrics.
 async fn knows_quarantine(relay: &RunningRelay) -> bool {
     let request = Request::get("/metrics").body(Full::default()).expect("a request");
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -9,8 +9,8 @@
 //! them; the same request present at one crash after another says much. By request fingerprint, a
 //! relay keeps the runs that were lost when their replicas crashed, and shares them with the other
 //! relays. Once enough of them follow one another, the request is quarantined: it is rejected and
-//! sent to no replica. A result from any replica clears a request, since a request that crashes
-//! every replica that starts to run it never has one.
+//! sent to no replica, but for few trials ([`TRIAL_DELAYS`]). A result from any replica clears a
+//! request, since a request that crashes every replica that starts to run it never has one.
 //!
 //! | what harmless requests encounter | why they are not quarantined for it |
 //! |---|---|
@@ -21,10 +21,11 @@
 //! | a part is present at the crashes of one request, or of a later part of the same prompts | a more specific one of at least the same weight explains its crashes |
 //! | one that recently had a result is present at every crash, as a part that most prompts share | it explains no crash of one without results |
 //! | a request that all callers make is present at every crash | after a recent result its crashes must weigh more, and it is never quarantined if another request explains all of them |
+//! | replicas crash one after the other while the relays remember no results, as after a restart | a trial has a result |
 //!
 //! The trade-off is the number of replicas that a request may crash: three before it is
 //! quarantined, one or two more if several requests share its crashes, plus those of sends that
-//! relays make before they learn of the quarantine. Worst case for memory: [`MAX_RECORDS`] requests
+//! relays make before they learn of the quarantine, and a trial now and then. Worst case for memory: [`MAX_RECORDS`] requests
 //! with [`MAX_RUNS`] runs each, some 600 kB. Without crashes nothing is kept.
 
 use std::{
@@ -35,11 +36,15 @@
 mod completed;
 mod record;
 mod runs;
+mod trials;
 
-use self::{completed::CompletedSet, record::RequestRecord, runs::chain_weight};
+use self::{
+    completed::CompletedSet, record::RequestRecord, runs::chain_weight, trials::TrialOwner,
+};
 pub use self::{
     record::{CrashReport, MAX_RUNS, QUARANTINE_WEIGHT},
     runs::{CrashEvidence, CrashRun, LostRun, RunProgress, SURVIVAL_TIME},
+    trials::TRIAL_DELAYS,
 };
 use crate::{
     Millis, fingerprint::RequestFingerprint, instance::ReplicaInstance, origin::UpdateAudience,
@@ -115,8 +120,9 @@
     completed: CompletedSet,
     /// Cleared requests that are still shared, with the time of each.
     cleared: VecDeque<(RequestFingerprint, Millis)>,
-    /// Cleared requests that the platform's store may still hold.
-    removable: Vec<RequestFingerprint>,
+    /// Cleared requests that the platform's store may still hold, each with the number of its
+    /// trials.
+    removable: Vec<(RequestFingerprint, usize)>,
     /// Time until which all quarantined requests are shared.
     share_all_until: Millis,
 }
@@ -230,7 +236,7 @@
         let Some(record) = self.records.remove(fingerprint) else { return false };
         self.share_cleared(fingerprint, now);
         if record.weight(now) >= REPORT_WEIGHT {
-            self.removable.push(*fingerprint);
+            self.removable.push((*fingerprint, record.trials));
         }
         true
     }
@@ -379,8 +385,9 @@
         self.records.values_mut().for_each(|record| record.stored_weight = 0);
     }
 
-    /// Takes the requests to remove from the platform's store, and marks them as removed.
-    pub fn take_removable(&mut self) -> Vec<RequestFingerprint> {
+    /// Takes the requests to remove from the platform's store, each with the number of its trials,
+    /// and marks them as removed.
+    pub fn take_removable(&mut self) -> Vec<(RequestFingerprint, usize)> {
         std::mem::take(&mut self.removable)
     }
 
@@ -394,6 +401,7 @@
                 // The request may be tried again; the runs that are left quarantine it at the next
                 // crash.
                 record.quarantined_until = None;
+                (record.trials, record.trial_owner) = (0, TrialOwner::Unknown);
                 record.changed = now;
                 record.stored_weight = 0;
                 record.drop_oldest();
--- a/crates/router/src/quarantine/record.rs
+++ b/crates/router/src/quarantine/record.rs
@@ -1,6 +1,9 @@
 //! Lost runs and quarantine state of one request.
 
-use super::runs::{CrashRun, chain_weight};
+use super::{
+    runs::{CrashRun, chain_weight},
+    trials::TrialOwner,
+};
 use crate::{Millis, fingerprint::RequestFingerprint};
 
 /// Weight of a chain of lost runs at which a request is quarantined: three pieces of strong
@@ -30,6 +33,10 @@
     pub(super) runs: Vec<CrashRun>,
     /// End of the quarantine.
     pub(super) quarantined_until: Option<Millis>,
+    /// Number of trials since its begin that relays are known to have.
+    pub(super) trials: usize,
+    /// Who may make the next trial.
+    pub(super) trial_owner: TrialOwner,
     /// How specific the request is in the latest run that this relay observed, see
     /// [`LostRun::depth`](super::LostRun).
     pub(super) depth: Option<usize>,
--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -10,6 +10,7 @@
     quarantine::{
         AMBIGUOUS_WEIGHT, CrashEvidence, CrashReport, CrashRun, LostRun, MAX_RECORDS,
         QUARANTINE_TIME, QUARANTINE_WEIGHT, QuarantineTable, RUN_RETENTION, RunProgress,
+        TRIAL_DELAYS,
     },
 };
 
@@ -108,7 +109,7 @@
         crash(&mut table, 1, replica, (replica * 1_000, replica * 1_000 + 100));
     }
     assert!(table.record_result(&request(1), 3_000));
-    assert_eq!(table.take_removable(), [request(1)], "the store may hold the request");
+    assert_eq!(table.take_removable(), [(request(1), 0)], "the store may hold the request");
     for (replica, is_quarantined) in [(5, false), (6, false), (7, false), (8, false), (9, true)] {
         let times = (replica * 1_000, replica * 1_000 + 100);
         assert_eq!(
@@ -176,6 +177,37 @@
     assert_eq!(undisturbed.tracked_count(), 0);
 }
 
+/// A quarantined request is sent by the relay that has its trial, once.
+#[test]
+fn a_quarantined_request_has_few_trials() {
+    let mut table = QuarantineTable::default();
+    for replica in 0..3 {
+        crash(&mut table, 1, replica, (replica * 1_000, replica * 1_000 + 100));
+    }
+    let (suspects, begin) = ([request(2), request(1)], 2_100);
+    let [first, second] = TRIAL_DELAYS.map(|delay| begin + delay);
+    assert_eq!(table.due_trial(&request(2), first), None, "not quarantined");
+    assert_eq!(table.due_trial(&request(1), first - 1), None);
+    assert_eq!(table.due_trial(&request(1), first), Some(0));
+    table.record_trial_request(&request(1));
+    assert_eq!(table.due_trial(&request(1), first), None, "asked for");
+    table.record_trial_failure(&request(1));
+    assert_eq!(table.due_trial(&request(1), first), Some(0));
+    table.record_trial(&request(1), 0, false);
+    assert_eq!(table.take_trials(suspects.iter(), first), None, "another relay has it");
+    assert_eq!(table.due_trial(&request(1), second - 1), None);
+    assert_eq!(table.due_trial(&request(1), second), Some(1));
+    table.record_trial(&request(1), 1, true);
+    let taken = table.take_trials(suspects.iter(), second).expect("this relay has it");
+    assert_eq!(taken, [request(1)]);
+    assert_eq!(table.take_trials(suspects.iter(), second), None, "already taken");
+    table.return_trials(&taken);
+    assert_eq!(table.take_trials(suspects.iter(), second), Some(taken));
+    assert_eq!(table.due_trial(&request(1), begin + QUARANTINE_TIME - 1), None, "no trial is left");
+    table.record_result(&request(1), second);
+    assert_eq!(table.take_removable(), [(request(1), TRIAL_DELAYS.len())]);
+}
+
 /// Two reported crashes and a third one observed locally add up. Reported runs may be older than
 /// the relay's own clock.
 #[test]
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -299,7 +299,7 @@
         let reports = table.unstored(now);
         is_changed |= !reports.is_empty();
         stored.extend(reports.into_iter().map(|report| (report.fingerprint, report)));
-        for fingerprint in table.take_removable() {
+        for (fingerprint, _) in table.take_removable() {
             stored.remove(&fingerprint);
         }
     }
