--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,7 +7,11 @@
 
 use switchfold_core::hash::hash_bytes;
 
-use crate::{Millis, era::era_of, instance::ReplicaInstance};
+use crate::{
+    Millis,
+    era::{era_of, revision_of},
+    instance::ReplicaInstance,
+};
 
 /// A range of model layers, `from..to`.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -139,6 +143,18 @@
     started_at: Millis,
     /// Lowest revision at which its id was listed; `None` if it never was.
     first_revision: Option<u64>,
+    /// Whether it had announced that it will leave.
+    was_draining: bool,
+    removal: ReplicaRemoval,
+}
+
+/// Why a replica is no longer listed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplicaRemoval {
+    /// It left or crashed.
+    Left,
+    /// The store may have missed its heartbeats because of an outage.
+    Expired,
 }
 
 /// Number of tombstones that are kept. An update older than a tombstone comes from a process that
@@ -263,10 +279,20 @@
             return FleetChange::Older;
         }
         let first_revision = self.first_listed(&id);
-        let earlier = self.tombstones.get(&id).map_or(0, |tombstone| tombstone.started_at);
         let old = self.replicas.remove(&id);
-        let started_at = old.as_ref().map_or(earlier, |old| old.entry.instance.started_at());
-        self.add_tombstone(id, ReplicaTombstone { revision, started_at, first_revision });
+        let tombstone = match (&old, self.tombstones.get(&id)) {
+            (None, Some(earlier)) => ReplicaTombstone { revision, first_revision, ..*earlier },
+            (old, _) => ReplicaTombstone {
+                revision,
+                started_at: old.as_ref().map_or(0, |old| old.entry.instance.started_at()),
+                first_revision,
+                was_draining: old
+                    .as_ref()
+                    .is_some_and(|old| old.entry.state == EntryState::Draining),
+                removal: ReplicaRemoval::Left,
+            },
+        };
+        self.add_tombstone(id, tombstone);
         let Some(old) = old else { return FleetChange::Unchanged };
         self.unindex(&old);
         FleetChange::Gone
@@ -324,14 +350,25 @@
         self.draining.extend(draining.map(|entry| entry.instance.clone()));
     }
 
-    /// Returns whether a listed instance was removed in an earlier era than the one in which it is
-    /// listed.
-    pub fn was_removed_before(&self, update: &ReplicaUpdate) -> bool {
-        let Some(entry) = &update.entry else { return false };
-        self.tombstones.get(&update.id).is_some_and(|tombstone| {
-            era_of(tombstone.revision) < era_of(update.revision)
-                && entry.instance.started_at() <= tombstone.started_at
-        })
+    /// Returns how a listed replica was removed, if that was in an earlier era than the one in which
+    /// it is listed, and its entry may not have been written since. The start of its instance does
+    /// not show the latter: the removed entry may have had a later start than was known here.
+    pub fn removal_before(&self, update: &ReplicaUpdate) -> Option<ReplicaRemoval> {
+        update.entry.as_ref()?;
+        let tombstone = self.tombstones.get(&update.id)?;
+        let is_earlier_era = era_of(tombstone.revision) < era_of(update.revision);
+        let may_be_same = revision_of(update.revision) <= revision_of(tombstone.revision);
+        (is_earlier_era && may_be_same).then_some(tombstone.removal)
+    }
+
+    /// Records that the entry of a replica that is gone may have expired in an outage of the store.
+    /// That the replica announced its leaving before still holds.
+    pub fn record_expiry(&mut self, id: &str) {
+        if let Some(tombstone) = self.tombstones.get_mut(id)
+            && !tombstone.was_draining
+        {
+            tombstone.removal = ReplicaRemoval::Expired;
+        }
     }
 
     /// Records a replica's own report of a restart if its entry is still one of an earlier
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -14,7 +14,9 @@
 use crate::{
     Millis,
     era::era_of,
-    fleet::{EntryState, FleetChange, FleetView, LayerRange, ReplicaEntry, ReplicaUpdate},
+    fleet::{
+        EntryState, FleetChange, FleetView, LayerRange, ReplicaEntry, ReplicaRemoval, ReplicaUpdate,
+    },
     freshness::FreshnessLease,
     instance::ReplicaInstance,
     membership::{MAX_PEER_READ_AGE, PeerProof},
@@ -107,30 +109,44 @@
     pub unconfirmed: usize,
 }
 
-/// Time after the first list of an era during which no instance that was known to be gone is added
-/// again, in milliseconds. A backup lists replicas that have ended since, until the store misses
-/// three of their heartbeats, which are 1.2 s apart.
-const CONFIRMATION_PERIOD: Millis = 3_800;
+/// Time after the first list of an era during which no replica that had left before is added again,
+/// in milliseconds: twice the time after which the store no longer lists a replica that is silent,
+/// which is three heartbeats of 1.2 s and the delay of its list.
+const REMOVAL_PERIOD: Millis = 8_800;
 
-/// Listed replicas that are not added for now, since the list comes from a restored backup and they
-/// were gone before the restore.
+/// Like [`REMOVAL_PERIOD`], for a replica whose entry expired in an outage. It may have served all
+/// the time, so it is added again once the store has missed three heartbeats.
+const EXPIRY_PERIOD: Millis = 3_800;
+
+/// A listed replica that is not added for now, since the list comes from a restored backup and the
+/// replica was gone before the restore.
+#[derive(Clone, Debug)]
+struct UnconfirmedUpdate {
+    update: ReplicaUpdate,
+    /// Time from which a list that contains it confirms it.
+    due: Millis,
+}
+
+/// Listed replicas that are not added for now, by id.
 #[derive(Clone, Debug, Default)]
 struct UnconfirmedUpdates {
-    until: Millis,
-    updates: BTreeMap<String, ReplicaUpdate>,
+    /// Time of the first list of the era.
+    since: Millis,
+    updates: BTreeMap<String, UnconfirmedUpdate>,
 }
 
 impl UnconfirmedUpdates {
     /// Drops the unconfirmed entry of a replica if the update is newer.
     fn record_update(&mut self, update: &ReplicaUpdate) {
-        if self
-            .updates
-            .get(&update.id)
-            .is_some_and(|unconfirmed| unconfirmed.revision < update.revision)
-        {
+        let unconfirmed = self.updates.get(&update.id);
+        if unconfirmed.is_some_and(|unconfirmed| unconfirmed.update.revision < update.revision) {
             self.updates.remove(&update.id);
         }
     }
+
+    fn is_due(&self, id: &str, now: Millis) -> bool {
+        self.updates.get(id).is_some_and(|unconfirmed| now >= unconfirmed.due)
+    }
 }
 
 /// What a relay knows about the replicas.
@@ -189,8 +205,7 @@
         if is_new_era {
             self.missing.record_restore(sent);
             self.view.pin_draining();
-            self.unconfirmed =
-                UnconfirmedUpdates { until: now + CONFIRMATION_PERIOD, updates: BTreeMap::new() };
+            self.unconfirmed = UnconfirmedUpdates { since: now, updates: BTreeMap::new() };
         }
         self.set_aside_unconfirmed(&mut listed, now);
         result.era_start = is_new_era
@@ -212,12 +227,18 @@
     /// backup. Unconfirmed entries of an earlier list that this one lacks have ended.
     fn set_aside_unconfirmed(&mut self, listed: &mut Vec<ReplicaUpdate>, now: Millis) {
         self.unconfirmed.updates.clear();
-        if now >= self.unconfirmed.until {
-            return;
-        }
-        let was_removed = |update: &mut ReplicaUpdate| self.view.was_removed_before(update);
-        for update in listed.extract_if(.., was_removed) {
-            self.unconfirmed.updates.insert(update.id.clone(), update);
+        let since = self.unconfirmed.since;
+        let due = |removal| match removal {
+            ReplicaRemoval::Left => since + REMOVAL_PERIOD,
+            ReplicaRemoval::Expired => since + EXPIRY_PERIOD,
+        };
+        let is_unconfirmed = |update: &mut ReplicaUpdate| {
+            self.view.removal_before(update).is_some_and(|removal| now < due(removal))
+        };
+        for update in listed.extract_if(.., is_unconfirmed) {
+            let Some(removal) = self.view.removal_before(&update) else { continue };
+            let unconfirmed = UnconfirmedUpdate { due: due(removal), update };
+            self.unconfirmed.updates.insert(unconfirmed.update.id.clone(), unconfirmed);
         }
     }
 
@@ -295,7 +316,12 @@
         };
         match change {
             FleetChange::Older => {}
-            FleetChange::Gone => self.missing.record_gone(&id),
+            FleetChange::Gone => {
+                if source == UpdateSource::Expiry || self.missing.is_awaited(&id) {
+                    self.view.record_expiry(&id);
+                }
+                self.missing.record_gone(&id);
+            }
             _ => self.missing.record_listed(&id, revision),
         }
         let ends = matches!(change, FleetChange::Gone | FleetChange::Restarted);
@@ -459,7 +485,7 @@
     /// for that is over. A relay that relies on another one's reads may have missed whether they
     /// are still listed.
     pub fn needs_full_list(&self, now: Millis) -> bool {
-        !self.unconfirmed.updates.is_empty() && now >= self.unconfirmed.until
+        self.unconfirmed.updates.values().any(|unconfirmed| now >= unconfirmed.due)
     }
 
     /// Returns the updates of a list that confirm unconfirmed entries. They must be sent at once to
@@ -471,8 +497,7 @@
         if !self.needs_full_list(now) || era_of(list.at) != era_of(self.read_up_to) {
             return Vec::new();
         }
-        let is_confirmed =
-            |update: &&ReplicaUpdate| self.unconfirmed.updates.contains_key(&update.id);
+        let is_confirmed = |update: &&ReplicaUpdate| self.unconfirmed.is_due(&update.id, now);
         list.listed.iter().filter(is_confirmed).cloned().collect()
     }
 
--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -3,6 +3,7 @@
 
 use proptest::prelude::*;
 use switchfold_router::{
+    era::pack_revision,
     fleet::{EntryState, FleetChange, FleetView, ReplicaEntry, ReplicaUpdate},
     instance::{MAX_CLOCK_SKEW, ReplicaInstance},
     replicas::{FleetList, FleetTracker, ForeignEntries, UpdateSource},
@@ -195,6 +196,44 @@
     assert!(fleet.view.is_empty());
 }
 
+/// Guards against replicas that received requests again after they had left, since a restored backup
+/// listed them for longer than relays expected, or with a start that this relay had not seen.
+#[test]
+fn a_restored_backup_brings_no_replica_back_that_had_left() {
+    // How it was removed at revision 8, the start and the revision in the backup, and the time after
+    // the first list at which a list that still contains it adds it.
+    let rows = [
+        ("left", UpdateSource::Watch, (100, 5), Some(8_800)),
+        ("left, with a later start", UpdateSource::Watch, (200, 6), Some(8_800)),
+        ("expired in an outage", UpdateSource::Expiry, (100, 5), Some(3_800)),
+        ("left, but written since", UpdateSource::Watch, (100, 9), None),
+    ];
+    for (name, source, (started_at, revision), added_after) in rows {
+        let mut fleet = FleetTracker::default();
+        let before = FleetList { listed: vec![started("i-1", 1, 4, 100)], at: 4 };
+        fleet.apply_list(before, UpdateSource::List, 0, 0);
+        fleet.record_read(0, 4, 0);
+        fleet.apply_all(vec![update("i-1", 8, None)], source, 1_000);
+        fleet.record_read(1_000, 8, 1_000);
+        let at = pack_revision(1, 9);
+        let copy = started("i-1", 1, pack_revision(1, revision), started_at);
+        let mut lists_at = |fleet: &mut FleetTracker, now| {
+            let list = FleetList { listed: vec![copy.clone()], at };
+            fleet.apply_list(list, UpdateSource::List, now, now);
+            fleet.record_read(now, at, now);
+            fleet.view.get("i-1").is_some()
+        };
+        const RESTORED: u64 = 10_000;
+        assert_eq!(lists_at(&mut fleet, RESTORED), added_after.is_none(), "{name}");
+        let Some(added_after) = added_after else { continue };
+        let due = RESTORED + added_after;
+        assert!(!fleet.needs_full_list(due - 1), "{name}");
+        assert!(!lists_at(&mut fleet, due - 1), "{name}");
+        assert!(fleet.needs_full_list(due), "{name}");
+        assert!(lists_at(&mut fleet, due), "{name}: it is alive");
+    }
+}
+
 /// The store may accept a heartbeat of an earlier start after the later one is listed; the later
 /// one stays listed.
 #[test]
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -281,3 +281,20 @@
     let Violations { missing, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
     assert_eq!(missing.first(), None);
 }
+
+/// A relay that was paused while a replica restarted and left under the same id listed it again
+/// once a backup contained the later start.
+#[test]
+fn a_backup_lists_a_later_start_of_a_removed_replica() {
+    let faults = vec![
+        timed(6_000, 100, Fault::Paused { relay: 0 }),
+        timed(5_400, 2_196, Fault::Paused { relay: 3 }),
+        timed(13_019, 50, Fault::Restore { age: 6_520 }),
+    ];
+    let changes = vec![
+        timed(6_250, 0, Change::Remove(2)),
+        timed(5_300, 0, Change::Restart { replica: 2, late_heartbeat: false }),
+    ];
+    let Violations { leaving, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
+    assert_eq!(leaving.first(), None);
+}
