--- a/crates/relay/src/buffers.rs
+++ b/crates/relay/src/buffers.rs
@@ -20,11 +20,6 @@
         BufferShare { buffers: self.clone(), kind, held: 0 }
     }
 
-    /// Returns the number of bytes that count against the limits.
-    pub fn counted_bytes(&self) -> usize {
-        self.ledger().counted_bytes()
-    }
-
     fn ledger(&self) -> MutexGuard<'_, BufferLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
