--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -217,7 +217,7 @@
         fleet.record_read(1_000, 8, 1_000);
         let at = pack_revision(1, 9);
         let copy = started("i-1", 1, pack_revision(1, revision), started_at);
-        let mut lists_at = |fleet: &mut FleetTracker, now| {
+        let lists_at = |fleet: &mut FleetTracker, now| {
             let list = FleetList { listed: vec![copy.clone()], at };
             fleet.apply_list(list, UpdateSource::List, now, now);
             fleet.record_read(now, at, now);
