Admission: requests before this one look again when memory is freed meanwhile

Cause: each waiting request is a task. One that is woken by its timer lets those before it poll first, by yielding once for each, and then looks for a path. If memory is freed while it yields, the urgent request may have looked before that and not since, and the later one takes the memory. Of two hypotheses the other, an order changed on the way to the replica, is ruled out: the second request is sent only after the first has ended.

Change: a request starts its yields again if memory was freed during them. The notification that frees memory has then woken those before it.

The test and its check are unchanged.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -175,13 +175,19 @@
 
     /// Waits until the candidates before this request had a chance to look for a path, and returns
     /// whether it may look as well. Each request is a task of its own; freed capacity wakes them
-    /// all, and would otherwise go to the one that is polled first.
+    /// all, and would otherwise go to the one that is polled first. If capacity is freed during the
+    /// wait, those before it have not looked since, so the wait starts again.
     async fn take_turn(&self) -> bool {
-        let Some(position) = self.position(now_millis()) else { return false };
-        for _ in 0..position {
-            yield_now().await;
+        loop {
+            let freed = self.relay.capacity_freed.get();
+            let Some(position) = self.position(now_millis()) else { return false };
+            for _ in 0..position {
+                yield_now().await;
+            }
+            if self.relay.capacity_freed.get() == freed {
+                return position == 0 || self.position(now_millis()).is_some();
+            }
         }
-        position == 0 || self.position(now_millis()).is_some()
     }
 
     fn is_displaced(&self) -> bool {
@@ -203,7 +209,7 @@
             admission.queue.leave(self.ticket);
         }
         // The next request in order may fit now.
-        self.relay.capacity_notify.notify_waiters();
+        self.relay.notify_capacity();
     }
 }
 
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -653,6 +653,6 @@
             .iter()
             .for_each(|(instance, amount)| state.memory_reservations.release(instance, *amount));
         self.first.iter().for_each(|instance| state.slot_reservations.release(instance, 1.0));
-        self.relay.capacity_notify.notify_waiters();
+        self.relay.notify_capacity();
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -222,6 +222,7 @@
         path_check_epoch: Cell::new(0),
         path_check_notify: Notify::new(),
         capacity_notify: Notify::new(),
+        capacity_freed: Cell::new(0),
         limit_notify: Notify::new(),
         loan_notify: Notify::new(),
         knows_quarantine: Cell::new(false),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -225,6 +225,8 @@
     pub path_check_notify: Notify,
     /// Wakes the requests that wait for capacity.
     pub capacity_notify: Notify,
+    /// Number of times that it was notified.
+    pub capacity_freed: Cell<u64>,
     /// Wakes the task that requests and issues grants.
     pub limit_notify: Notify,
     /// Wakes the retries that wait for a loan.
@@ -256,6 +258,12 @@
         self.random.borrow_mut().random_range(0..=max)
     }
 
+    /// Wakes the requests that wait for memory or slots.
+    pub fn notify_capacity(&self) {
+        self.capacity_freed.update(|count| count + 1);
+        self.capacity_notify.notify_waiters();
+    }
+
     /// Records that a replica may be lost, and avoids it; `why` is logged.
     pub fn suspect(&self, instance: &ReplicaInstance, why: &str) {
         record_replica_loss(self, instance);
