Relay: a body that does not arrive is refused at the deadline

What callers saw: nothing; a request whose body stays incomplete was held, with what had arrived of it, until its connection or the relay ended (docs/FINDINGS.md, bodies of callers).

Cause: the deadline was computed after the body had been read, and nothing else bounded that in time.

Change: the body is read until the deadline. A request that is not complete by then cannot be served and has not run: 503.

Evidence: a_body_that_does_not_arrive_is_refused_at_the_deadline got no response within 20 s before, and passes. The sum of all such bodies is still not bounded.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -24,7 +24,7 @@
     path::PathStage,
     reconnects::awaits_config,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     admit::{AdmissionRequest, Permit, admit, is_config_fresh},
@@ -341,18 +341,20 @@
     let permit = admit(relay, &admission)?;
     *class = RequestClass::of(&permit);
     let max_body = permit.config.limits.map_or(DEFAULT_MAX_BODY, |limits| limits.max_body_bytes);
-    let body = match Limited::new(body, max_body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::BodyTooLarge);
-        }
-        Err(_) => return Err(Refusal::BodyTruncated),
-    };
     let route_timeout = match permit.route.timeout {
         0 => DEFAULT_TIMEOUT,
         timeout => timeout,
     };
-    let timeout = headers.deadline.unwrap_or(route_timeout).min(route_timeout);
+    let deadline = arrived_at + headers.deadline.unwrap_or(route_timeout).min(route_timeout);
+    let remaining = Duration::from_millis(deadline.saturating_sub(now_millis()));
+    let body = match timeout(remaining, Limited::new(body, max_body).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::BodyTooLarge);
+        }
+        Ok(Err(_)) => return Err(Refusal::BodyTruncated),
+        Err(_) => return Err(Refusal::TimedOutUnsent),
+    };
     let uri = origin_form(&parts.uri);
     let fingerprint = RequestFingerprint::of(&RequestParts {
         method: parts.method.as_str(),
@@ -377,7 +379,7 @@
         headers,
         admission,
         arrived_at,
-        deadline: arrived_at + timeout,
+        deadline,
         attempt_count: Cell::new(0),
         may_have_run,
         is_dispatched: Cell::new(false),
