Quarantine: a trial that the watch reports before the response is not lost

Cause: the relay that creates the trial's object learns of it from its watch as well. Where that came first, it counted the trial as another relay's, and ignored the response that said the opposite.

Change: the response decides whose trial it is, whatever was known before.

Evidence: a_trial_that_is_reported_before_the_response_is_not_lost failed before and passes.

--- a/crates/router/src/quarantine/trials.rs
+++ b/crates/router/src/quarantine/trials.rs
@@ -49,11 +49,13 @@
     /// Records that a relay has a trial; `is_own` says whether it is this one.
     pub fn record_trial(&mut self, fingerprint: &RequestFingerprint, number: usize, is_own: bool) {
         let Some(record) = self.records.get_mut(fingerprint) else { return };
-        if number < record.trials {
-            return;
+        // A watch may report the object of this relay's own trial before the store's response.
+        if is_own {
+            record.trial_owner = TrialOwner::Own;
+        } else if number >= record.trials {
+            record.trial_owner = TrialOwner::Unknown;
         }
-        record.trials = number + 1;
-        record.trial_owner = if is_own { TrialOwner::Own } else { TrialOwner::Unknown };
+        record.trials = record.trials.max(number + 1);
     }
 
     /// Takes the trials of those of these requests that are quarantined, if this relay has all of
--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -208,6 +208,24 @@
     assert_eq!(table.take_removable(), [(request(1), TRIAL_DELAYS.len())]);
 }
 
+/// Guards against a trial that nobody makes, since a watch reported its object before the relay that
+/// had created it got the response.
+#[test]
+fn a_trial_that_is_reported_before_the_response_is_not_lost() {
+    let mut table = QuarantineTable::default();
+    for replica in 0..3 {
+        crash(&mut table, 1, replica, (replica * 1_000, replica * 1_000 + 100));
+    }
+    let due = 2_100 + TRIAL_DELAYS[0];
+    assert_eq!(table.due_trial(&request(1), due), Some(0));
+    table.record_trial_request(&request(1));
+    table.record_trial(&request(1), 0, false);
+    table.record_trial(&request(1), 0, true);
+    assert_eq!(table.take_trials([request(1)].iter(), due), Some(vec![request(1)]));
+    table.record_trial(&request(1), 0, false);
+    assert_eq!(table.take_trials([request(1)].iter(), due), None, "it is only one");
+}
+
 /// Two reported crashes and a third one observed locally add up. Reported runs may be older than
 /// the relay's own clock.
 #[test]
