--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -9,7 +9,7 @@
 //! them; the same request present at one crash after another says much. By request fingerprint, a
 //! relay keeps the runs that were lost when their replicas crashed, and shares them with the other
 //! relays. Once enough of them follow one another, the request is quarantined: it is rejected and
-//! sent to no replica, but for few trials ([`TRIAL_DELAYS`]). A result from any replica clears a
+//! sent to no replica, except for a few trials ([`TRIAL_DELAYS`]). A result from any replica clears a
 //! request, since a request that crashes every replica that starts to run it never has one.
 //!
 //! | what harmless requests encounter | why they are not quarantined for it |
@@ -25,8 +25,9 @@
 //!
 //! The trade-off is the number of replicas that a request may crash: three before it is
 //! quarantined, one or two more if several requests share its crashes, plus those of sends that
-//! relays make before they learn of the quarantine, and a trial now and then. Worst case for memory: [`MAX_RECORDS`] requests
-//! with [`MAX_RUNS`] runs each, some 600 kB. Without crashes nothing is kept.
+//! relays make before they learn of the quarantine, and those of its trials. Worst case for memory:
+//! [`MAX_RECORDS`] requests with [`MAX_RUNS`] runs each, some 600 kB. Without crashes nothing is
+//! kept.
 
 use std::{
     cmp::Reverse,
