--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -2,7 +2,11 @@
 
 mod crash_model;
 
+use std::collections::HashSet;
+
 use crash_model::{Fault, Observed, Scenario, simulate};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use switchfold_router::{
     fingerprint::RequestFingerprint,
     instance::ReplicaInstance,
@@ -208,6 +212,42 @@
     assert_eq!(table.take_removable(), [(request(1), TRIAL_DELAYS.len())]);
 }
 
+/// A request that crashes replicas comes to all relays all the time. For each trial, one relay of 437
+/// sends it, and each asks the store at most once.
+#[test]
+fn one_of_many_relays_has_a_trial() {
+    const RELAYS: usize = 437;
+    const REQUEST_INTERVAL: u64 = 5;
+    const MAX_CALL_DELAY: u64 = 25 * RELAYS as u64;
+    let mut random = ChaCha8Rng::seed_from_u64(61);
+    let mut table = QuarantineTable::default();
+    for replica in 0..3 {
+        crash(&mut table, 1, replica, (replica * 1_000, replica * 1_000 + 100));
+    }
+    let mut tables = vec![table; RELAYS];
+    let mut created = HashSet::new();
+    let mut pending: Vec<(u64, usize, usize)> = Vec::new();
+    let (mut calls, mut sends) = (0, Vec::new());
+    let end = 2_100 + TRIAL_DELAYS[1] + 2 * MAX_CALL_DELAY;
+    for now in (2_100..end).step_by(REQUEST_INTERVAL as usize) {
+        for (_, relay, number) in pending.extract_if(.., |(at, ..)| *at <= now) {
+            calls += 1;
+            tables[relay].record_trial(&request(1), number, created.insert(number));
+        }
+        let relay = random.random_range(0..RELAYS);
+        let table = &mut tables[relay];
+        if table.take_trials([request(1)].iter(), now).is_some() {
+            sends.push(now);
+        } else if let Some(number) = table.due_trial(&request(1), now) {
+            table.record_trial_request(&request(1));
+            pending.push((now + random.random_range(0..=MAX_CALL_DELAY), relay, number));
+        }
+    }
+    println!("{calls} calls, sent at {sends:?}");
+    assert!((1..=TRIAL_DELAYS.len()).contains(&sends.len()), "{sends:?}");
+    assert!(calls <= RELAYS * TRIAL_DELAYS.len(), "{calls} calls");
+}
+
 /// Guards against a trial that nobody makes, since a watch reported its object before the relay that
 /// had created it got the response.
 #[test]
