Forward: a silent stream without attempts left is not ended by the relay

Cause: check_exhausted ended a stream at the time at which its caller was expected to leave, counted from the last bytes that the relay had read. The caller counts from the last event that it received, so the relay was always first, and a caller may wait longer than the relay expects.

The stream lasts until its caller leaves or its deadline has passed; what follows from the deadline is known, and what the caller decides need not be guessed.

a_stream_without_attempts_waits_until_its_caller_gives_up asked for the fault: that the relay ends such a stream before its deadline. Its replacement, a_stream_without_attempts_lasts_until_its_caller_leaves, checks that the stream continues after silence of 1.2 and of 2.8 s, that it lasts until its deadline and no longer, that the replica's connection is closed once the caller has left, and what the old test guarded against: that a silent stream is not checked every 100 ms (at most 12 calls for a report in 4 s).

--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -14,7 +14,7 @@
 
 use super::{CHECK_INTERVAL, StreamForwarder, recovery::MAX_REPATHS};
 use crate::{
-    admission::{caller_wait, controls_overload},
+    admission::controls_overload,
     counts::count,
     engines::{OrderOutcome, probe_replicas},
     paths::{CrossingRule, MemoryRule, find_path, request_capacity},
@@ -122,12 +122,9 @@
     }
 
     /// Checks a stream without events that can be resumed nowhere: moves it if a replica of its
-    /// path is lost, and otherwise waits for its events until its caller has left.
+    /// path is lost, and otherwise waits for its events. Its caller decides how long.
     pub(super) async fn check_exhausted(&mut self) {
         let now = now_millis();
-        if now >= self.caller_leaves_at() {
-            return self.give_up("no event until the caller left", "no attempt left");
-        }
         if !self.is_path_lost() {
             if !std::mem::replace(&mut self.is_probed, true) {
                 probe_replicas(&self.relay, self.path.iter().map(|stage| stage.address));
@@ -144,9 +141,8 @@
         if !self.is_path_lost() {
             let doublings = self.move_wait.checks.min(MAX_DOUBLINGS);
             self.move_wait.checks += 1;
-            let check_at = now + (CHECK_INTERVAL << doublings);
             // A loss that is reported meanwhile is handled at once.
-            self.next_check = check_at.min(self.caller_leaves_at());
+            self.next_check = now + (CHECK_INTERVAL << doublings);
             return;
         }
         let why = "a replica of the path is lost";
@@ -165,19 +161,14 @@
         }
     }
 
-    /// Returns the time at which the caller gives up if no event arrives.
-    fn caller_leaves_at(&self) -> Millis {
-        self.last_progress + caller_wait(self.permit.route.objective, self.max_pause())
-    }
-
     fn look_again_at(&mut self, at: Millis) {
-        self.move_wait.until = at.min(self.caller_leaves_at());
+        self.move_wait.until = at;
     }
 
     /// Leaves a stream that can neither move nor be resumed to its present path, where it may
     /// still continue.
     fn wait_for_events(&mut self, why: &str) {
-        self.look_again_at(Millis::MAX);
+        self.look_again_at(now_millis() + (CHECK_INTERVAL << MAX_DOUBLINGS));
         let id = &self.request.headers.attempt_id;
         let quiet_ms = now_millis() - self.last_progress;
         let rank = self.permit.priority;
--- a/crates/relay/tests/moves.rs
+++ b/crates/relay/tests/moves.rs
@@ -20,6 +20,7 @@
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
     engine::{ORDER_PATH, REPORT_PATH},
+    headers::DEADLINE as DEADLINE_HEADER,
 };
 use switchfold_platform_standin::{
     GateState, ReceivedRequest, Reply, StandinReplica, StandinStore, StreamEnd, StreamGate, events,
@@ -140,33 +141,63 @@
     });
 }
 
-/// A stream without attempts left continues if its replica has events again, and ends once its
-/// caller has given up. Guards against responses that are ready but not delivered, and against
-/// streams that are checked until the deadline of their request.
+/// A stream without attempts left continues if its replica has events again, ends when its caller
+/// leaves, and otherwise lasts until its deadline. Guards against responses that are ready but not
+/// delivered, and against streams that are checked every 100 ms meanwhile.
 #[test]
-fn a_stream_without_attempts_waits_until_its_caller_gives_up() {
-    for is_late in [true, false] {
+fn a_stream_without_attempts_lasts_until_its_caller_leaves() {
+    /// Maximum number of calls for a report within the deadline of a silent stream.
+    const MAX_REPORTS: u32 = 12;
+    const DEADLINE: Duration = Duration::from_millis(4_000);
+    for silence in [Some(Duration::from_millis(1_200)), Some(Duration::from_millis(2_800)), None] {
         run_test(async move {
             let started = Instant::now();
-            let script = move |request: &ReceivedRequest| match request.target.as_str() {
-                REPORT_PATH => signed_response(request, 200, &report(0, LAYERS, &[])),
-                _ => {
-                    let sent_at = Instant::now();
-                    held_stream(request, move || {
-                        is_late && sent_at.elapsed() > Duration::from_millis(1_200)
-                    })
+            let reports = Arc::new(AtomicU32::new(0));
+            let script = {
+                let reports = Arc::clone(&reports);
+                move |request: &ReceivedRequest| match request.target.as_str() {
+                    REPORT_PATH => {
+                        reports.fetch_add(1, Ordering::Relaxed);
+                        signed_response(request, 200, &report(0, LAYERS, &[]))
+                    }
+                    _ => {
+                        let sent_at = Instant::now();
+                        held_stream(request, move || {
+                            silence.is_some_and(|silence| sent_at.elapsed() > silence)
+                        })
+                    }
                 }
             };
             let replica = StandinReplica::start(script).await;
             let entries = [entry_of("i-1", &replica, |address| model_entry(address, 0, LAYERS))];
             let relay = start_ranked(300, &entries).await;
-            let called = call(relay.address, request("/stream-single/a", "a")).await;
-            let events = if is_late { EVENTS } else { 3 };
+            let mut request = request("/stream-single/a", "a");
+            let deadline = DEADLINE.as_millis().to_string().parse().expect("a header value");
+            request.headers_mut().insert(DEADLINE_HEADER, deadline);
+            let called = call(relay.address, request).await;
+            let events = if silence.is_some() { EVENTS } else { 3 };
             assert_eq!(event_ids(&called.body), (0..events).collect::<Vec<u64>>());
-            assert_eq!(called.is_complete, is_late);
-            assert!(started.elapsed() >= Duration::from_millis(1_200));
-            assert!(started.elapsed() < Duration::from_secs(8), "before the deadline");
+            assert_eq!(called.is_complete, silence.is_some());
+            assert!(started.elapsed() >= silence.unwrap_or(DEADLINE));
+            assert!(reports.load(Ordering::Relaxed) <= MAX_REPORTS);
             assert_eq!(replica.requests().len(), 1);
         });
     }
+    run_test(async {
+        let script = |request: &ReceivedRequest| match request.target.as_str() {
+            REPORT_PATH => signed_response(request, 200, &report(0, LAYERS, &[])),
+            _ => held_stream(request, || false),
+        };
+        let replica = StandinReplica::start(script).await;
+        let entries = [entry_of("i-1", &replica, |address| model_entry(address, 0, LAYERS))];
+        let relay = start_ranked(300, &entries).await;
+        let address = relay.address;
+        let calling = tokio::task::spawn_local(async move {
+            call(address, request("/stream-single/a", "a")).await
+        });
+        wait_until(async || read_figure(&relay, "answered").await == 1).await;
+        calling.abort();
+        wait_until(async || replica.requests()[0].connection > 0 && replica.open_connections() == 0)
+            .await;
+    });
 }
