--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -1,37 +1,40 @@
 //! Forwards the events of a stream to the caller as they arrive, and resumes the stream at another
 //! replica if one of its path is lost.
 //!
+//! A stream whose replica is only silent is resumed beside the silent response. The response that
+//! has the next event is forwarded, and the other is dropped.
+//!
 //! The body is polled by the task of the caller's connection, so an event costs one wake-up, and a
 //! caller that disconnects drops the body and with it the connection to the replica.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use switchfold_kernel::clock::now_millis;
-use switchfold_platform::{
-    events::EventFramer,
-    headers::{ResponseHeaders, read_response_headers},
+use futures_util::{
+    future::{LocalBoxFuture, OptionFuture},
+    stream,
 };
-use switchfold_router::{Millis, buffers::LengthKind, path::PathStage};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use switchfold_kernel::clock::now_millis;
+use switchfold_router::Millis;
 use tokio::time::{Instant, sleep_until};
 
 mod moves;
 mod recovery;
+mod run;
 
-use self::{moves::MoveWait, recovery::StreamLoss};
+use self::{
+    moves::MoveWait,
+    recovery::StreamLoss,
+    run::{RunOutput, StreamRun},
+};
 use crate::{
     admit::Permit,
-    buffers::BufferShare,
     counts::count,
-    paths::PathReservation,
-    pool::ActiveConnection,
     quarantine::record_result,
     request::CallerRequest,
     responses::{BodyAborted, RelayBody},
-    run_tracker::RunTracker,
     shutdown::CountGuard,
     state::Relay,
     stream::{OpenStream, SendHistory},
@@ -53,9 +56,6 @@
 /// the route allows.
 const SUSPECT_PAUSE: Millis = 70;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Interval between two checks of a stream without events, in milliseconds.
 const CHECK_INTERVAL: Millis = 100;
 
@@ -64,19 +64,21 @@
     relay: Rc<Relay>,
     request: Rc<CallerRequest>,
     permit: Permit,
-    history: SendHistory,
-    body: Incoming,
-    connection: Option<ActiveConnection>,
-    headers: ResponseHeaders,
-    path: Vec<PathStage>,
-    reservation: PathReservation,
-    run: RunTracker,
-    framer: EventFramer,
-    /// Memory for the incomplete event.
-    partial_event: BufferShare,
+    history: Rc<SendHistory>,
+    /// Response that is forwarded. Once it broke off, what is left of it until it is replaced.
+    current: StreamRun,
+    /// Response that was silent when `current` replaced it. It is forwarded again if it has the next
+    /// event first.
+    former: Option<StreamRun>,
+    /// Why `current` has broken off.
+    broken: Option<String>,
+    /// Search for the replica that holds up the stream, beside the response.
+    investigation: Option<LocalBoxFuture<'static, Option<SocketAddr>>>,
+    /// Opening of the stream at another replica, beside the response.
+    resumption: Option<LocalBoxFuture<'static, Result<Box<OpenStream>, String>>>,
     opened_at: Millis,
-    /// Time of the last bytes.
-    last_progress: Millis,
+    /// Time of the last event that was forwarded.
+    last_forwarded: Millis,
     longest_pause: Millis,
     /// Value of `Relay::path_check_epoch` at the last check of the path.
     seen_epoch: u64,
@@ -100,23 +102,20 @@
 pub fn stream_body(
     relay: Rc<Relay>,
     request: Rc<CallerRequest>,
-    permit: Permit,
-    history: SendHistory,
+    history: Rc<SendHistory>,
     opened: OpenStream,
     in_flight: CountGuard,
 ) -> RelayBody {
+    let (current, permit) = StreamRun::new(&relay, opened, request.headers.last_event_id);
     let forwarder = StreamForwarder {
         seen_epoch: relay.path_check_epoch.get(),
-        framer: EventFramer::resume_after(request.headers.last_event_id),
-        partial_event: relay.buffers.share(LengthKind::Open),
-        headers: read_response_headers(&opened.head.headers),
-        body: opened.body,
-        connection: Some(opened.connection),
-        path: opened.path,
-        reservation: opened.reservation,
-        run: opened.run,
+        current,
+        former: None,
+        broken: None,
+        investigation: None,
+        resumption: None,
         opened_at: now_millis(),
-        last_progress: now_millis(),
+        last_forwarded: now_millis(),
         longest_pause: 0,
         leave_at: None,
         is_probed: false,
@@ -140,11 +139,14 @@
 
 /// What ended the wait of a stream.
 enum WaitOutcome {
-    Bytes(Bytes),
-    /// The body has ended.
-    End,
-    /// The body ended with this error.
-    Broken(String),
+    /// The response that is forwarded has more bytes, or has ended.
+    Current(RunOutput),
+    /// The response that was silent before has more bytes, or has ended.
+    Former(RunOutput),
+    /// The replica that holds up the stream was found, or none was.
+    Investigated(Option<SocketAddr>),
+    /// The stream was opened elsewhere, or could not be.
+    Resumed(Result<Box<OpenStream>, String>),
     /// No bytes arrived until the next check.
     Pause,
     /// A replica became suspect or started to leave.
@@ -156,56 +158,105 @@
 impl StreamForwarder {
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyAborted>> {
         while !self.has_ended {
-            match self.wait().await {
-                WaitOutcome::Bytes(chunk) => {
-                    let now = now_millis();
-                    self.longest_pause = self.longest_pause.max(now - self.last_progress);
-                    self.last_progress = now;
+            let events = match self.wait().await {
+                WaitOutcome::Current(RunOutput::Bytes(chunk)) => {
                     self.is_probed = false;
                     self.end_move_wait();
-                    if let Some(events) = self.framer.push(chunk) {
-                        self.run.record_event(&self.relay, &self.request);
-                        self.leave_when_due().await;
-                        self.partial_event.resize(self.framer.partial_len());
-                        return Some(Ok(Frame::data(events)));
-                    }
-                    if !self.can_buffer_event() {
-                        self.recover("an event is too large", StreamLoss::Excessive).await;
+                    let events = self.current.push(chunk);
+                    if events.is_none() && !self.current.can_buffer_event() {
+                        self.recover("an event is too large", StreamLoss::Excessive);
                     }
+                    events
                 }
-                WaitOutcome::End if !self.framer.has_partial() => {
+                WaitOutcome::Current(RunOutput::End) => {
                     self.finish();
                     return None;
                 }
-                WaitOutcome::End => {
-                    self.recover("response ended within an event", StreamLoss::Broken).await
+                WaitOutcome::Current(RunOutput::Broken(detail)) => {
+                    self.recover(&detail, StreamLoss::Broken);
+                    None
+                }
+                WaitOutcome::Former(output) => match self.read_former(output) {
+                    Some(RunOutput::Bytes(events)) => Some(events),
+                    Some(RunOutput::End) => {
+                        self.finish();
+                        return None;
+                    }
+                    _ => None,
+                },
+                WaitOutcome::Investigated(faulty_replica) => {
+                    self.apply_investigation(faulty_replica).await;
+                    None
+                }
+                WaitOutcome::Resumed(resumed) => {
+                    self.apply_resumption(resumed);
+                    None
                 }
-                WaitOutcome::Broken(detail) => self.recover(&detail, StreamLoss::Broken).await,
                 WaitOutcome::Pause => {
                     self.next_check = now_millis() + CHECK_INTERVAL;
-                    self.check_path().await;
+                    if self.broken.is_none() {
+                        self.check_path().await;
+                    }
+                    None
+                }
+                WaitOutcome::ReplicaChange => {
+                    self.handle_replica_change();
+                    None
+                }
+                WaitOutcome::Deadline => {
+                    self.give_up("deadline passed", "deadline passed");
+                    None
                 }
-                WaitOutcome::ReplicaChange => self.handle_replica_change(),
-                WaitOutcome::Deadline => self.give_up("deadline passed", "deadline passed"),
+            };
+            if let Some(events) = events {
+                self.record_forwarded();
+                self.leave_when_due().await;
+                return Some(Ok(Frame::data(events)));
             }
         }
         Some(Err(BodyAborted))
     }
 
-    /// Returns whether the incomplete event may be buffered, alone and with all other responses.
-    fn can_buffer_event(&mut self) -> bool {
-        let len = self.framer.partial_len();
-        len <= MAX_EVENT_BYTES && self.partial_event.resize(len)
+    /// Records that events of the current response are forwarded. A resumption that is under way is
+    /// cancelled, and the former response is dropped.
+    fn record_forwarded(&mut self) {
+        let now = now_millis();
+        self.longest_pause = self.longest_pause.max(now - self.last_forwarded);
+        self.last_forwarded = now;
+        self.investigation = None;
+        self.resumption = None;
+        self.former = None;
+        self.current.record_event(&self.relay, &self.request);
+    }
+
+    /// Handles bytes or the end of the former response. If it has the next events or the end of the
+    /// stream, it takes the place of the current one, and they are returned.
+    fn read_former(&mut self, output: RunOutput) -> Option<RunOutput> {
+        let output = match output {
+            RunOutput::Bytes(chunk) => {
+                let former = self.former.as_mut()?;
+                match former.push(chunk) {
+                    Some(events) => RunOutput::Bytes(events),
+                    None if former.can_buffer_event() => return None,
+                    None => RunOutput::Broken("an event is too large".to_owned()),
+                }
+            }
+            output => output,
+        };
+        let former = self.former.take()?;
+        let id = &self.request.headers.attempt_id;
+        if let RunOutput::Broken(detail) = output {
+            tracing::info!(event = "former-response-broken", request = id, detail);
+            return None;
+        }
+        let quiet_ms = now_millis() - self.last_forwarded;
+        tracing::info!(event = "stream-continued", request = id, quiet_ms);
+        self.return_to(former);
+        Some(output)
     }
 
     async fn wait(&mut self) -> WaitOutcome {
         let now = now_millis();
-        let pause = match self.is_suspect {
-            true => SUSPECT_PAUSE,
-            false if self.is_probed => self.max_pause(),
-            false => self.probe_pause().min(self.max_pause()),
-        };
-        let check_at = (self.last_progress + pause).max(self.next_check);
         let remaining = self.request.time_remaining(now);
         if remaining == 0 {
             return WaitOutcome::Deadline;
@@ -213,15 +264,34 @@
         if self.seen_epoch != self.relay.path_check_epoch.get() {
             return WaitOutcome::ReplicaChange;
         }
-        let wake_at =
-            Instant::now() + Duration::from_millis(check_at.saturating_sub(now).min(remaining));
+        let pause = match self.is_suspect {
+            true => SUSPECT_PAUSE,
+            false if self.is_probed => self.max_pause(),
+            false => self.probe_pause().min(self.max_pause()),
+        };
+        let is_recovering = self.investigation.is_some() || self.resumption.is_some();
+        let check_at = match is_recovering {
+            true => self.request.deadline,
+            false => (self.current.last_progress + pause).max(self.next_check),
+        };
+        let wake_at = check_at.saturating_sub(now).min(remaining);
+        let wake_at = Instant::now() + Duration::from_millis(wake_at);
+        let is_broken = self.broken.is_some();
+        let former = OptionFuture::from(self.former.as_mut().map(StreamRun::read));
+        let investigation = OptionFuture::from(self.investigation.as_mut());
+        let resumption = OptionFuture::from(self.resumption.as_mut());
         tokio::select! {
             biased;
-            frame = self.body.frame() => match frame {
-                Some(Ok(frame)) => WaitOutcome::Bytes(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => WaitOutcome::Broken(error.to_string()),
-                None => WaitOutcome::End,
-            },
+            output = self.current.read(), if !is_broken => WaitOutcome::Current(output),
+            Some(output) = former => WaitOutcome::Former(output),
+            Some(resumed) = resumption => {
+                self.resumption = None;
+                WaitOutcome::Resumed(resumed)
+            }
+            Some(faulty_replica) = investigation => {
+                self.investigation = None;
+                WaitOutcome::Investigated(faulty_replica)
+            }
             () = self.relay.path_check_notify.notified() => WaitOutcome::ReplicaChange,
             () = sleep_until(wake_at) => WaitOutcome::Pause,
         }
@@ -238,8 +308,8 @@
     /// Returns the pause after which the replicas of the path are probed: longer than any that the
     /// stream has had so far.
     fn probe_pause(&self) -> Millis {
-        let ran_for = self.last_progress.saturating_sub(self.opened_at);
-        let mean = ran_for / self.framer.event_count().max(1);
+        let ran_for = self.current.last_progress.saturating_sub(self.opened_at);
+        let mean = ran_for / self.current.event_count().max(1);
         let pause = (mean * PROBE_FACTOR).max(self.longest_pause * 3 / 2);
         pause.max(MIN_PROBE_PAUSE)
     }
@@ -254,33 +324,32 @@
             request = self.request.headers.attempt_id,
             took_ms = took,
             longest_pause_ms = self.longest_pause,
-            events = self.framer.event_count(),
-            parts = self.path.len(),
-            first = %self.path[0].instance,
+            events = self.current.event_count(),
+            parts = self.current.path.len(),
+            first = %self.current.path[0].instance,
             route = self.permit.route.name,
             organisation = self.permit.organisation,
             rank = self.permit.priority,
         );
-        if let Some(connection) = self.connection.take().filter(|_| !self.headers.closes_connection)
-        {
-            connection.return_to(&self.relay.pool, self.headers.keep_alive);
-        }
+        self.current.return_connection(&self.relay);
     }
 
     fn give_up(&mut self, why: &str, not_resumed: &str) {
         self.has_ended = true;
-        self.connection = None;
+        self.resumption = None;
+        self.former = None;
+        self.current.close();
         count(&self.relay.counts.failed);
-        let quiet_ms = now_millis() - self.last_progress;
+        let quiet_ms = now_millis() - self.last_forwarded;
         tracing::warn!(
             event = "stream-broken",
             request = self.request.headers.attempt_id,
             why,
             not_resumed,
-            sends = self.history.sends,
-            rejected = self.history.rejections,
+            sends = self.history.sends(),
+            rejected = self.history.rejections(),
             quiet_ms,
-            last_event = self.framer.last_id(),
+            last_event = self.current.last_id(),
             route = self.permit.route.name,
             organisation = self.permit.organisation,
             rank = self.permit.priority,
--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -18,9 +18,8 @@
     counts::count,
     engines::{OrderOutcome, probe_replicas},
     paths::{CrossingRule, MemoryRule, find_path, request_capacity},
-    quarantine::quarantine_remaining,
     state::{Relay, StageState},
-    stream::{MAX_REJECTIONS, find_stalled_replica, suspect_at},
+    stream::MAX_REJECTIONS,
 };
 
 /// Number of times that the interval between checks or resumptions doubles; four intervals of
@@ -83,13 +82,13 @@
         let (route, history) = (&self.permit.route, &self.history);
         self.is_ranked()
             && (!route.is_repeatable()
-                || history.sends >= route.max_attempts.max(1)
-                || history.rejections >= MAX_REJECTIONS)
+                || history.sends() >= route.max_attempts.max(1)
+                || history.rejections() >= MAX_REJECTIONS)
     }
 
     /// Returns whether a silent stream only waits for moves that are under way or go first.
     pub(super) fn waits_for_turn(&self) -> bool {
-        let end = self.last_progress + MAX_TURN_PAUSE;
+        let end = self.current.last_progress + MAX_TURN_PAUSE;
         self.move_wait.queued.as_ref().is_some_and(|queued| {
             queued.delay.cause == DelayCause::Turn && queued.delay.until < end
         })
@@ -121,23 +120,10 @@
         self.move_wait.queued = wait.queued.filter(|_| self.leave_at.is_some());
     }
 
-    /// Checks a stream without events that can be resumed nowhere: moves it if a replica of its
+    /// Recovers a stream without events that can be resumed nowhere: moves it if a replica of its
     /// path is lost, and otherwise waits for its events. Its caller decides how long.
-    pub(super) async fn check_exhausted(&mut self) {
+    pub(super) async fn recover_exhausted(&mut self) {
         let now = now_millis();
-        if !self.is_path_lost() {
-            if !std::mem::replace(&mut self.is_probed, true) {
-                probe_replicas(&self.relay, self.path.iter().map(|stage| stage.address));
-            }
-            if now - self.last_progress < self.max_pause() {
-                return;
-            }
-            let first = self.path[0].address;
-            let id = &self.request.headers.attempt_id;
-            if let Some(faulty_replica) = find_stalled_replica(&self.relay, first, id).await {
-                suspect_at(&self.relay, faulty_replica, "stalled");
-            }
-        }
         if !self.is_path_lost() {
             let doublings = self.move_wait.checks.min(MAX_DOUBLINGS);
             self.move_wait.checks += 1;
@@ -146,17 +132,11 @@
             return;
         }
         let why = "a replica of the path is lost";
-        self.run.record_loss(&self.relay, &self.request, why);
-        if self.relay.stage_state(&self.path[0]) == StageState::Lost {
+        self.current.tracker.record_loss(&self.relay, &self.request, why);
+        if self.relay.stage_state(&self.current.path[0]) == StageState::Lost {
             return self.wait_for_events("the first replica is lost");
         }
-        if self.repath().await {
-            return;
-        }
-        if quarantine_remaining(&self.relay, &self.request).is_some() {
-            return self.give_up(why, "the request is quarantined");
-        }
-        if self.move_wait.until <= now {
+        if !self.repath().await && self.move_wait.until <= now {
             self.wait_for_events(why);
         }
     }
@@ -170,7 +150,7 @@
     fn wait_for_events(&mut self, why: &str) {
         self.look_again_at(now_millis() + (CHECK_INTERVAL << MAX_DOUBLINGS));
         let id = &self.request.headers.attempt_id;
-        let quiet_ms = now_millis() - self.last_progress;
+        let quiet_ms = now_millis() - self.last_forwarded;
         let rank = self.permit.priority;
         let not_resumed = "no attempt left";
         tracing::info!(event = "stream-waits", request = id, rank, why, not_resumed, quiet_ms);
@@ -256,7 +236,7 @@
             replica = %delay.replica,
             cause = ?delay.cause,
             for_ms = delay.until - now,
-            quiet_ms = now - self.last_progress,
+            quiet_ms = now - self.last_forwarded,
         );
         self.look_again_at(delay.until);
         self.move_wait.queued = Some(QueuedMove { relay: self.relay.clone(), delay });
@@ -311,12 +291,12 @@
     /// Calls `decide` while the memory that this stream has reserved counts as free.
     fn exclude_own_reservation<T>(&self, tokens: f64, decide: impl FnOnce(&Self) -> T) -> T {
         let amount = |stage: &PathStage| tokens * f64::from(stage.range.len());
-        for stage in &self.path {
+        for stage in &self.current.path {
             let mut state = self.relay.state.borrow_mut();
             state.memory_reservations.release(&stage.instance, amount(stage));
         }
         let decision = decide(self);
-        for stage in &self.path {
+        for stage in &self.current.path {
             let mut state = self.relay.state.borrow_mut();
             state.memory_reservations.reserve(&stage.instance, amount(stage));
         }
@@ -328,7 +308,7 @@
         let engine = self.move_criteria(&[])?.engine;
         let state = self.relay.state.borrow();
         let is_kept = |stage: &PathStage| {
-            self.path.iter().any(|old| {
+            self.current.path.iter().any(|old| {
                 old.instance == stage.instance
                     && old.range.from <= stage.range.from
                     && stage.range.to <= old.range.to
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -3,27 +3,29 @@
 //! The cheapest way comes first: the engines move the request to another path and keep its KV
 //! cache. If they cannot, the stream is resumed after its last event at another replica.
 
-use std::time::Duration;
+use std::{future::Ready, net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::read_response_headers;
 use switchfold_router::{Millis, instance::ReplicaInstance, path::PathStage};
 use tokio::time::sleep;
 
-use super::StreamForwarder;
+use super::{StreamForwarder, run::StreamRun};
 use crate::{
     admission::overcommit_rule,
-    admit::admit,
+    admit::{Permit, admit},
     counts::count,
     engines::{OrderOutcome, order_repath, probe_replicas},
+    late_sends::LateSends,
     paths::{CrossingRule, MemoryRule, PathCriteria, PathReservation, find_path},
     quarantine::quarantine_remaining,
+    request::CallerRequest,
+    retries::RetryCharge,
     run_tracker::RunTracker,
-    state::StageState,
+    state::{Relay, StageState},
     stream::{
-        OpenOutcome, OpenStream, StreamTarget, find_stalled_replica, open_stream, suspect_at,
-        take_retry,
+        OpenOutcome, OpenStream, SendHistory, StreamTarget, find_stalled_replica, open_stream,
+        suspect_at, take_retry,
     },
 };
 
@@ -78,7 +80,7 @@
             // The suspicion may be wrong: a stream that still has events has lost nothing.
             StageState::Lost => self.is_suspect = true,
         }
-        self.is_suspect |= self.relay.stage_state(&self.path[0]) == StageState::Lost;
+        self.is_suspect |= self.relay.stage_state(&self.current.path[0]) == StageState::Lost;
         if self.is_suspect {
             // A stream that pauses already is checked at once: waiting for the next check would
             // take much of the longest pause allowed. One whose move is delayed waits.
@@ -100,7 +102,7 @@
     /// Returns the worst state of the stages after the first; the loss of the first breaks the
     /// response.
     fn path_state(&self) -> StageState {
-        let states = self.path.iter().skip(1).map(|stage| self.relay.stage_state(stage));
+        let states = self.current.path.iter().skip(1).map(|stage| self.relay.stage_state(stage));
         states.fold(StageState::Serving, |worst, state| match (worst, state) {
             (StageState::Lost, _) | (_, StageState::Lost) => StageState::Lost,
             (StageState::Leaving, _) | (_, StageState::Leaving) => StageState::Leaving,
@@ -110,15 +112,16 @@
 
     /// Returns whether any replica of the path is lost.
     pub(super) fn is_path_lost(&self) -> bool {
-        self.relay.stage_state(&self.path[0]) == StageState::Lost
+        self.relay.stage_state(&self.current.path[0]) == StageState::Lost
             || self.path_state() == StageState::Lost
     }
 
     async fn replace_lost(&mut self) {
-        self.run.record_loss(&self.relay, &self.request, "a replica of the path is lost");
+        let why = "a replica of the path is lost";
+        self.current.tracker.record_loss(&self.relay, &self.request, why);
         if !self.repath().await && !self.waits_for_turn() {
             self.delay_next_check();
-            self.recover("a replica of the path is lost", StreamLoss::Silent).await;
+            self.recover(why, StreamLoss::Silent);
         }
     }
 
@@ -126,37 +129,71 @@
     /// first; the first engine's report of a stall is some hundred milliseconds old.
     pub(super) async fn check_path(&mut self) {
         self.is_suspect = false;
+        if !self.is_path_lost() {
+            let pause = now_millis() - self.current.last_progress;
+            if pause < self.max_pause() || (self.is_exhausted() && !self.is_probed) {
+                self.is_probed = true;
+                let stages = self.current.path.iter();
+                probe_replicas(&self.relay, stages.map(|stage| stage.address));
+            }
+            if pause < self.max_pause() {
+                return;
+            }
+            return self.investigate();
+        }
+        self.recover_path().await;
+    }
+
+    /// Fetches the report of the first engine, which tells what holds up the stream, beside the
+    /// response.
+    fn investigate(&mut self) {
+        let (relay, first) = (self.relay.clone(), self.current.path[0].address);
+        let id = self.request.headers.attempt_id.clone();
+        self.investigation =
+            Some(Box::pin(async move { find_stalled_replica(&relay, first, &id).await }));
+    }
+
+    /// Continues a check with the replica that holds up the stream.
+    pub(super) async fn apply_investigation(&mut self, faulty_replica: Option<SocketAddr>) {
+        if let Some(faulty_replica) = faulty_replica {
+            suspect_at(&self.relay, faulty_replica, "stalled");
+        }
+        self.recover_path().await;
+    }
+
+    /// Forwards a stream that was opened elsewhere. Without one, a stream that broke off ends; one
+    /// that is silent waits, since its replica may continue.
+    pub(super) fn apply_resumption(&mut self, resumed: Result<Box<OpenStream>, String>) {
+        let not_resumed = match resumed {
+            Ok(stream) => return self.switch_to(*stream),
+            Err(not_resumed) => not_resumed,
+        };
+        if let Some(why) = self.broken.take() {
+            return self.give_up(&why, &not_resumed);
+        }
+        self.next_resume = now_millis() + self.resume_interval(RESUME_INTERVAL);
+        let id = &self.request.headers.attempt_id;
+        tracing::info!(event = "stream-waits", request = id, not_resumed);
+    }
+
+    /// Recovers a stream without events whose path has been checked.
+    async fn recover_path(&mut self) {
         match self.is_exhausted() {
-            true => self.check_exhausted().await,
-            false => self.check_resumable().await,
+            true => self.recover_exhausted().await,
+            false => self.recover_resumable().await,
         }
         self.next_check = self.next_check.max(self.move_wait.until);
     }
 
-    async fn check_resumable(&mut self) {
-        let first = self.path[0].clone();
-        let pause = now_millis() - self.last_progress;
-        let first_is_lost = self.relay.stage_state(&first) == StageState::Lost;
-        if !first_is_lost && self.path_state() != StageState::Lost {
-            if pause < self.max_pause() {
-                self.is_probed = true;
-                probe_replicas(&self.relay, self.path.iter().map(|stage| stage.address));
-                return;
-            }
-            let id = &self.request.headers.attempt_id;
-            if let Some(faulty_replica) = find_stalled_replica(&self.relay, first.address, id).await
-            {
-                suspect_at(&self.relay, faulty_replica, "stalled");
-            }
-        }
-        if self.relay.stage_state(&first) == StageState::Lost {
-            return self.recover("the first replica is lost", StreamLoss::Silent).await;
+    async fn recover_resumable(&mut self) {
+        if self.relay.stage_state(&self.current.path[0]) == StageState::Lost {
+            return self.recover("the first replica is lost", StreamLoss::Silent);
         }
         if self.path_state() == StageState::Lost {
             return self.replace_lost().await;
         }
-        if now_millis() - self.last_progress > MAX_SILENCE {
-            self.recover("no event for too long", StreamLoss::Silent).await;
+        if now_millis() - self.current.last_progress > MAX_SILENCE {
+            self.recover("no event for too long", StreamLoss::Silent);
         }
     }
 
@@ -200,7 +237,7 @@
         let state = self.relay.state.borrow();
         let has_ended =
             |stage: &&PathStage| state.fleet.view.get_current(&stage.instance).is_none();
-        let ended = self.path.iter().filter(has_ended);
+        let ended = self.current.path.iter().filter(has_ended);
         let restarted = ended.filter_map(|stage| state.fleet.view.at_address(stage.address));
         restarted.map(|replica| replica.instance.clone()).collect()
     }
@@ -233,7 +270,7 @@
             tokens: self.request.estimate_tokens(mean),
             rank: self.permit.priority,
             excluded,
-            first: self.path.first().map(|first| (&first.instance, first.range)),
+            first: self.current.path.first().map(|first| (&first.instance, first.range)),
             load_aware: self.relay.settings.load_aware_paths,
             overcommit: overcommit_rule(&self.relay, &self.permit),
         })
@@ -243,7 +280,7 @@
         tracing::info!(
             event = "repath-impossible",
             request = self.request.headers.attempt_id,
-            first = %self.path[0].instance,
+            first = %self.current.path[0].instance,
         );
     }
 
@@ -252,25 +289,25 @@
     pub(super) async fn order_move(&mut self, path: Vec<PathStage>, tokens: f64) -> OrderOutcome {
         let id = &self.request.headers.attempt_id;
         let end = order_repath(&self.relay, id, &path).await;
-        let quiet_ms = now_millis() - self.last_progress;
+        let quiet_ms = now_millis() - self.last_forwarded;
         let (rank, parts) = (self.permit.priority, path.len());
         tracing::info!(event = "repath", request = id, rank, ?end, quiet_ms, parts);
         if matches!(end, OrderOutcome::Refused(..)) {
             count(&self.relay.counts.moves_refused);
         }
         if end == OrderOutcome::Taken {
-            self.run = RunTracker::over_path(&path);
-            self.run.record_start();
-            self.reservation = PathReservation::new(&self.relay, &path, tokens);
-            self.path = path;
+            self.current.tracker = RunTracker::over_path(&path);
+            self.current.tracker.record_start();
+            self.current.reservation = PathReservation::new(&self.relay, &path, tokens);
+            self.current.path = path;
         }
         end
     }
 
-    /// Resumes a stream at another replica, if its route allows that. The connection to the current
-    /// replica is kept until the other one responds: silence alone is no reason to end a stream,
-    /// and it may still continue.
-    pub(super) async fn recover(&mut self, why: &str, loss: StreamLoss) {
+    /// Begins to resume a stream at another replica, if its route allows that. The connection to the
+    /// current replica is kept until the other one has an event: silence alone is no reason to end
+    /// a stream, and it may still continue.
+    pub(super) fn recover(&mut self, why: &str, loss: StreamLoss) {
         if loss == StreamLoss::Silent && now_millis() < self.next_resume {
             return;
         }
@@ -279,106 +316,154 @@
             request = self.request.headers.attempt_id,
             why,
             ?loss,
-            sends = self.history.sends,
-            first = %self.path[0].instance,
-            last_event = self.framer.last_id(),
+            sends = self.history.sends(),
+            first = %self.current.path[0].instance,
+            last_event = self.current.last_id(),
         );
         if loss == StreamLoss::Broken || self.is_path_lost() {
-            self.run.record_loss(&self.relay, &self.request, why);
-        }
-        if loss == StreamLoss::Broken {
-            // The replica may be lost, and with it other streams whose path it is part of.
-            probe_replicas(&self.relay, std::iter::once(self.path[0].address));
+            self.current.tracker.record_loss(&self.relay, &self.request, why);
         }
-        if loss == StreamLoss::Excessive {
-            self.framer.drop_partial();
-            self.partial_event.resize(0);
-            self.relay.avoid(&self.path[0].instance, why);
-        }
-        match (self.resume().await, loss) {
-            (Ok(stream), _) => self.switch_to(stream),
-            (Err(not_resumed), StreamLoss::Broken | StreamLoss::Excessive) => {
-                self.give_up(why, &not_resumed);
-            }
-            // A quarantined request can be resumed nowhere, so its caller need not wait.
-            (Err(not_resumed), StreamLoss::Silent)
-                if quarantine_remaining(&self.relay, &self.request).is_some() =>
-            {
-                self.give_up(why, &not_resumed);
+        match loss {
+            StreamLoss::Broken => {
+                // The replica may be lost, and with it other streams whose path it is part of.
+                let first = self.current.path[0].address;
+                probe_replicas(&self.relay, std::iter::once(first));
             }
-            (Err(not_resumed), StreamLoss::Silent) => {
-                self.next_resume = now_millis() + self.resume_interval(RESUME_INTERVAL);
-                let id = &self.request.headers.attempt_id;
-                tracing::info!(event = "stream-waits", request = id, why, not_resumed);
+            StreamLoss::Excessive => self.relay.avoid(&self.current.path[0].instance, why),
+            StreamLoss::Silent => {}
+        }
+        if loss != StreamLoss::Silent {
+            self.current.close();
+            match self.former.take() {
+                Some(former) => self.return_to(former),
+                None => self.broken = Some(why.to_owned()),
             }
         }
+        if self.resumption.is_none() {
+            self.resume();
+        }
     }
 
-    /// Opens the stream again after its last event.
-    async fn resume(&mut self) -> Result<OpenStream, String> {
+    /// Begins to open the stream again after its last event.
+    fn resume(&mut self) {
+        let resumption = Resumption {
+            relay: self.relay.clone(),
+            request: self.request.clone(),
+            history: self.history.clone(),
+            permit: self.permit.clone(),
+            last_event_id: self.current.last_id(),
+            silent_since: self.current.last_progress,
+            // Many streams are lost together; their resumptions are spread over time.
+            delay: self.draw_delay(MAX_RESUME_DELAY),
+        };
+        self.investigation = None;
+        self.resumption = Some(Box::pin(resumption.run()));
+    }
+
+    fn draw_delay(&self, max: Millis) -> Duration {
+        let millis = self.relay.random.borrow_mut().random_range(0..=max);
+        Duration::from_millis(millis)
+    }
+
+    /// Forwards a response that was opened to resume the stream. The current response is kept until
+    /// the new one has an event.
+    fn switch_to(&mut self, stream: OpenStream) {
+        count(&self.relay.counts.resumes);
+        let quiet_ms = now_millis() - self.last_forwarded;
+        let id = &self.request.headers.attempt_id;
+        tracing::info!(event = "stream-resumed", request = id, quiet_ms);
+        self.end_move_wait();
+        let last_event_id = self.current.last_id();
+        let (run, permit) = StreamRun::new(&self.relay, stream, last_event_id);
+        let current = std::mem::replace(&mut self.current, run);
+        self.former = Some(current).filter(|_| self.broken.take().is_none());
+        self.permit = permit;
+        self.is_probed = false;
+    }
+
+    /// Forwards the former response again.
+    pub(super) fn return_to(&mut self, former: StreamRun) {
+        self.current = former;
+        self.end_move_wait();
+        self.is_probed = false;
+    }
+}
+
+/// What is needed to open a stream again. Owns its data, since the stream goes on meanwhile.
+struct Resumption {
+    relay: Rc<Relay>,
+    request: Rc<CallerRequest>,
+    history: Rc<SendHistory>,
+    permit: Permit,
+    last_event_id: Option<u64>,
+    /// Time of the last bytes of the stream.
+    silent_since: Millis,
+    /// Time to wait before.
+    delay: Duration,
+}
+
+impl Resumption {
+    /// Opens the stream again, and again elsewhere as long as attempts are left.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of what prevents it.
+    async fn run(mut self) -> Result<Box<OpenStream>, String> {
         if !self.permit.route.is_repeatable() {
             return Err("the route does not allow a retry".to_owned());
         }
-        // Many streams are lost together; their resumptions are spread over time.
-        sleep(self.draw_delay(MAX_RESUME_DELAY)).await;
+        sleep(self.delay).await;
+        let mut late = LateSends::default();
         loop {
-            let retry = take_retry(&self.relay, &self.permit, &self.history).await;
-            if retry.is_denied() {
-                return Err("no attempt left".to_owned());
-            }
-            self.permit = match admit(&self.relay, &self.request.admission) {
-                Ok(permit) => permit,
-                Err(refusal) => return Err(refusal.to_string()),
+            let charge = match self.admit_again().await {
+                Err(why) if late.is_empty() => return Err(why),
+                admitted => admitted.ok(),
             };
-            let last_event_id = self.framer.last_id();
-            let pause = now_millis() - self.last_progress;
-            let max_wait = Duration::from_millis(RESUME_WAIT_LIMIT.saturating_sub(pause));
-            let relay = self.relay.clone();
-            let opened = open_stream(
-                &relay,
-                &self.request,
-                &self.permit,
-                &mut self.history,
-                StreamTarget { last_event_id, max_wait, charge: retry.into_charge() },
-            );
-            match opened.await {
-                Some(OpenOutcome::Opened(stream)) => return Ok(*stream),
-                Some(OpenOutcome::Refused(refusal)) => return Err(refusal.to_string()),
-                Some(OpenOutcome::Failed(end, detail)) => {
-                    let id = &self.request.headers.attempt_id;
-                    tracing::info!(event = "resume-failed", request = id, ?end, detail);
+            let attempt = charge.map(|charge| self.open(charge));
+            let opened = late.race(&self.relay, &self.request, &self.history, attempt).await;
+            let end = match opened {
+                Some(OpenOutcome::Opened(stream)) => return Ok(stream),
+                Some(OpenOutcome::Late(send, detail)) => {
+                    late.push(*send);
+                    detail
                 }
+                Some(OpenOutcome::Failed(end, detail)) => format!("{end:?}: {detail}"),
                 Some(OpenOutcome::Responded(response)) => {
                     return Err(format!("response with status {}", response.status()));
                 }
-                None => return Err("no path".to_owned()),
-            }
+                Some(OpenOutcome::Refused(refusal)) if late.is_empty() => {
+                    return Err(refusal.to_string());
+                }
+                None if late.is_empty() => return Err("no path".to_owned()),
+                Some(OpenOutcome::Refused(_)) | None => {
+                    let attempt = None::<Ready<Option<OpenOutcome>>>;
+                    match late.race(&self.relay, &self.request, &self.history, attempt).await {
+                        Some(OpenOutcome::Opened(stream)) => return Ok(stream),
+                        _ => return Err("no response".to_owned()),
+                    }
+                }
+            };
+            let id = &self.request.headers.attempt_id;
+            tracing::info!(event = "resume-failed", request = id, end);
         }
     }
 
-    fn draw_delay(&self, max: Millis) -> Duration {
-        let millis = self.relay.random.borrow_mut().random_range(0..=max);
-        Duration::from_millis(millis)
+    /// Charges another attempt and admits the request again.
+    async fn admit_again(&mut self) -> Result<Option<RetryCharge>, String> {
+        let retry = take_retry(&self.relay, &self.permit, &self.history).await;
+        if retry.is_denied() {
+            return Err("no attempt left".to_owned());
+        }
+        let admitted = admit(&self.relay, &self.request.admission);
+        self.permit = admitted.map_err(|refusal| refusal.to_string())?;
+        Ok(retry.into_charge())
     }
 
-    fn switch_to(&mut self, stream: OpenStream) {
-        count(&self.relay.counts.resumes);
-        let quiet_ms = now_millis() - self.last_progress;
-        self.longest_pause = self.longest_pause.max(quiet_ms);
-        tracing::info!(
-            event = "stream-resumed",
-            request = self.request.headers.attempt_id,
-            quiet_ms
-        );
-        self.end_move_wait();
-        self.framer.drop_partial();
-        self.partial_event.resize(0);
-        self.headers = read_response_headers(&stream.head.headers);
-        self.body = stream.body;
-        self.connection = Some(stream.connection);
-        self.path = stream.path;
-        self.reservation = stream.reservation;
-        self.run = stream.run;
-        self.last_progress = now_millis();
+    async fn open(&self, charge: Option<RetryCharge>) -> Option<OpenOutcome> {
+        let Self { relay, request, history, permit, last_event_id, silent_since, .. } = self;
+        let pause = now_millis() - silent_since;
+        let max_wait = Duration::from_millis(RESUME_WAIT_LIMIT.saturating_sub(pause));
+        let target = StreamTarget { last_event_id: *last_event_id, max_wait, charge };
+        open_stream(relay, request, permit, history, target).await
     }
 }
--- /dev/null
+++ b/crates/relay/src/forward/run.rs
@@ -0,0 +1,125 @@
+//! One response of an engine to a stream request.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use switchfold_kernel::clock::now_millis;
+use switchfold_platform::{
+    events::EventFramer,
+    headers::{ResponseHeaders, read_response_headers},
+};
+use switchfold_router::{Millis, buffers::LengthKind, path::PathStage};
+
+use crate::{
+    admit::Permit, buffers::BufferShare, paths::PathReservation, pool::ActiveConnection,
+    request::CallerRequest, run_tracker::RunTracker, state::Relay, stream::OpenStream,
+};
+
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// What a response has next.
+pub(super) enum RunOutput {
+    Bytes(Bytes),
+    /// The response has ended after a complete event.
+    End,
+    /// The response broke off, for this reason.
+    Broken(String),
+}
+
+/// The response of an engine, and the path over which it runs.
+pub(super) struct StreamRun {
+    body: Incoming,
+    /// `None` once the response was read to its end or given up.
+    connection: Option<ActiveConnection>,
+    headers: ResponseHeaders,
+    framer: EventFramer,
+    /// Memory for the incomplete event.
+    partial_event: BufferShare,
+    pub(super) path: Vec<PathStage>,
+    pub(super) reservation: PathReservation,
+    pub(super) tracker: RunTracker,
+    /// Time of the last bytes.
+    pub(super) last_progress: Millis,
+}
+
+impl StreamRun {
+    /// Creates the run of a stream that was opened after the event `last_event_id`. Returns the
+    /// permit under which it was sent, too.
+    pub(super) fn new(
+        relay: &Relay,
+        opened: OpenStream,
+        last_event_id: Option<u64>,
+    ) -> (Self, Permit) {
+        let run = Self {
+            framer: EventFramer::resume_after(last_event_id),
+            partial_event: relay.buffers.share(LengthKind::Open),
+            headers: read_response_headers(&opened.head.headers),
+            body: opened.body,
+            connection: Some(opened.connection),
+            path: opened.path,
+            reservation: opened.reservation,
+            tracker: opened.run,
+            last_progress: now_millis(),
+        };
+        (run, opened.permit)
+    }
+
+    /// Waits for more bytes or the end of the response.
+    pub(super) async fn read(&mut self) -> RunOutput {
+        match self.body.frame().await {
+            Some(Ok(frame)) => RunOutput::Bytes(frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => RunOutput::Broken(error.to_string()),
+            None if self.framer.has_partial() => {
+                RunOutput::Broken("response ended within an event".to_owned())
+            }
+            None => RunOutput::End,
+        }
+    }
+
+    /// Adds bytes that were read. Returns the events that are complete now.
+    pub(super) fn push(&mut self, chunk: Bytes) -> Option<Bytes> {
+        self.last_progress = now_millis();
+        self.framer.push(chunk)
+    }
+
+    /// Records that events were forwarded.
+    pub(super) fn record_event(&mut self, relay: &Rc<Relay>, request: &CallerRequest) {
+        self.tracker.record_event(relay, request);
+        self.partial_event.resize(self.framer.partial_len());
+    }
+
+    /// Returns whether the incomplete event may be buffered, alone and with all other responses.
+    pub(super) fn can_buffer_event(&mut self) -> bool {
+        let len = self.framer.partial_len();
+        len <= MAX_EVENT_BYTES && self.partial_event.resize(len)
+    }
+
+    /// Returns the id of the last complete event, or the one that the stream resumed after.
+    pub(super) fn last_id(&self) -> Option<u64> {
+        self.framer.last_id()
+    }
+
+    /// Returns the number of complete events that carried an id.
+    pub(super) fn event_count(&self) -> u64 {
+        self.framer.event_count()
+    }
+
+    /// Keeps the connection for other requests, once the response was read to its end.
+    pub(super) fn return_connection(&mut self, relay: &Relay) {
+        let kept = self.connection.take().filter(|_| !self.headers.closes_connection);
+        if let Some(connection) = kept {
+            connection.return_to(&relay.pool, self.headers.keep_alive);
+        }
+    }
+
+    /// Closes the connection, so that the engine stops working on the request, and discards the
+    /// incomplete event.
+    pub(super) fn close(&mut self) {
+        self.connection = None;
+        self.framer.drop_partial();
+        self.partial_event.resize(0);
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`serve`], [`request`], [`admit`], [`responses`] | requests of callers, their admission and responses |
 //! | [`admission`] | streams that wait for capacity at ranked services |
 //! | [`plain`] | requests to plain services |
-//! | [`stream`], [`response_head`], [`forward`], [`paths`] | streams over engines |
+//! | [`stream`], [`response_head`], [`late_sends`], [`forward`], [`paths`] | streams over engines |
 //! | [`run_tracker`] | runs of requests at replicas, and evidence from lost runs |
 //! | [`pool`], [`engines`], [`probes`] | connections, calls and probes to replicas |
 //! | [`buffers`] | memory for responses of replicas |
@@ -37,6 +37,7 @@
 pub mod engines;
 pub mod forward;
 pub mod gossip;
+pub mod late_sends;
 pub mod limits;
 pub mod logs;
 pub mod messages;
--- a/crates/relay/src/response_head.rs
+++ b/crates/relay/src/response_head.rs
@@ -1,9 +1,10 @@
 //! Waiting for the head of a response to a stream request.
 //!
 //! If the head is late, the replicas of the path are probed, and the report of the first engine
-//! shows which replica holds up the request. A request leaves its path only if that helps. Either
-//! it may be retried at once, or this relay itself found a replica of the path lost, so that the
-//! caller gets an error at once and can retry.
+//! shows which replica holds up the request. If the request may be sent again, another attempt is
+//! made, and the late one goes on beside it. A request that may not be sent again waits, since a
+//! silent replica may continue; only if a replica of the path is no longer listed does the caller
+//! get an error at once, and can retry.
 
 use std::{rc::Rc, time::Duration};
 
@@ -81,8 +82,10 @@
 pub enum HeadError {
     /// The connection failed.
     Send(SendError),
-    /// The request leaves its path, for this reason.
-    Stalled(String),
+    /// The head is late for this reason, and the request may be sent again.
+    Late(String),
+    /// A replica of the path is no longer listed.
+    Lost(String),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
@@ -103,7 +106,7 @@
 }
 
 impl HeadWait<'_> {
-    /// Waits until `sending` returns the head, or the request is to leave its path.
+    /// Waits until `sending` returns the head, or the head is late and the request can be sent again.
     ///
     /// # Errors
     ///
@@ -151,7 +154,7 @@
         self.permit.route.is_repeatable()
     }
 
-    /// Checks whether a request that has waited for `waited` is to leave its path, and returns the
+    /// Checks whether a request that has waited for `waited` is to be sent again, and returns the
     /// reason as an error if so.
     async fn check(&self, waited: Duration) -> Result<(), HeadError> {
         if self.request.time_remaining(now_millis()) == 0 {
@@ -167,13 +170,13 @@
         let id = &self.request.headers.attempt_id;
         if let Some(faulty_replica) = find_stalled_replica(self.relay, first, id).await {
             let detail = suspect_at(self.relay, faulty_replica, "stalled");
-            if self.is_repeatable() {
-                return Err(HeadError::Stalled(detail));
+            if self.can_retry() {
+                return Err(HeadError::Late(detail));
             }
         }
         let reroute_after = reroute_after(self.permit.route.objective);
         match waited.as_millis() as Millis > reroute_after && self.can_retry() {
-            true => Err(HeadError::Stalled("no response for too long".to_owned())),
+            true => Err(HeadError::Late("no response for too long".to_owned())),
             false => Ok(()),
         }
     }
@@ -196,26 +199,23 @@
         let is_stalled = self.relay.state.borrow().stalls.is_stalled(instance, now);
         let has_waited = waited.as_millis() as Millis >= threshold;
         match is_stalled && has_waited && self.can_retry() {
-            true => Err(HeadError::Stalled("starts no responses".to_owned())),
+            true => Err(HeadError::Late("starts no responses".to_owned())),
             false => Ok(()),
         }
     }
 
     /// Checks whether a replica of the path is lost. A request without a retry left leaves the path
-    /// only on evidence of this relay, since what another relay observed may be a fault of its
-    /// link.
+    /// only if the replica is no longer listed: one that is merely silent may continue, and what
+    /// another relay observed may be a fault of its link.
     fn check_path(&self) -> Result<(), HeadError> {
-        let now = now_millis();
         let is_lost = |stage: &&PathStage| self.relay.stage_state(stage) == StageState::Lost;
         let Some(lost) = self.path.iter().find(is_lost) else { return Ok(()) };
-        let state = self.relay.state.borrow();
-        let is_listed = state.fleet.view.get_current(&lost.instance).is_some();
-        let is_own_evidence = !is_listed || state.suspects.is_local(&lost.instance, now);
-        drop(state);
-        if self.can_retry() || (is_own_evidence && self.is_repeatable()) {
-            let detail = format!("a replica of the path is lost ({})", lost.instance);
-            return Err(HeadError::Stalled(detail));
+        let detail = format!("a replica of the path is lost ({})", lost.instance);
+        let is_listed = self.relay.state.borrow().fleet.view.get_current(&lost.instance).is_some();
+        match (self.can_retry(), is_listed) {
+            (true, _) => Err(HeadError::Late(detail)),
+            (false, false) if self.is_repeatable() => Err(HeadError::Lost(detail)),
+            (false, _) => Ok(()),
         }
-        Ok(())
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,8 +1,15 @@
 //! Requests to engines: chooses a path and opens a stream over it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use http::{Response, StatusCode, response};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, response};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
@@ -26,6 +33,7 @@
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
     forward::stream_body,
+    late_sends::{LateSends, PendingSend},
     notices::{SendGate, apply_notices, refusal_without_replica},
     paths::{
         PathCriteria, PathReservation, can_start_path, missing::log_missing_path, wait_for_path,
@@ -59,6 +67,8 @@
     pub reservation: PathReservation,
     /// Tracker of its run, for quarantine.
     pub run: RunTracker,
+    /// Permit under which it was sent.
+    pub permit: Permit,
 }
 
 /// How an attempt to open a stream ended.
@@ -69,19 +79,64 @@
     Responded(RelayResponse),
     /// The request must not be sent to any replica.
     Refused(Refusal),
+    /// The response head is late for the reason in the text. Another attempt may be made beside
+    /// this one.
+    Late(Box<PendingSend>, String),
     /// The attempt failed; the text says how.
     Failed(AttemptEnd, String),
 }
 
-/// Earlier sends of one request.
-#[derive(Clone, Debug, Default)]
+/// Sends of one request so far. Shared by the attempts of the request that run beside each other.
+#[derive(Debug, Default)]
 pub struct SendHistory {
-    /// Replicas that must not be used again.
-    pub excluded: Vec<ReplicaInstance>,
-    /// Number of sends that a replica may have run.
-    pub sends: u32,
-    /// Number of sends that no replica ran.
-    pub rejections: u32,
+    excluded: RefCell<Vec<ReplicaInstance>>,
+    sends: Cell<u32>,
+    rejections: Cell<u32>,
+}
+
+impl SendHistory {
+    /// Returns the number of sends that a replica may have run, including those under way.
+    pub fn sends(&self) -> u32 {
+        self.sends.get()
+    }
+
+    /// Returns the number of sends that no replica ran.
+    pub fn rejections(&self) -> u32 {
+        self.rejections.get()
+    }
+
+    /// Returns the replicas that must not be used again.
+    pub fn excluded(&self) -> Vec<ReplicaInstance> {
+        self.excluded.borrow().clone()
+    }
+
+    fn last_excluded(&self) -> Option<ReplicaInstance> {
+        self.excluded.borrow().last().cloned()
+    }
+
+    fn exclude(&self, instance: &ReplicaInstance) {
+        self.excluded.borrow_mut().push(instance.clone());
+    }
+
+    /// Records that a send begins. It counts as one that may have run until the opposite is known,
+    /// also if it is cancelled.
+    fn begin_send(&self, first: &ReplicaInstance) {
+        self.sends.update(|sends| sends + 1);
+        self.exclude(first);
+    }
+
+    /// Records that the replica of the latest send has not received the request.
+    fn record_unsent(&self) {
+        self.sends.update(|sends| sends - 1);
+    }
+
+    /// Records that a replica rejected the request. The replica may be used again unless it is
+    /// excluded by itself.
+    fn record_rejection(&self, first: &ReplicaInstance) {
+        self.sends.update(|sends| sends - 1);
+        self.rejections.update(|rejections| rejections + 1);
+        self.excluded.borrow_mut().retain(|excluded| excluded != first);
+    }
 }
 
 /// Sends a request to engines until there is a response for the caller.
@@ -99,36 +154,50 @@
     if wait_to_reconnect(relay, &request).await {
         permit = admit(relay, &request.admission)?;
     }
-    let mut history = SendHistory::default();
+    let history = Rc::new(SendHistory::default());
+    let mut late = LateSends::default();
     let mut charge = None;
+    let mut sends_again = true;
     loop {
-        if relay.shutdown.refuses_streams() {
-            return Err(Refusal::Stopping.unless_run(history.sends > 0));
+        if relay.shutdown.refuses_streams() && late.is_empty() {
+            return Err(Refusal::Stopping.unless_run(history.sends() > 0));
         }
-        let last_event_id = request.headers.last_event_id;
-        let max_wait = memory_wait(&request, &permit);
-        let target = StreamTarget { last_event_id, max_wait, charge: charge.take() };
+        let opening = sends_again.then(|| {
+            let last_event_id = request.headers.last_event_id;
+            let max_wait = memory_wait(&request, &permit);
+            let target = StreamTarget { last_event_id, max_wait, charge: charge.take() };
+            open_stream(relay, &request, &permit, &history, target)
+        });
         let opened = tokio::select! {
             biased;
             () = wait_until_refused(relay, &request) => {
-                return Err(Refusal::Stopping.unless_run(history.sends > 0));
+                return Err(Refusal::Stopping.unless_run(history.sends() > 0));
             }
-            opened = open_stream(relay, &request, &permit, &mut history, target) => opened,
+            opened = late.race(relay, &request, &history, opening) => opened,
         };
-        request.may_have_run.set(history.sends > 0);
+        request.may_have_run.set(history.sends() > 0);
         let (end, detail) = match opened {
-            None => {
-                let refusal = refusal(relay, &permit, Refusal::NoReplica);
-                return Err(refusal.unless_run(history.sends > 0));
-            }
             Some(OpenOutcome::Opened(stream)) => {
-                return Ok(begin_response(relay, request, permit, history, *stream, in_flight));
+                return Ok(begin_response(relay, request, history, *stream, in_flight));
             }
             Some(OpenOutcome::Responded(response)) => return Ok(response),
-            Some(OpenOutcome::Refused(refusal)) => {
-                return Err(refusal.unless_run(history.sends > 0));
+            Some(OpenOutcome::Late(send, detail)) => {
+                late.push(*send);
+                (AttemptEnd::Broken, detail)
             }
             Some(OpenOutcome::Failed(end, detail)) => (end, detail),
+            // The replicas of the earlier sends may still respond.
+            None | Some(OpenOutcome::Refused(_)) if !late.is_empty() => {
+                sends_again = false;
+                continue;
+            }
+            None => {
+                let refusal = refusal(relay, &permit, Refusal::NoReplica);
+                return Err(refusal.unless_run(history.sends() > 0));
+            }
+            Some(OpenOutcome::Refused(refusal)) => {
+                return Err(refusal.unless_run(history.sends() > 0));
+            }
         };
         let now = now_millis();
         let has_time = request.time_remaining(now) > MIN_RETRY_TIME;
@@ -136,18 +205,26 @@
             if has_time { take_retry(relay, &permit, &history).await } else { RetryPermit::Denied };
         let state = AttemptState {
             repeatable: permit.route.is_repeatable(),
-            may_have_run: history.sends > 0,
+            may_have_run: history.sends() > 0,
             can_repeat: !retry.is_denied(),
         };
         let next = decide_next(state, end);
-        let first = history.excluded.last();
-        request.log_attempt(relay, first, &permit, end, next, &detail);
+        let first = history.last_excluded();
+        request.log_attempt(relay, first.as_ref(), &permit, end, next, &detail);
+        sends_again = next == NextStep::TryElsewhere;
         match next {
             NextStep::TryElsewhere => {
                 count(&relay.counts.repeats);
-                permit = admit_retry(relay, &request.admission, history.sends > 0)?;
+                permit = match admit_retry(relay, &request.admission, history.sends() > 0) {
+                    Err(_) if !late.is_empty() => {
+                        sends_again = false;
+                        continue;
+                    }
+                    admitted => admitted?,
+                };
                 charge = retry.into_charge();
             }
+            _ if !late.is_empty() && has_time => {}
             NextStep::AnswerNotRun => {
                 return Err(refusal(relay, &permit, Refusal::NotRun));
             }
@@ -200,8 +277,8 @@
 /// charges the budget for it if it is a retry. May wait for a loan of other relays.
 pub async fn take_retry(relay: &Rc<Relay>, permit: &Permit, history: &SendHistory) -> RetryPermit {
     let has_attempts =
-        history.sends < permit.route.max_attempts.max(1) && history.rejections < MAX_REJECTIONS;
-    let earlier_sends = history.sends + history.rejections;
+        history.sends() < permit.route.max_attempts.max(1) && history.rejections() < MAX_REJECTIONS;
+    let earlier_sends = history.sends() + history.rejections();
     match has_attempts {
         true => RetryPermit::obtain(relay, &permit.service, earlier_sends).await,
         false => RetryPermit::Denied,
@@ -225,19 +302,20 @@
     relay: &Rc<Relay>,
     request: &CallerRequest,
     permit: &Permit,
-    history: &mut SendHistory,
+    history: &SendHistory,
     target: StreamTarget,
 ) -> Option<OpenOutcome> {
     let StreamTarget { last_event_id, max_wait, charge } = target;
     let engine = permit.config.services.get(&permit.service)?.engine.as_ref()?;
     let tokens =
         request.estimate_tokens((engine.mean_prompt_tokens, engine.mean_completion_tokens));
+    let excluded = history.excluded();
     let criteria = PathCriteria {
         service: &permit.service,
         engine,
         tokens,
         rank: permit.priority,
-        excluded: &history.excluded,
+        excluded: &excluded,
         first: None,
         load_aware: relay.settings.load_aware_paths,
         overcommit: overcommit_rule(relay, permit),
@@ -245,7 +323,8 @@
     let found = match controls_overload(relay, permit) {
         false => wait_for_path(relay, &criteria, max_wait).await,
         true => {
-            let wait = match history.sends + history.rejections == 0 && last_event_id.is_none() {
+            let wait = match history.sends() + history.rejections() == 0 && last_event_id.is_none()
+            {
                 true => CapacityWait::of_new(relay, request, permit),
                 false => CapacityWait::of_resumed(now_millis() + max_wait.as_millis() as Millis),
             };
@@ -271,76 +350,101 @@
         charge => charge.flatten(),
     };
     let reservation = PathReservation::new(relay, &path, tokens);
-    let earlier_sends = history.sends + history.rejections;
-    request.log_dispatch(relay, permit, &first.instance, earlier_sends, last_event_id, Some(&path));
+    let earlier_sends = history.sends();
+    let earlier_tries = earlier_sends + history.rejections();
+    request.log_dispatch(relay, permit, &first.instance, earlier_tries, last_event_id, Some(&path));
     let target = ReplicaTarget { replica: &first, path: Some(&path), last_event_id };
     let outgoing = request.build_replica_request(permit, &target);
-    let new_connection = !permit.route.is_repeatable();
-    let mut run = RunTracker::over_path(&path);
-    let head = PendingHead::new(relay, &first.instance);
     request.may_have_run.set(true);
-    let sent_at = now_millis();
-    let sent = {
-        let gate = SendGate::new(relay, &first.instance, permit.priority);
-        let sending = relay.pool.send(first.address, outgoing, new_connection, || gate.pass());
-        let wait = HeadWait { relay, request, permit, earlier_sends: history.sends, path: &path };
-        let sent = wait.run(sending).await;
-        if matches!(&sent, Err(HeadError::Send(error)) if error.is_unsent()) {
-            gate.record_unsent();
-            request.record_unsent();
-            if let Some(charge) = charge {
-                charge.cancel_send();
-            }
-        }
-        sent
+    history.begin_send(&first.instance);
+    let mut send = PendingSend {
+        sending: Box::pin(send_request(relay.clone(), first.clone(), permit.clone(), outgoing)),
+        head: PendingHead::new(relay, &first.instance),
+        run: RunTracker::over_path(&path),
+        first,
+        path,
+        reservation,
+        permit: permit.clone(),
+        charge,
+        sent_at: now_millis(),
     };
-    let sent = match sent {
-        Ok(sent) => sent,
-        Err(HeadError::Send(SendError::NotSent { detail })) => {
-            relay.suspect(&first.instance, &detail);
-            history.excluded.push(first.instance);
-            return Some(OpenOutcome::Failed(AttemptEnd::NotSent, detail));
-        }
-        Err(HeadError::Send(error @ SendError::Throttled { .. })) => {
-            history.excluded.push(first.instance);
-            return Some(OpenOutcome::Failed(AttemptEnd::NotSent, error.to_string()));
-        }
-        Err(HeadError::Send(SendError::NoResponse { detail })) => {
-            // The replica is not suspected for this: one malformed or truncated response does not
-            // mean that the next will be. The probe finds out whether the replica is lost.
-            probe_replicas(relay, std::iter::once(first.address));
-            run.record_loss(relay, request, &detail);
-            history.sends += 1;
-            history.excluded.push(first.instance);
-            return Some(OpenOutcome::Failed(AttemptEnd::Broken, detail));
-        }
-        Err(HeadError::Stalled(detail)) => {
-            run.record_loss(relay, request, &detail);
-            history.sends += 1;
-            history.excluded.push(first.instance);
+    let wait = HeadWait { relay, request, permit, earlier_sends, path: &send.path };
+    let received = match wait.run(send.sending.as_mut()).await {
+        Ok(received) => Ok(received),
+        Err(HeadError::Send(error)) => Err(error),
+        Err(HeadError::Late(detail)) => return Some(OpenOutcome::Late(Box::new(send), detail)),
+        Err(HeadError::Lost(detail)) => {
+            send.run.record_loss(relay, request, &detail);
             return Some(OpenOutcome::Failed(AttemptEnd::Broken, detail));
         }
         Err(HeadError::DeadlinePassed) => {
-            history.sends += 1;
             return Some(OpenOutcome::Failed(AttemptEnd::Broken, "deadline passed".to_owned()));
         }
     };
-    let has_started = sent.0.status() == StatusCode::OK;
-    if has_started && controls_overload(relay, permit) {
-        record_first_event(relay, permit, now_millis() - sent_at);
+    Some(finish_send(relay, request, history, send, received).await)
+}
+
+/// Sends a request to the first engine of its path and waits for the response head.
+async fn send_request(
+    relay: Rc<Relay>,
+    first: ReplicaEntry,
+    permit: Permit,
+    outgoing: Request<Full<Bytes>>,
+) -> Result<ReceivedHead, SendError> {
+    let gate = SendGate::new(&relay, &first.instance, permit.priority);
+    let new_connection = !permit.route.is_repeatable();
+    let sent = relay.pool.send(first.address, outgoing, new_connection, || gate.pass()).await;
+    if sent.as_ref().is_err_and(SendError::is_unsent) {
+        gate.record_unsent();
+    }
+    sent
+}
+
+/// Decides by the response head of a send, or the error instead of one, how the attempt ended.
+pub async fn finish_send(
+    relay: &Rc<Relay>,
+    request: &CallerRequest,
+    history: &SendHistory,
+    send: PendingSend,
+    received: Result<ReceivedHead, SendError>,
+) -> OpenOutcome {
+    let PendingSend { first, path, reservation, mut run, permit, charge, sent_at, head, .. } = send;
+    let received = match received {
+        Ok(received) => received,
+        Err(error) => {
+            if error.is_unsent() {
+                history.record_unsent();
+                request.record_unsent();
+                if let Some(charge) = charge {
+                    charge.cancel_send();
+                }
+            }
+            return match error {
+                SendError::NotSent { detail } => {
+                    relay.suspect(&first.instance, &detail);
+                    OpenOutcome::Failed(AttemptEnd::NotSent, detail)
+                }
+                SendError::Throttled { .. } => {
+                    OpenOutcome::Failed(AttemptEnd::NotSent, error.to_string())
+                }
+                SendError::NoResponse { detail } => {
+                    // The replica is not suspected for this: one malformed or truncated response
+                    // does not mean that the next will be. The probe finds out whether the replica
+                    // is lost.
+                    probe_replicas(relay, std::iter::once(first.address));
+                    run.record_loss(relay, request, &detail);
+                    OpenOutcome::Failed(AttemptEnd::Broken, detail)
+                }
+            };
+        }
+    };
+    let has_started = received.0.status() == StatusCode::OK;
+    if has_started && controls_overload(relay, &permit) {
+        record_first_event(relay, &permit, now_millis() - sent_at);
     }
     head.record_response(has_started);
-    Some(
-        read_head(
-            relay,
-            request,
-            history,
-            first,
-            sent,
-            SentRun { path, reservation, run, sent_at },
-        )
-        .await,
-    )
+    let sent = SentRun { path, reservation, run, permit, sent_at };
+    read_head(relay, request, history, first, received, sent).await
 }
 
 /// Returns the replica that holds up a request, by the report of the first engine of its path:
@@ -384,6 +488,7 @@
     path: Vec<PathStage>,
     reservation: PathReservation,
     run: RunTracker,
+    permit: Permit,
     sent_at: Millis,
 }
 
@@ -391,12 +496,12 @@
 async fn read_head(
     relay: &Relay,
     request: &CallerRequest,
-    history: &mut SendHistory,
+    history: &SendHistory,
     first: ReplicaEntry,
     (response, connection): ReceivedHead,
     sent: SentRun,
 ) -> OpenOutcome {
-    let SentRun { path, reservation, mut run, sent_at } = sent;
+    let SentRun { path, reservation, mut run, permit, sent_at } = sent;
     let (head, body) = response.into_parts();
     let headers = read_response_headers(&head.headers);
     apply_notices(
@@ -405,17 +510,14 @@
         request.received_response(&headers, head.status, sent_at),
     );
     if let Some(end) = end_from_headers(request, &headers, head.status) {
-        handle_rejection(relay, history, &headers, &first, head.status).await;
-        match end {
-            AttemptEnd::Rejected => history.rejections += 1,
-            _ => history.sends += 1,
+        if end == AttemptEnd::Rejected {
+            history.record_rejection(&first.instance);
         }
+        handle_rejection(relay, history, &headers, &first, head.status).await;
         drain_rejection(relay, connection, body, &headers).await;
         let detail = format!("status {} at {:?}", head.status, headers.faulty_replica);
         return OpenOutcome::Failed(end, detail);
     }
-    history.sends += 1;
-    history.excluded.push(first.instance);
     if head.status == StatusCode::OK {
         run.record_start();
         return OpenOutcome::Opened(Box::new(OpenStream {
@@ -425,6 +527,7 @@
             path,
             reservation,
             run,
+            permit,
         }));
     }
     let remaining = Duration::from_millis(request.time_remaining(now_millis()));
@@ -446,7 +549,7 @@
 /// entry lists.
 async fn handle_rejection(
     relay: &Relay,
-    history: &mut SendHistory,
+    history: &SendHistory,
     headers: &ResponseHeaders,
     first: &ReplicaEntry,
     status: StatusCode,
@@ -461,7 +564,7 @@
         .map(|replica| replica.instance.clone());
     let Some(instance) = instance else {
         // The named replica is unknown here, so the first one is excluded.
-        history.excluded.push(first.instance.clone());
+        history.exclude(&first.instance);
         return;
     };
     if headers.faulty_replica.is_none() && status == StatusCode::SERVICE_UNAVAILABLE {
@@ -483,7 +586,7 @@
             ReportState::Received(_) => {}
         }
     }
-    history.excluded.push(instance);
+    history.exclude(&instance);
 }
 
 /// Fraction of an engine's KV cache above which a rejection is attributed to a lack of memory.
@@ -517,15 +620,14 @@
 fn begin_response(
     relay: &Rc<Relay>,
     request: Rc<CallerRequest>,
-    permit: Permit,
-    history: SendHistory,
+    history: Rc<SendHistory>,
     stream: OpenStream,
     in_flight: CountGuard,
 ) -> RelayResponse {
     let took = now_millis() - request.arrived_at;
-    relay.metrics.record_head(&permit, took);
+    relay.metrics.record_head(&stream.permit, took);
     let mut head = stream.head.clone();
     strip_hop_headers(&mut head.headers);
-    let body = stream_body(relay.clone(), request, permit, history, stream, in_flight);
+    let body = stream_body(relay.clone(), request, history, stream, in_flight);
     Response::from_parts(head, body)
 }
--- a/crates/relay/tests/moves.rs
+++ b/crates/relay/tests/moves.rs
@@ -197,7 +197,9 @@
         });
         wait_until(async || read_figure(&relay, "answered").await == 1).await;
         calling.abort();
-        wait_until(async || replica.requests()[0].connection > 0 && replica.open_connections() == 0)
-            .await;
+        wait_until(async || {
+            replica.requests()[0].connection > 0 && replica.open_connections() == 0
+        })
+        .await;
     });
 }
