Router: an entry written after a restore is not awaited because of it

Cause: the store is restored while relay a-2 is paused. After its pause a-2 takes all entries of the new era from its reader's messages, and lists the store itself only 3.9 s later, once its reader is paused in turn. That list is its first of the new era, so it counted as the moment of the restore: an entry that the list lacks, of a replica that had just left, was awaited for 2.1 s, as one that the backup may lack. But the entry that a-2 held had been written after the restore. The class: a restore excused by when it was learned of, not by what was written before it.

Why this works: the revision of the held entry tells its era. Only an entry of an earlier era can be missing because of the backup; one of the list's own era is gone unless an outage excuses it. An outage that the relay noticed still counts by its own times, which a restore reset before.

--- a/crates/router/src/missing.rs
+++ b/crates/router/src/missing.rs
@@ -45,6 +45,8 @@
     last_lost: Millis,
     /// When the first answered read after the last outage was sent.
     returned: Option<Millis>,
+    /// When the list was requested that showed the last restore of the store from a backup.
+    restored: Option<Millis>,
     awaited: HashMap<String, AwaitedEntry>,
 }
 
@@ -70,20 +72,37 @@
     /// Records that the store was restored from a backup, as shown by a list requested at `sent`:
     /// entries written since the backup are missing until they are written again.
     pub fn record_restore(&mut self, sent: Millis) {
-        self.outage_start = None;
-        self.last_lost = self.last_lost.max(sent);
-        self.returned = Some(sent);
+        self.restored = Some(sent);
     }
 
     /// Returns whether an entry that is missing from a list, requested at `sent` and read at the
     /// revision `at`, is to be kept for now.
     pub fn should_keep(&mut self, id: &str, at: u64, sent: Millis) -> bool {
+        self.keep(id, at, self.kept_after_outage(sent))
+    }
+
+    /// Like [`MissingEntries::should_keep`], for an entry that was last written before the restore
+    /// of the store, whose backup may lack it.
+    pub fn should_keep_after_restore(&mut self, id: &str, at: u64, sent: Millis) -> bool {
+        let restored = self.restored.map(|restored| restored + REAPPEAR_GRACE);
+        let until = restored.filter(|until| sent < *until).max(self.kept_after_outage(sent));
+        self.keep(id, at, until)
+    }
+
+    /// Returns until when an outage keeps the entries that are missing from a list requested at
+    /// `sent`; `None` without a recent outage.
+    fn kept_after_outage(&self, sent: Millis) -> Option<Millis> {
         let is_outage = self
             .outage_start
             .is_some_and(|outage_start| sent.saturating_sub(outage_start) >= MIN_OUTAGE);
         let returned = self.returned.filter(|returned| sent < self.kept_until(*returned));
-        if is_outage || returned.is_some() {
-            let until = self.kept_until(returned.unwrap_or(sent));
+        let returned = returned.or(is_outage.then_some(sent));
+        returned.map(|returned| self.kept_until(returned))
+    }
+
+    /// Keeps a missing entry until a time, if any; returns whether it is kept.
+    fn keep(&mut self, id: &str, at: u64, until: Option<Millis>) -> bool {
+        if let Some(until) = until {
             let entry = AwaitedEntry { until, missing_at: at };
             let awaited = self.awaited.entry(id.to_owned()).or_insert(entry);
             if era_of(awaited.missing_at) < era_of(at) {
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -211,7 +211,13 @@
         result.era_start = is_new_era
             .then(|| EraStart { era: era_of(at), unconfirmed: self.unconfirmed.updates.len() });
         for id in self.view.missing_from(&listed, at) {
-            match self.missing.should_keep(&id, at, sent) {
+            // An entry that was written since the restore is not missing because of the backup.
+            let is_earlier = self.view.revision(&id).is_some_and(|held| era_of(held) < era_of(at));
+            let is_kept = match is_earlier {
+                true => self.missing.should_keep_after_restore(&id, at, sent),
+                false => self.missing.should_keep(&id, at, sent),
+            };
+            match is_kept {
                 true => result.awaited.push(id),
                 false => {
                     let update = ReplicaUpdate { id, revision: at, entry: None };
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -298,3 +298,17 @@
     let Violations { leaving, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
     assert_eq!(leaving.first(), None);
 }
+
+/// A relay that was paused during a restore awaited an entry that was written after the restore and
+/// was then removed.
+#[test]
+fn an_entry_written_after_a_restore_is_removed() {
+    let faults = vec![
+        timed(7_927, 2_259, Fault::Paused { relay: 0 }),
+        timed(4_412, 2_189, Fault::Paused { relay: 1 }),
+        timed(3_500, 1_145, Fault::Restore { age: 0 }),
+    ];
+    let changes = vec![timed(8_385, 0, Change::Remove(0))];
+    let Violations { leaving, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
+    assert_eq!(leaving.first(), None);
+}
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -7,6 +7,7 @@
     allowance::AllowanceShare,
     bandwidth::BandwidthShare,
     budget::{BudgetConfig, RetryBudget},
+    era::pack_revision,
     freshness::{FreshnessLease, LEASE_MARGIN},
     instance::ReplicaInstance,
     missing::{MAX_MISSING_TIME, MissingEntries, REAPPEAR_GRACE},
@@ -321,6 +322,22 @@
     assert!(!missing.should_keep("long", 7, resumed));
 }
 
+/// A restore of the store excuses only the absence of entries that its backup may lack; an outage
+/// excuses others as well.
+#[test]
+fn entries_written_since_a_restore_are_not_awaited() {
+    let at = pack_revision(1, 7);
+    for (lost, kept) in [(None, false), (Some(1_000), true)] {
+        let mut missing = MissingEntries::default();
+        lost.into_iter().for_each(|sent| missing.record_loss(sent));
+        missing.record_restore(3_000);
+        assert_eq!(missing.should_keep("written-since", at, 3_000), kept, "{lost:?}");
+        assert!(missing.should_keep_after_restore("written-before", at, 3_000));
+        let late = 3_000 + REAPPEAR_GRACE;
+        assert_eq!(missing.should_keep_after_restore("late", at, late), kept, "{lost:?}");
+    }
+}
+
 proptest! {
     /// Relays that exchange their suspicions keep one no longer than the relay that saw the
     /// failure, plus the delay of its message.
