Router: a delayed write of a replica that had left is no sign of life

Cause: the replica restarts and leaves at once, and the backup lists its earlier start. A heartbeat of that start, on its way since before, reaches the restored store 0.7 s later. Its revision is newer than the restore, and that alone counted as a sign of life. The class: a write taken for evidence of when it was sent.

Why this works: an entry of an instance that is no later than the one that left is set aside, whether a list, a watch or another relay tells it, until a list of 8.8 s after the first one of the era, and of 4.4 s after the write, still has it; by then the store has missed three heartbeats of one that ended. A later start is added at once.

The row "left, but written since" of `a_restored_backup_brings_no_replica_back_that_had_left` asked for what the model forbids: the same start, added at once. It is replaced by three rows: the same start is added after 8.8 s, a later start at once, and so is an entry that had expired.

--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -234,6 +234,10 @@
     let layers = layers.map(|range| (range.from, range.to));
     match change {
         FleetChange::Unchanged | FleetChange::Older => return,
+        FleetChange::Unconfirmed => {
+            tracing::warn!(event = "replica-unconfirmed", replica = id, %address, revision, %source);
+            return;
+        }
         FleetChange::Joined => {
             tracing::info!(event = "replica-listed", replica = id, %address, ?change, ?layers, revision, %source);
             return;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -122,6 +122,9 @@
     /// Nothing changed, since the update is older than the known state, or belongs to an earlier
     /// instance.
     Older,
+    /// Nothing changed yet: the replica had left before the store was restored from a backup, and
+    /// the update may be a delayed write of the instance that left.
+    Unconfirmed,
 }
 
 /// A listed entry.
@@ -153,10 +156,21 @@
 pub enum ReplicaRemoval {
     /// It left or crashed.
     Left,
+    /// The store had not answered this relay for a while: the replica left, or its entry expired.
+    Unclear,
     /// The store may have missed its heartbeats because of an outage.
     Expired,
 }
 
+/// Removal of a replica before the store was restored from a backup that lists it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EarlierRemoval {
+    /// Why it was removed.
+    pub removal: ReplicaRemoval,
+    /// Whether its entry was written since the restore.
+    pub is_rewritten: bool,
+}
+
 /// Number of tombstones that are kept. An update older than a tombstone comes from a process that
 /// was paused, for minutes at most; on an ordinary day 160 replicas are replaced.
 const MAX_TOMBSTONES: usize = 1_024;
@@ -350,24 +364,35 @@
         self.draining.extend(draining.map(|entry| entry.instance.clone()));
     }
 
-    /// Returns how a listed replica was removed, if that was in an earlier era than the one in which
-    /// it is listed, and its entry may not have been written since. The start of its instance does
-    /// not show the latter: the removed entry may have had a later start than was known here.
-    pub fn removal_before(&self, update: &ReplicaUpdate) -> Option<ReplicaRemoval> {
-        update.entry.as_ref()?;
+    /// Returns how a replica was removed, if that was in an earlier era than the one in which it is
+    /// listed, and the entry may be from before the removal. The first list of the era was read at
+    /// the revision `first_list`.
+    ///
+    /// An entry that was not written since the restore is from before it, whatever its start: the
+    /// removed entry may have had a later start than was known here. One that was written since may
+    /// be a delayed write of an instance that left.
+    pub fn removal_before(
+        &self,
+        update: &ReplicaUpdate,
+        first_list: u64,
+    ) -> Option<EarlierRemoval> {
+        let started_at = update.entry.as_ref()?.instance.started_at();
         let tombstone = self.tombstones.get(&update.id)?;
+        let is_rewritten = update.revision > first_list
+            || revision_of(update.revision) > revision_of(tombstone.revision);
+        let may_be_delayed =
+            tombstone.removal == ReplicaRemoval::Left && started_at <= tombstone.started_at;
         let is_earlier_era = era_of(tombstone.revision) < era_of(update.revision);
-        let may_be_same = revision_of(update.revision) <= revision_of(tombstone.revision);
-        (is_earlier_era && may_be_same).then_some(tombstone.removal)
+        let is_from_before = is_earlier_era && (!is_rewritten || may_be_delayed);
+        is_from_before.then_some(EarlierRemoval { removal: tombstone.removal, is_rewritten })
     }
 
-    /// Records that the entry of a replica that is gone may have expired in an outage of the store.
-    /// That the replica announced its leaving before still holds.
-    pub fn record_expiry(&mut self, id: &str) {
+    /// Records why a replica is gone. That it announced its leaving before still holds.
+    pub fn record_removal(&mut self, id: &str, removal: ReplicaRemoval) {
         if let Some(tombstone) = self.tombstones.get_mut(id)
             && !tombstone.was_draining
         {
-            tombstone.removal = ReplicaRemoval::Expired;
+            tombstone.removal = removal;
         }
     }
 
--- a/crates/router/src/missing.rs
+++ b/crates/router/src/missing.rs
@@ -89,6 +89,11 @@
         self.keep(id, at, until)
     }
 
+    /// Returns whether entries may be missing because of an outage, present or recent.
+    pub fn is_in_outage(&self, now: Millis) -> bool {
+        self.kept_after_outage(now).is_some()
+    }
+
     /// Returns until when an outage keeps the entries that are missing from a list requested at
     /// `sent`; `None` without a recent outage.
     fn kept_after_outage(&self, sent: Millis) -> Option<Millis> {
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -15,7 +15,8 @@
     Millis,
     era::era_of,
     fleet::{
-        EntryState, FleetChange, FleetView, LayerRange, ReplicaEntry, ReplicaRemoval, ReplicaUpdate,
+        EarlierRemoval, EntryState, FleetChange, FleetView, LayerRange, ReplicaEntry,
+        ReplicaRemoval, ReplicaUpdate,
     },
     freshness::FreshnessLease,
     instance::ReplicaInstance,
@@ -109,10 +110,13 @@
     pub unconfirmed: usize,
 }
 
+/// Time after which the store no longer lists a replica that is silent, in milliseconds: three
+/// heartbeats of 1.2 s and the delay of its list.
+const SILENCE_PERIOD: Millis = 4_400;
+
 /// Time after the first list of an era during which no replica that had left before is added again,
-/// in milliseconds: twice the time after which the store no longer lists a replica that is silent,
-/// which is three heartbeats of 1.2 s and the delay of its list.
-const REMOVAL_PERIOD: Millis = 8_800;
+/// in milliseconds.
+const REMOVAL_PERIOD: Millis = 2 * SILENCE_PERIOD;
 
 /// Like [`REMOVAL_PERIOD`], for a replica whose entry expired in an outage. It may have served all
 /// the time, so it is added again once the store has missed three heartbeats.
@@ -132,6 +136,8 @@
 struct UnconfirmedUpdates {
     /// Time of the first list of the era.
     since: Millis,
+    /// Revision at which that list was read.
+    first_list: u64,
     updates: BTreeMap<String, UnconfirmedUpdate>,
 }
 
@@ -205,7 +211,8 @@
         if is_new_era {
             self.missing.record_restore(sent);
             self.view.pin_draining();
-            self.unconfirmed = UnconfirmedUpdates { since: now, updates: BTreeMap::new() };
+            self.unconfirmed =
+                UnconfirmedUpdates { since: now, first_list: at, ..UnconfirmedUpdates::default() };
         }
         self.set_aside_unconfirmed(&mut listed, now);
         result.era_start = is_new_era
@@ -232,20 +239,52 @@
     /// Removes from a list those replicas that were gone before the store was restored from a
     /// backup. Unconfirmed entries of an earlier list that this one lacks have ended.
     fn set_aside_unconfirmed(&mut self, listed: &mut Vec<ReplicaUpdate>, now: Millis) {
-        self.unconfirmed.updates.clear();
-        let since = self.unconfirmed.since;
-        let due = |removal| match removal {
-            ReplicaRemoval::Left => since + REMOVAL_PERIOD,
-            ReplicaRemoval::Expired => since + EXPIRY_PERIOD,
+        let mut updates = BTreeMap::new();
+        listed.retain(|update| {
+            let Some(due) = self.confirmed_from(update, now) else { return true };
+            let unconfirmed = UnconfirmedUpdate { update: update.clone(), due };
+            updates.insert(update.id.clone(), unconfirmed);
+            false
+        });
+        self.unconfirmed.updates = updates;
+    }
+
+    /// Returns the time from which a list confirms an update of a replica that was gone before the
+    /// store was restored from a backup; `None` if the update is to be applied now.
+    fn confirmed_from(&self, update: &ReplicaUpdate, now: Millis) -> Option<Millis> {
+        let UnconfirmedUpdates { since, first_list, ref updates } = self.unconfirmed;
+        let EarlierRemoval { removal, is_rewritten } =
+            self.view.removal_before(update, first_list)?;
+        let period = match removal {
+            ReplicaRemoval::Left | ReplicaRemoval::Unclear => REMOVAL_PERIOD,
+            ReplicaRemoval::Expired => EXPIRY_PERIOD,
         };
-        let is_unconfirmed = |update: &mut ReplicaUpdate| {
-            self.view.removal_before(update).is_some_and(|removal| now < due(removal))
+        // Another relay's update may arrive before the first list of its era.
+        let since = if era_of(update.revision) > era_of(first_list) { now } else { since };
+        let unconfirmed = updates.get(&update.id);
+        let known = unconfirmed.filter(|known| known.update.revision == update.revision);
+        let due = match known {
+            Some(known) => known.due,
+            // The store lists an instance that has ended for this long after its last write.
+            None if is_rewritten && now < since + period => {
+                (since + period).max(now + SILENCE_PERIOD)
+            }
+            None => since + period,
         };
-        for update in listed.extract_if(.., is_unconfirmed) {
-            let Some(removal) = self.view.removal_before(&update) else { continue };
-            let unconfirmed = UnconfirmedUpdate { due: due(removal), update };
-            self.unconfirmed.updates.insert(unconfirmed.update.id.clone(), unconfirmed);
-        }
+        (now < due).then_some(due)
+    }
+
+    /// Sets aside an update that was written after the store was restored from a backup, if it may
+    /// be a delayed write of an instance that left before; returns whether it did.
+    fn set_aside_delayed(&mut self, update: &ReplicaUpdate, now: Millis) -> bool {
+        let removal = self.view.removal_before(update, self.unconfirmed.first_list);
+        let delayed = removal.filter(|removal| removal.is_rewritten);
+        let Some(due) = delayed.and_then(|_| self.confirmed_from(update, now)) else {
+            return false;
+        };
+        let unconfirmed = UnconfirmedUpdate { update: update.clone(), due };
+        self.unconfirmed.updates.insert(update.id.clone(), unconfirmed);
+        true
     }
 
     fn missed_by_watch(&self, listed: &[ReplicaUpdate]) -> Vec<(ReplicaUpdate, Option<u64>)> {
@@ -315,17 +354,16 @@
         let reported = update.entry.as_ref().map(|entry| (entry.instance.clone(), entry.address));
         let (instance, address) = reported.or(known.clone()).unzip();
         let held = self.view.revision(&id);
-        let change = match self.is_of_earlier_era(revision) {
+        let change = match () {
             // A relay that was paused sends what it read before.
-            true => FleetChange::Older,
-            false => self.view.apply(update, now),
+            () if self.is_of_earlier_era(revision) => FleetChange::Older,
+            () if self.set_aside_delayed(&update, now) => FleetChange::Unconfirmed,
+            () => self.view.apply(update, now),
         };
         match change {
-            FleetChange::Older => {}
+            FleetChange::Older | FleetChange::Unconfirmed => {}
             FleetChange::Gone => {
-                if source == UpdateSource::Expiry || self.missing.is_awaited(&id) {
-                    self.view.record_expiry(&id);
-                }
+                self.view.record_removal(&id, self.removal_by(&id, source, now));
                 self.missing.record_gone(&id);
             }
             _ => self.missing.record_listed(&id, revision),
@@ -346,6 +384,19 @@
         }
     }
 
+    /// Returns why a replica is gone, by the source of its removal.
+    fn removal_by(&self, id: &str, source: UpdateSource, now: Millis) -> ReplicaRemoval {
+        let has_expired = source == UpdateSource::Expiry || self.missing.is_awaited(id);
+        let answer_age = self.known_answer_age(now);
+        let is_unanswered =
+            self.missing.is_in_outage(now) || answer_age.is_none_or(|age| age >= MAX_PEER_READ_AGE);
+        match () {
+            () if has_expired => ReplicaRemoval::Expired,
+            () if is_unanswered => ReplicaRemoval::Unclear,
+            () => ReplicaRemoval::Left,
+        }
+    }
+
     /// Treats an entry without a start time, of a replica whose own entry had one, as another
     /// writer's.
     fn check_start(&self, update: ReplicaUpdate) -> ReplicaUpdate {
--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -206,7 +206,9 @@
         ("left", UpdateSource::Watch, (100, 5), Some(8_800)),
         ("left, with a later start", UpdateSource::Watch, (200, 6), Some(8_800)),
         ("expired in an outage", UpdateSource::Expiry, (100, 5), Some(3_800)),
-        ("left, but written since", UpdateSource::Watch, (100, 9), None),
+        ("left, but written since", UpdateSource::Watch, (100, 9), Some(8_800)),
+        ("left, but a later start was written since", UpdateSource::Watch, (200, 9), None),
+        ("expired, but written since", UpdateSource::Expiry, (100, 9), None),
     ];
     for (name, source, (started_at, revision), added_after) in rows {
         let mut fleet = FleetTracker::default();
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -312,3 +312,33 @@
     let Violations { leaving, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
     assert_eq!(leaving.first(), None);
 }
+
+/// A late heartbeat of an instance that had left reached the restored store, at a revision above or
+/// below that of the removal, and relays that had known its leaving listed it again.
+#[test]
+fn a_late_heartbeat_reaches_the_restored_store() {
+    for (at, duration) in [(6_001, 50), (6_012, 93)] {
+        let faults = vec![timed(at, duration, Fault::Restore { age: 0 })];
+        let changes = vec![
+            timed(6_000, 0, Change::Restart { replica: 0, late_heartbeat: true }),
+            timed(6_000, 0, Change::Remove(0)),
+        ];
+        let Violations { leaving, .. } =
+            run_scenario(&Scenario { faults, changes, length: 22_000 });
+        assert_eq!(leaving.first(), None, "restored at {at} ms");
+    }
+}
+
+/// A relay that was paused through an outage does not know whether the replicas that its first list
+/// lacks have left; those that write their entries again after a restore are back in time.
+#[test]
+fn entries_that_expired_during_a_pause_are_written_again() {
+    let faults = vec![
+        timed(4_660, 4_358, Fault::Paused { relay: 1 }),
+        timed(5_355, 3_601, Fault::Outage { silent: false }),
+        timed(9_116, 50, Fault::Restore { age: 0 }),
+    ];
+    let changes = vec![timed(3_500, 0, Change::Drain(0))];
+    let Violations { missing, .. } = run_scenario(&Scenario { faults, changes, length: 22_000 });
+    assert_eq!(missing.first(), None);
+}
