--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -30,6 +30,7 @@
     notices::{ReplicaResponse, apply_notices_at},
     pool::SendError,
     probes::{ProbeOutcome, probe_with_retry, silence_is_conclusive},
+    quarantine::record_crash,
     replicas::accept_report_start,
     state::Relay,
 };
@@ -65,12 +66,13 @@
 /// less often the more relays there are.
 const PROBE_INTERVAL: Millis = 300;
 
-/// Cache of the latest reports, and the times of the latest probes, by address.
+/// Cache of the latest reports, and the times of the latest probes and checks, by address.
 #[derive(Debug, Default)]
 pub struct ReportCache {
     reports: RefCell<HashMap<SocketAddr, CachedReport>>,
     last_probe: Cell<Option<Millis>>,
     probe_times: RefCell<HashMap<SocketAddr, Millis>>,
+    check_times: RefCell<HashMap<SocketAddr, Millis>>,
 }
 
 impl ReportCache {
@@ -78,18 +80,18 @@
     pub fn remove(&self, address: SocketAddr) {
         self.reports.borrow_mut().remove(&address);
         self.probe_times.borrow_mut().remove(&address);
+        self.check_times.borrow_mut().remove(&address);
     }
 
     /// Returns whether a replica may be probed, that is if its last probe was at least `interval`
     /// milliseconds ago. Records the probe in that case.
     fn begin_probe(&self, address: SocketAddr, interval: Millis, now: Millis) -> bool {
-        let mut probe_times = self.probe_times.borrow_mut();
-        let last = probe_times.get(&address).copied();
-        let is_due = last.is_none_or(|last| now.saturating_sub(last) >= interval);
-        if is_due {
-            probe_times.insert(address, now);
-        }
-        is_due
+        begin_due(&mut self.probe_times.borrow_mut(), address, interval, now)
+    }
+
+    /// Like [`ReportCache::begin_probe`], for a check whether the replica accepts connections.
+    pub fn begin_check(&self, address: SocketAddr, interval: Millis, now: Millis) -> bool {
+        begin_due(&mut self.check_times.borrow_mut(), address, interval, now)
     }
 
     /// Returns the time of the last call of [`probe_replicas`], or `None` before the first.
@@ -98,6 +100,22 @@
     }
 }
 
+/// Returns whether the last time of an address is at least `interval` milliseconds ago, and
+/// replaces it in that case.
+fn begin_due(
+    times: &mut HashMap<SocketAddr, Millis>,
+    address: SocketAddr,
+    interval: Millis,
+    now: Millis,
+) -> bool {
+    let last = times.get(&address).copied();
+    let is_due = last.is_none_or(|last| now.saturating_sub(last) >= interval);
+    if is_due {
+        times.insert(address, now);
+    }
+    is_due
+}
+
 /// A cached state, and the time at which it was last requested.
 #[derive(Clone, Debug)]
 struct CachedReport {
@@ -220,7 +238,7 @@
     let replica = instance.as_ref().map(ReplicaInstance::to_string);
     tracing::info!(event = "probe-failed", %address, replica, end = ?outcome, silence_counts);
     if let (Some(instance), Some(why)) = (instance, loss) {
-        relay.suspect(&instance, why);
+        relay.avoid(&instance, why);
     }
 }
 
@@ -239,6 +257,14 @@
     .await
 }
 
+fn record_crash_at(relay: &Relay, address: SocketAddr) {
+    let instance =
+        relay.state.borrow().fleet.view.at_address(address).map(|replica| replica.instance.clone());
+    if let Some(instance) = instance {
+        record_crash(relay, &instance);
+    }
+}
+
 async fn call(
     relay: &Relay,
     address: SocketAddr,
@@ -261,8 +287,11 @@
 ) -> Result<(StatusCode, Bytes), SendError> {
     let request = engine_request(address, method, path, body);
     let sent_at = now_millis();
-    let (response, connection) =
-        relay.pool.send(address, request, new_connection, || Ok(())).await?;
+    let sent = relay.pool.send(address, request, new_connection, || Ok(())).await;
+    if sent.as_ref().is_err_and(SendError::is_refused) {
+        record_crash_at(relay, address);
+    }
+    let (response, connection) = sent?;
     let (parts, body) = response.into_parts();
     let headers = read_response_headers(&parts.headers);
     apply_notices_at(
--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -138,7 +138,7 @@
             let first = self.path[0].address;
             let id = &self.request.headers.attempt_id;
             if let Some(faulty_replica) = find_stalled_replica(&self.relay, first, id).await {
-                suspect_at(&self.relay, faulty_replica, "stalled");
+                suspect_at(&self.relay, faulty_replica, "stalled").await;
             }
         }
         if !self.is_path_lost() {
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -146,7 +146,7 @@
             let id = &self.request.headers.attempt_id;
             if let Some(faulty_replica) = find_stalled_replica(&self.relay, first.address, id).await
             {
-                suspect_at(&self.relay, faulty_replica, "stalled");
+                suspect_at(&self.relay, faulty_replica, "stalled").await;
             }
         }
         if self.relay.stage_state(&first) == StageState::Lost {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`response_head`], [`forward`], [`paths`] | streams over engines |
 //! | [`run_tracker`] | runs of requests at replicas, and evidence from lost runs |
-//! | [`pool`], [`engines`], [`probes`] | connections, calls and probes to replicas |
+//! | [`pool`], [`engines`], [`probes`], [`reachability`] | connections, calls and probes to replicas |
 //! | [`buffers`] | memory for responses of replicas |
 //! | [`state`] | what a relay knows, shared by its tasks |
 //! | [`watch`], [`replicas`], [`store_calls`] | state from the store |
@@ -49,6 +49,7 @@
 pub mod pool;
 pub mod probes;
 pub mod quarantine;
+pub mod reachability;
 pub mod registry;
 pub mod reload;
 pub mod replicas;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -26,7 +26,8 @@
         FleetMessage, InstanceRecord, PeerMessage, ReservationRecord, ReservationReport,
         StateMessage,
     },
-    quarantine::{merge_peer_crashes, record_replica_loss},
+    quarantine::merge_peer_crashes,
+    reachability::check_heard_suspects,
     registry::discover_peers,
     replicas::apply_updates,
     retries::{handle_loan, handle_loan_request},
@@ -41,7 +42,7 @@
     tokio::join!(receive(&relay), run_sender(&relay), discover_peers(&relay));
 }
 
-async fn receive(relay: &Relay) {
+async fn receive(relay: &Rc<Relay>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, from)) = relay.peer_socket.recv_from(&mut buffer).await else {
@@ -74,7 +75,7 @@
     }
 }
 
-fn apply_state(relay: &Relay, message: &StateMessage, from: SocketAddr) {
+fn apply_state(relay: &Rc<Relay>, message: &StateMessage, from: SocketAddr) {
     let now = now_millis();
     let is_over_limit = {
         let peers = &relay.state.borrow().peers;
@@ -121,7 +122,7 @@
         lost = merge_suspects(state, message, origin, now);
     }
     merge_peer_limits(relay, &message.limits, &message.name, written);
-    lost.iter().for_each(|instance| record_replica_loss(relay, instance));
+    check_heard_suspects(relay, &lost);
     merge_peer_crashes(relay, message, origin, now);
     if message.data_centre == relay.settings.data_centre {
         apply_proofs(relay, message, &peer, now);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -242,7 +242,7 @@
                 tracing::info!(event = "suspect-probed", replica = %replica.instance, holds);
             }
             if !holds {
-                relay.suspect(&replica.instance, "holds no layers or does not respond");
+                relay.avoid(&replica.instance, "holds no layers or does not respond");
             }
         }
         let state = relay.state.borrow();
@@ -510,7 +510,7 @@
         end = ?outcome,
     );
     if outcome == OrderOutcome::NotSent {
-        relay.suspect(&replica.instance, "order not sent");
+        relay.avoid(&replica.instance, "order not sent");
     }
     matches!(outcome, OrderOutcome::Taken | OrderOutcome::Unknown)
 }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -22,10 +22,7 @@
     grants::GrantWaiter,
     instance::ReplicaInstance,
 };
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     admit::{Permit, admit_retry},
@@ -35,6 +32,7 @@
     notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
     pool::{ActiveConnection, SendError},
     quarantine::{check_send, record_result},
+    reachability::check_reachable,
     request::{CallerRequest, ReplicaTarget},
     responses::{Refusal, RelayResponse, full_body},
     retries::{RetryCharge, RetryPermit},
@@ -395,7 +393,7 @@
         }
         AttemptEnd::Broken => {
             run.record_loss(relay, request, &outcome.detail);
-            check_reachable(relay, replica).await;
+            check_reachable(relay, &replica.instance, replica.address).await;
         }
         AttemptEnd::Answered(_) => {
             record_result(relay, request);
@@ -422,30 +420,9 @@
         slowness,
         reported,
     );
-    if matches!(outcome.end, AttemptEnd::NotSent) {
-        relay.suspect(&replica.instance, &outcome.detail);
-    }
     outcome
 }
 
-/// Time for which a request whose attempt broke off waits for [`check_reachable`]: thirty times
-/// what opening a connection takes.
-const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// Checks whether a replica that broke off a request still accepts connections, before the request
-/// is sent to another replica. Without this check, a request that crashes replicas is sent to a
-/// fourth one before the crash of the third is known.
-async fn check_reachable(relay: &Rc<Relay>, replica: &ReplicaEntry) {
-    let (relay, instance, address) = (relay.clone(), replica.instance.clone(), replica.address);
-    let check = spawn_local(async move {
-        if let Err(error) = relay.pool.open_idle(address).await {
-            relay.suspect(&instance, &error.to_string());
-        }
-    });
-    // A check that takes longer goes on in the background.
-    let _in_time = timeout(REACHABILITY_TIMEOUT, check).await;
-}
-
 /// Largest slowness that one attempt counts with, as a multiple of the latency objective.
 const MAX_SLOWNESS: f64 = 4.0;
 
@@ -479,8 +456,9 @@
     }
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(SendError::NotSent { detail }) => {
-            return AttemptOutcome::without_response(AttemptEnd::NotSent, detail);
+        Err(error @ SendError::NotSent { .. }) => {
+            relay.record_unreachable(&target.replica.instance, &error);
+            return AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
         }
         Err(error @ SendError::Throttled { .. }) => {
             let unsent = AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,7 @@
 //! connection whose request is abandoned is closed at once, so that the replica stops working on
 //! it.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -54,6 +54,8 @@
     NotSent {
         /// Why it was not sent.
         detail: String,
+        /// Whether the replica's host refused the connection: nobody listens at the address.
+        is_refused: bool,
     },
     /// No byte of the request was sent, since the replica accepts no requests of this relay at the
     /// moment.
@@ -75,6 +77,11 @@
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::NotSent { .. } | Self::Throttled { .. })
     }
+
+    /// Returns whether the connection was refused, which a silent replica does not do.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::NotSent { is_refused: true, .. })
+    }
 }
 
 /// A connection that runs a request. Dropping it closes it; [`ActiveConnection::return_to`] keeps
@@ -215,10 +222,13 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<ActiveConnection, SendError> {
-    let not_sent = |detail: String| SendError::NotSent { detail };
+    let not_sent = |detail: String| SendError::NotSent { detail, is_refused: false };
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
+        Ok(Err(error)) => {
+            let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+            return Err(SendError::NotSent { detail: error.to_string(), is_refused });
+        }
         Err(_) => return Err(not_sent("connection timed out".to_owned())),
     };
     set_options(&stream).map_err(|error| not_sent(error.to_string()))?;
@@ -250,7 +260,7 @@
             let unsent = failure.take_message();
             let detail = failure.into_error().to_string();
             let error = match unsent {
-                Some(_) => SendError::NotSent { detail },
+                Some(_) => SendError::NotSent { detail, is_refused: false },
                 None => SendError::NoResponse { detail },
             };
             Err((error, unsent))
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -85,9 +85,9 @@
     Refusal::Quarantined(remaining)
 }
 
-/// Records that a replica is lost: it is silent, refuses connections, or is no longer listed
-/// although it did not announce that it is leaving.
-pub fn record_replica_loss(relay: &Relay, instance: &ReplicaInstance) {
+/// Records that a replica has crashed: it refuses connections, has started again, or is no longer
+/// listed although it did not announce that it is leaving. Silence alone shows no crash.
+pub fn record_crash(relay: &Relay, instance: &ReplicaInstance) {
     let change = relay.state.borrow_mut().quarantine.record_crash(instance, now_millis());
     apply_change(relay, &change);
 }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -19,8 +19,8 @@
 use tokio::task::spawn_local;
 
 use crate::{
-    counts::count, engines::is_reachable, gossip::send_fleet_changes,
-    quarantine::record_replica_loss, state::Relay,
+    counts::count, engines::is_reachable, gossip::send_fleet_changes, quarantine::record_crash,
+    state::Relay,
 };
 
 /// Applies a full list of the store that was requested at `sent`.
@@ -227,7 +227,7 @@
     let Some(address) = *address else { return };
     ended.iter().for_each(|ended| {
         if !update.is_planned {
-            record_replica_loss(relay, ended);
+            record_crash(relay, ended);
         }
         discard_instance_state(relay, ended, address);
     });
--- a/crates/relay/src/response_head.rs
+++ b/crates/relay/src/response_head.rs
@@ -166,7 +166,7 @@
         let first = self.path[0].address;
         let id = &self.request.headers.attempt_id;
         if let Some(faulty_replica) = find_stalled_replica(self.relay, first, id).await {
-            let detail = suspect_at(self.relay, faulty_replica, "stalled");
+            let detail = suspect_at(self.relay, faulty_replica, "stalled").await;
             if self.is_repeatable() {
                 return Err(HeadError::Stalled(detail));
             }
--- a/crates/relay/src/run_tracker.rs
+++ b/crates/relay/src/run_tracker.rs
@@ -17,6 +17,7 @@
 use crate::{
     counts::count,
     quarantine::{apply_change, record_result},
+    reachability::check_heard_suspects,
     request::CallerRequest,
     state::Relay,
 };
@@ -102,5 +103,6 @@
             let change = relay.state.borrow_mut().quarantine.record_lost(*suspect, &run, now);
             apply_change(relay, &change);
         }
+        check_heard_suspects(relay, &self.instances);
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -50,8 +50,8 @@
     logs::LineInterval,
     metrics::RelayMetrics,
     plain::ServiceLoads,
-    pool::ConnectionPool,
-    quarantine::record_replica_loss,
+    pool::{ConnectionPool, SendError},
+    quarantine::record_crash,
     registry::PeerAddress,
     settings::{BoundSettings, RelaySettings},
     shutdown::ShutdownState,
@@ -264,10 +264,13 @@
         self.capacity_notify.notify_waiters();
     }
 
-    /// Records that a replica may be lost, and avoids it; `why` is logged.
-    pub fn suspect(&self, instance: &ReplicaInstance, why: &str) {
-        record_replica_loss(self, instance);
-        self.avoid(instance, why);
+    /// Records that no connection to a replica could be opened, and avoids it. Only a refused
+    /// connection shows that the replica has crashed; without any response it may be well.
+    pub fn record_unreachable(&self, instance: &ReplicaInstance, error: &SendError) {
+        if error.is_refused() {
+            record_crash(self, instance);
+        }
+        self.avoid(instance, &error.to_string());
     }
 
     /// Records a failure of a replica, which may still be running. If the replica becomes suspected,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -33,6 +33,7 @@
     plain::{drain_rejection, end_from_headers},
     pool::{ActiveConnection, SendError},
     quarantine::{check_send, record_result},
+    reachability::check_named,
     request::{CallerRequest, ReplicaTarget},
     response_head::{HeadError, HeadWait, PendingHead, ReceivedHead},
     responses::{Refusal, RelayResponse, full_body},
@@ -296,10 +297,10 @@
     };
     let sent = match sent {
         Ok(sent) => sent,
-        Err(HeadError::Send(SendError::NotSent { detail })) => {
-            relay.suspect(&first.instance, &detail);
+        Err(HeadError::Send(error @ SendError::NotSent { .. })) => {
+            relay.record_unreachable(&first.instance, &error);
             history.excluded.push(first.instance);
-            return Some(OpenOutcome::Failed(AttemptEnd::NotSent, detail));
+            return Some(OpenOutcome::Failed(AttemptEnd::NotSent, error.to_string()));
         }
         Err(HeadError::Send(error @ SendError::Throttled { .. })) => {
             history.excluded.push(first.instance);
@@ -362,7 +363,7 @@
 
 /// Records a failure of the replica at an address, which is then avoided for a while. Returns a
 /// description for logs.
-pub fn suspect_at(relay: &Relay, faulty_replica: SocketAddr, why: &str) -> String {
+pub async fn suspect_at(relay: &Rc<Relay>, faulty_replica: SocketAddr, why: &str) -> String {
     let instance = relay
         .state
         .borrow()
@@ -372,7 +373,8 @@
         .map(|replica| replica.instance.clone());
     match instance {
         Some(instance) => {
-            relay.suspect(&instance, why);
+            check_named(relay, &instance, faulty_replica).await;
+            relay.avoid(&instance, why);
             format!("{why} at {faulty_replica} ({instance})")
         }
         None => format!("{why} at {faulty_replica} (not listed)"),
@@ -472,10 +474,10 @@
         match recent_report(relay, faulty_replica).await {
             ReportState::Pending => {}
             ReportState::NoResponse => {
-                relay.suspect(&instance, "rejected a request and gave no report")
+                relay.avoid(&instance, "rejected a request and gave no report")
             }
             ReportState::Received(report) if report.layers.is_none() => {
-                relay.suspect(&instance, "rejected a request and holds no layers");
+                relay.avoid(&instance, "rejected a request and holds no layers");
             }
             ReportState::Received(report) if report.kv_used > report.kv_total * FULL_FRACTION => {
                 relay.record_memory_shortage(&instance);
--- a/crates/router/benches/crashes.rs
+++ b/crates/router/benches/crashes.rs
@@ -26,6 +26,7 @@
     harmless_rate: 70,
     popular_rate: 30,
     faults: Vec::new(),
+    entry_time: None,
     length: 30_000,
 };
 
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -25,9 +25,11 @@
 //!
 //! The trade-off is the number of replicas that a request may crash: three before it is
 //! quarantined, one or two more if several requests share its crashes, plus those of sends that
-//! relays make before they learn of the quarantine, and those of its trials. Worst case for memory:
-//! [`MAX_RECORDS`] requests with [`MAX_RUNS`] runs each, some 600 kB. Without crashes nothing is
-//! kept.
+//! relays make before they learn of the quarantine, and those of its trials. A replica that crashed
+//! with its host refuses no connection. It is silent, as sound replicas sometimes are, so its crash
+//! counts only when its entry is dropped, and the request crashes those replicas too that it is sent
+//! to until then. Worst case for memory: [`MAX_RECORDS`] requests with [`MAX_RUNS`] runs each, some
+//! 600 kB. Without crashes nothing is kept.
 
 use std::{
     cmp::Reverse,
@@ -144,6 +146,11 @@
         self.records.is_empty() && self.pending.is_empty()
     }
 
+    /// Returns whether a run was lost at a replica of which no crash is known.
+    pub fn has_lost_run(&self, instance: &ReplicaInstance) -> bool {
+        self.pending.iter().any(|run| run.instances.contains(instance))
+    }
+
     /// Returns the number of quarantined requests.
     pub fn quarantined_count(&self, now: Millis) -> usize {
         self.records.values().filter(|record| record.is_quarantined(now)).count()
--- a/crates/router/tests/crash_model/mod.rs
+++ b/crates/router/tests/crash_model/mod.rs
@@ -10,6 +10,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
+    ops::Range,
 };
 
 use rand::{RngExt, SeedableRng};
@@ -31,6 +32,9 @@
 const STREAM_DURATION: u64 = 5_000;
 const UNARY_DURATION: u64 = 300;
 
+/// Times within which a relay gives up a run at a silent replica.
+const SILENCE_TIMES: Range<u64> = 100..350;
+
 /// Faults besides the bad request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
@@ -58,6 +62,10 @@
     /// Calls per second of the harmless request that all callers make.
     pub(crate) popular_rate: u64,
     pub(crate) faults: Vec<(u64, Fault)>,
+    /// Time from a crash until the relays learn of it. A replica that crashes refuses connections,
+    /// which relays notice when they lose their runs, unless its host is lost with it: it is silent
+    /// then, until its entry is dropped after this time.
+    pub(crate) entry_time: Option<u64>,
     pub(crate) length: u64,
 }
 
@@ -88,6 +96,7 @@
     Sync { relay: usize, round: u64 },
     Restart { replica: usize },
     Fault { number: usize },
+    DropEntry { crash: usize },
     CrashReplica { replica: usize },
 }
 
@@ -113,6 +122,8 @@
     /// Current instance of each replica; `None` while it is down.
     replicas: Vec<Option<ReplicaInstance>>,
     runs: Vec<Run>,
+    /// Instances of the replicas whose entries are dropped later.
+    silent: Vec<ReplicaInstance>,
     messages: BTreeMap<(u64, u64), (usize, Message)>,
     stored: HashMap<RequestFingerprint, CrashReport>,
     partitioned_until: u64,
@@ -148,6 +159,7 @@
         started_at: vec![0; scenario.relays],
         replicas: Vec::new(),
         runs: Vec::new(),
+        silent: Vec::new(),
         messages: BTreeMap::new(),
         stored: HashMap::new(),
         partitioned_until: 0,
@@ -207,6 +219,7 @@
                 Step::Restart { replica } => {
                     self.replicas[replica] = Some(simulated_instance(replica, now))
                 }
+                Step::DropEntry { crash } => self.drop_entry(crash, now),
                 Step::Fault { number } => self.apply_fault(self.scenario.faults[number].1, now),
                 Step::CrashReplica { replica } => self.crash_replica(replica, now),
             }
@@ -305,11 +318,24 @@
         let lost: Vec<usize> = (0..self.runs.len())
             .filter(|run| self.runs[*run].is_running && self.runs[*run].instance == instance)
             .collect();
+        let delays = if self.scenario.entry_time.is_some() { SILENCE_TIMES } else { 1..4 };
         for run in lost {
             self.runs[run].is_running = false;
-            let delay = self.rng.random_range(1..4);
+            let delay = self.rng.random_range(delays.clone());
             self.schedule(now + delay, Step::LoseRun { run });
         }
+        if let Some(entry_time) = self.scenario.entry_time {
+            self.silent.push(instance);
+            self.schedule(now + entry_time, Step::DropEntry { crash: self.silent.len() - 1 });
+        }
+    }
+
+    fn drop_entry(&mut self, crash: usize, now: u64) {
+        let instance = self.silent[crash].clone();
+        for relay in 0..self.scenario.relays {
+            let change = self.tables[relay].record_crash(&instance, now);
+            self.apply_change(relay, &change, now);
+        }
     }
 
     fn lose_run(&mut self, number: usize, now: u64) {
@@ -329,9 +355,11 @@
         let instances = [instance.clone()];
         let run = LostRun { instances: &instances, sent, progress, depth: 0 };
         let mut change = self.tables[relay].record_lost(fingerprint(request), &run, now);
-        let crash_change = self.tables[relay].record_crash(&instances[0], now);
-        change.is_urgent |= crash_change.is_urgent;
-        change.quarantined.extend(crash_change.quarantined);
+        if self.scenario.entry_time.is_none() {
+            let crash_change = self.tables[relay].record_crash(&instances[0], now);
+            change.is_urgent |= crash_change.is_urgent;
+            change.quarantined.extend(crash_change.quarantined);
+        }
         self.apply_change(relay, &change, now);
         let pause = self.rng.random_range(5..150);
         match (sends, attempt) {
--- a/crates/router/tests/crashes.rs
+++ b/crates/router/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashSet;
 
-use crash_model::{Fault, Observed, Scenario, simulate};
+use crash_model::{CONTACT_TIME, Fault, Observed, Scenario, simulate};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_router::{
@@ -340,9 +340,13 @@
     harmless_rate: 70,
     popular_rate: 30,
     faults: Vec::new(),
+    entry_time: None,
     length: 30_000,
 };
 
+/// Time after which the replica list drops a replica that gives no heartbeats: three of them.
+const ENTRY_TIME: u64 = 3_600;
+
 /// The pattern of the recorded incident with few and many relays, with partitioned data centres,
 /// and with a restart of all relays.
 #[test]
@@ -388,3 +392,25 @@
         }
     }
 }
+
+/// Guards against a request that is never quarantined, since the hosts of the replicas that it
+/// crashes are silent: their crashes count when their entries are dropped.
+#[test]
+fn a_request_that_silences_replicas_is_quarantined_when_their_entries_are_dropped() {
+    for (relays, bad_interval) in [(1, 500), (4, 500), (60, 300)] {
+        for seed in 0..10 {
+            let scenario =
+                Scenario { relays, bad_interval, entry_time: Some(ENTRY_TIME), ..NO_BAD_REQUEST };
+            let Observed { crashed, third_crash, last_send, rejected, harmless, .. } =
+                simulate(&scenario, seed);
+            println!("{relays} relays, seed {seed}: {crashed} crashed");
+            let third = third_crash.expect("three crashes");
+            let due = third + ENTRY_TIME + CONTACT_TIME;
+            assert!(last_send <= due, "{relays} relays, seed {seed}: {last_send} after {due}");
+            assert!(
+                rejected * 1_000 < harmless,
+                "{relays} relays, seed {seed}: {rejected} of {harmless} rejected"
+            );
+        }
+    }
+}
