Relay: the wait for a plain replica returns its refusal

`wait_for_replica` returned one `None` both for a relay that stops and for a service without a replica in time, and its caller asked again which of the two it was. It returns the refusal; no behaviour changes.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -195,13 +195,18 @@
 }
 
 /// Chooses a replica. If none accepts requests at the moment but one will in time for this request,
-/// waits for it. Returns `None` if there is none, or the relay stops too soon.
+/// waits for it.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives: the relay stops too soon, or no replica accepts
+/// the request in time.
 async fn wait_for_replica(
     relay: &Rc<Relay>,
     request: &CallerRequest,
     permit: &Permit,
     tried: &[ReplicaInstance],
-) -> Option<ReplicaEntry> {
+) -> Result<ReplicaEntry, Refusal> {
     let max_wait = permit.route.objective * WAIT_PERCENT / 100;
     let wait_until = request.arrived_at + max_wait.min(request.deadline - request.arrived_at);
     let untried = |replica: &ReplicaEntry| !tried.contains(&replica.instance);
@@ -209,18 +214,19 @@
     let mut grant_wait = None;
     loop {
         if is_stopped(relay, request, permit) {
-            return None;
+            return Err(Refusal::Stopping);
         }
         if let Some(replica) = choose_replica(relay, permit, tried) {
             if grant_wait.is_none() {
                 request_grant(relay, service, *priority, untried);
             }
-            return Some(replica);
-        }
-        let remaining = min_send_wait(&relay.state.borrow(), service, *priority, untried)?;
-        if now_millis() + remaining > wait_until {
-            return None;
+            return Ok(replica);
         }
+        let remaining = min_send_wait(&relay.state.borrow(), service, *priority, untried);
+        let in_time = remaining.filter(|remaining| now_millis() + remaining <= wait_until);
+        let Some(remaining) = in_time else {
+            return Err(refusal(relay, permit, Refusal::NoReplica));
+        };
         let waiter = GrantWaiter { rank: *priority, deadline: wait_until };
         grant_wait = grant_wait.or_else(|| GrantWait::begin(relay, service, waiter, untried));
         sleep(POLL_INTERVAL.min(Duration::from_millis(remaining))).await;
@@ -266,14 +272,9 @@
     let may_have_run = &request.may_have_run;
     let mut charge: Option<RetryCharge> = None;
     loop {
-        let replica = wait_for_replica(relay, request, &permit, &tried).await;
-        let Some(replica) = replica else {
-            let refusal = match is_stopped(relay, request, &permit) {
-                true => Refusal::Stopping,
-                false => refusal(relay, &permit, Refusal::NoReplica),
-            };
-            return Err(refusal.unless_run(may_have_run.get()));
-        };
+        let replica = wait_for_replica(relay, request, &permit, &tried)
+            .await
+            .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
         if let Err(refusal) = check_send(relay, request) {
             return Err(refusal.unless_run(may_have_run.get()));
         }
