--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -156,7 +156,7 @@
     /// Continues a check with the replica that holds up the stream.
     pub(super) async fn apply_investigation(&mut self, faulty_replica: Option<SocketAddr>) {
         if let Some(faulty_replica) = faulty_replica {
-            suspect_at(&self.relay, faulty_replica, "stalled");
+            suspect_at(&self.relay, faulty_replica, "stalled").await;
         }
         self.recover_path().await;
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -22,10 +22,7 @@
     grants::GrantWaiter,
     instance::ReplicaInstance,
 };
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     admit::{Permit, admit_retry},
@@ -35,6 +32,7 @@
     notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
     pool::{ActiveConnection, SendError},
     quarantine::{check_send, record_result},
+    reachability::check_reachable,
     request::{CallerRequest, ReplicaTarget},
     responses::{Refusal, RelayResponse, full_body},
     retries::{RetryCharge, RetryPermit},
@@ -197,13 +195,18 @@
 }
 
 /// Chooses a replica. If none accepts requests at the moment but one will in time for this request,
-/// waits for it. Returns `None` if there is none, or the relay stops too soon.
+/// waits for it.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives: the relay stops too soon, or no replica accepts
+/// the request in time.
 async fn wait_for_replica(
     relay: &Rc<Relay>,
     request: &CallerRequest,
     permit: &Permit,
     tried: &[ReplicaInstance],
-) -> Option<ReplicaEntry> {
+) -> Result<ReplicaEntry, Refusal> {
     let max_wait = permit.route.objective * WAIT_PERCENT / 100;
     let wait_until = request.arrived_at + max_wait.min(request.deadline - request.arrived_at);
     let untried = |replica: &ReplicaEntry| !tried.contains(&replica.instance);
@@ -211,18 +214,19 @@
     let mut grant_wait = None;
     loop {
         if is_stopped(relay, request, permit) {
-            return None;
+            return Err(Refusal::Stopping);
         }
         if let Some(replica) = choose_replica(relay, permit, tried) {
             if grant_wait.is_none() {
                 request_grant(relay, service, *priority, untried);
             }
-            return Some(replica);
-        }
-        let remaining = min_send_wait(&relay.state.borrow(), service, *priority, untried)?;
-        if now_millis() + remaining > wait_until {
-            return None;
+            return Ok(replica);
         }
+        let remaining = min_send_wait(&relay.state.borrow(), service, *priority, untried);
+        let in_time = remaining.filter(|remaining| now_millis() + remaining <= wait_until);
+        let Some(remaining) = in_time else {
+            return Err(refusal(relay, permit, Refusal::NoReplica));
+        };
         let waiter = GrantWaiter { rank: *priority, deadline: wait_until };
         grant_wait = grant_wait.or_else(|| GrantWait::begin(relay, service, waiter, untried));
         sleep(POLL_INTERVAL.min(Duration::from_millis(remaining))).await;
@@ -268,14 +272,9 @@
     let may_have_run = &request.may_have_run;
     let mut charge: Option<RetryCharge> = None;
     loop {
-        let replica = wait_for_replica(relay, request, &permit, &tried).await;
-        let Some(replica) = replica else {
-            let refusal = match is_stopped(relay, request, &permit) {
-                true => Refusal::Stopping,
-                false => refusal(relay, &permit, Refusal::NoReplica),
-            };
-            return Err(refusal.unless_run(may_have_run.get()));
-        };
+        let replica = wait_for_replica(relay, request, &permit, &tried)
+            .await
+            .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
         if let Err(refusal) = check_send(relay, request) {
             return Err(refusal.unless_run(may_have_run.get()));
         }
@@ -395,7 +394,7 @@
         }
         AttemptEnd::Broken => {
             run.record_loss(relay, request, &outcome.detail);
-            check_reachable(relay, replica).await;
+            check_reachable(relay, &replica.instance, replica.address).await;
         }
         AttemptEnd::Answered(_) => {
             record_result(relay, request);
@@ -422,30 +421,9 @@
         slowness,
         reported,
     );
-    if matches!(outcome.end, AttemptEnd::NotSent) {
-        relay.suspect(&replica.instance, &outcome.detail);
-    }
     outcome
 }
 
-/// Time for which a request whose attempt broke off waits for [`check_reachable`]: thirty times
-/// what opening a connection takes.
-const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// Checks whether a replica that broke off a request still accepts connections, before the request
-/// is sent to another replica. Without this check, a request that crashes replicas is sent to a
-/// fourth one before the crash of the third is known.
-async fn check_reachable(relay: &Rc<Relay>, replica: &ReplicaEntry) {
-    let (relay, instance, address) = (relay.clone(), replica.instance.clone(), replica.address);
-    let check = spawn_local(async move {
-        if let Err(error) = relay.pool.open_idle(address).await {
-            relay.suspect(&instance, &error.to_string());
-        }
-    });
-    // A check that takes longer goes on in the background.
-    let _in_time = timeout(REACHABILITY_TIMEOUT, check).await;
-}
-
 /// Largest slowness that one attempt counts with, as a multiple of the latency objective.
 const MAX_SLOWNESS: f64 = 4.0;
 
@@ -479,8 +457,9 @@
     }
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(SendError::NotSent { detail }) => {
-            return AttemptOutcome::without_response(AttemptEnd::NotSent, detail);
+        Err(error @ SendError::NotSent { .. }) => {
+            relay.record_unreachable(&target.replica.instance, &error);
+            return AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
         }
         Err(error @ SendError::Throttled { .. }) => {
             let unsent = AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
--- a/crates/relay/src/response_head.rs
+++ b/crates/relay/src/response_head.rs
@@ -169,7 +169,7 @@
         let first = self.path[0].address;
         let id = &self.request.headers.attempt_id;
         if let Some(faulty_replica) = find_stalled_replica(self.relay, first, id).await {
-            let detail = suspect_at(self.relay, faulty_replica, "stalled");
+            let detail = suspect_at(self.relay, faulty_replica, "stalled").await;
             if self.can_retry() {
                 return Err(HeadError::Late(detail));
             }
--- a/crates/relay/tests/moves.rs
+++ b/crates/relay/tests/moves.rs
@@ -184,22 +184,24 @@
         });
     }
     run_test(async {
+        const LATE_DEADLINE: Duration = Duration::from_secs(15);
+        let started = Instant::now();
         let script = |request: &ReceivedRequest| match request.target.as_str() {
             REPORT_PATH => signed_response(request, 200, &report(0, LAYERS, &[])),
-            _ => held_stream(request, || false),
+            _ => events(request, 3, PAUSE, StreamEnd::Silence),
         };
         let replica = StandinReplica::start(script).await;
         let entries = [entry_of("i-1", &replica, |address| model_entry(address, 0, LAYERS))];
         let relay = start_ranked(300, &entries).await;
+        let mut request = request("/stream-single/a", "a");
+        let deadline = LATE_DEADLINE.as_millis().to_string().parse().expect("a header value");
+        request.headers_mut().insert(DEADLINE_HEADER, deadline);
         let address = relay.address;
-        let calling = tokio::task::spawn_local(async move {
-            call(address, request("/stream-single/a", "a")).await
-        });
+        let calling = tokio::task::spawn_local(async move { call(address, request).await });
         wait_until(async || read_figure(&relay, "answered").await == 1).await;
         calling.abort();
-        wait_until(async || {
-            replica.requests()[0].connection > 0 && replica.open_connections() == 0
-        })
-        .await;
+        wait_until(async || read_figure(&relay, "in_flight").await == 0).await;
+        wait_until(async || replica.open_connections() == 0).await;
+        assert!(started.elapsed() < LATE_DEADLINE, "before the deadline");
     });
 }
