--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -5,16 +5,14 @@
 //! a replica loses its weight within seconds, so a replica that failed is tried again without
 //! further action.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+mod attempt;
 
-use bytes::Bytes;
-use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use std::{collections::HashMap, future::pending, mem::replace, rc::Rc, time::Duration};
+
+use futures_util::future::{Either, LocalBoxFuture, select};
+use http::Response;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{
-    ReplicaLoad, ResponseHeaders, read_response_headers, strip_hop_headers,
-};
+use switchfold_platform::headers::{ReplicaLoad, strip_hop_headers};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
@@ -22,27 +20,22 @@
     grants::GrantWaiter,
     instance::ReplicaInstance,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
+use self::attempt::{AttemptOutcome, BufferedResponse, PlainAttempt};
+pub use self::attempt::{drain_rejection, end_from_headers};
 use crate::{
     admit::{Permit, admit_retry},
-    buffers::read_body,
     counts::count,
     limits::{GrantWait, request_grant},
-    notices::{SendGate, apply_notices, min_send_wait, refusal_without_replica},
-    pool::{ActiveConnection, SendError},
-    quarantine::{check_send, record_result},
-    reachability::check_reachable,
-    request::{CallerRequest, ReplicaTarget},
+    notices::{min_send_wait, refusal_without_replica},
+    quarantine::{check_send, quarantine_remaining},
+    request::CallerRequest,
     responses::{Refusal, RelayResponse, full_body},
     retries::{RetryCharge, RetryPermit},
-    run_tracker::RunTracker,
     state::Relay,
 };
 
-/// Maximum size of a response, in bytes. It is read completely before it is forwarded.
-const MAX_RESPONSE: usize = 16 << 20;
-
 /// Weight of the newest observation in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.2;
 
@@ -233,29 +226,6 @@
     }
 }
 
-/// A complete response of a replica.
-struct BufferedResponse {
-    head: Response<()>,
-    body: Bytes,
-}
-
-/// How an attempt ended, with the response if there is one.
-struct AttemptOutcome {
-    end: AttemptEnd,
-    response: Option<BufferedResponse>,
-    detail: String,
-    /// Whether it was not sent because the replica accepts no requests at the moment.
-    is_throttled: bool,
-    /// Whether the replica sent more than the relay accepts.
-    is_excessive: bool,
-}
-
-impl AttemptOutcome {
-    fn without_response(end: AttemptEnd, detail: String) -> Self {
-        Self { end, response: None, detail, is_throttled: false, is_excessive: false }
-    }
-}
-
 /// Sends a request to replicas of a plain service until there is a response for the caller.
 ///
 /// # Errors
@@ -266,278 +236,237 @@
     request: &CallerRequest,
     permit: Permit,
 ) -> Result<RelayResponse, Refusal> {
-    let mut permit = permit;
-    let mut tried = Vec::new();
-    let (mut sends, mut unsent) = (0, 0);
-    let may_have_run = &request.may_have_run;
-    let mut charge: Option<RetryCharge> = None;
-    loop {
-        let replica = wait_for_replica(relay, request, &permit, &tried)
-            .await
-            .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
-        if let Err(refusal) = check_send(relay, request) {
-            return Err(refusal.unless_run(may_have_run.get()));
-        }
-        if let Some(retry) = charge.take() {
-            charge = retry.begin_send(&permit.service);
-            if charge.is_none() {
-                let refusal = refusal(relay, &permit, Refusal::NotRun);
-                return Err(refusal.unless_run(may_have_run.get()));
-            }
-        }
-        let ran_before = may_have_run.replace(true);
-        let outcome = attempt(relay, request, &permit, &replica, sends).await;
-        if let Some(charge) = charge.take_if(|_| outcome.end == AttemptEnd::NotSent) {
-            charge.cancel_send();
-        }
-        tried.push(replica.instance.clone());
-        match outcome.end {
-            AttemptEnd::NotSent => {
-                request.record_unsent();
-                unsent += 1;
-            }
-            _ => sends += 1,
-        }
-        let ran_now = matches!(outcome.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
-        may_have_run.set(ran_before || ran_now);
-        let now = now_millis();
-        let repeatable = permit.route.is_repeatable();
-        let has_time = request.time_remaining(now) > MIN_RETRY_TIME;
-        let has_attempts = sends < permit.route.max_attempts.max(1) && unsent < MAX_UNSENT;
-        let has_others = choose_replica(relay, &permit, &tried).is_some();
-        let is_possible =
-            has_attempts && has_time && has_others && needs_retry(&outcome, repeatable);
-        let retry = match is_possible {
-            true => RetryPermit::obtain(relay, &permit.service, sends).await,
-            false => RetryPermit::Denied,
-        };
-        let state = AttemptState {
-            repeatable,
-            may_have_run: may_have_run.get() && !matches!(outcome.end, AttemptEnd::Answered(_)),
-            can_repeat: !retry.is_denied(),
-        };
-        let next = decide_next(state, outcome.end);
-        request.log_attempt(
-            relay,
-            Some(&replica.instance),
-            &permit,
-            outcome.end,
-            next,
-            &outcome.detail,
-        );
-        match (next, outcome.response) {
-            (NextStep::PassOn, Some(response)) => {
-                let took = now - request.arrived_at;
-                relay.metrics.record_head(&permit, took);
-                relay.metrics.record_end(&permit, took, None);
-                return Ok(forward(response));
-            }
-            (NextStep::TryElsewhere, _) => {
-                if sends > 0 {
-                    count(&relay.counts.repeats);
-                }
-                permit = admit_retry(relay, &request.admission, may_have_run.get())?;
-                charge = retry.into_charge();
-            }
-            (NextStep::AnswerNotRun, _) => {
-                return Err(refusal(relay, &permit, Refusal::NotRun));
-            }
-            _ if request.time_remaining(now) == 0 => return Err(Refusal::TimedOut),
-            _ => return Err(Refusal::OutcomeUnknown),
-        }
+    let answer = PlainRun::new(relay, request, permit).finish().await?;
+    let took = now_millis() - request.arrived_at;
+    relay.metrics.record_head(&answer.permit, took);
+    relay.metrics.record_end(&answer.permit, took, None);
+    Ok(forward(answer.response))
+}
+
+/// A response for the caller, and the permit of the attempt that it is from.
+struct PlainAnswer {
+    response: BufferedResponse,
+    permit: Permit,
+}
+
+impl PlainAnswer {
+    fn is_failure(&self) -> bool {
+        self.response.head.status().is_server_error()
     }
 }
 
-fn refusal(relay: &Relay, permit: &Permit, otherwise: Refusal) -> Refusal {
-    refusal_without_replica(relay, &permit.service, permit.priority, |_| true, otherwise)
+/// An attempt that goes on after the latency objective, beside another one.
+struct OverdueAttempt<'a> {
+    instance: ReplicaInstance,
+    permit: Permit,
+    running: LocalBoxFuture<'a, AttemptOutcome>,
 }
 
-/// Time until the deadline below which a retry is not worth its cost, in milliseconds.
-const MIN_RETRY_TIME: Millis = 50;
+/// How far the attempts of a request have got.
+enum PlainProgress<'a> {
+    /// There is a response for the caller.
+    Answered(PlainAnswer),
+    /// The first attempt is overdue, and the next one may begin.
+    Overdue(OverdueAttempt<'a>),
+}
 
-/// Returns whether the outcome calls for a retry at all. Checked before the retry budget is
-/// charged.
-fn needs_retry(outcome: &AttemptOutcome, repeatable: bool) -> bool {
-    match outcome.end {
-        AttemptEnd::NotSent | AttemptEnd::Rejected => true,
-        AttemptEnd::Broken => repeatable,
-        AttemptEnd::Answered(status) => repeatable && status >= 500,
-    }
+/// The attempts of one request.
+///
+/// A request that may be repeated is sent to a second replica when the first one has given no
+/// response within the latency objective. The first attempt goes on, since a sound replica may be
+/// silent for a while: the first response is forwarded, and the other attempt is dropped, which
+/// closes its connection.
+struct PlainRun<'a> {
+    relay: &'a Rc<Relay>,
+    request: &'a CallerRequest,
+    permit: Permit,
+    tried: Vec<ReplicaInstance>,
+    /// Attempts that a replica received, overdue ones included.
+    sends: u32,
+    /// Attempts that reached no replica.
+    unsent: u32,
+    /// Charge for the next attempt.
+    charge: Option<RetryCharge>,
 }
 
-async fn attempt(
-    relay: &Rc<Relay>,
-    request: &CallerRequest,
-    permit: &Permit,
-    replica: &ReplicaEntry,
-    earlier_sends: u32,
-) -> AttemptOutcome {
-    let started = now_millis();
-    request.log_dispatch(relay, permit, &replica.instance, earlier_sends, None, None);
-    let _in_flight = LoadGuard::new(relay, &replica.instance);
-    let mut run = RunTracker::at_replica(&replica.instance);
-    let target = ReplicaTarget { replica, path: None, last_event_id: None };
-    let timeout_ms = attempt_timeout(request, permit, started);
-    // A request that must not run twice gets a new connection: no bytes left over from an earlier
-    // response can be taken for its own.
-    let new_connection = !permit.route.is_repeatable();
-    let call = exchange(relay, request, permit, &target, new_connection);
-    let outcome = timeout(Duration::from_millis(timeout_ms), call).await;
-    let outcome = outcome.unwrap_or_else(|_| {
-        let detail = format!("no response within {timeout_ms} ms");
-        AttemptOutcome::without_response(AttemptEnd::Broken, detail)
-    });
-    match outcome.end {
-        // The replica is not lost, so the request did not crash it.
-        AttemptEnd::Broken if outcome.is_excessive => {
-            relay.avoid(&replica.instance, &outcome.detail);
-        }
-        AttemptEnd::Broken => {
-            run.record_loss(relay, request, &outcome.detail);
-            check_reachable(relay, &replica.instance, replica.address).await;
-        }
-        AttemptEnd::Answered(_) => {
-            record_result(relay, request);
-            let now = now_millis();
-            let times = &mut relay.state.borrow_mut().route_times;
-            times.record(&permit.route.name, now - started, now);
-        }
-        AttemptEnd::NotSent | AttemptEnd::Rejected => {}
+impl<'a> PlainRun<'a> {
+    fn new(relay: &'a Rc<Relay>, request: &'a CallerRequest, permit: Permit) -> Self {
+        Self { relay, request, permit, tried: Vec::new(), sends: 0, unsent: 0, charge: None }
     }
-    if outcome.is_throttled {
-        return outcome;
-    }
-    let took = now_millis() - started;
-    let failed = !matches!(outcome.end, AttemptEnd::Answered(status) if status < 500);
-    let objective = permit.route.objective.max(1) as f64;
-    let slowness = (took as f64 / objective).min(MAX_SLOWNESS);
-    let reported = outcome
-        .response
-        .as_ref()
-        .and_then(|response| read_response_headers(response.head.headers()).load);
-    relay.state.borrow_mut().service_loads.record_end(
-        &replica.instance,
-        failed,
-        slowness,
-        reported,
-    );
-    outcome
-}
 
-/// Largest slowness that one attempt counts with, as a multiple of the latency objective.
-const MAX_SLOWNESS: f64 = 4.0;
+    fn finish(mut self) -> LocalBoxFuture<'a, Result<PlainAnswer, Refusal>> {
+        Box::pin(async move {
+            match self.proceed().await? {
+                PlainProgress::Answered(answer) => Ok(answer),
+                PlainProgress::Overdue(overdue) => self.finish_beside(overdue).await,
+            }
+        })
+    }
 
-/// Returns the timeout of one attempt, in milliseconds. The first attempt of a request that may
-/// run again ends at the latency objective, while a second one can still be in time for the caller.
-fn attempt_timeout(request: &CallerRequest, permit: &Permit, now: Millis) -> Millis {
-    let remaining = request.time_remaining(now);
-    match permit.route.is_repeatable() && permit.route.max_attempts > 1 {
-        true if request.attempt_count.get() == 0 => {
-            permit.route.objective.clamp(1, remaining.max(1))
+    /// Makes further attempts beside an overdue one. The first success ends the request; a failure
+    /// of either waits for the other.
+    async fn finish_beside(self, overdue: OverdueAttempt<'a>) -> Result<PlainAnswer, Refusal> {
+        let (relay, request) = (self.relay, self.request);
+        let OverdueAttempt { instance, permit, running } = overdue;
+        let (outcome, others) = match select(running, self.finish()).await {
+            Either::Left((outcome, _)) if outcome.is_success() => (outcome, None),
+            Either::Left((outcome, others)) => (outcome, Some(others.await)),
+            Either::Right((Ok(answer), _)) if !answer.is_failure() => return Ok(answer),
+            Either::Right((others, running)) => (running.await, Some(others)),
+        };
+        let state = AttemptState { repeatable: true, may_have_run: true, can_repeat: false };
+        let next = decide_next(state, outcome.end);
+        let is_success = outcome.is_success();
+        let AttemptOutcome { end, response, detail, .. } = outcome;
+        request.log_attempt(relay, Some(&instance), &permit, end, next, &detail);
+        match (next, response, others) {
+            (_, _, Some(Ok(answer))) if !is_success => Ok(answer),
+            (NextStep::PassOn, Some(response), _) => Ok(PlainAnswer { response, permit }),
+            _ if request.time_remaining(now_millis()) == 0 => Err(Refusal::TimedOut),
+            (_, _, Some(Err(refusal))) => Err(refusal),
+            _ => Err(Refusal::OutcomeUnknown),
         }
-        _ => remaining,
     }
-}
 
-async fn exchange(
-    relay: &Rc<Relay>,
-    request: &CallerRequest,
-    permit: &Permit,
-    target: &ReplicaTarget<'_>,
-    new_connection: bool,
-) -> AttemptOutcome {
-    let outgoing = request.build_replica_request(permit, target);
-    request.attempt_count.set(request.attempt_count.get() + 1);
-    let gate = SendGate::new(relay, &target.replica.instance, permit.priority);
-    let sent_at = now_millis();
-    let sent =
-        relay.pool.send(target.replica.address, outgoing, new_connection, || gate.pass()).await;
-    if sent.as_ref().is_err_and(SendError::is_unsent) {
-        gate.record_unsent();
+    /// Makes attempts until there is a response for the caller, or the first one is overdue and
+    /// another one is possible.
+    async fn proceed(&mut self) -> Result<PlainProgress<'a>, Refusal> {
+        let (relay, request) = (self.relay, self.request);
+        let may_have_run = &request.may_have_run;
+        loop {
+            let replica = wait_for_replica(relay, request, &self.permit, &self.tried)
+                .await
+                .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
+            if let Err(refusal) = check_send(relay, request) {
+                return Err(refusal.unless_run(may_have_run.get()));
+            }
+            let mut charge = None;
+            if let Some(retry) = self.charge.take() {
+                charge = retry.begin_send(&self.permit.service);
+                if charge.is_none() {
+                    let refusal = refusal(relay, &self.permit, Refusal::NotRun);
+                    return Err(refusal.unless_run(may_have_run.get()));
+                }
+            }
+            let instance = replica.instance.clone();
+            self.tried.push(instance.clone());
+            let ran_before = may_have_run.replace(true);
+            let permit = self.permit.clone();
+            let attempt = PlainAttempt::begin(relay, request, permit, replica, self.sends, charge);
+            let mut running = attempt.clone().run();
+            let outcome = tokio::select! {
+                biased;
+                outcome = &mut running => outcome,
+                (permit, charge) = self.permit_overlap() => {
+                    attempt.record_overdue();
+                    count(&relay.counts.repeats);
+                    self.sends += 1;
+                    self.charge = charge;
+                    let permit = replace(&mut self.permit, permit);
+                    let overdue = OverdueAttempt { instance, permit, running };
+                    return Ok(PlainProgress::Overdue(overdue));
+                }
+            };
+            drop(attempt);
+            match outcome.end {
+                AttemptEnd::NotSent => {
+                    request.record_unsent();
+                    self.unsent += 1;
+                }
+                _ => self.sends += 1,
+            }
+            let ran_now = matches!(outcome.end, AttemptEnd::Answered(_) | AttemptEnd::Broken);
+            may_have_run.set(ran_before || ran_now);
+            let retry = self.permit_retry(outcome.end, self.sends).await;
+            let state = AttemptState {
+                repeatable: self.permit.route.is_repeatable(),
+                may_have_run: may_have_run.get() && !matches!(outcome.end, AttemptEnd::Answered(_)),
+                can_repeat: !retry.is_denied(),
+            };
+            let next = decide_next(state, outcome.end);
+            let (end, detail) = (outcome.end, &outcome.detail);
+            request.log_attempt(relay, Some(&instance), &self.permit, end, next, detail);
+            match (next, outcome.response) {
+                (NextStep::PassOn, Some(response)) => {
+                    let permit = self.permit.clone();
+                    return Ok(PlainProgress::Answered(PlainAnswer { response, permit }));
+                }
+                (NextStep::TryElsewhere, _) => {
+                    if self.sends > 0 {
+                        count(&relay.counts.repeats);
+                    }
+                    self.permit = admit_retry(relay, &request.admission, may_have_run.get())?;
+                    self.charge = retry.into_charge();
+                }
+                (NextStep::AnswerNotRun, _) => {
+                    return Err(refusal(relay, &self.permit, Refusal::NotRun));
+                }
+                _ if request.time_remaining(now_millis()) == 0 => return Err(Refusal::TimedOut),
+                _ => return Err(Refusal::OutcomeUnknown),
+            }
+        }
     }
-    let (response, connection) = match sent {
-        Ok(sent) => sent,
-        Err(error @ SendError::NotSent { .. }) => {
-            relay.record_unreachable(&target.replica.instance, &error);
-            return AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
+
+    /// Returns whether the request may be sent again after an attempt ended with `end`, and charges
+    /// that if so. `sends` is the number of attempts that replicas received.
+    async fn permit_retry(&self, end: AttemptEnd, sends: u32) -> RetryPermit {
+        let Self { relay, request, permit, tried, unsent, .. } = self;
+        let has_time = request.time_remaining(now_millis()) > MIN_RETRY_TIME;
+        let has_attempts = sends < permit.route.max_attempts.max(1) && *unsent < MAX_UNSENT;
+        let has_others = choose_replica(relay, permit, tried).is_some();
+        let needs_retry = needs_retry(end, permit.route.is_repeatable());
+        match has_attempts && has_time && has_others && needs_retry {
+            true => RetryPermit::obtain(relay, &permit.service, sends).await,
+            false => RetryPermit::Denied,
         }
-        Err(error @ SendError::Throttled { .. }) => {
-            let unsent = AttemptOutcome::without_response(AttemptEnd::NotSent, error.to_string());
-            return AttemptOutcome { is_throttled: true, ..unsent };
+    }
+
+    /// Waits until the attempt that runs is overdue, and returns the permit and the charge for
+    /// another one beside it. Never returns if there can be none: only the first attempt of a
+    /// request that may be repeated is followed by another one before it has ended.
+    async fn permit_overlap(&self) -> (Permit, Option<RetryCharge>) {
+        let (relay, request, route) = (self.relay, self.request, &self.permit.route);
+        if self.sends > 0 || !route.is_repeatable() || route.max_attempts < 2 {
+            return pending().await;
         }
-        Err(SendError::NoResponse { detail }) => {
-            return AttemptOutcome::without_response(AttemptEnd::Broken, detail);
+        sleep(Duration::from_millis(route.objective.max(1))).await;
+        if is_stopped(relay, request, &self.permit)
+            || quarantine_remaining(relay, request).is_some()
+        {
+            return pending().await;
         }
-    };
-    let (parts, body) = response.into_parts();
-    let headers = read_response_headers(&parts.headers);
-    let received = request.received_response(&headers, parts.status, sent_at);
-    apply_notices(relay, &target.replica.instance, received);
-    if let Some(end) = end_from_headers(request, &headers, parts.status) {
-        drain_rejection(relay, connection, body, &headers).await;
-        return AttemptOutcome::without_response(end, format!("status {}", parts.status));
-    }
-    match read_body(&relay.buffers, body, MAX_RESPONSE).await {
-        Ok(body) => {
-            if !headers.closes_connection {
-                connection.return_to(&relay.pool, headers.keep_alive);
-            }
-            let end = AttemptEnd::Answered(parts.status.as_u16());
-            let response = BufferedResponse { head: Response::from_parts(parts, ()), body };
-            AttemptOutcome {
-                response: Some(response),
-                ..AttemptOutcome::without_response(end, String::new())
-            }
+        let retry = self.permit_retry(AttemptEnd::Broken, self.sends + 1).await;
+        let can_repeat = !retry.is_denied();
+        let state = AttemptState { repeatable: true, may_have_run: true, can_repeat };
+        if decide_next(state, AttemptEnd::Broken) != NextStep::TryElsewhere {
+            return pending().await;
         }
-        Err(error) => {
-            let detail = format!("response body incomplete: {error}");
-            AttemptOutcome {
-                is_excessive: error.is_excessive(),
-                ..AttemptOutcome::without_response(AttemptEnd::Broken, detail)
+        match admit_retry(relay, &request.admission, true) {
+            Ok(permit) => (permit, retry.into_charge()),
+            Err(refusal) => {
+                let id = &request.headers.attempt_id;
+                tracing::info!(event = "retry-not-admitted", request = id, ?refusal);
+                drop(retry);
+                pending().await
             }
         }
     }
 }
 
-/// Returns how an attempt ended if the head of the response alone decides it: the response belongs
-/// to another request, carries no signature, or is a rejection. Returns `None` if the body has to
-/// be read.
-pub fn end_from_headers(
-    request: &CallerRequest,
-    headers: &ResponseHeaders,
-    status: StatusCode,
-) -> Option<AttemptEnd> {
-    if !request.matches_response(headers) {
-        return Some(AttemptEnd::Broken);
-    }
-    let rejected = headers.not_executed || status == StatusCode::MISDIRECTED_REQUEST;
-    if rejected {
-        return Some(AttemptEnd::Rejected);
-    }
-    // A success without a signature was not sent by the replica.
-    (status.is_success() && !headers.is_signed).then_some(AttemptEnd::Broken)
+fn refusal(relay: &Relay, permit: &Permit, otherwise: Refusal) -> Refusal {
+    refusal_without_replica(relay, &permit.service, permit.priority, |_| true, otherwise)
 }
 
-/// Timeout for reading the body of a rejection.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time until the deadline below which a retry is not worth its cost, in milliseconds.
+const MIN_RETRY_TIME: Millis = 50;
 
-/// Reads the body of a rejection to its end, so that the connection can be reused; closes the
-/// connection if that takes too long.
-pub async fn drain_rejection(
-    relay: &Relay,
-    connection: ActiveConnection,
-    body: Incoming,
-    headers: &ResponseHeaders,
-) {
-    if headers.closes_connection {
-        return;
-    }
-    let is_drained = tokio::select! {
-        read = Limited::new(body, 4_096).collect() => read.is_ok(),
-        () = sleep(DRAIN_TIMEOUT) => false,
-    };
-    if is_drained {
-        connection.return_to(&relay.pool, headers.keep_alive);
+/// Returns whether the end of an attempt calls for a retry at all. Checked before the retry budget
+/// is charged.
+fn needs_retry(end: AttemptEnd, repeatable: bool) -> bool {
+    match end {
+        AttemptEnd::NotSent | AttemptEnd::Rejected => true,
+        AttemptEnd::Broken => repeatable,
+        AttemptEnd::Answered(status) => repeatable && status >= 500,
     }
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -143,11 +143,30 @@
         request: Request<Full<Bytes>>,
         new_connection: bool,
         may_send: impl Fn() -> Result<(), Millis>,
+    ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        self.send_observed(address, request, new_connection, may_send, || ()).await
+    }
+
+    /// Like [`ConnectionPool::send`]. `on_write` is called before the request is written to a
+    /// connection, so that it is known of a send that is abandoned whether bytes may have been
+    /// sent.
+    ///
+    /// # Errors
+    ///
+    /// The error states whether any byte of the request may have reached the replica.
+    pub async fn send_observed(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        new_connection: bool,
+        may_send: impl Fn() -> Result<(), Millis>,
+        on_write: impl Fn(),
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
         let throttled = |remaining| SendError::Throttled { remaining };
         let mut request = request;
         may_send().map_err(throttled)?;
         while let Some(connection) = self.take(address).filter(|_| !new_connection) {
+            on_write();
             match send_on(connection, request).await {
                 Ok(response) => return Ok(response),
                 Err((SendError::NotSent { .. }, Some(unsent))) => request = unsent,
@@ -156,6 +175,7 @@
         }
         let connection = connect(address).await?;
         may_send().map_err(throttled)?;
+        on_write();
         send_on(connection, request).await.map_err(|(error, _)| error)
     }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -70,8 +70,6 @@
     pub arrived_at: Millis,
     /// Time by which the caller must have the response.
     pub deadline: Millis,
-    /// Number of sends to plain services so far.
-    pub attempt_count: Cell<u32>,
     /// Whether a replica may have run it.
     pub may_have_run: Rc<Cell<bool>>,
     /// Whether it was dispatched before; the wait for the first dispatch is recorded.
@@ -380,7 +378,6 @@
         admission,
         arrived_at,
         deadline,
-        attempt_count: Cell::new(0),
         may_have_run,
         is_dispatched: Cell::new(false),
         trial: OnceCell::new(),
