--- a/crates/relay/tests/silence.rs
+++ b/crates/relay/tests/silence.rs
@@ -24,7 +24,9 @@
     samples::{LAYERS, desk_entry, model_entry, report},
     signed_response,
 };
+use switchfold_relay::messages::{InstanceRecord, PeerMessage, StateMessage};
 use tokio::{
+    net::UdpSocket,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -158,6 +160,45 @@
     });
 }
 
+/// Guards against a request that counted as present at a crash, since another relay suspected the
+/// sound replica that ran it.
+#[test]
+fn a_suspicion_of_another_relay_is_no_crash() {
+    run_test(async {
+        let mut engines = Vec::new();
+        for _ in 0..2 {
+            let script = |request: &ReceivedRequest| match request.target.as_str() {
+                REPORT_PATH => signed_response(request, 200, &report(0, LAYERS, &[])),
+                _ => Reply::Silence,
+            };
+            engines.push(StandinReplica::start(script).await);
+        }
+        let entries =
+            [entry_of("i-0", &engines[0], full_model), entry_of("i-1", &engines[1], full_model)];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free loopback port");
+        let address = relay.address;
+        let calling = spawn_local(async move {
+            call(address, request("/stream/slow", "slow-1")).await;
+        });
+        let received = || engines.iter().position(|engine| !engine.requests().is_empty());
+        wait_until(async || received().is_some()).await;
+        let id = format!("i-{}", received().expect("one of the engines"));
+        let state = StateMessage {
+            name: "relay-0".to_owned(),
+            data_centre: "hall".to_owned(),
+            suspects: vec![(InstanceRecord(id, 0), 2_000)],
+            ..StateMessage::default()
+        };
+        let datagram = PeerMessage::State(Box::new(state)).encode();
+        socket.send_to(&datagram, relay.peers).await.expect("loopback accepts it");
+        let sends = || engines.iter().map(|engine| engine.requests().len()).sum::<usize>();
+        wait_until(async || sends() == 2).await;
+        assert_eq!(suspected_count(&relay).await, 0.0);
+        calling.abort();
+    });
+}
+
 /// A replica that accepts one connection and nothing more, as a process that is paused and has a
 /// short queue of connections.
 struct UnresponsiveReplica {
