Connections: the rest before a head is not part of its time

Callers that picked up a connection near its idle limit, and whose head came in two segments, had their connection closed without an answer. The HTTP library counts `header_read_timeout` from the end of the last response, and it was set to the idle limit; `header_timeout_ms` of the configuration was read by nothing. A head that was late got no answer either: the library closes the connection.

The idle limit now counts up to the first byte of a request, and `header_timeout_ms` from there to the end of the head. A wrapper of the stream records when bytes arrive and when everything written has been sent, and the library's own timeout is off. A late head gets status 408; a response that its caller still reads is not cut off. Bytes behind a request with a body may still belong to that body, so they only extend the time.

Evidence: with an idle limit of 15 s and 3 s for a head, a rest of 12.5 s and parts 2.9 s apart were closed. `idle_connections_are_closed` tests a slow head, so it sets the time for a head.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -20,13 +20,17 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     sync::watch,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
+use self::monitor::MonitoredStream;
+
+mod monitor;
+
 /// Time for which a connection that the server has closed is read, so that a caller that is still
 /// sending reads the response rather than a reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -44,9 +48,11 @@
     pub max_headers: Option<usize>,
     /// Maximum size of the request line and headers, in bytes. At least 8192 are allowed.
     pub max_header_bytes: usize,
-    /// Time in which the headers of a request must arrive, and for which a connection may stay
-    /// idle.
+    /// Time for which a connection may stay idle: from its opening or the end of a response to the
+    /// first byte of the next request.
     pub idle_timeout: Duration,
+    /// Time from the first byte of a request to the end of its headers.
+    pub header_timeout: Duration,
 }
 
 /// When a graceful shutdown closes connections that are not used.
@@ -62,6 +68,8 @@
 /// How a connection ended.
 #[derive(Debug)]
 pub struct ClosedConnection {
+    /// Why it was closed.
+    pub reason: CloseReason,
     /// Error of a connection that failed, or whose caller sent something malformed.
     pub error: Option<hyper::Error>,
     /// Number of bytes that arrived after the server had closed the connection. A request among them
@@ -69,12 +77,69 @@
     pub unread_bytes: usize,
 }
 
-/// Whether a request of a connection is in progress.
+/// Why a connection was closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseReason {
+    /// The caller closed it, a response announced its end, or it failed.
+    Ended,
+    /// It was not used for its idle limit.
+    Idle,
+    /// The server is stopping, and the connection was not used.
+    Stopping,
+    /// The head of a request did not arrive in time.
+    LateHead,
+}
+
+/// What a connection is used for.
 #[derive(Clone, Copy, Debug)]
 struct ConnectionUse {
+    /// Whether a request is in progress.
     in_progress: bool,
-    /// Time of the last change.
-    since: Instant,
+    /// Whether all that was written has been sent.
+    is_flushed: bool,
+    /// Time of its opening, or of the end of the last response.
+    rested_since: Instant,
+    /// Time at which bytes arrived that may begin the next request.
+    head_since: Option<Instant>,
+    /// Whether the last request had a body. Bytes that arrive after its response may still belong
+    /// to it, so they do not make the connection close before its idle limit.
+    had_body: bool,
+}
+
+impl ConnectionUse {
+    fn new() -> Self {
+        Self {
+            in_progress: false,
+            is_flushed: true,
+            rested_since: Instant::now(),
+            head_since: None,
+            had_body: false,
+        }
+    }
+
+    /// Records that bytes arrived. Returns whether that changed anything, as the other methods do.
+    ///
+    /// Bytes that arrive during a request may be its body or the next head. A head among them is
+    /// timed by the idle limit until more of it arrives.
+    fn record_arrival(&mut self) -> bool {
+        let begins_head = !self.in_progress && self.head_since.is_none();
+        if begins_head {
+            self.head_since = Some(Instant::now());
+        }
+        begins_head
+    }
+
+    fn record_write(&mut self) -> bool {
+        std::mem::replace(&mut self.is_flushed, false)
+    }
+
+    fn record_flush(&mut self) -> bool {
+        let was_flushed = std::mem::replace(&mut self.is_flushed, true);
+        if !was_flushed {
+            self.rested_since = Instant::now();
+        }
+        !was_flushed
+    }
 }
 
 /// Marks a connection as in use until dropped.
@@ -84,15 +149,22 @@
 }
 
 impl UseGuard {
-    fn new(uses: &Arc<watch::Sender<ConnectionUse>>) -> Self {
-        uses.send_replace(ConnectionUse { in_progress: true, since: Instant::now() });
+    fn new(uses: &Arc<watch::Sender<ConnectionUse>>, has_body: bool) -> Self {
+        uses.send_modify(|current| {
+            current.in_progress = true;
+            current.head_since = None;
+            current.had_body = has_body;
+        });
         Self { uses: Arc::clone(uses) }
     }
 }
 
 impl Drop for UseGuard {
     fn drop(&mut self) {
-        self.uses.send_replace(ConnectionUse { in_progress: false, since: Instant::now() });
+        self.uses.send_modify(|current| {
+            current.in_progress = false;
+            current.rested_since = Instant::now();
+        });
     }
 }
 
@@ -154,7 +226,7 @@
 ///
 /// `stopping` completes when a graceful shutdown begins. From then on `handler` should add
 /// `Connection: close` to its responses; a connection without such a response is closed by
-/// `delays`.
+/// `delays`. A head that is late is answered with status 408.
 ///
 /// Returns how the connection ended, for the caller's log.
 pub async fn serve_connection<I, F, R, B, E>(
@@ -172,10 +244,9 @@
     B::Error: Into<Box<dyn Error + Send + Sync>> + Unpin,
     E: Into<Box<dyn Error + Send + Sync>>,
 {
-    let opened = ConnectionUse { in_progress: false, since: Instant::now() };
-    let uses = Arc::new(watch::Sender::new(opened));
-    let service = service_fn(|request| {
-        let use_guard = UseGuard::new(&uses);
+    let uses = Arc::new(watch::Sender::new(ConnectionUse::new()));
+    let service = service_fn(|request: Request<Incoming>| {
+        let use_guard = UseGuard::new(&uses, !request.body().is_end_stream());
         let response = handler(request);
         async move {
             let response = response.await?;
@@ -183,58 +254,102 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.max_header_bytes.max(8_192));
+    // The library counts the time for a head from the end of the last response.
+    builder.header_read_timeout(None).max_buf_size(limits.max_header_bytes.max(8_192));
     if let Some(max_headers) = limits.max_headers {
         builder.max_headers(max_headers);
     }
-    let served = {
-        let connection = builder.serve_connection(TokioIo::new(&mut stream), service);
-        let mut connection = pin!(connection);
+    let mut stopping = pin!(async {
+        stopping.await;
+        sleep_awake(delays.after_signal).await;
+    });
+    let mut shutdown_idle = None;
+    let monitored = MonitoredStream::new(&mut stream, &uses);
+    let mut connection = builder.serve_connection(TokioIo::new(monitored), service);
+    let (mut reason, served) = loop {
         tokio::select! {
             // A request that has arrived is read before its connection counts as idle.
             biased;
-            served = connection.as_mut() => served,
-            () = wait_for_idle_close(stopping, &uses, delays) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+            served = &mut connection => break (CloseReason::Ended, served),
+            () = stopping.as_mut(), if shutdown_idle.is_none() => {
+                shutdown_idle = Some(delays.idle);
             }
+            reason = wait_for_close(&uses, &limits, shutdown_idle) => break (reason, Ok(())),
         }
     };
+    let unparsed = connection.into_parts().read_buf;
+    if reason != CloseReason::Ended {
+        // Empty lines before a request are not part of it.
+        let has_head = unparsed.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        reason = if has_head { CloseReason::LateHead } else { reason };
+        if has_head {
+            send_late_head(&mut stream).await;
+        }
+    }
     // A failure means that the caller has closed the connection as well.
     let lingered = timeout(LINGER_TIME, linger(&mut stream)).await;
     let unread_bytes = lingered.ok().and_then(Result::ok).unwrap_or_default();
-    ClosedConnection { error: served.err(), unread_bytes }
+    ClosedConnection { reason, error: served.err(), unread_bytes }
 }
 
-/// Waits for the shutdown and then until the connection may be closed without an announcement.
-async fn wait_for_idle_close(
-    stopping: impl Future<Output = ()>,
+/// Waits until a connection is to be closed, and returns why. Whether a part of a head has arrived
+/// is known to the HTTP library only.
+///
+/// `shutdown_idle` is the time without use after which a stopping server closes it; `None` if the
+/// server is not stopping.
+async fn wait_for_close(
     uses: &watch::Sender<ConnectionUse>,
-    delays: ShutdownDelays,
-) {
-    stopping.await;
-    sleep_awake(delays.after_signal).await;
+    limits: &ConnectionLimits,
+    shutdown_idle: Option<Duration>,
+) -> CloseReason {
     let mut changes = uses.subscribe();
     loop {
-        let last_use = *changes.borrow_and_update();
-        let idle_end = async {
-            match last_use.in_progress {
-                true => std::future::pending().await,
-                false => sleep_awake(delays.idle.saturating_sub(last_use.since.elapsed())).await,
+        let current = *changes.borrow_and_update();
+        let since = current.rested_since;
+        let close_due = async {
+            if current.in_progress || !current.is_flushed {
+                return std::future::pending().await;
+            }
+            let idle_end = since + limits.idle_timeout;
+            if let Some(head_since) = current.head_since {
+                let head_end = head_since.max(since) + limits.header_timeout;
+                sleep_until(if current.had_body { head_end.max(idle_end) } else { head_end }).await;
+                return CloseReason::Idle;
+            }
+            let shutdown_end = async {
+                match shutdown_idle {
+                    Some(idle) => sleep_awake(idle.saturating_sub(since.elapsed())).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                () = sleep_until(idle_end) => CloseReason::Idle,
+                () = shutdown_end => CloseReason::Stopping,
             }
         };
         tokio::select! {
             biased;
             // `uses` outlives this wait, so it ends only with a change.
             _ = changes.changed() => {}
-            () = idle_end => return,
+            reason = close_due => return reason,
         }
     }
 }
 
+/// Response to a head that is late. All earlier responses have been sent.
+const LATE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Tells the caller that its request, whose head is late, was not read.
+async fn send_late_head(stream: &mut (impl AsyncWrite + Unpin)) {
+    match timeout(LINGER_TIME, stream.write_all(LATE_HEAD_RESPONSE)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("late_head=unanswered error={error}"),
+        Err(_) => log::debug!("late_head=unanswered error=timeout"),
+    }
+}
+
 /// Sleeps for `duration`, at least for one [`IDLE_STEP`], while this process runs. A standstill
 /// counts as a single step: requests that were sent meanwhile have not been read yet.
 async fn sleep_awake(duration: Duration) {
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -26,7 +26,7 @@
 };
 
 use crate::{
-    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    connection::{CloseReason, ConnectionLimits, ShutdownDelays, serve_connection},
     shutdown::ShutdownSignal,
 };
 
@@ -53,6 +53,7 @@
                 max_headers: Some(64),
                 max_header_bytes: 16 * 1_024,
                 idle_timeout: Duration::from_secs(60),
+                header_timeout: Duration::from_secs(60),
             },
         }
     }
@@ -182,6 +183,9 @@
     if let Some(error) = closed.error {
         log::debug!("connection=failed error={error:?}");
     }
+    if closed.reason == CloseReason::LateHead {
+        log::info!("connection=closed reason=late_head");
+    }
     if closed.unread_bytes > 0 {
         log::info!("connection=closed unread_bytes={}", closed.unread_bytes);
     }
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -22,6 +22,7 @@
     max_headers: None,
     max_header_bytes: 8_192,
     idle_timeout: Duration::from_secs(60),
+    header_timeout: Duration::from_secs(60),
 };
 
 const DELAYS: ShutdownDelays =
@@ -211,6 +212,109 @@
     assert!(!text.ends_with("0\r\n\r\n"), "the body does not look complete: {text:?}");
 }
 
+/// Idle limit and time for a head that callers may go by.
+const BRIEF_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle_timeout: Duration::from_secs(15),
+    header_timeout: Duration::from_secs(3),
+    ..LIMITS
+};
+
+/// Serves one connection with limits, and returns the caller's side of it.
+fn open_with_limits(limits: ConnectionLimits) -> DuplexStream {
+    let (caller, server) = duplex(1_024);
+    let stopping = std::future::pending();
+    tokio::spawn(async move { serve_connection(server, limits, DELAYS, stopping, respond).await });
+    caller
+}
+
+/// Guards against heads that were cut off because the rest before them counted as their time.
+#[tokio::test(start_paused = true)]
+async fn a_head_in_parts_after_a_rest_is_answered() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    for rest_ms in [0, 12_500, 14_900] {
+        sleep(Duration::from_millis(rest_ms)).await;
+        caller.write_all(b"GET / HTTP/1.1\r\nho").await.expect("the connection is open");
+        sleep(Duration::from_millis(2_900)).await;
+        caller.write_all(b"st: server\r\n\r\n").await.expect("the connection is open");
+        let mut response = [0; 1_024];
+        let len = caller.read(&mut response).await.unwrap_or_default();
+        let response = String::from_utf8_lossy(&response[..len]);
+        assert!(response.ends_with("whole"), "after {rest_ms} ms: {response:?}");
+    }
+}
+
+/// Guards against heads that are late and get no answer, on a new connection and a kept one.
+#[tokio::test(start_paused = true)]
+async fn a_late_head_is_answered_with_a_timeout() {
+    for is_kept in [false, true] {
+        let mut caller = open_with_limits(BRIEF_LIMITS);
+        if is_kept {
+            assert!(call_raw(&mut caller).await.ends_with("whole"));
+        }
+        sleep(Duration::from_secs(5)).await;
+        caller.write_all(b"GET / HTTP/1.1\r\nho").await.expect("the connection is open");
+        let mut response = Vec::new();
+        caller.read_to_end(&mut response).await.expect("the end of the connection");
+        let response = String::from_utf8_lossy(&response);
+        assert!(response.starts_with("HTTP/1.1 408 "), "kept: {is_kept}: {response:?}");
+    }
+}
+
+/// Guards against idle connections that get a response although no request was begun.
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_is_closed_without_a_response() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.expect("the end of the connection");
+    assert!(rest.is_empty());
+}
+
+/// Guards against connections that are closed before their idle limit, because the rest of a body
+/// that arrives after the response counts as a late head.
+#[tokio::test(start_paused = true)]
+async fn a_body_after_its_response_begins_no_head() {
+    let (mut caller, server) = duplex(1_024);
+    let handler = async |request: Request<Incoming>| {
+        tokio::spawn(request.into_body().collect());
+        Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", "whole"))
+    };
+    tokio::spawn(async move {
+        serve_connection(server, BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+    });
+    let head = b"POST / HTTP/1.1\r\nhost: server\r\ncontent-length: 4\r\n\r\n";
+    caller.write_all(head).await.expect("the connection is open");
+    let mut response = [0; 1_024];
+    let len = caller.read(&mut response).await.expect("a response");
+    assert!(response[..len].ends_with(b"whole"));
+    caller.write_all(b"body").await.expect("the connection is open");
+    sleep(Duration::from_secs(12)).await;
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+}
+
+/// Guards against responses that are cut off because their caller reads them for longer than the
+/// idle limit.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_is_read_slowly_is_not_cut_off() {
+    const BODY: &[u8] = &[b'x'; 20_000];
+    let (mut caller, server) = duplex(1_024);
+    let handler = async |_: Request<Incoming>| {
+        Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", BODY))
+    };
+    tokio::spawn(async move {
+        serve_connection(server, BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+    });
+    for _ in 0..2 {
+        caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("is open");
+        let mut response = Vec::new();
+        while !response.ends_with(BODY) {
+            sleep(Duration::from_secs(2)).await;
+            let count = caller.read_buf(&mut response).await.expect("the connection is open");
+            assert!(count > 0, "cut off after {} bytes", response.len());
+        }
+    }
+}
+
 /// Guards against connections in the listen queue that were reset at the end of a shutdown, with
 /// the requests on them.
 #[tokio::test]
--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -84,6 +84,7 @@
     max_headers: None,
     max_header_bytes: 16 * 1_024,
     idle_timeout: Duration::from_secs(60),
+    header_timeout: Duration::from_secs(60),
 };
 
 fn limits_of(connection: ConnectionLimits) -> HttpLimits {
@@ -137,9 +138,9 @@
 /// The server closes the connection of a caller that sends its headers too slowly.
 #[tokio::test]
 async fn idle_connections_are_closed() {
-    let idle_timeout = Duration::from_millis(50);
+    let header_timeout = Duration::from_millis(50);
     let (address, _signal) =
-        start_server(limits_of(ConnectionLimits { idle_timeout, ..CONNECTION })).await;
+        start_server(limits_of(ConnectionLimits { header_timeout, ..CONNECTION })).await;
     let mut stream = TcpStream::connect(&address).await.expect("connected");
     stream.write_all(b"POST / HTTP/1.1\r\n").await.expect("sent");
     let mut rest = Vec::new();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 use switchfold_kernel::{
     clock::now_millis,
-    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    connection::{CloseReason, ConnectionLimits, ShutdownDelays, serve_connection},
     http::take_queued,
 };
 use switchfold_router::Millis;
@@ -88,6 +88,8 @@
         max_header_bytes: limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes),
         idle_timeout: limits
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.idle_timeout)),
+        header_timeout: limits
+            .map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.header_timeout)),
     };
     let delays = ShutdownDelays {
         after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
@@ -102,6 +104,9 @@
     if let Some(error) = closed.error {
         tracing::debug!(event = "connection-ended", %error);
     }
+    if closed.reason == CloseReason::LateHead {
+        tracing::info!(event = "connection-late-head");
+    }
     if closed.unread_bytes > 0 {
         tracing::info!(event = "connection-unread", bytes = closed.unread_bytes);
     }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -214,6 +214,8 @@
     pub max_body_bytes: usize,
     /// Time after which an idle connection is closed, in milliseconds.
     pub idle_timeout: Millis,
+    /// Time from the first byte of a request to the end of its headers, in milliseconds.
+    pub header_timeout: Millis,
 }
 
 /// An organisation that sends requests, and its API keys.
