Connections: bytes that cross a close are counted although the caller stays

A request that crosses the server's close is discarded, and `connection-unread` is to name its bytes. The count was returned by the read itself, so it was lost with the read's time limit: a caller that keeps its side open for a second left no line.

The count is now kept outside of the read.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -286,9 +286,9 @@
             send_late_head(&mut stream).await;
         }
     }
+    let mut unread_bytes = 0;
     // A failure means that the caller has closed the connection as well.
-    let lingered = timeout(LINGER_TIME, linger(&mut stream)).await;
-    let unread_bytes = lingered.ok().and_then(Result::ok).unwrap_or_default();
+    let _ended = timeout(LINGER_TIME, linger(&mut stream, &mut unread_bytes)).await;
     ClosedConnection { reason, error: served.err(), unread_bytes }
 }
 
@@ -360,17 +360,18 @@
     }
 }
 
-/// Closes the sending direction and discards what the caller still sends. Returns the number of
-/// bytes discarded.
-async fn linger(stream: &mut (impl AsyncRead + AsyncWrite + Unpin)) -> std::io::Result<usize> {
+/// Closes the sending direction, and discards and counts what the caller still sends.
+async fn linger(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    discarded: &mut usize,
+) -> std::io::Result<()> {
     stream.shutdown().await?;
     let mut buffer = [0; 4_096];
-    let mut discarded = 0;
-    while discarded < MAX_LINGER_BYTES {
+    while *discarded < MAX_LINGER_BYTES {
         match stream.read(&mut buffer).await? {
             0 => break,
-            count => discarded += count,
+            count => *discarded += count,
         }
     }
-    Ok(discarded)
+    Ok(())
 }
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -315,6 +315,22 @@
     }
 }
 
+/// Guards against requests that cross a close and are missing in the log, because their caller does
+/// not close the connection.
+#[tokio::test(start_paused = true)]
+async fn bytes_that_cross_a_close_are_counted() {
+    let (mut caller, server) = duplex(1_024);
+    let stopping = std::future::pending();
+    let served = tokio::spawn(async move {
+        serve_connection(server, BRIEF_LIMITS, DELAYS, stopping, respond).await
+    });
+    assert_eq!(caller.read(&mut [0]).await.expect("the end of the connection"), 0);
+    let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+    caller.write_all(request).await.expect("the server still reads");
+    let closed = served.await.expect("the server does not panic");
+    assert_eq!(closed.unread_bytes, request.len());
+}
+
 /// Guards against connections in the listen queue that were reset at the end of a shutdown, with
 /// the requests on them.
 #[tokio::test]
