Connections: a request in the socket is served when an idle connection is closed

A server closed idle connections by what the runtime had reported. Bytes that arrive after the runtime has collected its events, while other tasks run, are in the socket but not reported: their connection was closed all the same, and the request was read and discarded behind the close, with neither an answer nor a refusal.

Before an idle connection is closed, at its limit or at a shutdown, it is read once more, and a read that finds nothing looks at the socket itself. Bytes there begin the next request, so the connection stays. The close follows in the same step of the task, so only bytes that cross it are left; these are discarded and counted as before.

Evidence: the test writes a request in the step in which the idle limit ends.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -7,7 +7,7 @@
 
 use std::{
     error::Error,
-    future::Future,
+    future::{Future, poll_fn},
     pin::{Pin, pin},
     sync::Arc,
     task::{Context, Poll, ready},
@@ -27,6 +27,7 @@
     time::{Instant, sleep, sleep_until, timeout},
 };
 
+pub use self::monitor::CallerStream;
 use self::monitor::MonitoredStream;
 
 mod monitor;
@@ -104,6 +105,8 @@
     /// Whether the last request had a body. Bytes that arrive after its response may still belong
     /// to it, so they do not make the connection close before its idle limit.
     had_body: bool,
+    /// Whether the connection is about to be closed, so that reads look at the socket itself.
+    is_closing: bool,
 }
 
 impl ConnectionUse {
@@ -114,9 +117,15 @@
             rested_since: Instant::now(),
             head_since: None,
             had_body: false,
+            is_closing: false,
         }
     }
 
+    /// Returns whether no request is in progress and no bytes of the next one have arrived.
+    fn is_unused(&self) -> bool {
+        !self.in_progress && self.is_flushed && self.head_since.is_none()
+    }
+
     /// Records that bytes arrived. Returns whether that changed anything, as the other methods do.
     ///
     /// Bytes that arrive during a request may be its body or the next head. A head among them is
@@ -237,7 +246,7 @@
     handler: F,
 ) -> ClosedConnection
 where
-    I: AsyncRead + AsyncWrite + Unpin,
+    I: CallerStream,
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Result<Response<B>, E>>,
     B: Body + Unpin + 'static,
@@ -274,14 +283,30 @@
             () = stopping.as_mut(), if shutdown_idle.is_none() => {
                 shutdown_idle = Some(delays.idle);
             }
-            reason = wait_for_close(&uses, &limits, shutdown_idle) => break (reason, Ok(())),
+            reason = wait_for_close(&uses, &limits, shutdown_idle) => {
+                uses.send_modify(|current| current.is_closing = true);
+                let polled = poll_fn(|context| {
+                    Poll::Ready(Pin::new(&mut connection).poll(context))
+                });
+                if let Poll::Ready(served) = polled.await {
+                    break (CloseReason::Ended, served);
+                }
+                if reason == CloseReason::LateHead || uses.borrow().is_unused() {
+                    break (reason, Ok(()));
+                }
+                uses.send_modify(|current| current.is_closing = false);
+            }
         }
     };
     let unparsed = connection.into_parts().read_buf;
     if reason != CloseReason::Ended {
         // Empty lines before a request are not part of it.
         let has_head = unparsed.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
-        reason = if has_head { CloseReason::LateHead } else { reason };
+        reason = match reason {
+            _ if has_head => CloseReason::LateHead,
+            CloseReason::LateHead => CloseReason::Idle,
+            reason => reason,
+        };
         if has_head {
             send_late_head(&mut stream).await;
         }
@@ -314,7 +339,7 @@
             if let Some(head_since) = current.head_since {
                 let head_end = head_since.max(since) + limits.header_timeout;
                 sleep_until(if current.had_body { head_end.max(idle_end) } else { head_end }).await;
-                return CloseReason::Idle;
+                return CloseReason::LateHead;
             }
             let shutdown_end = async {
                 match shutdown_idle {
--- a/crates/kernel/src/connection/monitor.rs
+++ b/crates/kernel/src/connection/monitor.rs
@@ -2,17 +2,39 @@
 
 use std::{
     io::{self, IoSlice},
+    mem::MaybeUninit,
     pin::Pin,
     task::{Context, Poll},
 };
 
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf},
+    net::TcpStream,
     sync::watch,
 };
 
 use super::ConnectionUse;
 
+/// Stream of a caller, whose received bytes can be found without the runtime.
+pub trait CallerStream: AsyncRead + AsyncWrite + Unpin {
+    /// Returns whether bytes have been received that the runtime may not have reported yet.
+    fn has_unreported(&self) -> bool;
+}
+
+impl CallerStream for TcpStream {
+    fn has_unreported(&self) -> bool {
+        // Runs at a close only: reads go by the last events that the runtime has collected.
+        SockRef::from(self).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|count| count > 0)
+    }
+}
+
+impl CallerStream for DuplexStream {
+    fn has_unreported(&self) -> bool {
+        false
+    }
+}
+
 /// Stream of a caller that records when bytes arrive and when all that was written has been sent.
 #[derive(Debug)]
 pub(super) struct MonitoredStream<'a, I> {
@@ -26,7 +48,7 @@
     }
 }
 
-impl<I: AsyncRead + Unpin> AsyncRead for MonitoredStream<'_, I> {
+impl<I: CallerStream> AsyncRead for MonitoredStream<'_, I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -34,7 +56,8 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         let polled = Pin::new(&mut *self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled {
+        let is_found = || self.uses.borrow().is_closing && self.stream.has_unreported();
+        if buffer.filled().len() > filled || polled.is_pending() && is_found() {
             self.uses.send_if_modified(ConnectionUse::record_arrival);
         }
         polled
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -315,6 +315,31 @@
     }
 }
 
+/// Guards against requests that are discarded because their bytes are in the socket, but not reported
+/// by the runtime yet, when their idle connection is closed.
+#[tokio::test(start_paused = true)]
+async fn a_request_in_the_socket_is_served_when_its_idle_connection_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let mut caller = TcpStream::connect(address).await.expect("the server listens");
+    let (server, _) = listener.accept().await.expect("a connection");
+    let stopping = std::future::pending();
+    tokio::spawn(
+        async move { serve_connection(server, BRIEF_LIMITS, DELAYS, stopping, respond).await },
+    );
+    for _ in 0..2 {
+        let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+        // Does not wait, so the server is woken by the end of the idle limit alone.
+        assert_eq!(caller.try_write(request).expect("the connection is open"), request.len());
+        let mut response = [0; 1_024];
+        let len = caller.read(&mut response).await.unwrap_or_default();
+        let response = String::from_utf8_lossy(&response[..len]);
+        assert!(response.ends_with("whole"), "{response:?}");
+        // This task is polled before the server's when both are woken at the same time.
+        sleep(BRIEF_LIMITS.idle_timeout).await;
+    }
+}
+
 /// Guards against requests that cross a close and are missing in the log, because their caller does
 /// not close the connection.
 #[tokio::test(start_paused = true)]
