Connections: limits that change reach open connections

Beside a configuration that raised the idle limit, callers that picked up a connection within four fifths of the new limit found it closed. The relay read `limits` once, when it accepted a connection; one that was accepted before the first configuration kept the defaults for its life.

`serve_connection` now asks for the limits of a wait when the wait would end. The relay keeps the limits of earlier versions and returns the largest that has been in force since `config_apply_ms` before the wait began. Callers learn of a version later than the relay, so a limit that is raised counts at once, and one that is lowered for waits that begin once every caller may know it. A wait never shrinks, so nothing needs to be notified; at worst a connection stays for the older, longer limit. The size of headers is still read at the opening, since the HTTP library takes it once.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -24,7 +24,7 @@
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     sync::watch,
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 pub use self::monitor::CallerStream;
@@ -233,6 +233,10 @@
 
 /// Serves the requests of one connection until either side closes it.
 ///
+/// `limits` returns the limits of a wait that has lasted for some time. They are read again when a
+/// wait would end, so they may grow while it lasts, but should not shrink. Those for the sizes of
+/// headers are read at the opening.
+///
 /// `stopping` completes when a graceful shutdown begins. From then on `handler` should add
 /// `Connection: close` to its responses; a connection without such a response is closed by
 /// `delays`. A head that is late is answered with status 408.
@@ -240,7 +244,7 @@
 /// Returns how the connection ended, for the caller's log.
 pub async fn serve_connection<I, F, R, B, E>(
     mut stream: I,
-    limits: ConnectionLimits,
+    limits: impl Fn(Duration) -> ConnectionLimits,
     delays: ShutdownDelays,
     stopping: impl Future<Output = ()>,
     handler: F,
@@ -263,9 +267,10 @@
         }
     });
     let mut builder = http1::Builder::new();
+    let opening_limits = limits(Duration::ZERO);
     // The library counts the time for a head from the end of the last response.
-    builder.header_read_timeout(None).max_buf_size(limits.max_header_bytes.max(8_192));
-    if let Some(max_headers) = limits.max_headers {
+    builder.header_read_timeout(None).max_buf_size(opening_limits.max_header_bytes.max(8_192));
+    if let Some(max_headers) = opening_limits.max_headers {
         builder.max_headers(max_headers);
     }
     let mut stopping = pin!(async {
@@ -324,7 +329,7 @@
 /// server is not stopping.
 async fn wait_for_close(
     uses: &watch::Sender<ConnectionUse>,
-    limits: &ConnectionLimits,
+    limits: &impl Fn(Duration) -> ConnectionLimits,
     shutdown_idle: Option<Duration>,
 ) -> CloseReason {
     let mut changes = uses.subscribe();
@@ -335,10 +340,13 @@
             if current.in_progress || !current.is_flushed {
                 return std::future::pending().await;
             }
-            let idle_end = since + limits.idle_timeout;
+            let idle_end = wait_for_limit(since, |waited| limits(waited).idle_timeout);
             if let Some(head_since) = current.head_since {
-                let head_end = head_since.max(since) + limits.header_timeout;
-                sleep_until(if current.had_body { head_end.max(idle_end) } else { head_end }).await;
+                let head_since = head_since.max(since);
+                wait_for_limit(head_since, |waited| limits(waited).header_timeout).await;
+                if current.had_body {
+                    idle_end.await;
+                }
                 return CloseReason::LateHead;
             }
             let shutdown_end = async {
@@ -349,7 +357,7 @@
             };
             tokio::select! {
                 biased;
-                () = sleep_until(idle_end) => CloseReason::Idle,
+                () = idle_end => CloseReason::Idle,
                 () = shutdown_end => CloseReason::Stopping,
             }
         };
@@ -362,6 +370,18 @@
     }
 }
 
+/// Waits until the limit of a wait that began at `since` has passed.
+async fn wait_for_limit(since: Instant, limit: impl Fn(Duration) -> Duration) {
+    loop {
+        let waited = since.elapsed();
+        let remaining = limit(waited).saturating_sub(waited);
+        if remaining.is_zero() {
+            return;
+        }
+        sleep(remaining).await;
+    }
+}
+
 /// Response to a head that is late. All earlier responses have been sent.
 const LATE_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -179,6 +179,7 @@
         }
     };
     let delays = ShutdownDelays { after_signal: SHUTDOWN_GRACE, idle: SHUTDOWN_IDLE_TIME };
+    let limits = |_| limits;
     let closed = serve_connection(stream, limits, delays, shutdown.raised(), handler).await;
     if let Some(error) = closed.error {
         log::debug!("connection=failed error={error:?}");
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -1,6 +1,13 @@
 //! Connections of callers while a server shuts down.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -65,7 +72,7 @@
                 Ok::<_, Infallible>(response)
             }
         };
-        let _ended = serve_connection(server, LIMITS, DELAYS, stopping.raised(), handler).await;
+        let _ended = serve_connection(server, |_| LIMITS, DELAYS, stopping.raised(), handler).await;
     });
     caller
 }
@@ -202,7 +209,7 @@
     };
     tokio::spawn(async move {
         let stopping = std::future::pending();
-        serve_connection(server, LIMITS, DELAYS, stopping, handler).await
+        serve_connection(server, |_| LIMITS, DELAYS, stopping, handler).await
     });
     caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("a request fits");
     let mut response = Vec::new();
@@ -223,7 +230,9 @@
 fn open_with_limits(limits: ConnectionLimits) -> DuplexStream {
     let (caller, server) = duplex(1_024);
     let stopping = std::future::pending();
-    tokio::spawn(async move { serve_connection(server, limits, DELAYS, stopping, respond).await });
+    tokio::spawn(async move {
+        serve_connection(server, move |_| limits, DELAYS, stopping, respond).await
+    });
     caller
 }
 
@@ -260,6 +269,32 @@
     }
 }
 
+/// Guards against connections that go by the limits of their opening for all their life.
+#[tokio::test(start_paused = true)]
+async fn an_idle_limit_that_is_raised_keeps_open_connections() {
+    let (mut caller, server) = duplex(1_024);
+    let idle_s = Arc::new(AtomicU64::new(15));
+    let limits = {
+        let idle_s = Arc::clone(&idle_s);
+        move |_| ConnectionLimits {
+            idle_timeout: Duration::from_secs(idle_s.load(Ordering::Relaxed)),
+            ..LIMITS
+        }
+    };
+    let stopping = std::future::pending();
+    tokio::spawn(async move { serve_connection(server, limits, DELAYS, stopping, respond).await });
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+    sleep(Duration::from_secs(12)).await;
+    idle_s.store(60, Ordering::Relaxed);
+    for rest_s in [36, 48] {
+        sleep(Duration::from_secs(rest_s)).await;
+        assert!(call_raw(&mut caller).await.ends_with("whole"), "after a rest of {rest_s} s");
+    }
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.expect("the end of the connection");
+    assert!(rest.is_empty());
+}
+
 /// Guards against idle connections that get a response although no request was begun.
 #[tokio::test(start_paused = true)]
 async fn an_idle_connection_is_closed_without_a_response() {
@@ -280,7 +315,7 @@
         Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", "whole"))
     };
     tokio::spawn(async move {
-        serve_connection(server, BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
     });
     let head = b"POST / HTTP/1.1\r\nhost: server\r\ncontent-length: 4\r\n\r\n";
     caller.write_all(head).await.expect("the connection is open");
@@ -302,7 +337,7 @@
         Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", BODY))
     };
     tokio::spawn(async move {
-        serve_connection(server, BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
     });
     for _ in 0..2 {
         caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("is open");
@@ -324,9 +359,9 @@
     let mut caller = TcpStream::connect(address).await.expect("the server listens");
     let (server, _) = listener.accept().await.expect("a connection");
     let stopping = std::future::pending();
-    tokio::spawn(
-        async move { serve_connection(server, BRIEF_LIMITS, DELAYS, stopping, respond).await },
-    );
+    tokio::spawn(async move {
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, stopping, respond).await
+    });
     for _ in 0..2 {
         let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
         // Does not wait, so the server is woken by the end of the idle limit alone.
@@ -347,7 +382,7 @@
     let (mut caller, server) = duplex(1_024);
     let stopping = std::future::pending();
     let served = tokio::spawn(async move {
-        serve_connection(server, BRIEF_LIMITS, DELAYS, stopping, respond).await
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, stopping, respond).await
     });
     assert_eq!(caller.read(&mut [0]).await.expect("the end of the connection"), 0);
     let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -26,12 +26,6 @@
     state::Relay,
 };
 
-/// Idle timeout of a connection while the configuration is unknown.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Maximum size of the headers, in bytes, while the configuration is unknown.
-const DEFAULT_MAX_HEADER_BYTES: usize = 16_384;
-
 /// Minimum duration of a shutdown: the load balancer checks readiness once a second and removes a
 /// VM after two failed checks.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(3_000);
@@ -82,14 +76,15 @@
 async fn serve_caller(relay: Rc<Relay>, stream: TcpStream) {
     let _open = CountGuard::for_connection(&relay);
     let _nodelay = stream.set_nodelay(true);
-    let limits = relay.config().and_then(|config| config.limits);
-    let limits = ConnectionLimits {
-        max_headers: None,
-        max_header_bytes: limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes),
-        idle_timeout: limits
-            .map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.idle_timeout)),
-        header_timeout: limits
-            .map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.header_timeout)),
+    let limits = |waited: Duration| {
+        let since = now_millis().saturating_sub(waited.as_millis() as Millis);
+        let limits = relay.caller_limits(since);
+        ConnectionLimits {
+            max_headers: None,
+            max_header_bytes: limits.max_header_bytes,
+            idle_timeout: Duration::from_millis(limits.idle_timeout),
+            header_timeout: Duration::from_millis(limits.header_timeout),
+        }
     };
     let delays = ShutdownDelays {
         after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -127,6 +127,11 @@
         self.drain_ms.min(self.config_apply_ms).floor() as Millis
     }
 
+    /// Returns the time within which a configuration takes effect everywhere.
+    pub fn config_apply(&self) -> Millis {
+        self.config_apply_ms.ceil() as Millis
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Millis {
         (self.grace_s * 1_000.0).floor() as Millis
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -19,6 +19,7 @@
     backoff::BackoffTable,
     bandwidth::BandwidthShare,
     budget::RetryBudget,
+    caller_limits::LimitHistory,
     clocks::PeerClocks,
     fleet::EntryState,
     freshness::FreshnessLease,
@@ -33,7 +34,7 @@
     quarantine::QuarantineTable,
     replicas::{FleetTracker, ForeignEntries},
     reservations::{FullReplicas, ReservationLedger},
-    routing::{ConfigSlot, RoutingConfig},
+    routing::{CallerLimits, ConfigSlot, RoutingConfig},
     slowdown::SlowdownTable,
     stall::StallDetector,
     stops::RouteTimes,
@@ -70,6 +71,8 @@
     /// Whether the configuration in force cannot be confirmed: the newest one could not be decoded,
     /// or the store holds an older one since it was restored from a backup.
     pub config_unconfirmed: bool,
+    /// Limits of callers by the versions that they may go by.
+    pub caller_limits: LimitHistory,
     /// Object of the configuration in force, for snapshots to neighbours.
     pub config_object: Option<ConfigObject>,
     /// Relays that have an object in the store, as last listed by this relay or a neighbour.
@@ -253,6 +256,12 @@
         self.state.borrow().config.get().cloned()
     }
 
+    /// Returns the limits of a wait for a caller that began at `since`.
+    pub fn caller_limits(&self, since: Millis) -> CallerLimits {
+        let apply_time = self.bounds.borrow().config_apply();
+        self.state.borrow().caller_limits.largest_since(since, apply_time)
+    }
+
     /// Returns a random time of up to `max` milliseconds.
     pub fn random_delay(&self, max: Millis) -> Millis {
         self.random.borrow_mut().random_range(0..=max)
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -318,7 +318,10 @@
     let (version, routes) = (config.version, config.route_count());
     let object = ConfigObject { revision, at, spec: Bytes::from(spec.to_string()) };
     {
+        let apply_time = relay.bounds.borrow().config_apply();
         let mut state = relay.state.borrow_mut();
+        let limits = config.limits.unwrap_or_default();
+        state.caller_limits.record(limits, apply_time, now_millis());
         state.fleet.view.set_services(config.services.keys().map(String::as_str));
         state.config.replace_if_newer(version, config);
         state.config_unconfirmed = false;
--- /dev/null
+++ b/crates/relay/tests/connections.rs
@@ -0,0 +1,81 @@
+//! Connections of callers.
+
+mod harness;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use harness::{ROUTES, RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, run_test};
+use http::StatusCode;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
+use switchfold_platform_standin::{
+    StandinReplica, StandinStore,
+    samples::{self, KEY, RouteSample, desk_entry},
+    signed_response,
+};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Idle limit of the first version.
+const FIRST_IDLE_MS: u64 = 1_000;
+
+fn config_of(version: u64, routes: &[RouteSample], idle_ms: u64) -> Value {
+    let mut config = samples::config(version, routes, &[KEY]);
+    config["limits"]["idle_timeout_ms"] = json!(idle_ms);
+    config
+}
+
+type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+async fn open_client(relay: &RunningRelay) -> RequestSender {
+    let stream = TcpStream::connect(relay.address).await.expect("the relay listens");
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("a connection");
+    tokio::spawn(connection);
+    sender
+}
+
+/// Sends a request on a kept connection and reads the response; fails if the connection is closed.
+async fn call_on(sender: &mut RequestSender, id: &str) -> Result<StatusCode, hyper::Error> {
+    let exchange = async {
+        sender.ready().await?;
+        let response = sender.send_request(request("/once/a", id)).await?;
+        let status = response.status();
+        response.into_body().collect().await?;
+        Ok(status)
+    };
+    timeout(WAIT_TIMEOUT, exchange).await.expect("the call takes too long")
+}
+
+/// Guards against connections that go by the limits of the configuration at their opening: one that
+/// raises the idle limit must keep them open.
+#[test]
+fn a_configuration_that_raises_the_idle_limit_reaches_open_connections() {
+    run_test(async {
+        let replica = StandinReplica::start(|request| signed_response(request, 200, "")).await;
+        let (id, entry) = entry_of("i-1", &replica, desk_entry);
+        let store = StandinStore::start().await;
+        store.put(CONFIG_KIND, CONFIG_NAME, config_of(1, &ROUTES[..1], FIRST_IDLE_MS));
+        store.put(REPLICA_KIND, id, entry);
+        let relay = RunningRelay::start_with_store(store, bounds()).await;
+        relay.wait_ready(StatusCode::OK).await;
+        let mut sender = open_client(&relay).await;
+        let unknown = call_on(&mut sender, "before").await.expect("the connection is open");
+        assert_eq!(unknown, StatusCode::NOT_FOUND);
+        relay.store.put(CONFIG_KIND, CONFIG_NAME, config_of(2, &ROUTES, FIRST_IDLE_MS * 60));
+        // The second version has the route, and each call ends a rest.
+        while call_on(&mut sender, "change").await.expect("the connection is used")
+            == StatusCode::NOT_FOUND
+        {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(Duration::from_millis(FIRST_IDLE_MS * 3 / 2)).await;
+        let reused = call_on(&mut sender, "after").await;
+        assert_eq!(reused.expect("the connection is kept"), StatusCode::OK);
+    });
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod bandwidth;
 pub mod budget;
 pub mod buffers;
+pub mod caller_limits;
 pub mod clocks;
 pub mod coordinator;
 pub mod era;
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -218,6 +218,18 @@
     pub header_timeout: Millis,
 }
 
+impl Default for CallerLimits {
+    /// Returns the limits while the configuration is unknown, or if it has none.
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4 << 20,
+            idle_timeout: 15_000,
+            header_timeout: 15_000,
+        }
+    }
+}
+
 /// An organisation that sends requests, and its API keys.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OrganisationRule {
