Bodies: a lowered limit spares callers that go by the older version

A configuration that lowers `max_body_bytes` made the relay answer 413 at once, also to callers that had not learned of the version yet, and whose bodies the version before allows. The relay took the limit from the version that admitted the request.

It now takes the largest limit that has been in force since `config_apply_ms` before the request arrived, as for the time limits of connections.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -42,9 +42,6 @@
 /// Timeout of a request if neither its route nor its caller sets one, in milliseconds.
 const DEFAULT_TIMEOUT: Millis = 30_000;
 
-/// Maximum size of a request body if the configuration sets none, in bytes.
-const DEFAULT_MAX_BODY: usize = 4 << 20;
-
 /// Least urgent priority at an engine.
 pub const LOWEST_PRIORITY: u8 = 9;
 
@@ -340,7 +337,7 @@
     wait_for_config(relay).await;
     let permit = admit(relay, &admission)?;
     *class = RequestClass::of(&permit);
-    let max_body = permit.config.limits.map_or(DEFAULT_MAX_BODY, |limits| limits.max_body_bytes);
+    let max_body = relay.caller_limits(arrived_at).max_body_bytes;
     let route_timeout = match permit.route.timeout {
         0 => DEFAULT_TIMEOUT,
         timeout => timeout,
--- a/crates/relay/tests/connections.rs
+++ b/crates/relay/tests/connections.rs
@@ -17,6 +17,7 @@
     samples::{self, KEY, RouteSample, desk_entry},
     signed_response,
 };
+use switchfold_relay::settings::BoundSettings;
 use tokio::{
     net::TcpStream,
     time::{sleep, timeout},
@@ -79,3 +80,30 @@
         assert_eq!(reused.expect("the connection is kept"), StatusCode::OK);
     });
 }
+
+/// Guards against bodies that are rejected by a lowered limit while callers still go by the older
+/// version.
+#[test]
+fn a_body_within_the_older_limit_is_accepted_while_callers_may_go_by_it() {
+    run_test(async {
+        let replica = StandinReplica::start(|request| signed_response(request, 200, "")).await;
+        let (id, entry) = entry_of("i-1", &replica, desk_entry);
+        let store = StandinStore::start().await;
+        store.put(CONFIG_KIND, CONFIG_NAME, config_of(1, &ROUTES[..1], FIRST_IDLE_MS));
+        store.put(REPLICA_KIND, id, entry);
+        let bounds = BoundSettings { config_apply_ms: 600_000.0, ..bounds() };
+        let relay = RunningRelay::start_with_store(store, bounds).await;
+        relay.wait_ready(StatusCode::OK).await;
+        let mut lowered = config_of(2, &ROUTES, FIRST_IDLE_MS);
+        lowered["limits"]["max_body_bytes"] = json!(1);
+        relay.store.put(CONFIG_KIND, CONFIG_NAME, lowered);
+        let mut sender = open_client(&relay).await;
+        let status = loop {
+            match call_on(&mut sender, "change").await.expect("the connection is used") {
+                StatusCode::NOT_FOUND => sleep(Duration::from_millis(10)).await,
+                status => break status,
+            }
+        };
+        assert_eq!(status, StatusCode::OK);
+    });
+}
