Connections: requests sent ahead of an announced close are counted

A caller may send a second request before it has the first response. If that response announces the close, the HTTP library writes it, closes the connection and drops what it has read ahead: the second request reaches no handler and no replica. By RFC 9112, section 9.6, the server must not process it, and the caller knows from the announcement that it was not. It left no line either: `connection-unread` counted only what arrived after the close.

The bytes that the library read and did not use are now counted. A test shows which requests are handled: all in order on a connection that stays, only the first on one that closes.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -73,8 +73,9 @@
     pub reason: CloseReason,
     /// Error of a connection that failed, or whose caller sent something malformed.
     pub error: Option<hyper::Error>,
-    /// Number of bytes that arrived after the server had closed the connection. A request among them
-    /// was lost, and its caller does not know whether it ran.
+    /// Number of bytes that were sent behind a response that announced the close, or arrived after
+    /// the server had closed the connection. A request among them was not handled. Behind a close
+    /// without an announcement, its caller does not know whether it ran.
     pub unread_bytes: usize,
 }
 
@@ -316,7 +317,10 @@
             send_late_head(&mut stream).await;
         }
     }
-    let mut unread_bytes = 0;
+    // A response that announces the close leaves requests that were sent ahead to the caller, which
+    // knows from it that none of them was handled.
+    let has_requests = reason == CloseReason::Ended && served.is_ok();
+    let mut unread_bytes = if has_requests { unparsed.len() } else { 0 };
     // A failure means that the caller has closed the connection as well.
     let _ended = timeout(LINGER_TIME, linger(&mut stream, &mut unread_bytes)).await;
     ClosedConnection { reason, error: served.err(), unread_bytes }
--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -3,7 +3,7 @@
 use std::{
     convert::Infallible,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -391,6 +391,62 @@
     assert_eq!(closed.unread_bytes, request.len());
 }
 
+/// Sends requests in one write on a connection whose handler closes it after the first response, and
+/// returns all that comes back, the paths that were handled and the number of bytes not read.
+async fn pipeline_into_close(requests: &str) -> (String, Vec<String>, usize) {
+    let (mut caller, server) = duplex(4_096);
+    let paths = Arc::new(Mutex::new(Vec::new()));
+    let handled = Arc::clone(&paths);
+    let served = tokio::spawn(async move {
+        let handler = |request: Request<Incoming>| {
+            handled.lock().expect("not poisoned").push(request.uri().path().to_owned());
+            async {
+                sleep(Duration::from_millis(100)).await;
+                let mut response = full_response(StatusCode::OK, "text/plain", "whole");
+                let close = http::HeaderValue::from_static("close");
+                response.headers_mut().insert(http::header::CONNECTION, close);
+                Ok::<_, Infallible>(response)
+            }
+        };
+        let stopping = std::future::pending();
+        serve_connection(server, |_| LIMITS, DELAYS, stopping, handler).await
+    });
+    caller.write_all(requests.as_bytes()).await.expect("the requests fit");
+    let mut responses = String::new();
+    caller.read_to_string(&mut responses).await.expect("the end of the connection");
+    drop(caller);
+    let closed = served.await.expect("the server does not panic");
+    let paths = paths.lock().expect("not poisoned").clone();
+    (responses, paths, closed.unread_bytes)
+}
+
+/// Guards against requests sent ahead that are handled but not answered, or discarded without a
+/// count, when the response before them closes the connection.
+#[tokio::test(start_paused = true)]
+async fn requests_sent_ahead_of_a_close_are_not_handled_but_counted() {
+    const AHEAD: &str = "GET /second HTTP/1.1\r\nhost: server\r\n\r\n";
+    for ahead in [AHEAD.to_owned(), AHEAD.repeat(2), AHEAD[..20].to_owned()] {
+        let requests = format!("GET /first HTTP/1.1\r\nhost: server\r\n\r\n{ahead}");
+        let (responses, paths, unread_bytes) = pipeline_into_close(&requests).await;
+        assert_eq!(responses.matches("HTTP/1.1 200 OK").count(), 1, "{responses:?}");
+        assert!(responses.contains("connection: close"), "{responses:?}");
+        assert_eq!(paths, ["/first"]);
+        assert_eq!(unread_bytes, ahead.len());
+    }
+}
+
+/// Guards against requests sent ahead that get no answer while the connection stays open.
+#[tokio::test(start_paused = true)]
+async fn requests_sent_ahead_are_answered_in_order() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    let requests = "GET / HTTP/1.1\r\nhost: server\r\n\r\n".repeat(5);
+    caller.write_all(requests.as_bytes()).await.expect("the requests fit");
+    let mut responses = Vec::new();
+    caller.read_to_end(&mut responses).await.expect("the end of the connection");
+    let responses = String::from_utf8_lossy(&responses);
+    assert_eq!(responses.matches("whole").count(), 5, "{responses:?}");
+}
+
 /// Guards against connections in the listen queue that were reset at the end of a shutdown, with
 /// the requests on them.
 #[tokio::test]
