--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -1,6 +1,13 @@
 //! Connections of callers while a server shuts down.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -22,6 +29,7 @@
     max_headers: None,
     max_header_bytes: 8_192,
     idle_timeout: Duration::from_secs(60),
+    header_timeout: Duration::from_secs(60),
 };
 
 const DELAYS: ShutdownDelays =
@@ -64,7 +72,7 @@
                 Ok::<_, Infallible>(response)
             }
         };
-        let _ended = serve_connection(server, LIMITS, DELAYS, stopping.raised(), handler).await;
+        let _ended = serve_connection(server, |_| LIMITS, DELAYS, stopping.raised(), handler).await;
     });
     caller
 }
@@ -201,7 +209,7 @@
     };
     tokio::spawn(async move {
         let stopping = std::future::pending();
-        serve_connection(server, LIMITS, DELAYS, stopping, handler).await
+        serve_connection(server, |_| LIMITS, DELAYS, stopping, handler).await
     });
     caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("a request fits");
     let mut response = Vec::new();
@@ -211,6 +219,234 @@
     assert!(!text.ends_with("0\r\n\r\n"), "the body does not look complete: {text:?}");
 }
 
+/// Idle limit and time for a head that callers may go by.
+const BRIEF_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle_timeout: Duration::from_secs(15),
+    header_timeout: Duration::from_secs(3),
+    ..LIMITS
+};
+
+/// Serves one connection with limits, and returns the caller's side of it.
+fn open_with_limits(limits: ConnectionLimits) -> DuplexStream {
+    let (caller, server) = duplex(1_024);
+    let stopping = std::future::pending();
+    tokio::spawn(async move {
+        serve_connection(server, move |_| limits, DELAYS, stopping, respond).await
+    });
+    caller
+}
+
+/// Guards against heads that were cut off because the rest before them counted as their time.
+#[tokio::test(start_paused = true)]
+async fn a_head_in_parts_after_a_rest_is_answered() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    for rest_ms in [0, 12_500, 14_900] {
+        sleep(Duration::from_millis(rest_ms)).await;
+        caller.write_all(b"GET / HTTP/1.1\r\nho").await.expect("the connection is open");
+        sleep(Duration::from_millis(2_900)).await;
+        caller.write_all(b"st: server\r\n\r\n").await.expect("the connection is open");
+        let mut response = [0; 1_024];
+        let len = caller.read(&mut response).await.unwrap_or_default();
+        let response = String::from_utf8_lossy(&response[..len]);
+        assert!(response.ends_with("whole"), "after {rest_ms} ms: {response:?}");
+    }
+}
+
+/// Guards against heads that are late and get no answer, on a new connection and a kept one.
+#[tokio::test(start_paused = true)]
+async fn a_late_head_is_answered_with_a_timeout() {
+    for is_kept in [false, true] {
+        let mut caller = open_with_limits(BRIEF_LIMITS);
+        if is_kept {
+            assert!(call_raw(&mut caller).await.ends_with("whole"));
+        }
+        sleep(Duration::from_secs(5)).await;
+        caller.write_all(b"GET / HTTP/1.1\r\nho").await.expect("the connection is open");
+        let mut response = Vec::new();
+        caller.read_to_end(&mut response).await.expect("the end of the connection");
+        let response = String::from_utf8_lossy(&response);
+        assert!(response.starts_with("HTTP/1.1 408 "), "kept: {is_kept}: {response:?}");
+    }
+}
+
+/// Guards against connections that go by the limits of their opening for all their life.
+#[tokio::test(start_paused = true)]
+async fn an_idle_limit_that_is_raised_keeps_open_connections() {
+    let (mut caller, server) = duplex(1_024);
+    let idle_s = Arc::new(AtomicU64::new(15));
+    let limits = {
+        let idle_s = Arc::clone(&idle_s);
+        move |_| ConnectionLimits {
+            idle_timeout: Duration::from_secs(idle_s.load(Ordering::Relaxed)),
+            ..LIMITS
+        }
+    };
+    let stopping = std::future::pending();
+    tokio::spawn(async move { serve_connection(server, limits, DELAYS, stopping, respond).await });
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+    sleep(Duration::from_secs(12)).await;
+    idle_s.store(60, Ordering::Relaxed);
+    for rest_s in [36, 48] {
+        sleep(Duration::from_secs(rest_s)).await;
+        assert!(call_raw(&mut caller).await.ends_with("whole"), "after a rest of {rest_s} s");
+    }
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.expect("the end of the connection");
+    assert!(rest.is_empty());
+}
+
+/// Guards against idle connections that get a response although no request was begun.
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_is_closed_without_a_response() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.expect("the end of the connection");
+    assert!(rest.is_empty());
+}
+
+/// Guards against connections that are closed before their idle limit, because the rest of a body
+/// that arrives after the response counts as a late head.
+#[tokio::test(start_paused = true)]
+async fn a_body_after_its_response_begins_no_head() {
+    let (mut caller, server) = duplex(1_024);
+    let handler = async |request: Request<Incoming>| {
+        tokio::spawn(request.into_body().collect());
+        Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", "whole"))
+    };
+    tokio::spawn(async move {
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+    });
+    let head = b"POST / HTTP/1.1\r\nhost: server\r\ncontent-length: 4\r\n\r\n";
+    caller.write_all(head).await.expect("the connection is open");
+    let mut response = [0; 1_024];
+    let len = caller.read(&mut response).await.expect("a response");
+    assert!(response[..len].ends_with(b"whole"));
+    caller.write_all(b"body").await.expect("the connection is open");
+    sleep(Duration::from_secs(12)).await;
+    assert!(call_raw(&mut caller).await.ends_with("whole"));
+}
+
+/// Guards against responses that are cut off because their caller reads them for longer than the
+/// idle limit.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_is_read_slowly_is_not_cut_off() {
+    const BODY: &[u8] = &[b'x'; 20_000];
+    let (mut caller, server) = duplex(1_024);
+    let handler = async |_: Request<Incoming>| {
+        Ok::<_, Infallible>(full_response(StatusCode::OK, "text/plain", BODY))
+    };
+    tokio::spawn(async move {
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, std::future::pending(), handler).await
+    });
+    for _ in 0..2 {
+        caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("is open");
+        let mut response = Vec::new();
+        while !response.ends_with(BODY) {
+            sleep(Duration::from_secs(2)).await;
+            let count = caller.read_buf(&mut response).await.expect("the connection is open");
+            assert!(count > 0, "cut off after {} bytes", response.len());
+        }
+    }
+}
+
+/// Guards against requests that are discarded because their bytes are in the socket, but not reported
+/// by the runtime yet, when their idle connection is closed.
+#[tokio::test(start_paused = true)]
+async fn a_request_in_the_socket_is_served_when_its_idle_connection_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let mut caller = TcpStream::connect(address).await.expect("the server listens");
+    let (server, _) = listener.accept().await.expect("a connection");
+    let stopping = std::future::pending();
+    tokio::spawn(async move {
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, stopping, respond).await
+    });
+    for _ in 0..2 {
+        let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+        // Does not wait, so the server is woken by the end of the idle limit alone.
+        assert_eq!(caller.try_write(request).expect("the connection is open"), request.len());
+        let mut response = [0; 1_024];
+        let len = caller.read(&mut response).await.unwrap_or_default();
+        let response = String::from_utf8_lossy(&response[..len]);
+        assert!(response.ends_with("whole"), "{response:?}");
+        // This task is polled before the server's when both are woken at the same time.
+        sleep(BRIEF_LIMITS.idle_timeout).await;
+    }
+}
+
+/// Guards against requests that cross a close and are missing in the log, because their caller does
+/// not close the connection.
+#[tokio::test(start_paused = true)]
+async fn bytes_that_cross_a_close_are_counted() {
+    let (mut caller, server) = duplex(1_024);
+    let stopping = std::future::pending();
+    let served = tokio::spawn(async move {
+        serve_connection(server, |_| BRIEF_LIMITS, DELAYS, stopping, respond).await
+    });
+    assert_eq!(caller.read(&mut [0]).await.expect("the end of the connection"), 0);
+    let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+    caller.write_all(request).await.expect("the server still reads");
+    let closed = served.await.expect("the server does not panic");
+    assert_eq!(closed.unread_bytes, request.len());
+}
+
+/// Sends requests in one write on a connection whose handler closes it after the first response, and
+/// returns all that comes back, the paths that were handled and the number of bytes not read.
+async fn pipeline_into_close(requests: &str) -> (String, Vec<String>, usize) {
+    let (mut caller, server) = duplex(4_096);
+    let paths = Arc::new(Mutex::new(Vec::new()));
+    let handled = Arc::clone(&paths);
+    let served = tokio::spawn(async move {
+        let handler = |request: Request<Incoming>| {
+            handled.lock().expect("not poisoned").push(request.uri().path().to_owned());
+            async {
+                sleep(Duration::from_millis(100)).await;
+                let mut response = full_response(StatusCode::OK, "text/plain", "whole");
+                let close = http::HeaderValue::from_static("close");
+                response.headers_mut().insert(http::header::CONNECTION, close);
+                Ok::<_, Infallible>(response)
+            }
+        };
+        let stopping = std::future::pending();
+        serve_connection(server, |_| LIMITS, DELAYS, stopping, handler).await
+    });
+    caller.write_all(requests.as_bytes()).await.expect("the requests fit");
+    let mut responses = String::new();
+    caller.read_to_string(&mut responses).await.expect("the end of the connection");
+    drop(caller);
+    let closed = served.await.expect("the server does not panic");
+    let paths = paths.lock().expect("not poisoned").clone();
+    (responses, paths, closed.unread_bytes)
+}
+
+/// Guards against requests sent ahead that are handled but not answered, or discarded without a
+/// count, when the response before them closes the connection.
+#[tokio::test(start_paused = true)]
+async fn requests_sent_ahead_of_a_close_are_not_handled_but_counted() {
+    const AHEAD: &str = "GET /second HTTP/1.1\r\nhost: server\r\n\r\n";
+    for ahead in [AHEAD.to_owned(), AHEAD.repeat(2), AHEAD[..20].to_owned()] {
+        let requests = format!("GET /first HTTP/1.1\r\nhost: server\r\n\r\n{ahead}");
+        let (responses, paths, unread_bytes) = pipeline_into_close(&requests).await;
+        assert_eq!(responses.matches("HTTP/1.1 200 OK").count(), 1, "{responses:?}");
+        assert!(responses.contains("connection: close"), "{responses:?}");
+        assert_eq!(paths, ["/first"]);
+        assert_eq!(unread_bytes, ahead.len());
+    }
+}
+
+/// Guards against requests sent ahead that get no answer while the connection stays open.
+#[tokio::test(start_paused = true)]
+async fn requests_sent_ahead_are_answered_in_order() {
+    let mut caller = open_with_limits(BRIEF_LIMITS);
+    let requests = "GET / HTTP/1.1\r\nhost: server\r\n\r\n".repeat(5);
+    caller.write_all(requests.as_bytes()).await.expect("the requests fit");
+    let mut responses = Vec::new();
+    caller.read_to_end(&mut responses).await.expect("the end of the connection");
+    let responses = String::from_utf8_lossy(&responses);
+    assert_eq!(responses.matches("whole").count(), 5, "{responses:?}");
+}
+
 /// Guards against connections in the listen queue that were reset at the end of a shutdown, with
 /// the requests on them.
 #[tokio::test]
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -214,6 +214,20 @@
     pub max_body_bytes: usize,
     /// Time after which an idle connection is closed, in milliseconds.
     pub idle_timeout: Millis,
+    /// Time from the first byte of a request to the end of its headers, in milliseconds.
+    pub header_timeout: Millis,
+}
+
+impl Default for CallerLimits {
+    /// Returns the limits while the configuration is unknown, or if it has none.
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4 << 20,
+            idle_timeout: 15_000,
+            header_timeout: 15_000,
+        }
+    }
 }
 
 /// An organisation that sends requests, and its API keys.
