Relay: each request's end has a cause, and a line unless it was answered or refused

Callers saw requests end with a closed connection or a cut body, and the relay's log could not tell why: "answered" is written when the head is ready, so a stream that was cut later counted as answered; a request whose connection ended before its response had no line at all; the error of the connection was logged at debug without any request.

A guard follows each request from its arrival until its response has been handed over completely. An aborted body is logged at once. A response that the HTTP library drops is logged once the connection has returned its error, which tells a caller that left (end of its sending side) from a reset; or when the task of the connection is dropped with the process. The line names the replica, the versions of the configuration at arrival and end, what the caller was sent and how long no bytes of the replica had come. switchfold_request_ends counts all ends by cause.

A request whose response has no body, such as that to HEAD, counts as complete with its head.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -28,9 +28,10 @@
 
 /// Events that report how a request ended, the most specific first. The deciding line is the last
 /// one with the first of these events that the request has.
-const DECIDING_EVENTS: [&str; 7] = [
+const DECIDING_EVENTS: [&str; 8] = [
     "refused",
     "stream-broken",
+    "request-ended",
     "resume-failed",
     "stream-lost",
     "attempt-failed",
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -54,6 +54,14 @@
     assert!(text.contains("> 2026-04-09T08:30:10.000Z relay-1 attempt-failed"), "{text}");
 }
 
+/// A stream that its caller left was explained by the head that had been sent before.
+#[test]
+fn a_request_that_ended_with_its_connection_is_not_decided_by_its_head() {
+    let lines = [line("10.000", "answered", REQUEST_A), line("11.000", "request-ended", REQUEST_A)];
+    let text = explain("a", &[log("relay-1", &lines)]).expect("explained");
+    assert!(text.contains("decided by \"request-ended\" at relay-1"), "{text}");
+}
+
 #[test]
 fn the_last_word_before_the_json_object_is_the_source() {
     let logs = [log("all", &[format!("  3.9 edge-1 {}", line("10.000", "refused", REQUEST_A))])];
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -30,6 +30,7 @@
     pool::ActiveConnection,
     quarantine::record_result,
     request::CallerRequest,
+    request_end::EndCause,
     responses::{BodyAborted, RelayBody},
     run_tracker::RunTracker,
     shutdown::CountGuard,
@@ -161,6 +162,7 @@
                     let now = now_millis();
                     self.longest_pause = self.longest_pause.max(now - self.last_progress);
                     self.last_progress = now;
+                    self.request.record.record_bytes();
                     self.is_probed = false;
                     self.end_move_wait();
                     if let Some(events) = self.framer.push(chunk) {
@@ -186,7 +188,10 @@
                     self.check_path().await;
                 }
                 WaitOutcome::ReplicaChange => self.handle_replica_change(),
-                WaitOutcome::Deadline => self.give_up("deadline passed", "deadline passed"),
+                WaitOutcome::Deadline => {
+                    self.request.record.set_cause(EndCause::DeadlinePassed);
+                    self.give_up("deadline passed", "deadline passed");
+                }
             }
         }
         Some(Err(BodyAborted))
--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -19,6 +19,7 @@
     engines::{OrderOutcome, probe_replicas},
     paths::{CrossingRule, MemoryRule, find_path, request_capacity},
     quarantine::quarantine_remaining,
+    request_end::EndCause,
     state::{Relay, StageState},
     stream::{MAX_REJECTIONS, find_stalled_replica, suspect_at},
 };
@@ -126,6 +127,7 @@
     pub(super) async fn check_exhausted(&mut self) {
         let now = now_millis();
         if now >= self.caller_leaves_at() {
+            self.request.record.set_cause(EndCause::ReplicaSilent);
             return self.give_up("no event until the caller left", "no attempt left");
         }
         if !self.is_path_lost() {
@@ -158,6 +160,7 @@
             return;
         }
         if quarantine_remaining(&self.relay, &self.request).is_some() {
+            self.request.record.set_cause(EndCause::Quarantined);
             return self.give_up(why, "the request is quarantined");
         }
         if self.move_wait.until <= now {
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -19,6 +19,7 @@
     engines::{OrderOutcome, order_repath, probe_replicas},
     paths::{CrossingRule, MemoryRule, PathCriteria, PathReservation, find_path},
     quarantine::quarantine_remaining,
+    request_end::EndCause,
     run_tracker::RunTracker,
     state::StageState,
     stream::{
@@ -298,12 +299,14 @@
         match (self.resume().await, loss) {
             (Ok(stream), _) => self.switch_to(stream),
             (Err(not_resumed), StreamLoss::Broken | StreamLoss::Excessive) => {
+                self.request.record.set_cause(EndCause::ReplicaFailed);
                 self.give_up(why, &not_resumed);
             }
             // A quarantined request can be resumed nowhere, so its caller need not wait.
             (Err(not_resumed), StreamLoss::Silent)
                 if quarantine_remaining(&self.relay, &self.request).is_some() =>
             {
+                self.request.record.set_cause(EndCause::Quarantined);
                 self.give_up(why, &not_resumed);
             }
             (Err(not_resumed), StreamLoss::Silent) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`serve`], [`request`], [`admit`], [`responses`] | requests of callers, their admission and responses |
+//! | [`request_end`], [`caller_connection`] | how requests and connections of callers end |
 //! | [`admission`] | streams that wait for capacity at ranked services |
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`response_head`], [`forward`], [`paths`] | streams over engines |
@@ -32,6 +33,7 @@
 pub mod admission;
 pub mod admit;
 pub mod buffers;
+pub mod caller_connection;
 pub mod counts;
 pub mod engine_poll;
 pub mod engines;
@@ -53,6 +55,7 @@
 pub mod reload;
 pub mod replicas;
 pub mod request;
+pub mod request_end;
 pub mod response_head;
 pub mod responses;
 pub mod restore;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -21,7 +21,7 @@
     attempt::{AttemptEnd, NextStep},
 };
 
-use crate::{admit::Permit, request::LOWEST_PRIORITY, state::Relay};
+use crate::{admit::Permit, request::LOWEST_PRIORITY, request_end::EndCause, state::Relay};
 
 /// Maximum number of organisations with a label value of their own; all others share one.
 const MAX_ORGANISATION_LABELS: usize = 50;
@@ -55,6 +55,7 @@
     pause: Histogram<f64>,
     wait: Histogram<f64>,
     outcomes: Counter<u64>,
+    request_ends: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Gauge<u64>,
     figures: Gauge<u64>,
@@ -94,6 +95,10 @@
                 .u64_counter("switchfold_outcomes")
                 .with_description("Ended requests by status and reason")
                 .build(),
+            request_ends: meter
+                .u64_counter("switchfold_request_ends")
+                .with_description("Ends of requests by cause")
+                .build(),
             attempts: meter
                 .u64_counter("switchfold_attempts")
                 .with_description("Attempts that did not simply succeed, by end and next step")
@@ -164,6 +169,11 @@
         self.outcomes.add(1, &labels);
     }
 
+    /// Records the end of a request.
+    pub fn record_request_end(&self, cause: EndCause) {
+        self.request_ends.add(1, &[KeyValue::new("cause", cause.to_string())]);
+    }
+
     /// Records the result of an attempt.
     pub fn record_attempt(&self, end: AttemptEnd, next: NextStep) {
         let labels =
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -490,6 +490,7 @@
             return AttemptOutcome::without_response(AttemptEnd::Broken, detail);
         }
     };
+    request.record.record_bytes();
     let (parts, body) = response.into_parts();
     let headers = read_response_headers(&parts.headers);
     let received = request.received_response(&headers, parts.status, sent_at);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -28,11 +28,13 @@
 
 use crate::{
     admit::{AdmissionRequest, Permit, admit, is_config_fresh},
+    caller_connection::{CallerConnection, EndGuard},
     counts::count,
     notices::ReplicaResponse,
     paths::fullest_replica,
     plain::run_plain,
     quarantine::{QuarantineTrial, check_arrival, start::wait_for_quarantine},
+    request_end::{EndCause, RequestRecord},
     responses::{Refusal, RelayResponse},
     shutdown::CountGuard,
     state::Relay,
@@ -78,6 +80,8 @@
     pub is_dispatched: Cell<bool>,
     /// Set if it is sent although it is quarantined.
     pub trial: OnceCell<QuarantineTrial>,
+    /// What is known of it when it ends.
+    pub record: Rc<RequestRecord>,
 }
 
 /// Where one attempt of a request is sent.
@@ -165,7 +169,7 @@
         request
     }
 
-    /// Logs a dispatch, and records the wait before the first one: where the request is sent, and
+    /// Logs and records a dispatch, and the wait before the first one: where the request is sent, and
     /// the versions and ages of the state that the choice is based on. For a stream
     /// also the fullest replica of the path and the share of its memory that is reserved, this
     /// request's included, and whether the path starts in another data centre.
@@ -178,6 +182,7 @@
         last_event_id: Option<u64>,
         path: Option<&[PathStage]>,
     ) {
+        self.record.record_sent(first);
         let now = now_millis();
         let waited_ms = now - self.arrived_at;
         if !self.is_dispatched.replace(true) {
@@ -266,34 +271,57 @@
     }
 }
 
-/// Handles a request. Every failure becomes a refusal, so there is always a response.
-pub async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> RelayResponse {
-    let in_flight = CountGuard::for_request(&relay);
+/// Handles a request of a connection. Every failure becomes a refusal, so there is always a
+/// response.
+pub async fn handle(
+    relay: Rc<Relay>,
+    connection: Rc<CallerConnection>,
+    request: Request<Incoming>,
+) -> RelayResponse {
     count(&relay.counts.requests);
-    let arrived_at = now_millis();
-    let (parts, body) = request.into_parts();
-    let headers = read_request_headers(&parts.headers);
-    let id = headers.attempt_id.clone();
-    let mut class = RequestClass::default();
+    let headers = read_request_headers(request.headers());
     let may_have_run = Rc::default();
+    let record = Rc::new(RequestRecord::new(&relay, &headers.attempt_id, &may_have_run));
+    let guard = EndGuard::new(&connection, &record);
+    let is_head_request = request.method() == Method::HEAD;
+    let (parts, body) = request.into_parts();
+    let arrived_at = now_millis();
     let arrival =
-        RequestArrival { parts, body, headers, arrived_at, may_have_run: Rc::clone(&may_have_run) };
+        RequestArrival { parts, body, headers, arrived_at, may_have_run, record: record.clone() };
+    let mut response = respond(&relay, arrival).await;
+    if relay.shutdown.is_stopping() || relay.should_redirect_callers(now_millis()) {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    let status = response.status();
+    let has_body =
+        !is_head_request && status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
+    response.map(|body| guard.watch(body, has_body))
+}
+
+/// Serves a request, or refuses it once the response is due in a shutdown.
+async fn respond(relay: &Rc<Relay>, arrival: RequestArrival) -> RelayResponse {
+    let in_flight = CountGuard::for_request(relay);
+    let (record, arrived_at) = (arrival.record.clone(), arrival.arrived_at);
+    let may_have_run = arrival.may_have_run.clone();
+    let mut class = RequestClass::default();
     let outcome = tokio::select! {
         biased;
-        outcome = serve(&relay, arrival, in_flight, &mut class) => outcome,
+        outcome = serve(relay, arrival, in_flight, &mut class) => outcome,
         () = relay.shutdown.wait_until_answer_due() => {
             Err(Refusal::Stopping.unless_run(may_have_run.get()))
         }
     };
-    let mut response = match outcome {
+    match outcome {
         Ok(response) => {
-            let status = response.status().as_u16();
+            let status = response.status();
+            record.record_response(status, EndCause::Answered);
             count(&relay.counts.answered);
-            relay.metrics.record_outcome(status, "answered");
+            relay.metrics.record_outcome(status.as_u16(), "answered");
             tracing::info!(
                 event = "answered",
-                request = id,
-                status,
+                request = record.id(),
+                status = status.as_u16(),
                 took_ms = now_millis() - arrived_at,
                 route = class.route,
                 organisation = class.organisation,
@@ -301,13 +329,8 @@
             );
             response
         }
-        Err(refusal) => refuse(&relay, &id, refusal, arrived_at, class),
-    };
-    if relay.shutdown.is_stopping() || relay.should_redirect_callers(now_millis()) {
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        Err(refusal) => refuse(relay, &record, refusal, arrived_at, class),
     }
-    response
 }
 
 /// Waits until a relay that has just started trusts its first configuration, up to the time that
@@ -326,6 +349,7 @@
     headers: RequestHeaders,
     arrived_at: Millis,
     may_have_run: Rc<Cell<bool>>,
+    record: Rc<RequestRecord>,
 }
 
 /// Serves a request, and sets `class` once it is admitted.
@@ -335,7 +359,7 @@
     in_flight: CountGuard,
     class: &mut RequestClass,
 ) -> Result<RelayResponse, Refusal> {
-    let RequestArrival { parts, body, headers, arrived_at, may_have_run } = arrival;
+    let RequestArrival { parts, body, headers, arrived_at, may_have_run, record } = arrival;
     let admission = read_admission(&parts, &headers);
     wait_for_config(relay).await;
     let permit = admit(relay, &admission)?;
@@ -355,6 +379,7 @@
         Ok(Err(_)) => return Err(Refusal::BodyTruncated),
         Err(_) => return Err(Refusal::TimedOutUnsent),
     };
+    record.record_read();
     let uri = origin_form(&parts.uri);
     let fingerprint = RequestFingerprint::of(&RequestParts {
         method: parts.method.as_str(),
@@ -384,6 +409,7 @@
         may_have_run,
         is_dispatched: Cell::new(false),
         trial: OnceCell::new(),
+        record,
     };
     wait_for_quarantine(relay).await;
     check_arrival(relay, &request)?;
@@ -413,7 +439,7 @@
 
 fn refuse(
     relay: &Relay,
-    id: &str,
+    record: &RequestRecord,
     refusal: Refusal,
     arrived_at: Millis,
     class: RequestClass,
@@ -424,12 +450,13 @@
         503 => count(&relay.counts.refused),
         _ => count(&relay.counts.failed),
     }
+    record.record_response(refusal.status(), EndCause::Refused);
     relay.metrics.record_outcome(status, &refusal.to_string());
     let config = relay.config().map_or(0, |config| config.version);
     let config_age = relay.state.borrow().config_lease.age(now_millis());
     tracing::warn!(
         event = "refused",
-        request = id,
+        request = record.id(),
         status,
         reason = %refusal,
         held_ms,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 use switchfold_kernel::{
     clock::now_millis,
-    connection::{ConnectionLimits, ShutdownDelays, serve_connection},
+    connection::{ClosedConnection, ConnectionLimits, ShutdownDelays, serve_connection},
     http::take_queued,
 };
 use switchfold_router::Millis;
@@ -20,6 +20,7 @@
 
 use crate::{
     admit::is_config_fresh,
+    caller_connection::CallerConnection,
     request::handle,
     responses::{RelayResponse, full_body},
     shutdown::{CountGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
@@ -93,17 +94,42 @@
         after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
         idle: Duration::from_millis(LAST_USE_DELAY),
     };
+    let connection = Rc::new(CallerConnection::default());
     let handler = |request| {
-        let relay = relay.clone();
-        async move { Ok::<RelayResponse, Infallible>(handle(relay, request).await) }
+        let handling = handle(relay.clone(), connection.clone(), request);
+        async move { Ok::<RelayResponse, Infallible>(handling.await) }
     };
     let stopping = relay.shutdown.wait_until_stopping();
     let closed = serve_connection(stream, limits, delays, stopping, handler).await;
-    if let Some(error) = closed.error {
-        tracing::debug!(event = "connection-ended", %error);
+    let in_progress = connection.end_requests(closed.error.as_ref());
+    log_closed(&relay, &connection, &closed, in_progress);
+}
+
+/// Logs how a connection ended, unless it was closed between requests.
+fn log_closed(
+    relay: &Relay,
+    connection: &CallerConnection,
+    closed: &ClosedConnection,
+    in_progress: Option<String>,
+) {
+    let error = closed.error.as_ref();
+    let is_idle_timeout = in_progress.is_none() && error.is_some_and(hyper::Error::is_timeout);
+    let has_failed = in_progress.is_some() || (error.is_some() && !is_idle_timeout);
+    if has_failed && relay.caller_end_lines.admit(now_millis()) {
+        tracing::info!(
+            event = "connection-ended",
+            error = error.map(ToString::to_string),
+            in_progress,
+            last_request = connection.last_request(),
+            requests = connection.request_count(),
+        );
     }
     if closed.unread_bytes > 0 {
-        tracing::info!(event = "connection-unread", bytes = closed.unread_bytes);
+        tracing::info!(
+            event = "connection-unread",
+            bytes = closed.unread_bytes,
+            last_request = connection.last_request(),
+        );
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -47,7 +47,7 @@
     counts::{Counts, count},
     engines::ReportCache,
     gossip::{SendScope, send_state},
-    logs::LineInterval,
+    logs::{LineInterval, LineLimit},
     metrics::RelayMetrics,
     plain::ServiceLoads,
     pool::ConnectionPool,
@@ -243,6 +243,10 @@
     pub dropped_datagram_lines: LineInterval,
     /// Limit of the lines about requests without a path.
     pub missing_path_lines: LineInterval,
+    /// Limit of the lines about requests that ended without a complete response or a refusal.
+    pub end_lines: LineLimit,
+    /// Limit of the lines about connections that callers ended or that failed, and their requests.
+    pub caller_end_lines: LineLimit,
     /// Relays that this one sends its state to.
     pub gossip_plan: RefCell<GossipPlan>,
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -325,6 +325,7 @@
             return Some(OpenOutcome::Failed(AttemptEnd::Broken, "deadline passed".to_owned()));
         }
     };
+    request.record.record_bytes();
     let has_started = sent.0.status() == StatusCode::OK;
     if has_started && controls_overload(relay, permit) {
         record_first_event(relay, permit, now_millis() - sent_at);
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -12,11 +12,10 @@
 };
 
 use harness::{
-    BoundRelay, CallResult, ROUTES, RunningRelay, bounds, call, entry_of, request, respond_healthy,
-    run_test, wait_until,
+    BoundRelay, CallResult, ROUTES, RunningRelay, bounds, call, entry_of, read_metric, request,
+    respond_healthy, run_test, wait_until,
 };
-use http::{Request, StatusCode, header::RETRY_AFTER};
-use http_body_util::Full;
+use http::{StatusCode, header::RETRY_AFTER};
 use serde_json::{Value, json};
 use switchfold_platform::{
     CONFIG_KIND, CONFIG_NAME, REPLICA_KIND,
@@ -126,19 +125,6 @@
     replica.requests().iter().map(attempt_id).collect()
 }
 
-/// Returns the value of the metric with this name and these labels; `None` if it is not exported.
-async fn read_metric(relay: &RunningRelay, name: &str, labels: &[(&str, &str)]) -> Option<u64> {
-    let request = Request::get("/metrics").body(Full::default()).expect("a request");
-    let metrics = call(relay.metrics, request).await.body;
-    let labels: Vec<String> =
-        labels.iter().map(|(label, value)| format!("{label}=\"{value}\"")).collect();
-    let line = metrics.lines().find(|line| {
-        line.starts_with(&format!("{name}{{")) && labels.iter().all(|label| line.contains(label))
-    })?;
-    let value = line.rsplit(' ').next().and_then(|value| value.parse::<f64>().ok());
-    Some(value.expect("a number") as u64)
-}
-
 async fn figure(relay: &RunningRelay, name: &str) -> u64 {
     let value = read_metric(relay, "switchfold_figures", &[("name", name)]).await;
     value.expect("the figure is exported")
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only a part")]
 
+pub(crate) mod recorded_events;
+
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
@@ -316,6 +318,23 @@
     timeout(WAIT_TIMEOUT, exchange).await.expect("the call takes too long")
 }
 
+/// Returns the value of the metric with this name and these labels; `None` if it is not exported.
+pub(crate) async fn read_metric(
+    relay: &RunningRelay,
+    name: &str,
+    labels: &[(&str, &str)],
+) -> Option<u64> {
+    let request = Request::get("/metrics").body(Full::default()).expect("a request");
+    let metrics = call(relay.metrics, request).await.body;
+    let labels: Vec<String> =
+        labels.iter().map(|(label, value)| format!("{label}=\"{value}\"")).collect();
+    let line = metrics.lines().find(|line| {
+        line.starts_with(&format!("{name}{{")) && labels.iter().all(|label| line.contains(label))
+    })?;
+    let value = line.rsplit(' ').next().and_then(|value| value.parse::<f64>().ok());
+    Some(value.expect("a number") as u64)
+}
+
 /// Responds as a healthy replica of either service; an engine holds all layers.
 pub(crate) fn respond_healthy(request: &ReceivedRequest) -> Reply {
     match request.target.as_str() {
