Relay: a panic in the task of a request is answered and logged

A panic in the task of a request ended the task of its connection: the caller saw the connection close without a response, and the log had no line about the request. A panic within the body of a stream did the same.

The panic is caught around the handler: the caller gets 502 if a replica may have run the request, and else 503, whose promise holds since what would have sent it is dropped. The connection is kept. A panic within a body aborts it, so that it does not look complete. Both write request-panicked. Borrows of the state are released by the unwinding, and handler and body are not polled again, so nothing that the panic interrupted is used further by this request.

The tests panic in the subscriber of a log event of the request, so the code has no hook for them.

--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    panic::{AssertUnwindSafe, catch_unwind},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -92,7 +93,7 @@
         if !is_sent || body.is_end_stream() {
             self.end_complete();
         }
-        Box::pin(WatchedBody { body, guard: self })
+        Box::pin(WatchedBody { body: Some(body), guard: self })
     }
 
     fn end_complete(&mut self) {
@@ -117,9 +118,10 @@
     }
 }
 
-/// A response body that records its end.
+/// A response body that records its end, and is aborted if it panics.
 struct WatchedBody {
-    body: RelayBody,
+    /// `None` once it has panicked.
+    body: Option<RelayBody>,
     guard: EndGuard,
 }
 
@@ -132,11 +134,22 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         let Self { body, guard } = &mut *self;
-        let frame = ready!(body.as_mut().poll_frame(context));
+        let Some(inner) = body else { return Poll::Ready(Some(Err(BodyAborted))) };
+        let polled = catch_unwind(AssertUnwindSafe(|| inner.as_mut().poll_frame(context)));
+        let frame = match polled {
+            Ok(polled) => ready!(polled),
+            Err(payload) => {
+                *body = None;
+                guard.record.log_panic(&*payload);
+                guard.record.set_cause(EndCause::Panicked);
+                guard.end_aborted();
+                return Poll::Ready(Some(Err(BodyAborted)));
+            }
+        };
         match &frame {
             Some(Ok(frame)) => {
                 guard.record.add_body_bytes(frame.data_ref().map_or(0, Bytes::len));
-                if body.is_end_stream() {
+                if inner.is_end_stream() {
                     guard.end_complete();
                 }
             }
@@ -147,10 +160,10 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_some_and(|body| body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.body.as_ref().map_or_else(SizeHint::default, |body| body.size_hint())
     }
 }
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -6,6 +6,7 @@
 //! lines never displaces them. Lines dropped by these limits are counted.
 
 use std::{
+    any::Any,
     cell::Cell,
     io::{self, Write},
     sync::atomic::{AtomicU64, Ordering},
@@ -120,3 +121,9 @@
     let _already_set = tracing::subscriber::set_global_default(subscriber);
     guard
 }
+
+/// Returns the message of a panic.
+pub fn panic_message(payload: &(dyn Any + Send)) -> &str {
+    let message = payload.downcast_ref::<&str>().copied();
+    message.or_else(|| payload.downcast_ref::<String>().map(String::as_str)).unwrap_or("unknown")
+}
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -2,11 +2,13 @@
 
 use std::{
     cell::{Cell, OnceCell},
+    panic::AssertUnwindSafe,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, request::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -271,8 +273,8 @@
     }
 }
 
-/// Handles a request of a connection. Every failure becomes a refusal, so there is always a
-/// response.
+/// Handles a request of a connection. Every failure becomes a refusal, even a panic, so there is
+/// always a response.
 pub async fn handle(
     relay: Rc<Relay>,
     connection: Rc<CallerConnection>,
@@ -288,7 +290,15 @@
     let arrived_at = now_millis();
     let arrival =
         RequestArrival { parts, body, headers, arrived_at, may_have_run, record: record.clone() };
-    let mut response = respond(&relay, arrival).await;
+    let responding = AssertUnwindSafe(respond(&relay, arrival)).catch_unwind();
+    let mut response = match responding.await {
+        Ok(response) => response,
+        Err(payload) => {
+            record.log_panic(&*payload);
+            let refusal = Refusal::Panicked.unless_run(record.may_have_run());
+            refuse(&relay, &record, refusal, arrived_at, RequestClass::default())
+        }
+    };
     if relay.shutdown.is_stopping() || relay.should_redirect_callers(now_millis()) {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/relay/src/request_end.rs
+++ b/crates/relay/src/request_end.rs
@@ -5,6 +5,7 @@
 //! was handed to the HTTP library.
 
 use std::{
+    any::Any,
     cell::{Cell, RefCell},
     rc::Rc,
 };
@@ -14,7 +15,7 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{Millis, instance::ReplicaInstance};
 
-use crate::state::Relay;
+use crate::{logs::panic_message, state::Relay};
 
 /// Maximum number of lines per second about connections that ended and their requests, and about
 /// requests that ended otherwise.
@@ -144,6 +145,11 @@
         self.cause.set(Some(cause));
     }
 
+    /// Returns whether a replica may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+
     /// Adds to the size of the body that was handed over.
     pub fn add_body_bytes(&self, count: usize) {
         self.body_bytes.update(|bytes| bytes + count as u64);
@@ -154,6 +160,17 @@
         &self.id
     }
 
+    /// Logs a panic of the task of the request.
+    pub fn log_panic(&self, payload: &(dyn Any + Send)) {
+        tracing::error!(
+            event = "request-panicked",
+            request = self.id,
+            may_have_run = self.may_have_run.get(),
+            status = self.response.get().map(|(status, _)| status.as_u16()),
+            message = panic_message(payload),
+        );
+    }
+
     /// Counts a response that was handed over completely.
     pub fn end_complete(&self) {
         let cause = self.response.get().map_or(EndCause::Aborted, |(_, cause)| cause);
--- a/crates/relay/src/responses.rs
+++ b/crates/relay/src/responses.rs
@@ -79,6 +79,9 @@
     /// milliseconds.
     #[display("quarantined")]
     Quarantined(Millis),
+    /// The task of the request panicked before the request was sent.
+    #[display("internal-error")]
+    Panicked,
 }
 
 impl Refusal {
@@ -102,7 +105,8 @@
             | Self::TimedOutUnsent
             | Self::Throttled(_)
             | Self::Overloaded(_)
-            | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined(_)
+            | Self::Panicked => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/relay/tests/harness/recorded_events.rs
+++ b/crates/relay/tests/harness/recorded_events.rs
@@ -1,6 +1,6 @@
 //! Keeps the log events of a test process.
 
-use std::sync::{Mutex, OnceLock, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
 use serde_json::{Map, Value};
 use tracing::{
@@ -16,7 +16,10 @@
 
 static EVENTS: Mutex<Vec<Value>> = Mutex::new(Vec::new());
 
-/// Keeps all events. Panics at the event that a request's id names: `panic-at-EVENT`.
+/// Events that panic, each with a field and its value.
+static PANICS: Mutex<Vec<(&str, &str, Value)>> = Mutex::new(Vec::new());
+
+/// Keeps all events, and panics at some.
 struct EventRecorder;
 
 #[derive(Default)]
@@ -45,15 +48,21 @@
         let mut fields = FieldMap::default();
         event.record(&mut fields);
         let line = Value::Object(fields.0);
-        let id = line["request"].as_str().and_then(|id| id.strip_prefix("panic-at-"));
-        let panics = id.is_some_and(|id| line["event"] == id);
-        lock_events().push(line);
-        assert!(!panics, "panics as its id demands");
+        let panics = lock(&PANICS)
+            .iter()
+            .any(|(event, field, value)| line["event"] == *event && line[field] == *value);
+        lock(&EVENTS).push(line);
+        assert!(!panics, "this event panics");
     }
 }
 
-fn lock_events() -> std::sync::MutexGuard<'static, Vec<Value>> {
-    EVENTS.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(events: &Mutex<Vec<T>>) -> MutexGuard<'_, Vec<T>> {
+    events.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Makes the task panic that writes an event of this name whose field has the given value.
+pub(crate) fn panic_at(event: &'static str, field: &'static str, value: impl Into<Value>) {
+    lock(&PANICS).push((event, field, value.into()));
 }
 
 /// Starts to keep the log events of this process.
@@ -67,7 +76,7 @@
 
 /// Returns the events of this name whose field has the given value.
 pub(crate) fn events_with(event: &str, field: &str, value: &str) -> Vec<Value> {
-    let events = lock_events();
+    let events = lock(&EVENTS);
     let matches = |line: &&Value| line["event"] == event && line[field] == value;
     events.iter().filter(matches).cloned().collect()
 }
