Relay: a permanent task that panics stops the relay, and every panic has a line

A task that follows the store, exchanges state or grants, or serves readiness ended silently if it panicked: the runtime caught the panic, and the relay served on with a state that nothing updated any more, for example a configuration whose removed keys and routes it kept. A panic was written to standard error only.

Such a panic writes task-panicked, and the relay shuts down as after SIGTERM: requests in flight are served, callers move to other relays, and the process ends with exit code 1. Serving on would refuse and route by an old state, and a restart of the task alone would meet state that the panic left half changed. `stopped` names the task, and `failed` is written before an exit with an error. A panic hook writes a line for any panic, also that of a thread or of the main task.

--- a/crates/relay/src/bin/switchfold-relay.rs
+++ b/crates/relay/src/bin/switchfold-relay.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 use switchfold_kernel::{
-    exit::{OK, UNAVAILABLE, USAGE, fail},
+    exit::{FAILED, OK, UNAVAILABLE, USAGE, fail},
     settings::load_settings,
     shutdown::shutdown_on_signal,
 };
@@ -18,7 +18,7 @@
 
 /// Entry for platforms whose engines chain pipelines themselves.
 ///
-/// Exit codes: 0 clean shutdown; 2 invalid settings; 3 an address cannot be bound.
+/// Exit codes: 0 clean shutdown; 1 a task panicked; 2 invalid settings; 3 an address cannot be bound.
 #[derive(Debug, Parser)]
 #[command(
     version,
@@ -52,12 +52,20 @@
         return ExitCode::from(OK);
     }
     let _flush_on_drop = logs::start(arguments.log_level);
+    logs::log_panics();
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(UNAVAILABLE, &error),
     };
     match LocalSet::new().block_on(&runtime, run(settings, arguments.settings)) {
         Ok(()) => ExitCode::from(OK),
-        Err(error) => fail(UNAVAILABLE, &error),
+        Err(error) => {
+            tracing::error!(event = "failed", %error);
+            let code = match error {
+                RunError::TaskPanicked { .. } => FAILED,
+                _ => UNAVAILABLE,
+            };
+            fail(code, &error)
+        }
     }
 }
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -9,6 +9,7 @@
     any::Any,
     cell::Cell,
     io::{self, Write},
+    panic,
     sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -122,6 +123,20 @@
     guard
 }
 
+/// Logs each panic of the process, before what is done about panics otherwise.
+pub fn log_panics() {
+    let earlier_hook = panic::take_hook();
+    panic::set_hook(Box::new(move |panic| {
+        tracing::error!(
+            event = "panic",
+            message = panic_message(panic.payload()),
+            location = panic.location().map(ToString::to_string),
+            thread = std::thread::current().name(),
+        );
+        earlier_hook(panic);
+    }));
+}
+
 /// Returns the message of a panic.
 pub fn panic_message(payload: &(dyn Any + Send)) -> &str {
     let message = payload.downcast_ref::<&str>().copied();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -4,12 +4,14 @@
     cell::{Cell, RefCell},
     io,
     net::SocketAddr,
+    panic::AssertUnwindSafe,
     path::PathBuf,
     rc::Rc,
     time::Duration,
 };
 
 use derive_more::{Display, Error};
+use futures_util::FutureExt;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use switchfold_core::hash::hash_bytes;
@@ -33,7 +35,7 @@
     engine_poll::poll_engines,
     engines::ReportCache,
     limits::exchange_grants,
-    logs::{LineInterval, LineLimit, dropped_lines},
+    logs::{LineInterval, LineLimit, dropped_lines, panic_message},
     metrics::RelayMetrics,
     peers::run_gossip,
     placer::place_layers,
@@ -74,6 +76,12 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// A permanent task panicked, after which the relay shut down.
+    #[display("the task {task} panicked")]
+    TaskPanicked {
+        /// Name of the task.
+        task: &'static str,
+    },
 }
 
 /// Bound sockets of a relay.
@@ -117,7 +125,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the handler for SIGHUP or the metrics cannot be set up.
+/// Fails if the handler for SIGHUP or the metrics cannot be set up, or if a permanent task panicked.
 pub async fn run_relay(
     settings: RelaySettings,
     sockets: RelaySockets,
@@ -136,22 +144,22 @@
     );
     let metrics = RelayMetrics::new().map_err(|source| RunError::Metrics { source })?;
     let relay = Rc::new(new_relay(settings, sockets.peers, metrics));
-    spawn_local(follow_config(relay.clone()));
-    spawn_local(follow_replicas(relay.clone()));
-    spawn_local(run_gossip(relay.clone()));
-    spawn_local(serve_snapshots(relay.clone(), sockets.snapshots));
-    spawn_local(follow_quarantine(relay.clone()));
-    spawn_local(store_quarantine(relay.clone()));
-    spawn_local(learn_quarantine(relay.clone()));
-    spawn_local(rewrite_after_restores(relay.clone()));
-    spawn_local(exchange_grants(relay.clone()));
-    spawn_local(place_layers(relay.clone()));
-    spawn_local(poll_engines(relay.clone()));
-    spawn_local(serve_readiness(relay.clone(), sockets.readiness));
-    spawn_local(serve_metrics(relay.clone(), sockets.metrics));
-    spawn_local(sweep_connections(relay.clone()));
+    spawn_permanent(&relay, "follow_config", follow_config(relay.clone()));
+    spawn_permanent(&relay, "follow_replicas", follow_replicas(relay.clone()));
+    spawn_permanent(&relay, "run_gossip", run_gossip(relay.clone()));
+    spawn_permanent(&relay, "serve_snapshots", serve_snapshots(relay.clone(), sockets.snapshots));
+    spawn_permanent(&relay, "follow_quarantine", follow_quarantine(relay.clone()));
+    spawn_permanent(&relay, "store_quarantine", store_quarantine(relay.clone()));
+    spawn_permanent(&relay, "learn_quarantine", learn_quarantine(relay.clone()));
+    spawn_permanent(&relay, "rewrite_after_restores", rewrite_after_restores(relay.clone()));
+    spawn_permanent(&relay, "exchange_grants", exchange_grants(relay.clone()));
+    spawn_permanent(&relay, "place_layers", place_layers(relay.clone()));
+    spawn_permanent(&relay, "poll_engines", poll_engines(relay.clone()));
+    spawn_permanent(&relay, "serve_readiness", serve_readiness(relay.clone(), sockets.readiness));
+    spawn_permanent(&relay, "serve_metrics", serve_metrics(relay.clone(), sockets.metrics));
+    spawn_permanent(&relay, "sweep_connections", sweep_connections(relay.clone()));
     if let Some(file) = file {
-        spawn_local(follow_settings(relay.clone(), file, hangup));
+        spawn_permanent(&relay, "follow_settings", follow_settings(relay.clone(), file, hangup));
     }
     let stopping = relay.clone();
     spawn_local(async move {
@@ -165,8 +173,33 @@
         requests = relay.counts.requests.get(),
         in_flight = relay.shutdown.in_flight(),
         connections = relay.shutdown.open_connections(),
+        panicked_task = relay.shutdown.panicked_task(),
     );
-    Ok(())
+    match relay.shutdown.panicked_task() {
+        Some(task) => Err(RunError::TaskPanicked { task }),
+        None => Ok(()),
+    }
+}
+
+/// Runs a task that the relay does not serve without: if it panics, the relay shuts down as after
+/// SIGTERM. It would serve on with a state that nothing updates.
+fn spawn_permanent(
+    relay: &Rc<Relay>,
+    name: &'static str,
+    task: impl Future<Output = ()> + 'static,
+) {
+    let relay = relay.clone();
+    spawn_local(async move {
+        let Err(payload) = AssertUnwindSafe(task).catch_unwind().await else { return };
+        tracing::error!(
+            event = "task-panicked",
+            task = name,
+            message = panic_message(&*payload),
+            in_flight = relay.shutdown.in_flight(),
+        );
+        relay.shutdown.record_panic(name);
+        relay.shutdown.begin(relay.bounds.borrow().grace());
+    });
 }
 
 /// Maximum number of attempts to find a port that is free for both UDP and TCP if the settings
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -36,6 +36,7 @@
     awake: Cell<AwakeTimes>,
     in_flight: Cell<usize>,
     open_connections: Cell<usize>,
+    panicked_task: Cell<Option<&'static str>>,
     began: Notify,
 }
 
@@ -59,6 +60,16 @@
         self.began.notify_waiters();
     }
 
+    /// Records the panic of a task without which the relay does not serve.
+    pub fn record_panic(&self, task: &'static str) {
+        self.panicked_task.set(self.panicked_task.get().or(Some(task)));
+    }
+
+    /// Returns the first task that panicked.
+    pub fn panicked_task(&self) -> Option<&'static str> {
+        self.panicked_task.get()
+    }
+
     /// Returns the times of the shutdown, once it has begun.
     pub fn schedule(&self) -> Option<StopSchedule> {
         self.schedule.get()
--- a/crates/relay/tests/panics.rs
+++ b/crates/relay/tests/panics.rs
@@ -2,21 +2,26 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
+use switchfold_platform::{CONFIG_KIND, CONFIG_NAME};
 use switchfold_platform_standin::{
-    StandinReplica,
-    samples::{LAYERS, desk_entry, model_entry},
+    ReceivedRequest, Reply, StandinReplica,
+    samples::{self, KEY, LAYERS, desk_entry, model_entry},
+    signed_response,
 };
+use switchfold_relay::logs::log_panics;
 use tokio::{net::TcpStream, task::spawn_local};
 
 use harness::{
-    RunningRelay, bounds, entry_of, read_metric,
-    recorded_events::{panic_at, record_events, wait_for_event},
-    request, respond_healthy, run_test,
+    ROUTES, RunningRelay, bounds, entry_of, read_metric,
+    recorded_events::{events_with, panic_at, record_events, wait_for_event},
+    request, respond_healthy, run_test, try_call,
 };
 
 /// A panic closed the connection without a response and without a line about the request.
@@ -81,3 +86,39 @@
         assert!(relay.get("/stream/a", "after-panic").await.is_complete);
     });
 }
+
+/// A relay whose task had panicked served on with a configuration that nothing updated any more.
+#[test]
+fn a_panic_of_a_permanent_task_stops_the_relay_gracefully() {
+    const UNREADABLE_VERSION: u64 = 7_001;
+    record_events();
+    panic_at("config-taken", "version", UNREADABLE_VERSION);
+    run_test(async {
+        let slow = |received: &ReceivedRequest| match signed_response(received, 200, "confirmed") {
+            Reply::Bytes(bytes) => Reply::BytesLater(Duration::from_millis(1_000), bytes),
+            other => other,
+        };
+        let replica = StandinReplica::start(slow).await;
+        let relay = RunningRelay::start(bounds(), &[entry_of("i-1", &replica, desk_entry)]).await;
+        let call = spawn_local(try_call(relay.address, request("/once/a", "in-flight")));
+        wait_for_event("dispatch", "request", "in-flight").await;
+        let config = samples::config(UNREADABLE_VERSION, &ROUTES, &[KEY]);
+        relay.store.put(CONFIG_KIND, CONFIG_NAME, config);
+        wait_for_event("task-panicked", "task", "follow_config").await;
+        let answered = call.await.expect("the call ends").expect("a response");
+        assert_eq!(answered.status, StatusCode::OK, "requests in flight are served");
+        assert!(relay.task.await.is_err(), "the relay ends with an error");
+    });
+}
+
+/// A panic outside of requests and permanent tasks was written to standard error only.
+#[test]
+fn a_panic_of_a_thread_leaves_a_line() {
+    record_events();
+    log_panics();
+    let panicked = std::thread::spawn(|| panic!("{} broke", "a thread")).join();
+    assert!(panicked.is_err());
+    let lines = events_with("panic", "message", "a thread broke");
+    assert_eq!(lines.len(), 1);
+    assert!(lines[0]["location"].as_str().is_some_and(|place| place.contains("panics.rs")));
+}
