--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -34,6 +34,7 @@
     counts::count,
     quarantine::record_result,
     request::CallerRequest,
+    request_end::EndCause,
     responses::{BodyAborted, RelayBody},
     shutdown::CountGuard,
     state::Relay,
@@ -160,6 +161,7 @@
         while !self.has_ended {
             let events = match self.wait().await {
                 WaitOutcome::Current(RunOutput::Bytes(chunk)) => {
+                    self.request.record.record_bytes();
                     self.is_probed = false;
                     self.end_move_wait();
                     let events = self.current.push(chunk);
@@ -204,6 +206,7 @@
                     None
                 }
                 WaitOutcome::Deadline => {
+                    self.request.record.set_cause(EndCause::DeadlinePassed);
                     self.give_up("deadline passed", "deadline passed");
                     None
                 }
@@ -234,6 +237,7 @@
     fn read_former(&mut self, output: RunOutput) -> Option<RunOutput> {
         let output = match output {
             RunOutput::Bytes(chunk) => {
+                self.request.record.record_bytes();
                 let former = self.former.as_mut()?;
                 match former.push(chunk) {
                     Some(events) => RunOutput::Bytes(events),
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -20,6 +20,7 @@
     paths::{CrossingRule, MemoryRule, PathCriteria, PathReservation, find_path},
     quarantine::quarantine_remaining,
     request::CallerRequest,
+    request_end::EndCause,
     retries::RetryCharge,
     run_tracker::RunTracker,
     state::{Relay, StageState},
@@ -169,6 +170,7 @@
             Err(not_resumed) => not_resumed,
         };
         if let Some(why) = self.broken.take() {
+            self.request.record.set_cause(EndCause::ReplicaFailed);
             return self.give_up(&why, &not_resumed);
         }
         self.next_resume = now_millis() + self.resume_interval(RESUME_INTERVAL);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -439,6 +439,7 @@
             };
         }
     };
+    request.record.record_bytes();
     let has_started = received.0.status() == StatusCode::OK;
     if has_started && controls_overload(relay, &permit) {
         record_first_event(relay, &permit, now_millis() - sent_at);
