--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -119,9 +119,18 @@
     pub(crate) async fn start(
         bounds: BoundSettings,
         entries: &[(&str, serde_json::Value)],
+    ) -> Self {
+        Self::start_with_config(bounds, samples::config(1, &ROUTES, &[KEY]), entries).await
+    }
+
+    /// Does the same as [`Self::start`] with another configuration.
+    pub(crate) async fn start_with_config(
+        bounds: BoundSettings,
+        config: serde_json::Value,
+        entries: &[(&str, serde_json::Value)],
     ) -> Self {
         let store = StandinStore::start().await;
-        store.put(CONFIG_KIND, CONFIG_NAME, samples::config(1, &ROUTES, &[KEY]));
+        store.put(CONFIG_KIND, CONFIG_NAME, config);
         for (id, entry) in entries {
             store.put(REPLICA_KIND, id, entry.clone());
         }
