Soak: silent sound replicas beside planned work, and the ends of requests

A sound replica may be silent for a second or so and resume. The soak paused replicas, but counted each pause as a fault, so that no check looked at what became of the requests meanwhile. Nor did it change anything in a configuration but its version and its keys.

After the faults of a seed, sound replicas are silent for 0.3 to 2 s (SIGSTOP): one, a group, all of a service, one twice in a row, and the others at the moment when a stream is resumed at one of them. A third of the callers' requests ask for a silence before the head, within it or within the body of their response, whose plain bodies have a length, chunks or neither. The operator moves and splits a route, adds and removes routes and keys, changes time-outs and limits, alone, in storms and beside SIGHUP; one relay gets SIGTERM. Callers rest for up to four fifths of the idle limit, send heads and bodies in two parts, and leave a stream after 2 s without an event.

Two guarantees are new. `visible-end`: a request that was read whole ends with an answer, a refusal, or a body that is aborted after its replica broke off. `silence`: one silence that is shorter than the patience of the caller ends no request. Both look only at the time in which nothing else disturbs the cluster. The faults of a seed stay as they were, since the new ones have a random generator of their own.

The checks of before are unchanged, except that the retry budget leaves out the new kind of call: the route that is moved has two services, each with a budget of its own.

--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -12,6 +12,7 @@
 use futures_util::{StreamExt, stream};
 use switchfold_soak::{
     cluster::ClusterConfig,
+    measure::{SCENARIO_HEADER, Scenario, measure_silence},
     plan::ClusterSize,
     replica::{ReplicaArguments, run_replica},
     run::{SoakReport, run_seed},
@@ -39,6 +40,9 @@
 enum SoakCommand {
     /// Runs seeds and reports violated guarantees.
     Run(RunArguments),
+    /// Measures how many callers are served, and in time, while sound replicas are silent for a second
+    /// or two. Writes a table.
+    Silence(RunArguments),
     /// Runs one stand-in replica. The soak starts these processes itself.
     Replica(ReplicaArguments),
 }
@@ -91,14 +95,15 @@
         Ok(text.lines().filter_map(parse_seed).collect())
     }
 
-    async fn run_one(&self, seed: u64, soak_program: &Path) -> io::Result<SoakReport> {
-        let folder = self.folder.join(format!("seed-{seed}"));
+    /// Returns the programs and the size of a cluster with an empty directory of this name.
+    fn cluster_config(&self, name: &str, soak_program: &Path) -> io::Result<ClusterConfig> {
+        let folder = self.folder.join(name);
         if folder.exists() {
             std::fs::remove_dir_all(&folder)?;
         }
         std::fs::create_dir_all(&folder)?;
         let default_relay = soak_program.with_file_name("switchfold-relay");
-        let config = ClusterConfig {
+        Ok(ClusterConfig {
             size: ClusterSize {
                 relays: self.relays,
                 engines: self.engines,
@@ -107,8 +112,13 @@
             },
             relay: self.relay.clone().unwrap_or(default_relay),
             replica: soak_program.to_owned(),
-            folder: folder.clone(),
-        };
+            folder,
+        })
+    }
+
+    async fn run_one(&self, seed: u64, soak_program: &Path) -> io::Result<SoakReport> {
+        let config = self.cluster_config(&format!("seed-{seed}"), soak_program)?;
+        let folder = config.folder.clone();
         let report = run_seed(seed, Duration::from_secs(self.seconds), config).await?;
         if !report.needs_logs() {
             std::fs::remove_dir_all(&folder)?;
@@ -117,12 +127,12 @@
     }
 }
 
-/// Runs all seeds, or fails on SIGTERM or SIGINT. Dropping the runs kills all their processes.
-async fn run_until_signal(arguments: RunArguments) -> io::Result<bool> {
+/// Completes a run, or fails on SIGTERM or SIGINT. Dropping the run kills all its processes.
+async fn stop_on_signal<T>(run: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
-        outcome = run(arguments) => outcome,
+        outcome = run => outcome,
         _ = term.recv() => Err(io::Error::other("stopped by SIGTERM")),
         _ = interrupt.recv() => Err(io::Error::other("interrupted")),
     }
@@ -154,6 +164,26 @@
     Ok(failed == 0)
 }
 
+/// Measures every scenario with every seed, and writes a line for each.
+async fn measure(arguments: RunArguments) -> io::Result<()> {
+    let soak_program = std::env::current_exe()?;
+    println!("{SCENARIO_HEADER}");
+    let length = Duration::from_secs(arguments.seconds);
+    let seeds = arguments.seeds()?;
+    let runs = Scenario::ALL.into_iter().flat_map(|scenario| {
+        let (arguments, soak_program) = (&arguments, &soak_program);
+        seeds.iter().map(move |seed| async move {
+            let config = arguments.cluster_config(&format!("silence-{seed}"), soak_program)?;
+            measure_silence(*seed, scenario, length, config).await
+        })
+    });
+    let mut results = stream::iter(runs).buffered(1);
+    while let Some(result) = results.next().await {
+        println!("{}", result?);
+    }
+    Ok(())
+}
+
 fn print_report(report: &SoakReport, folder: &Path) {
     let calls: usize = report.outcomes.values().sum();
     let (after, served) = report.after_faults;
@@ -177,7 +207,8 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let outcome = match SoakArguments::parse().verb {
-        SoakCommand::Run(arguments) => run_until_signal(arguments).await,
+        SoakCommand::Run(arguments) => stop_on_signal(run(arguments)).await,
+        SoakCommand::Silence(arguments) => stop_on_signal(measure(arguments)).await.map(|()| true),
         SoakCommand::Replica(arguments) => run_replica(arguments).await.map(|()| true),
     };
     match outcome {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 
 use crate::{
+    ends::check_ends,
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, DisruptionKind, Micros, RunHistory,
         RunRecord, SETTLE_TIME,
@@ -136,6 +137,13 @@
     /// [`MAX_CLASS_DEFICIT_PERCENT`].
     #[display("class-order")]
     ClassOrder,
+    /// A request that was read whole ends with an answer, a refusal, or a body that is aborted after
+    /// its replica broke off.
+    #[display("visible-end")]
+    VisibleEnd,
+    /// The silence of a sound replica ends no request before its caller's patience does.
+    #[display("silence")]
+    Silence,
     /// No process exits by itself, or keeps running when told to stop.
     #[display("process-end")]
     ProcessExit,
@@ -176,6 +184,7 @@
         violations.extend(check_kept_connection(history, call));
         violations.extend(check_valid_key(history, call));
     }
+    violations.extend(check_ends(history, &runs));
     violations.extend(check_attempts(history, &runs));
     violations.extend(check_unchanged_requests(history, organisation));
     violations.extend(check_keys(history, &runs));
@@ -317,13 +326,13 @@
     let calls = calls_by_id(history);
     let mut violations = Vec::new();
     for service in [true, false] {
-        let sent = history.calls.iter().filter(|call| is_stream(call.kind) == service);
+        // The route of the moved kind has two services, each with its own budget.
+        let counts = |kind: CallKind| is_stream(kind) == service && kind != CallKind::Moved;
+        let sent = history.calls.iter().filter(|call| counts(call.kind));
         let mut sent: Vec<Micros> = sent.map(|call| call.sent_at).collect();
         let mut runs: Vec<&RunRecord> =
             history.runs.iter().filter(|run| run.bad.is_none()).collect();
-        runs.retain(|run| {
-            calls.get(run.id.as_str()).is_some_and(|call| is_stream(call.kind) == service)
-        });
+        runs.retain(|run| calls.get(run.id.as_str()).is_some_and(|call| counts(call.kind)));
         runs.sort_by_key(|run| run.at);
         sent.sort_unstable();
         let mut seen = HashSet::new();
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -18,10 +18,7 @@
 use serde_json::json;
 use switchfold_kernel::clock::epoch_micros;
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
-use switchfold_platform_standin::{
-    StandinStore,
-    samples::{self, RouteSample},
-};
+use switchfold_platform_standin::StandinStore;
 use tokio::{
     io::{BufReader, Lines},
     process::ChildStdout,
@@ -31,10 +28,11 @@
 use crate::{
     caller::{CallerContext, CrashRequest, is_ready},
     checks::{RETRY_ALLOWANCE, RETRY_RATIO, RETRY_WINDOW, REVOKE_TIME},
+    config::{ANNEX, ConfigChange, ConfigState},
     plan::{ClusterSize, CrashTarget},
     process::SoakProcess,
     proxy::LinkProxy,
-    record::{CallKind, Disruption, DisruptionKind, RunHistory, RunRecord},
+    record::{CallKind, Disruption, DisruptionKind, Micros, RunHistory, RunRecord},
     replica::{
         CRASH_EXIT_CODE, CRASH_PART_PREFIX, CRASH_PREFIX, CRASH_SECOND_PREFIX, HEARTBEAT,
         LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
@@ -67,6 +65,10 @@
 /// Number of missed heartbeats after which a replica's entry expires.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 
+/// Number of replicas of the plain service that a route is moved to. They follow those of
+/// [`ClusterSize`], and get no other faults than silence.
+pub const ANNEX_COUNT: usize = 2;
+
 /// Programs, directory and size of a cluster.
 #[derive(Clone, Debug)]
 pub struct ClusterConfig {
@@ -118,10 +120,13 @@
     relays: Vec<RelaySlot>,
     replicas: Vec<ReplicaSlot>,
     keys: Mutex<KeySet>,
+    config_state: Mutex<ConfigState>,
     crash_requests: Mutex<Vec<CrashRequest>>,
     history: Mutex<RunHistory>,
     is_running: AtomicBool,
     is_supervised: AtomicBool,
+    /// Whether entries of replicas stay although no heartbeat comes.
+    keeps_entries: AtomicBool,
 }
 
 impl SoakCluster {
@@ -138,18 +143,25 @@
             relays.push(RelaySlot::new(&config.folder, number, store.address()).await?);
         }
         let mut replicas = Vec::new();
-        for number in 0..config.size.replicas() {
-            let is_engine = number < config.size.engines;
+        let replica_count = config.size.replicas();
+        for number in 0..replica_count + ANNEX_COUNT {
+            let service = match number {
+                number if number < config.size.engines => "engine",
+                number if number < replica_count => "desk",
+                _ => ANNEX,
+            };
             replicas.push(ReplicaSlot {
                 slot: Mutex::default(),
                 reused_id: Mutex::default(),
                 link: LinkProxy::start().await?,
                 is_listening: AtomicBool::default(),
-                service: if is_engine { "engine" } else { "desk" },
+                service,
                 data_centre: DATA_CENTRES[number % DATA_CENTRES.len()],
             });
         }
         let valid = (0..KEY_COUNT).map(|number| format!("key-{number}")).collect();
+        let addresses = replicas.iter().map(|replica| replica.link.address().to_string());
+        let history = RunHistory { addresses: addresses.collect(), ..RunHistory::default() };
         let keys = Mutex::new(KeySet { version: 0, valid, removed: Vec::new() });
         let cluster = Arc::new(Self {
             config,
@@ -157,10 +169,12 @@
             relays,
             replicas,
             keys,
+            config_state: Mutex::default(),
             crash_requests: Mutex::default(),
-            history: Mutex::default(),
+            history: Mutex::new(history),
             is_running: AtomicBool::new(true),
             is_supervised: AtomicBool::new(true),
+            keeps_entries: AtomicBool::default(),
         });
         cluster.write_config(1);
         tokio::spawn(cluster.clone().supervise());
@@ -186,7 +200,7 @@
     ///
     /// Panics if the cluster has fewer than two replicas of that service.
     pub fn lingering_desk(&self) -> usize {
-        let mut desks = self.config.size.engines..self.replicas.len();
+        let mut desks = self.config.size.engines..self.config.size.replicas();
         desks.find(|number| lingers_long(*number)).expect("one of two consecutive numbers is odd")
     }
 
@@ -298,11 +312,20 @@
         let mut keys = lock(&self.keys);
         keys.version += step;
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
-        let config = samples::config(keys.version, &routes(), &valid);
-        let config = CallKind::CLASSES.iter().zip(0..).fold(config, |config, (class, priority)| {
-            samples::with_priority(config, class.prefix(), priority)
-        });
-        self.store.put(CONFIG_KIND, CONFIG_NAME, config);
+        let state = lock(&self.config_state);
+        self.store.put(CONFIG_KIND, CONFIG_NAME, state.encode(keys.version, &valid));
+        self.history().idle_limits.push((epoch_micros(), state.idle_limit_ms() * 1_000));
+    }
+
+    /// Changes the configuration, and writes it.
+    pub fn change_config(&self, change: ConfigChange) {
+        lock(&self.config_state).change(change);
+        self.write_config(1);
+    }
+
+    /// Sets whether the entries of replicas without heartbeats stay.
+    pub fn keep_entries(&self, keep: bool) {
+        self.keeps_entries.store(keep, Ordering::Relaxed);
     }
 
     /// Removes the first valid key, unless only `MIN_KEY_COUNT` are left.
@@ -378,7 +401,9 @@
             for number in 0..self.relays.len() {
                 self.restart_relay_if_due(number);
             }
-            self.store.expire(REPLICA_KIND, HEARTBEAT * MAX_MISSED_HEARTBEATS);
+            if !self.keeps_entries.load(Ordering::Relaxed) {
+                self.store.expire(REPLICA_KIND, HEARTBEAT * MAX_MISSED_HEARTBEATS);
+            }
             if round.is_multiple_of(POLLS_PER_READY_CHECK) {
                 tokio::spawn(self.clone().check_readiness());
             }
@@ -497,6 +522,10 @@
         (number, self.relays[number].listen)
     }
 
+    fn idle_limit(&self) -> Micros {
+        self.history().idle_limit(epoch_micros())
+    }
+
     fn choose_key(&self, random: &mut ChaCha8Rng) -> String {
         const CALLS_PER_REMOVED_KEY: u32 = 5;
         let keys = lock(&self.keys);
@@ -574,25 +603,6 @@
         .map_err(|_| io::Error::other("found a different number of ports than requested"))
 }
 
-fn routes() -> Vec<RouteSample> {
-    let route = |kind: CallKind| RouteSample {
-        prefix: kind.prefix(),
-        kind: match kind {
-            CallKind::Safe => "idempotent",
-            CallKind::Once | CallKind::SlowOnce => "non_idempotent",
-            CallKind::Stream | CallKind::StreamOnce | CallKind::LongStream | CallKind::Class(_) => {
-                "streaming"
-            }
-        },
-        service: if kind.is_stream() { "model" } else { "desk" },
-        timeout_ms: 6_000,
-        max_attempts: 2,
-        resumable: kind.is_stream() && !kind.runs_once(),
-    };
-    let kinds = CallKind::ALL.into_iter().chain([CallKind::LongStream, CallKind::SlowOnce]);
-    kinds.chain(CallKind::CLASSES).map(route).collect()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no task panics while it holds the lock")
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,9 +11,12 @@
 //! | [`plan`] | the faults of a seed |
 //! | [`cluster`], [`process`], [`proxy`] | processes and links, and the faults injected into them; `slot` restarts processes |
 //! | [`replica`], [`notices`] | the stand-in replica as a program, and the notices in its response headers |
+//! | [`config`] | the configuration, and its changes |
+//! | [`silence`] | silence within the response to one request |
 //! | [`caller`] | callers |
-//! | [`record`], [`checks`] | what was recorded, and the guarantees it is checked against |
+//! | [`record`], [`checks`], [`ends`] | what was recorded, and the guarantees it is checked against |
 //! | [`run`] | one run of a seed |
+//! | [`measure`] | measures what silence costs callers |
 //!
 //! In contrast to the tests in virtual time, a run depends on how the system schedules its
 //! processes. A seed therefore determines the schedule of faults, but not the outcome. Logs of a
@@ -22,6 +25,9 @@
 pub mod caller;
 pub mod checks;
 pub mod cluster;
+pub mod config;
+pub mod ends;
+pub mod measure;
 pub mod notices;
 pub mod plan;
 pub mod process;
@@ -29,4 +35,5 @@
 pub mod record;
 pub mod replica;
 pub mod run;
+pub mod silence;
 mod slot;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -10,7 +10,10 @@
 
 use switchfold_platform::{CONFIG_KIND, QUARANTINE_KIND, RELAY_KIND, REPLICA_KIND};
 
-use crate::{proxy::LinkCondition, record::CallKind};
+use crate::{
+    cluster::ANNEX_COUNT, config::ConfigChange, proxy::LinkCondition, record::CallKind,
+    silence::SILENCE_MS,
+};
 
 /// Size of a cluster.
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +85,10 @@
     AnnounceLeaving(usize),
     /// A replica sends a request limit for a while.
     SetLimit(usize),
+    /// A sound replica is silent for a while (SIGSTOP), and resumes.
+    SilenceReplica(usize),
+    /// The operator changes the configuration.
+    ChangeConfig(ConfigChange),
 }
 
 /// Plans notices of replicas: some reject requests (one replica or several with consecutive
@@ -173,6 +180,110 @@
     planned
 }
 
+/// Range of the time between the beginnings of two silences, and between two changes of the
+/// configuration, in milliseconds.
+const SILENCE_GAP_MS: std::ops::Range<u64> = 300..1_500;
+const CHANGE_GAP_MS: std::ops::Range<u64> = 100..1_200;
+
+/// Range of the pause between two silences of the same replica, in milliseconds.
+const RESUME_MS: std::ops::Range<u64> = 50..400;
+
+/// Range of the time after which a stream whose replica is silent is resumed elsewhere, in
+/// milliseconds. The others fall silent then.
+const OTHERS_SILENT_MS: std::ops::Range<u64> = 1_200..1_700;
+
+/// Plans silences of sound replicas beside planned work: changes of the configuration, reloads, and
+/// a stop of a relay. Uses a random generator of its own.
+pub fn make_silence_plan(seed: u64, size: &ClusterSize, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(40) ^ SEED_SALT);
+    let length_ms = length.as_millis() as u64;
+    let mut plan = Vec::new();
+    let mut at = 0;
+    while at < length_ms {
+        plan_silences(&mut random, size, at, &mut plan);
+        at += random.random_range(SILENCE_GAP_MS);
+    }
+    at = 0;
+    while at < length_ms {
+        plan_changes(&mut random, size, at, &mut plan);
+        at += random.random_range(CHANGE_GAP_MS);
+    }
+    let stop = Fault::StopRelay(random.random_range(0..size.relays));
+    let at = Duration::from_millis(random.random_range(0..length_ms / 2));
+    plan.push(PlannedFault { at, duration: Duration::ZERO, fault: stop });
+    plan.sort_by_key(|planned| planned.at);
+    plan
+}
+
+fn plan_silences(
+    random: &mut ChaCha8Rng,
+    size: &ClusterSize,
+    at: u64,
+    plan: &mut Vec<PlannedFault>,
+) {
+    let replicas = size.replicas() + ANNEX_COUNT;
+    let services = [0..size.engines, size.engines..size.replicas(), size.replicas()..replicas];
+    let service = services[random.random_range(0..services.len())].clone();
+    let one = random.random_range(service.clone());
+    let mut silence = |number: usize, at: u64, random: &mut ChaCha8Rng| {
+        let duration = Duration::from_millis(random.random_range(SILENCE_MS));
+        let (at, fault) = (Duration::from_millis(at), Fault::SilenceReplica(number));
+        plan.push(PlannedFault { at, duration, fault });
+        duration.as_millis() as u64
+    };
+    match random.random_range(0..5) {
+        0 => {
+            silence(one, at, random);
+        }
+        1 => (one..service.end.min(one + 3)).for_each(|number| {
+            silence(number, at, random);
+        }),
+        2 => service.for_each(|number| {
+            silence(number, at, random);
+        }),
+        3 => {
+            let duration = silence(one, at, random);
+            let again_at = at + duration + random.random_range(RESUME_MS);
+            silence(one, again_at, random);
+        }
+        _ => {
+            silence(one, at, random);
+            let at = at + random.random_range(OTHERS_SILENT_MS);
+            service.filter(|number| *number != one).for_each(|number| {
+                silence(number, at, random);
+            });
+        }
+    }
+}
+
+fn plan_changes(
+    random: &mut ChaCha8Rng,
+    size: &ClusterSize,
+    at: u64,
+    plan: &mut Vec<PlannedFault>,
+) {
+    let change = |random: &mut ChaCha8Rng| {
+        Fault::ChangeConfig(ConfigChange::ALL[random.random_range(0..ConfigChange::ALL.len())])
+    };
+    let reload = Fault::ReloadRelay(random.random_range(0..size.relays));
+    let mut push = |at: u64, fault: Fault| {
+        plan.push(PlannedFault { at: Duration::from_millis(at), duration: Duration::ZERO, fault });
+    };
+    match random.random_range(0..8) {
+        0 => push(at, Fault::RemoveKey),
+        1 => push(at, reload),
+        2 => {
+            push(at, change(random));
+            push(at, reload);
+        }
+        3 => {
+            let storm = (0..random.random_range(4..9)).map(|number| at + number * 60);
+            storm.for_each(|at| push(at, change(random)));
+        }
+        _ => push(at, change(random)),
+    }
+}
+
 /// Salt of the seeds of [`make_notice_faults`], [`make_limit_faults`], [`make_restore_faults`] and
 /// [`make_start_faults`].
 const SEED_SALT: u64 = 0x6e6f_7469_6365_7321;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,6 +3,8 @@
 //! Times are in microseconds since the Unix epoch. All processes of a soak run on one machine and
 //! share its clock.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Microseconds since the Unix epoch, or a time span in microseconds.
@@ -23,6 +25,8 @@
     LongStream,
     /// Not idempotent, and takes seconds.
     SlowOnce,
+    /// Idempotent; its route is moved between two services, and split.
+    Moved,
     /// A stream of a class, that may be resumed. Classes compete for the same engines; 0 is the most
     /// urgent.
     Class(u8),
@@ -38,6 +42,17 @@
     /// The kinds of callers that send the next request the moment a long stream ends.
     pub const REUSING: [Self; 2] = [Self::LongStream, Self::Safe];
 
+    /// The kinds of callers while sound replicas are silent.
+    pub const SILENCE: [Self; 7] = [
+        Self::Safe,
+        Self::Moved,
+        Self::Once,
+        Self::Stream,
+        Self::StreamOnce,
+        Self::LongStream,
+        Self::Class(1),
+    ];
+
     /// The classes, the most urgent first.
     pub const CLASSES: [Self; CLASS_PREFIXES.len()] =
         [Self::Class(0), Self::Class(1), Self::Class(2)];
@@ -55,6 +70,7 @@
             Self::StreamOnce => "/stream-once/",
             Self::LongStream => "/long-stream/",
             Self::SlowOnce => "/slow-once/",
+            Self::Moved => "/moved/",
             Self::Class(number) => CLASS_PREFIXES[usize::from(number)],
         }
     }
@@ -77,10 +93,28 @@
     NotConnected,
     /// The connection was closed without a response, or the call timed out.
     NoResponse,
+    /// The caller left, since no event of a stream had come for [`PATIENCE`].
+    Left,
     /// A response arrived, completely or in part.
     Responded(CallResponse),
 }
 
+/// Time without an event after which a patient caller leaves a stream.
+pub const PATIENCE: Duration = Duration::from_secs(2);
+
+/// When the parts of a call were sent and received.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CallTiming {
+    /// Time from the sending of the request's first byte to that of its last one.
+    pub sending: Micros,
+    /// Time from the sending of the request to the first event, or to the whole response.
+    pub first_event: Option<Micros>,
+    /// Longest pause between two parts of the response.
+    pub longest_pause: Micros,
+    /// Duration of the silence within the response that the caller asked the replica for.
+    pub silence: Option<Micros>,
+}
+
 /// The received part of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallResponse {
@@ -113,6 +147,8 @@
     pub outcome: CallOutcome,
     /// Time for which its connection had been idle; `None` if the connection was new.
     pub reused_after: Option<Micros>,
+    /// Times within the call.
+    pub timing: CallTiming,
 }
 
 impl CallRecord {
@@ -135,6 +171,10 @@
     pub intact: bool,
     /// Organisation that the relay forwarded it for.
     pub organisation: String,
+    /// Path of replicas that the relay sent it over, as in the header `Path`; empty at plain
+    /// services.
+    #[serde(default)]
+    pub path: String,
     /// Time of arrival.
     pub at: Micros,
     /// Name of the request, if it crashed the replica.
@@ -168,6 +208,8 @@
     LinkFault(usize),
     /// Pause of a replica, by number. Recorded in addition to another kind.
     ReplicaPause(usize),
+    /// Silence of a sound replica, by number.
+    ReplicaSilence(usize),
     /// Fault of the store.
     StoreFault,
     /// Any other fault.
@@ -216,6 +258,12 @@
     pub leaving: Vec<(String, Micros)>,
     /// Faults and planned work.
     pub disruptions: Vec<Disruption>,
+    /// Time span in which sound replicas fall silent, and no faults are injected.
+    pub silence_span: Option<(Micros, Micros)>,
+    /// Addresses of the replicas, by number.
+    pub addresses: Vec<String>,
+    /// Idle limits of callers' connections in microseconds, with the time of their writing.
+    pub idle_limits: Vec<(Micros, Micros)>,
     /// Processes that exited unexpectedly, or did not exit after a signal to stop.
     pub unexpected_exits: Vec<String>,
     /// Resident memory of each relay at the end, in KB.
@@ -271,10 +319,37 @@
     /// by a fault of the link or a pause arrive all at once after it, so that [`SETTLE_TIME`]
     /// before the time span is included.
     pub fn had_no_delays(&self, replica: usize, from: Micros, to: Micros) -> bool {
-        let delaying = [DisruptionKind::LinkFault(replica), DisruptionKind::ReplicaPause(replica)];
+        let delaying = [
+            DisruptionKind::LinkFault(replica),
+            DisruptionKind::ReplicaPause(replica),
+            DisruptionKind::ReplicaSilence(replica),
+        ];
         !self.any_between(from.saturating_sub(SETTLE_TIME), to, |kind| delaying.contains(&kind))
     }
 
+    /// The lowest idle limit of callers' connections that was in force in [`SETTLE_TIME`] before a
+    /// time.
+    pub fn idle_limit(&self, at: Micros) -> Micros {
+        self.idle_limit_between(at, at)
+    }
+
+    /// The lowest idle limit that was in force in a time span or in [`SETTLE_TIME`] before it.
+    pub fn idle_limit_between(&self, from: Micros, to: Micros) -> Micros {
+        let from = from.saturating_sub(SETTLE_TIME);
+        let written = self.idle_limits.iter().filter(|(at, _)| *at <= to);
+        let last_before = written.clone().rev().find(|(at, _)| *at <= from);
+        let in_force = written.filter(|(at, _)| *at > from).chain(last_before);
+        in_force.map(|(_, limit)| *limit).min().unwrap_or_default()
+    }
+
+    /// Whether a time span belongs to the one in which sound replicas fall silent, and all replicas,
+    /// links and relays were sound in it and for [`SETTLE_TIME`] before it.
+    pub fn all_were_sound(&self, from: Micros, to: Micros) -> bool {
+        let is_silence = |kind| matches!(kind, DisruptionKind::ReplicaSilence(_));
+        self.silence_span.is_some_and(|(begin, end)| begin <= from && to <= end)
+            && !self.any_near(from, to, |kind| kind.is_fault() && !is_silence(kind))
+    }
+
     fn any_between(
         &self,
         from: Micros,
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -17,7 +17,7 @@
 use switchfold_platform::{
     REPLICA_KIND,
     engine::{ORDER_PATH, REPORT_PATH},
-    headers::{ATTEMPT_ID, ORGANISATION, PRIORITY, PROMPT_PARTS},
+    headers::{ATTEMPT_ID, ORGANISATION, PATH, PRIORITY, PROMPT_PARTS},
     objects::ObjectStore,
 };
 use switchfold_platform_standin::{
@@ -34,8 +34,10 @@
 
 use crate::{
     checks::{EVENT_COUNT, response_body},
+    config::ANNEX,
     notices::ReplicaNotices,
     record::{CallKind, RunRecord},
+    silence::RequestedSilence,
 };
 
 /// Interval between two writes of the replica's entry to the store.
@@ -74,6 +76,8 @@
 pub enum ServiceKind {
     /// The plain (non-streaming) service.
     Desk,
+    /// The plain service that a route is moved to.
+    Annex,
     /// The model's service, with streams.
     Engine,
 }
@@ -119,7 +123,7 @@
     let start_millis = epoch_millis();
     let engine = StandinEngine::started_at(start_millis);
     let replica = match arguments.service {
-        ServiceKind::Desk => start_desk(&arguments, notices).await?,
+        ServiceKind::Desk | ServiceKind::Annex => start_desk(&arguments, notices).await?,
         ServiceKind::Engine => start_engine(&arguments, engine.clone(), notices).await?,
     };
     println!("{LISTENING_PREFIX}{}", replica.address());
@@ -168,10 +172,15 @@
     start_millis: u64,
     is_leaving: bool,
 ) -> Value {
-    let entry = match arguments.service {
-        ServiceKind::Desk => started_at(desk_entry(arguments.advertise), start_millis),
+    let mut entry = match arguments.service {
+        ServiceKind::Desk | ServiceKind::Annex => {
+            started_at(desk_entry(arguments.advertise), start_millis)
+        }
         ServiceKind::Engine => engine.entry(arguments.advertise),
     };
+    if arguments.service == ServiceKind::Annex {
+        entry["service"] = ANNEX.into();
+    }
     let entry = in_data_centre(entry, &arguments.data_centre);
     if is_leaving { draining(entry) } else { entry }
 }
@@ -255,10 +264,13 @@
         let fails =
             request_id.bytes().map(usize::from).sum::<usize>().is_multiple_of(REQUESTS_PER_FAILURE);
         let status = if fails { 500 } else { 200 };
-        match notices.add_headers(signed_response(request, status, &response_body(request_id))) {
+        let reply =
+            notices.add_headers(signed_response(request, status, &response_body(request_id)));
+        let reply = match reply {
             Reply::Bytes(bytes) => Reply::BytesLater(processing_time(request), bytes),
             other => other,
-        }
+        };
+        make_silent(request, reply)
     })
     .await
 }
@@ -357,12 +369,21 @@
             Reply::Stream { head, pause, owner, gate, .. } if bad.is_some() => {
                 Reply::Stream { head, ids: 0..0, pause, end: StreamEnd::Silence, owner, gate }
             }
+            stream @ Reply::Stream { .. } => make_silent(request, stream),
             other => other,
         }
     })
     .await
 }
 
+/// Adds the silence that the caller asked for to a reply.
+fn make_silent(request: &ReceivedRequest, reply: Reply) -> Reply {
+    match RequestedSilence::of_request(request) {
+        Some(silence) => silence.apply(reply),
+        None => reply,
+    }
+}
+
 fn attempt_id(request: &ReceivedRequest) -> &str {
     request.header(ATTEMPT_ID.as_str()).unwrap_or_default()
 }
@@ -425,6 +446,7 @@
         ran,
         intact: same_path && same_body && request.method == "POST",
         organisation: organisation(request),
+        path: request.header(PATH.as_str()).unwrap_or_default().to_owned(),
         at: epoch_micros(),
         bad,
         asked: wait_ms,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,13 +14,14 @@
 };
 
 use crate::{
-    caller::{run_caller, run_crash_caller},
+    caller::{run_caller, run_crash_caller, run_patient_caller},
     checks::{Violation, check},
     cluster::{ClusterConfig, GRACE_PERIOD_S, SoakCluster},
     notices::{LIMIT_DURATION, REJECT_DURATION},
     plan::{
-        Fault, PlannedFault, STORE_OUTAGE_AFTER_FREEZE, make_crash_faults, make_limit_faults,
-        make_notice_faults, make_plan, make_restore_faults, make_start_faults,
+        ClusterSize, Fault, PlannedFault, STORE_OUTAGE_AFTER_FREEZE, make_crash_faults,
+        make_limit_faults, make_notice_faults, make_plan, make_restore_faults, make_silence_plan,
+        make_start_faults,
     },
     proxy::LinkCondition,
     record::{CallKind, CallOutcome, CallRecord, DisruptionKind},
@@ -42,6 +43,15 @@
 /// Callers that send the next request the moment a long stream ends.
 const REUSING_CALLERS: u64 = 4;
 
+/// Time in which sound replicas fall silent and resume.
+const SILENCE_TIME: Duration = Duration::from_secs(10);
+
+/// Callers for each relay in that time.
+const PATIENT_CALLERS_PER_RELAY: u64 = 8;
+
+/// Time after that in which callers keep calling, so that the last silences end requests as well.
+const MAX_CALL_TIME: Duration = Duration::from_secs(2);
+
 /// Callers of slow requests while most relays stop.
 const SLOW_CALLERS: u64 = 24;
 
@@ -130,6 +140,7 @@
     let crash_calls = crash_caller.await.map_err(io::Error::other)?;
     let mut class_calls = join_callers(class_callers).await?;
     class_calls.extend(join_callers(reusing_callers).await?);
+    class_calls.extend(silence_replicas(&cluster, seed, &size).await?);
     class_calls.extend(stop_most_relays(&cluster, seed).await?);
     class_calls.extend(overload(&cluster, seed, size.engines).await?);
     cluster.shut_down().await;
@@ -168,6 +179,30 @@
     Ok(calls)
 }
 
+/// Silences sound replicas beside planned work, while patient callers call.
+async fn silence_replicas(
+    cluster: &Arc<SoakCluster>,
+    seed: u64,
+    size: &ClusterSize,
+) -> io::Result<Vec<CallRecord>> {
+    cluster.allow_callers();
+    cluster.keep_entries(true);
+    let begun_at = epoch_micros();
+    let callers = (0..PATIENT_CALLERS_PER_RELAY * size.relays as u64).map(|number| {
+        let random = ChaCha8Rng::seed_from_u64(seed.rotate_left(20) ^ number);
+        let name = format!("s{seed}p{number}");
+        tokio::spawn(run_patient_caller(name, &CallKind::SILENCE, true, cluster.clone(), random))
+    });
+    let callers = callers.collect();
+    inject(cluster, &make_silence_plan(seed, size, SILENCE_TIME), SILENCE_TIME).await;
+    sleep(MAX_CALL_TIME).await;
+    cluster.stop_callers();
+    cluster.keep_entries(false);
+    let calls = join_callers(callers).await?;
+    cluster.history().silence_span = Some((begun_at, epoch_micros()));
+    Ok(calls)
+}
+
 /// Stops all relays but one while callers make slow requests. The load balancer uses all relays
 /// then, so requests arrive at the stopping ones until they exit.
 async fn stop_most_relays(cluster: &Arc<SoakCluster>, seed: u64) -> io::Result<Vec<CallRecord>> {
@@ -256,11 +291,13 @@
         CallKind::StreamOnce => "stream-once".to_owned(),
         CallKind::LongStream => "long-stream".to_owned(),
         CallKind::SlowOnce => "slow-once".to_owned(),
+        CallKind::Moved => "moved".to_owned(),
         CallKind::Class(number) => format!("class-{number}"),
     };
     match &call.outcome {
         CallOutcome::NotConnected => format!("{kind} not connected"),
         CallOutcome::NoResponse => format!("{kind} no answer"),
+        CallOutcome::Left => format!("{kind} left"),
         CallOutcome::Responded(response) if response.complete => {
             format!("{kind} {}", response.status)
         }
@@ -329,6 +366,11 @@
             sleep(duration).await;
             cluster.signal_replica(number, Signal::SIGCONT);
         }
+        Fault::SilenceReplica(number) => silence_replica(&cluster, number, duration).await,
+        Fault::ChangeConfig(change) => {
+            cluster.record_disruption(DisruptionKind::PlannedWork, duration);
+            cluster.change_config(change);
+        }
         Fault::DrainReplica(number) => {
             cluster.record_disruption(DisruptionKind::PlannedWork, duration);
             cluster.drain_replica(number);
@@ -390,6 +432,14 @@
     }
 }
 
+/// Pauses a sound replica for a second or two.
+pub(crate) async fn silence_replica(cluster: &SoakCluster, number: usize, duration: Duration) {
+    cluster.record_disruption(DisruptionKind::ReplicaSilence(number), duration);
+    cluster.signal_replica(number, Signal::SIGSTOP);
+    sleep(duration).await;
+    cluster.signal_replica(number, Signal::SIGCONT);
+}
+
 /// Freezes a relay for longer than the bound on removed keys, removes a key meanwhile, and cuts its
 /// link to the store for [`STORE_OUTAGE_AFTER_FREEZE`] after that. The relay must detect by its own
 /// clocks that its configuration is too old.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -6,8 +6,8 @@
         response_body,
     },
     record::{
-        CallKind, CallOutcome, CallRecord, CallResponse, Disruption, DisruptionKind, RunHistory,
-        RunRecord, SETTLE_TIME,
+        CallKind, CallOutcome, CallRecord, CallResponse, CallTiming, Disruption, DisruptionKind,
+        RunHistory, RunRecord, SETTLE_TIME,
     },
 };
 
@@ -27,6 +27,7 @@
         ended_at: 1_500_000,
         outcome,
         reused_after: None,
+        timing: CallTiming::default(),
     }
 }
 
@@ -37,6 +38,7 @@
         ran: true,
         intact: true,
         organisation: ORGANISATION.to_owned(),
+        path: String::new(),
         at: 1_100_000,
         bad: None,
         asked: None,
@@ -515,3 +517,93 @@
     // The requests of the window before count as well.
     assert_eq!(violated(40, 29_000_000), []);
 }
+
+/// History of a call while sound replicas fall silent: replica 1 does so for 1.5 s from its start.
+fn silent_history(call: CallRecord, runs: Vec<RunRecord>) -> RunHistory {
+    let silence =
+        Disruption { kind: DisruptionKind::ReplicaSilence(1), from: 1_000_000, to: 2_500_000 };
+    RunHistory {
+        silence_span: Some((0, 60_000_000)),
+        idle_limits: vec![(0, 15_000_000)],
+        disruptions: vec![silence],
+        ..history(call, runs)
+    }
+}
+
+#[test]
+fn requests_without_a_visible_end_are_reported() {
+    let aborted = response(200, true, false, &stream("a", 0..3));
+    let ran = || vec![run("a", "i-1-0")];
+    for (outcome, runs, is_reported) in [
+        (CallOutcome::NoResponse, ran(), true),
+        (CallOutcome::NoResponse, vec![], false),
+        (CallOutcome::NotConnected, vec![], false),
+        (aborted.clone(), ran(), true),
+        (response(200, true, true, &stream("a", 0..EVENT_COUNT)), ran(), false),
+        (response(503, false, true, ""), vec![], false),
+    ] {
+        let call = call("a", CallKind::Stream, outcome.clone());
+        let history = silent_history(call, runs);
+        let expected = if is_reported { vec![Guarantee::VisibleEnd] } else { vec![] };
+        assert_eq!(violated_guarantees(&history), expected, "{outcome:?}");
+    }
+    let cut = || silent_history(call("a", CallKind::Stream, aborted.clone()), ran());
+    for (kind, excuses) in [
+        (DisruptionKind::Fault, true),
+        (DisruptionKind::LinkFault(3), true),
+        (DisruptionKind::PlannedWork, false),
+        (DisruptionKind::PlannedStop(0), false),
+        (DisruptionKind::ReplicaSilence(3), false),
+    ] {
+        let mut history = cut();
+        history.disruptions.push(Disruption { kind, from: 1_200_000, to: 2_000_000 });
+        let is_reported = violated_guarantees(&history).contains(&Guarantee::VisibleEnd);
+        assert_eq!(is_reported, !excuses, "{kind:?}");
+    }
+    let outside = RunHistory { silence_span: None, ..cut() };
+    assert_eq!(violated_guarantees(&outside), []);
+}
+
+/// A request whose last part arrives late, on a connection that had rested within its limit, was
+/// closed without an answer.
+#[test]
+fn requests_closed_between_their_parts_are_reported() {
+    for (reused_after, is_reported) in [(12_000_000, true), (12_500_000, false)] {
+        let timing = CallTiming { sending: 700_000, ..CallTiming::default() };
+        let rested = CallRecord {
+            reused_after: Some(reused_after),
+            timing,
+            sent_at: 20_000_000,
+            ended_at: 20_500_000,
+            ..call("a", CallKind::Safe, CallOutcome::NoResponse)
+        };
+        let is_found = !violated_guarantees(&silent_history(rested, vec![])).is_empty();
+        assert_eq!(is_found, is_reported, "{reused_after}");
+    }
+}
+
+#[test]
+fn requests_ended_by_silence_are_reported() {
+    let refused = |status| response(status, false, true, "");
+    for (outcome, replica, is_reported) in [
+        (CallOutcome::Left, "i-1-0", true),
+        (CallOutcome::Left, "i-2-0", false),
+        (refused(502), "i-1-0", true),
+        (refused(504), "i-1-0", true),
+        (refused(502), "i-2-0", false),
+    ] {
+        let call = call("a", CallKind::Stream, outcome.clone());
+        let history = silent_history(call, vec![run("a", replica)]);
+        let expected = if is_reported { vec![Guarantee::Silence] } else { vec![] };
+        assert_eq!(violated_guarantees(&history), expected, "{outcome:?} at {replica}");
+    }
+    // Two silences may follow each other.
+    let mut history =
+        silent_history(call("a", CallKind::Stream, CallOutcome::Left), vec![run("a", "i-1-0")]);
+    history.disruptions.push(Disruption {
+        kind: DisruptionKind::ReplicaSilence(1),
+        from: 1_400_000,
+        to: 2_000_000,
+    });
+    assert_eq!(violated_guarantees(&history), []);
+}
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::HashSet, mem::discriminant, time::Duration};
 
-use switchfold_soak::plan::{ClusterSize, make_plan};
+use switchfold_soak::{
+    cluster::ANNEX_COUNT,
+    config::ConfigChange,
+    plan::{ClusterSize, Fault, make_plan, make_silence_plan},
+};
 
 const SIZE: ClusterSize = ClusterSize { relays: 4, engines: 8, desks: 3, callers: 16 };
 
@@ -32,3 +36,21 @@
     let kinds: HashSet<_> = plans.map(|planned| discriminant(&planned.fault)).collect();
     assert_eq!(kinds.len(), 15);
 }
+
+#[test]
+fn every_change_and_silence_is_planned() {
+    let plans: Vec<_> = (0..50).map(|seed| make_silence_plan(seed, &SIZE, LENGTH)).collect();
+    let planned = || plans.iter().flatten();
+    for change in ConfigChange::ALL {
+        assert!(
+            planned().any(|planned| planned.fault == Fault::ChangeConfig(change)),
+            "{change:?}"
+        );
+    }
+    for number in 0..SIZE.replicas() + ANNEX_COUNT {
+        let silence = Fault::SilenceReplica(number);
+        assert!(planned().any(|planned| planned.fault == silence), "replica {number}");
+    }
+    let kinds: HashSet<_> = planned().map(|planned| discriminant(&planned.fault)).collect();
+    assert_eq!(kinds.len(), 5);
+}
