Soak: an aborted body is excused by a replica that broke off, not by two silences

An engine of the stand-in cuts a stream that another engine of its path stalled for two seconds. It now reports the request, so that the check excuses exactly these bodies. Before, any stream that met two silences was excused.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -34,8 +34,8 @@
     proxy::LinkProxy,
     record::{CallKind, Disruption, DisruptionKind, Micros, RunHistory, RunRecord},
     replica::{
-        CRASH_EXIT_CODE, CRASH_PART_PREFIX, CRASH_PREFIX, CRASH_SECOND_PREFIX, HEARTBEAT,
-        LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
+        CRASH_EXIT_CODE, CRASH_PART_PREFIX, CRASH_PREFIX, CRASH_SECOND_PREFIX, CUT_PREFIX,
+        HEARTBEAT, LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
     },
     slot::ProcessSlot,
 };
@@ -492,6 +492,8 @@
             } else if let Some(at) = line.strip_prefix(LEAVING_PREFIX) {
                 let at = at.parse().unwrap_or_else(|_| epoch_micros());
                 self.history().leaving.push((id.clone(), at));
+            } else if let Some(id) = line.strip_prefix(CUT_PREFIX) {
+                self.history().cuts.insert(id.to_owned());
             } else if let Ok(record) = serde_json::from_str::<RunRecord>(&line) {
                 if record.bad.is_some() {
                     self.record_disruption(DisruptionKind::ReplicaCrash, CRASH_RECOVERY_TIME);
--- a/crates/soak/src/ends.rs
+++ b/crates/soak/src/ends.rs
@@ -97,11 +97,10 @@
             (was_sent_on || is_late || is_within_limits).then_some(())?;
             report("got no response")
         }
-        CallOutcome::Responded(response) if !response.complete => {
-            // A path over a replica that is silent at the same time as another one may be cut by
-            // its first engine.
-            let is_cut = call.kind.is_stream() && silences(history, call, runs).len() > 1;
-            if is_cut { None } else { report("was aborted") }
+        CallOutcome::Responded(response)
+            if !response.complete && !history.cuts.contains(&call.id) =>
+        {
+            report("was aborted")
         }
         _ => None,
     }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,7 +3,7 @@
 //! Times are in microseconds since the Unix epoch. All processes of a soak run on one machine and
 //! share its clock.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -260,6 +260,8 @@
     pub disruptions: Vec<Disruption>,
     /// Time span in which sound replicas fall silent, and no faults are injected.
     pub silence_span: Option<(Micros, Micros)>,
+    /// Ids of the requests whose stream a replica cut, since another one of its path stalled it.
+    pub cuts: HashSet<String>,
     /// Addresses of the replicas, by number.
     pub addresses: Vec<String>,
     /// Idle limits of callers' connections in microseconds, with the time of their writing.
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -134,6 +134,7 @@
     let mut is_leaving = false;
     let linger = Duration::from_millis(arguments.linger_ms);
     while left_at.is_none_or(|left_at| left_at.elapsed() < linger) {
+        engine.take_cuts().iter().for_each(|id| println!("{CUT_PREFIX}{id}"));
         if left_at.is_some_and(|left_at| left_at.elapsed() > KEEP_ENTRY_AFTER_LEAVING) {
             sleep(HEARTBEAT).await;
             continue;
@@ -185,6 +186,10 @@
     if is_leaving { draining(entry) } else { entry }
 }
 
+/// Prefix of the line that a replica writes when it has cut a stream that another replica of its path
+/// stalled: the id of the request follows.
+pub const CUT_PREFIX: &str = "cuts ";
+
 /// Exit code of a replica that a request crashed.
 pub const CRASH_EXIT_CODE: i32 = 86;
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -560,6 +560,9 @@
         let is_reported = violated_guarantees(&history).contains(&Guarantee::VisibleEnd);
         assert_eq!(is_reported, !excuses, "{kind:?}");
     }
+    let mut broken_off = cut();
+    broken_off.cuts.insert("a".to_owned());
+    assert_eq!(violated_guarantees(&broken_off), []);
     let outside = RunHistory { silence_span: None, ..cut() };
     assert_eq!(violated_guarantees(&outside), []);
 }
