--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,7 +13,7 @@
 //! | [`replica`], [`notices`] | the stand-in replica as a program, and the notices in its response headers |
 //! | [`config`] | the configuration, and its changes |
 //! | [`silence`] | silence within the response to one request |
-//! | [`caller`] | callers |
+//! | [`caller`], [`patient`] | callers; `pausing` sends their requests in parts |
 //! | [`record`], [`checks`], [`ends`] | what was recorded, and the guarantees it is checked against |
 //! | [`run`] | one run of a seed |
 //! | [`measure`] | measures what silence costs callers |
@@ -29,6 +29,8 @@
 pub mod ends;
 pub mod measure;
 pub mod notices;
+pub mod patient;
+mod pausing;
 pub mod plan;
 pub mod process;
 pub mod proxy;
--- a/crates/soak/src/measure.rs
+++ b/crates/soak/src/measure.rs
@@ -7,9 +7,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
-    caller::run_patient_caller,
     cluster::{ClusterConfig, SoakCluster},
     ends::is_in_time,
+    patient::run_patient_caller,
     plan::ClusterSize,
     record::{CallKind, CallOutcome, CallRecord},
     run::silence_replica,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,10 +14,11 @@
 };
 
 use crate::{
-    caller::{run_caller, run_crash_caller, run_patient_caller},
+    caller::{run_caller, run_crash_caller},
     checks::{Violation, check},
     cluster::{ClusterConfig, GRACE_PERIOD_S, SoakCluster},
     notices::{LIMIT_DURATION, REJECT_DURATION},
+    patient::run_patient_caller,
     plan::{
         ClusterSize, Fault, PlannedFault, STORE_OUTAGE_AFTER_FREEZE, make_crash_faults,
         make_limit_faults, make_notice_faults, make_plan, make_restore_faults, make_silence_plan,
