--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -173,11 +173,11 @@
     let runs = Scenario::ALL.into_iter().flat_map(|scenario| {
         let (arguments, soak_program) = (&arguments, &soak_program);
         seeds.iter().map(move |seed| async move {
-            let config = arguments.cluster_config(&format!("silence-{seed}"), soak_program)?;
+            let config = arguments.cluster_config(&format!("{scenario}-{seed}"), soak_program)?;
             measure_silence(*seed, scenario, length, config).await
         })
     });
-    let mut results = stream::iter(runs).buffered(1);
+    let mut results = stream::iter(runs).buffered(arguments.jobs.max(1));
     while let Some(result) = results.next().await {
         println!("{}", result?);
     }
--- a/crates/soak/src/measure.rs
+++ b/crates/soak/src/measure.rs
@@ -81,9 +81,16 @@
     }
 }
 
+impl fmt::Display for Scenario {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let replicas = format!("{:?}", self.replicas).to_lowercase();
+        write!(formatter, "{replicas}-{}", self.silence.as_millis())
+    }
+}
+
 /// Header of the table of [`ScenarioResult`]s.
 pub const SCENARIO_HEADER: &str =
-    "silent   ms    seed   streams  served  in time  left   plain  served  in time  unserved";
+    "silent        seed   streams  served  in time  left   plain  served  in time  unserved";
 
 /// Counts of the calls of one kind of service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -120,9 +127,8 @@
         let percent = |part: usize, whole: usize| part as f64 * 100.0 / whole.max(1) as f64;
         write!(
             formatter,
-            "{:<6} {:>4} {seed:>7} {:>9} {:>6.1}% {:>7.1}% {:>5} {:>7} {:>6.1}% {:>7.1}% {:>9}",
-            format!("{:?}", scenario.replicas).to_lowercase(),
-            scenario.silence.as_millis(),
+            "{:<11} {seed:>6} {:>9} {:>6.1}% {:>7.1}% {:>5} {:>7} {:>6.1}% {:>7.1}% {:>9}",
+            scenario.to_string(),
             streams.calls,
             percent(streams.served, streams.calls),
             percent(streams.in_time, streams.calls),
