Soak: a request whose key is removed may end unknown beside silence

A retry with a removed key is not admitted, so that the relay answers 502 if the first attempt may have run.

--- a/crates/soak/src/ends.rs
+++ b/crates/soak/src/ends.rs
@@ -122,6 +122,12 @@
     call: &CallRecord,
     runs: &[&RunRecord],
 ) -> Option<Violation> {
+    // A request whose key is removed meanwhile is not sent again, so that its end may stay unknown.
+    let has_lost_key =
+        history.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at);
+    if has_lost_key {
+        return None;
+    }
     let silences = silences(history, call, runs);
     let [silence] = silences[..] else { return None };
     let is_short = silence + RESUME_TIME < PATIENCE.as_micros() as Micros;
