--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -22,12 +22,14 @@
 };
 
 use crate::{
-    record::{CallKind, CallOutcome, CallRecord, CallResponse, Micros},
+    pausing::{NextPause, PausingStream},
+    record::{CallKind, CallOutcome, CallRecord, CallResponse, CallTiming, Micros},
     replica::{CRASH_PART_PREFIX, request_body, request_path},
+    silence::{RequestedSilence, SILENCE},
 };
 
 /// Time limit of a call. It is longer than the timeout of any route.
-const CALL_TIMEOUT: Duration = Duration::from_secs(12);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Deadline sent with each request, in milliseconds.
 const DEADLINE_MS: &str = "8000";
@@ -39,16 +41,18 @@
 const THINK_TIME_MS: std::ops::Range<u64> = 2..60;
 
 /// Part of the prompt that all requests share.
-const SHARED_PART: &str = "c0de";
+pub(crate) const SHARED_PART: &str = "c0de";
 
 type RequestSender = SendRequest<Full<Bytes>>;
 
 /// A connection to a relay, with the relay's number.
-struct CallerConnection {
-    relay: usize,
-    sender: RequestSender,
+pub(crate) struct CallerConnection {
+    pub(crate) relay: usize,
+    pub(crate) sender: RequestSender,
     /// Time of the end of its last call; `None` on a new connection.
-    idle_since: Option<Micros>,
+    pub(crate) idle_since: Option<Micros>,
+    /// Sets the pause within the next request.
+    pub(crate) next_pause: NextPause,
 }
 
 /// A request that crashes the replicas that run it.
@@ -67,6 +71,8 @@
     fn choose_relay(&self, random: &mut ChaCha8Rng) -> (usize, SocketAddr);
     /// Returns a key, which may have been removed.
     fn choose_key(&self, random: &mut ChaCha8Rng) -> String;
+    /// Returns the idle limit of the configurations that may be in force.
+    fn idle_limit(&self) -> Micros;
     /// Returns a request that crashes replicas, or `None` while the run has none.
     fn choose_crash_request(&self, random: &mut ChaCha8Rng) -> Option<CrashRequest>;
     /// Whether callers keep calling.
@@ -111,10 +117,11 @@
             Ok(mut connection) => {
                 let body = request_body(&id);
                 let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
-                let spec = CallSpec { kind, id: &id, key: &key, name: &id, body, parts };
-                let outcome = call(&mut connection.sender, &spec).await;
+                let spec =
+                    CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
+                let outcome = call(&mut connection.sender, &spec, CALL_TIMEOUT).await;
                 let relay = connection.relay;
-                let (outcome, keep_alive) = outcome.unwrap_or((CallOutcome::NoResponse, false));
+                let CallEnd { outcome, keep_alive, .. } = outcome;
                 connection.idle_since = Some(epoch_micros());
                 idle = Some(connection).filter(|_| keep_alive);
                 (relay, outcome)
@@ -123,7 +130,18 @@
         reuses_at_once = kind == CallKind::LongStream && idle.is_some();
         let ended_at = epoch_micros();
         let reused_after = idle_since.map(|since| sent_at.saturating_sub(since));
-        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at, outcome, reused_after });
+        let timing = CallTiming::default();
+        calls.push(CallRecord {
+            id,
+            kind,
+            key,
+            relay,
+            sent_at,
+            ended_at,
+            outcome,
+            reused_after,
+            timing,
+        });
     }
     calls
 }
@@ -158,21 +176,36 @@
                     false => (&crash_name, crash_name.clone(), SHARED_PART),
                 };
                 let parts = format!("{SHARED_PART}:40,{part}:100,{sent_at:x}:30");
-                let spec = CallSpec { kind, id: &id, key: &key, name, body, parts };
-                let outcome = call(&mut connection.sender, &spec).await;
-                (connection.relay, outcome.map_or(CallOutcome::NoResponse, |(outcome, _)| outcome))
+                let spec = CallSpec { silence: None, kind, id: &id, key: &key, name, body, parts };
+                let end = call(&mut connection.sender, &spec, CALL_TIMEOUT).await;
+                (connection.relay, end.outcome)
             }
         };
         let ended_at = epoch_micros();
         let reused_after = None;
-        calls.push(CallRecord { id, kind, key, relay, sent_at, ended_at, outcome, reused_after });
+        let timing = CallTiming::default();
+        calls.push(CallRecord {
+            id,
+            kind,
+            key,
+            relay,
+            sent_at,
+            ended_at,
+            outcome,
+            reused_after,
+            timing,
+        });
     }
     calls
 }
 
-async fn connect((relay, address): (usize, SocketAddr)) -> Result<CallerConnection, usize> {
+pub(crate) async fn connect(
+    (relay, address): (usize, SocketAddr),
+) -> Result<CallerConnection, usize> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = stream else { return Err(relay) };
+    let next_pause = NextPause::default();
+    let stream = PausingStream::new(stream, next_pause.clone());
     let Ok((sender, driver)) = http1::handshake(TokioIo::new(stream)).await else {
         return Err(relay);
     };
@@ -180,25 +213,44 @@
         // A call on this connection gets the error as well.
         let _closed = driver.await;
     });
-    Ok(CallerConnection { relay, sender, idle_since: None })
+    Ok(CallerConnection { relay, sender, idle_since: None, next_pause })
 }
 
 /// A call to be made.
-struct CallSpec<'a> {
-    kind: CallKind,
-    id: &'a str,
-    key: &'a str,
+pub(crate) struct CallSpec<'a> {
+    pub(crate) silence: Option<RequestedSilence>,
+    pub(crate) kind: CallKind,
+    pub(crate) id: &'a str,
+    pub(crate) key: &'a str,
     /// Last part of the path.
-    name: &'a str,
-    body: String,
+    pub(crate) name: &'a str,
+    pub(crate) body: String,
     /// Parts of the prompt.
-    parts: String,
+    pub(crate) parts: String,
 }
 
-/// Makes one call. Returns its outcome and whether the connection can be reused, or `None` if the
-/// connection failed before the response's head or the call timed out.
-async fn call(sender: &mut RequestSender, spec: &CallSpec<'_>) -> Option<(CallOutcome, bool)> {
-    let CallSpec { kind, id, key, name, body, parts } = spec;
+/// How a call ended.
+pub(crate) struct CallEnd {
+    pub(crate) outcome: CallOutcome,
+    /// Whether the connection can be reused.
+    pub(crate) keep_alive: bool,
+    pub(crate) first_event_at: Option<Micros>,
+    pub(crate) longest_pause: Micros,
+}
+
+impl CallEnd {
+    pub(crate) fn without_response(outcome: CallOutcome) -> Self {
+        Self { outcome, keep_alive: false, first_event_at: None, longest_pause: 0 }
+    }
+}
+
+/// Makes one call, and leaves once nothing has come for `patience`.
+pub(crate) async fn call(
+    sender: &mut RequestSender,
+    spec: &CallSpec<'_>,
+    patience: Duration,
+) -> CallEnd {
+    let CallSpec { silence, kind, id, key, name, body, parts } = spec;
     let request = Request::post(request_path(kind.prefix(), name))
         .header(header::HOST, HOST)
         .header(ATTEMPT_ID, *id)
@@ -207,22 +259,55 @@
         .header(header::AUTHORIZATION, format!("Bearer {key}"))
         .body(Full::new(Bytes::from(body.clone())))
         .expect("request parts are valid");
+    let mut request = request;
+    if let Some(silence) = silence {
+        let value = silence.encode().parse().expect("a header value");
+        request.headers_mut().insert(SILENCE, value);
+    }
     let exchange = async {
-        sender.ready().await.ok()?;
-        let response = sender.send_request(request).await.ok()?;
-        Some(read_response(response).await)
+        let sending = async {
+            sender.ready().await.ok()?;
+            sender.send_request(request).await.ok()
+        };
+        match timeout(patience, sending).await {
+            Ok(Some(response)) => read_response(response, patience).await,
+            Ok(None) => CallEnd::without_response(CallOutcome::NoResponse),
+            Err(_) => CallEnd::without_response(leave_outcome(patience)),
+        }
     };
-    timeout(CALL_TIMEOUT, exchange).await.ok().flatten()
+    let ended = timeout(CALL_TIMEOUT, exchange).await;
+    ended.unwrap_or_else(|_| CallEnd::without_response(CallOutcome::NoResponse))
+}
+
+/// Outcome of a call whose caller left after `patience`.
+fn leave_outcome(patience: Duration) -> CallOutcome {
+    match patience < CALL_TIMEOUT {
+        true => CallOutcome::Left,
+        false => CallOutcome::NoResponse,
+    }
 }
 
-async fn read_response(response: http::Response<Incoming>) -> (CallOutcome, bool) {
+async fn read_response(response: http::Response<Incoming>, patience: Duration) -> CallEnd {
     let (parts, mut body) = response.into_parts();
     let closes = parts.headers.get(header::CONNECTION).is_some_and(|value| value == "close");
     let mut bytes = Vec::new();
+    let mut last_at = epoch_micros();
+    let (mut first_event_at, mut longest_pause) = (None, 0);
     let complete = loop {
-        match body.frame().await {
+        let Ok(frame) = timeout(patience, body.frame()).await else {
+            return CallEnd::without_response(leave_outcome(patience));
+        };
+        match frame {
             None => break true,
-            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Ok(frame)) => {
+                let now = epoch_micros();
+                if first_event_at.is_some() {
+                    longest_pause = longest_pause.max(now.saturating_sub(last_at));
+                }
+                first_event_at = first_event_at.or(Some(now));
+                last_at = now;
+                bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+            }
             Some(Err(_)) => break false,
         }
     };
@@ -232,7 +317,12 @@
         complete,
         body: String::from_utf8_lossy(&bytes).into_owned(),
     };
-    (CallOutcome::Responded(response), complete && !closes)
+    CallEnd {
+        outcome: CallOutcome::Responded(response),
+        keep_alive: complete && !closes,
+        first_event_at,
+        longest_pause,
+    }
 }
 
 /// Whether a relay reports itself ready within 500 ms.
