Entry: a silent stage does not count as a stalled one

Cause: an entry asks the stages of a request for their last output after each second without progress, and gives the request up after the fourth. That is meant for a message that was lost. A stage whose process gets no processor makes no progress either, but sends no heartbeat as well, and for that there is another rule: its agent counts as lost after its own timeout, and the stage is replaced. Where that timeout is longer than 4 s, the rule of stalls came first. An entry discounted its own pauses only. The class: silence taken for evidence of something else than silence.

Evidence: `a_paused_stage_does_not_count_as_stalled`, in virtual time.

Why this works: while an agent of the request's stages has been silent for 500 ms (busy agents send a heartbeat every 200 ms), the time is not counted as a stall. It is bounded by the timeout of agents. A stage that sends heartbeats and no output is asked and given up as before; the test plays that too.

--- a/crates/entry/src/dispatch/config.rs
+++ b/crates/entry/src/dispatch/config.rs
@@ -33,6 +33,9 @@
     pub idle_agent_timeout: Millis,
     /// Time between two ticks from which on this process counts as paused in between.
     pub pause_threshold: Millis,
+    /// Time without a message after which an agent that runs requests counts as silent. Completions
+    /// on its stage do not count as stalled then, since all its output is delayed.
+    pub silence_threshold: Millis,
     /// Time after which a service call without a response ends as unknown.
     pub call_timeout: Millis,
     /// Time that a request which must not be repeated waits for its lost agent to return.
@@ -61,6 +64,8 @@
             agent_timeout: 700,
             idle_agent_timeout: 3_500,
             pause_threshold: 200,
+            // Two heartbeats of a busy agent, and their delay.
+            silence_threshold: 500,
             call_timeout: 60_000,
             void_timeout: 1_000,
             replacement_timeout: 10_000,
--- a/crates/entry/src/dispatch/messages.rs
+++ b/crates/entry/src/dispatch/messages.rs
@@ -111,7 +111,7 @@
                 false => ObservationKind::BetweenTokens(elapsed),
             };
             actions.push(DispatchAction::Observe(Observation::new(&request.submission, kind)));
-            request.last_progress = now;
+            request.record_progress(now);
             if let Some(run) = request.run_mut() {
                 run.resend_requests = 0;
             }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -192,7 +192,12 @@
     /// Handles all timeouts: deadlines, silent agents and stalled requests. Should be called about
     /// every 50 ms.
     pub fn tick(&mut self, now: Millis) -> Vec<DispatchAction> {
-        self.discount_own_pause(now);
+        let last_tick = self.last_tick.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_sub(last_tick);
+        match elapsed >= self.config.pause_threshold {
+            true => self.discount_own_pause(now, elapsed),
+            false => self.discount_silent_stages(now, elapsed),
+        }
         let mut actions = self.expire_queued(now);
         actions.extend(self.expire_agents(now));
         self.update_ejections(now);
@@ -204,12 +209,7 @@
 
     /// Extends the timeouts of agents and requests if this process was paused: messages that
     /// arrived during the pause have not been handled yet, so agents only appear to be silent.
-    fn discount_own_pause(&mut self, now: Millis) {
-        let last = self.last_tick.replace(now).unwrap_or(now);
-        let paused = now.saturating_sub(last);
-        if paused < self.config.pause_threshold {
-            return;
-        }
+    fn discount_own_pause(&mut self, now: Millis, paused: Millis) {
         for view in self.replicas.values_mut() {
             view.last_message_at = (view.last_message_at + paused).min(now);
         }
@@ -218,6 +218,23 @@
         }
     }
 
+    /// Extends the stall timeouts of requests by `elapsed` if an agent of their stages is silent: its
+    /// process may be paused. It counts as lost after its own timeout, and its stage is replaced.
+    fn discount_silent_stages(&mut self, now: Millis, elapsed: Millis) {
+        let (replicas, threshold) = (&self.replicas, self.config.silence_threshold);
+        let is_silent = |process: &String| {
+            let view = replicas.get(process).filter(|view| view.connected);
+            view.is_some_and(|view| view.last_message_at + threshold < now)
+        };
+        for request in self.requests.values_mut() {
+            let is_call = request.submission.is_call();
+            let run = request.run().filter(|_| !is_call);
+            if run.is_some_and(|run| run.processes.iter().any(is_silent)) {
+                request.silent_time += elapsed;
+            }
+        }
+    }
+
     /// Ends the queued requests whose deadline has passed.
     fn expire_queued(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut expired = Vec::new();
--- a/crates/entry/src/dispatch/recovery.rs
+++ b/crates/entry/src/dispatch/recovery.rs
@@ -186,7 +186,7 @@
         };
         request.attempt += 1;
         let attempt = request.attempt;
-        request.last_progress = now;
+        request.record_progress(now);
         let Some(run) = request.run_mut() else {
             return Vec::new();
         };
@@ -207,7 +207,7 @@
             return Vec::new();
         };
         request.attempt += 1;
-        request.last_progress = now;
+        request.record_progress(now);
         if let Some(run) = request.run_mut() {
             run.resend_requests += 1;
         }
@@ -276,7 +276,8 @@
             return Vec::new();
         };
         let is_call = request.submission.is_call();
-        let is_stalled = request.last_progress + self.config.stall_timeout < now;
+        let is_stalled =
+            request.last_progress + request.silent_time + self.config.stall_timeout < now;
         let is_overdue = is_call && request.last_progress + self.config.call_timeout < now;
         match &request.phase {
             RequestPhase::Voiding(pending) if pending.deadline < now => {
--- a/crates/entry/src/dispatch/request.rs
+++ b/crates/entry/src/dispatch/request.rs
@@ -21,6 +21,8 @@
     pub(super) attempt: u32,
     /// Time of the last dispatch, delivery or recovery step.
     pub(super) last_progress: Millis,
+    /// Time since then during which an agent of its stages was silent.
+    pub(super) silent_time: Millis,
     /// Time that the caller should wait before a retry if the request ends as not run.
     pub(super) retry_after: Millis,
 }
@@ -81,10 +83,17 @@
             assembly: CompletionAssembly::new(limit),
             attempt: 0,
             last_progress: now,
+            silent_time: 0,
             retry_after: 0,
         }
     }
 
+    /// Records a dispatch, a delivery or a recovery step.
+    pub(super) fn record_progress(&mut self, now: Millis) {
+        self.last_progress = now;
+        self.silent_time = 0;
+    }
+
     pub(super) fn run(&self) -> Option<&RequestRun> {
         match &self.phase {
             RequestPhase::Running(run) => Some(run),
--- a/crates/entry/src/dispatch/scheduling.rs
+++ b/crates/entry/src/dispatch/scheduling.rs
@@ -184,7 +184,7 @@
             actions.push(DispatchAction::Observe(Observation::new(&request.submission, wait)));
         }
         request.attempt += 1;
-        request.last_progress = now;
+        request.record_progress(now);
         let mut pipeline = path.pipeline;
         if let Some(pipeline) = &mut pipeline {
             set_joined_attempt(pipeline, request.attempt);
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -425,6 +425,36 @@
     assert!(ended.is_some_and(|at| at < 5_000), "it did not end within 5 s: {ended:?}");
 }
 
+/// A stage whose whole process is paused was taken for one that lost a message, and its requests
+/// ended as unknown before its agent counted as lost.
+#[test]
+fn a_paused_stage_does_not_count_as_stalled() {
+    let models = vec![ModelConfig { name: MODEL.to_owned(), layers: 4 }];
+    let config = DispatchConfig::new("e", 1, models);
+    let mut state = DispatchState::new(DispatchConfig { agent_timeout: 5_500, ..config });
+    for (process, layers) in [("a1", (0, 2)), ("b1", (2, 4))] {
+        receive_offer(&mut state, 0, offer(process, Some(layers), 4));
+    }
+    let (id, _) = submit_dispatched(&mut state, 10, false);
+    for now in (50..=5_000).step_by(50) {
+        receive_offer(&mut state, now, offer("b1", Some((2, 4)), 4));
+        state.tick(now);
+        assert_eq!(state.outcome(id), Some(Outcome::Running), "at {now}");
+    }
+    assert_eq!(state.counts().resend_requests, 0);
+    // It goes on, but lost a message.
+    let mut ended = None;
+    for now in (5_050..=10_000).step_by(50) {
+        for (process, layers) in [("a1", (0, 2)), ("b1", (2, 4))] {
+            receive_offer(&mut state, now, offer(process, Some(layers), 4));
+        }
+        state.tick(now);
+        ended = ended.or((state.outcome(id) != Some(Outcome::Running)).then_some(now));
+    }
+    assert_eq!(state.counts().resend_requests, 3);
+    assert!(ended.is_some_and(|at| at < 9_500), "it did not end in time: {ended:?}");
+}
+
 #[test]
 fn calls_without_a_response_time_out() {
     let mut state = state();
