--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -26,6 +26,7 @@
     settings::{BoundSettings, OverloadControl, RelaySettings},
 };
 use tokio::{
+    io::AsyncWriteExt,
     net::TcpStream,
     task::{JoinHandle, LocalSet, spawn_local},
     time::{sleep, timeout},
@@ -261,6 +262,18 @@
         .expect("a request")
 }
 
+/// Sends a request with the sample key whose body of ten bytes does not arrive completely;
+/// `headers` are additional lines of its head, each with its end.
+pub(crate) async fn send_incomplete(address: SocketAddr, headers: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("the relay listens");
+    let head = format!(
+        "POST /once/a HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-attempt-id: part\r\n\
+         {headers}content-length: 10\r\n\r\nhalf",
+    );
+    stream.write_all(head.as_bytes()).await.expect("the relay reads");
+    stream
+}
+
 /// The response that a caller received.
 #[derive(Debug)]
 pub(crate) struct CallResult {
--- a/crates/relay/tests/shutdowns.rs
+++ b/crates/relay/tests/shutdowns.rs
@@ -15,16 +15,11 @@
     signed_response,
 };
 use switchfold_relay::settings::BoundSettings;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    task::spawn_local,
-    time::sleep,
-};
+use tokio::{io::AsyncReadExt, net::TcpStream, task::spawn_local, time::sleep};
 
 use harness::{
-    RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, respond_healthy, run_test, try_call,
-    wait_until,
+    RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, respond_healthy, run_test,
+    send_incomplete, try_call, wait_until,
 };
 
 /// Events of a stream that outlives the time after which idle connections are closed.
@@ -147,14 +142,7 @@
         let address = relay.address;
         let sent = spawn_local(try_call(address, request("/once/a", "sent")));
         wait_until(async || !replica.requests().is_empty()).await;
-        let mut partial = TcpStream::connect(address).await.expect("the relay listens");
-        let head = format!(
-            "POST /once/a HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {}\r\nx-attempt-id: part\r\n\
-             content-length: 10\r\n\r\nhalf",
-            samples::HOST,
-            samples::KEY,
-        );
-        partial.write_all(head.as_bytes()).await.expect("the relay reads");
+        let mut partial = send_incomplete(address, "").await;
         relay.shutdown.raise();
 
         let sent = sent.await.expect("no panic").expect("a response");
