Connections: a request that completes as its close is decided stays

After a late head the connection was read once more, and was closed even if that read completed the head and began its request. The wait also subscribed to each change of the connection, which woke its task again for every write of a response.

The connection is now closed only if the last read changed nothing. The changes are made as the connection is polled, by the same task and before the wait, so they are compared in place of a subscription.

Read in the code; no test draws the first case, since the read before the decision finds the same bytes on a single thread. `cargo test -p switchfold-kernel`: all pass.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -9,7 +9,7 @@
     error::Error,
     future::{Future, poll_fn},
     pin::{Pin, pin},
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -23,7 +23,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-    sync::watch,
     time::{Instant, sleep, timeout},
 };
 
@@ -93,7 +92,7 @@
 }
 
 /// What a connection is used for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct ConnectionUse {
     /// Whether a request is in progress.
     in_progress: bool,
@@ -122,45 +121,46 @@
         }
     }
 
-    /// Returns whether no request is in progress and no bytes of the next one have arrived.
-    fn is_unused(&self) -> bool {
-        !self.in_progress && self.is_flushed && self.head_since.is_none()
-    }
-
-    /// Records that bytes arrived. Returns whether that changed anything, as the other methods do.
+    /// Records that bytes arrived.
     ///
     /// Bytes that arrive during a request may be its body or the next head. A head among them is
     /// timed by the idle limit until more of it arrives.
-    fn record_arrival(&mut self) -> bool {
-        let begins_head = !self.in_progress && self.head_since.is_none();
-        if begins_head {
-            self.head_since = Some(Instant::now());
+    fn record_arrival(&mut self) {
+        if !self.in_progress {
+            self.head_since.get_or_insert_with(Instant::now);
         }
-        begins_head
     }
 
-    fn record_write(&mut self) -> bool {
-        std::mem::replace(&mut self.is_flushed, false)
-    }
-
-    fn record_flush(&mut self) -> bool {
-        let was_flushed = std::mem::replace(&mut self.is_flushed, true);
-        if !was_flushed {
+    fn record_flush(&mut self) {
+        if !std::mem::replace(&mut self.is_flushed, true) {
             self.rested_since = Instant::now();
         }
-        !was_flushed
+    }
+}
+
+/// Use of a connection, shared by the parts of the task that serves it.
+#[derive(Debug)]
+struct UseCell(Mutex<ConnectionUse>);
+
+impl UseCell {
+    fn get(&self) -> ConnectionUse {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn update(&self, change: impl FnOnce(&mut ConnectionUse)) {
+        change(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner));
     }
 }
 
 /// Marks a connection as in use until dropped.
 #[derive(Debug)]
 struct UseGuard {
-    uses: Arc<watch::Sender<ConnectionUse>>,
+    uses: Arc<UseCell>,
 }
 
 impl UseGuard {
-    fn new(uses: &Arc<watch::Sender<ConnectionUse>>, has_body: bool) -> Self {
-        uses.send_modify(|current| {
+    fn new(uses: &Arc<UseCell>, has_body: bool) -> Self {
+        uses.update(|current| {
             current.in_progress = true;
             current.head_since = None;
             current.had_body = has_body;
@@ -171,7 +171,7 @@
 
 impl Drop for UseGuard {
     fn drop(&mut self) {
-        self.uses.send_modify(|current| {
+        self.uses.update(|current| {
             current.in_progress = false;
             current.rested_since = Instant::now();
         });
@@ -258,7 +258,7 @@
     B::Error: Into<Box<dyn Error + Send + Sync>> + Unpin,
     E: Into<Box<dyn Error + Send + Sync>>,
 {
-    let uses = Arc::new(watch::Sender::new(ConnectionUse::new()));
+    let uses = Arc::new(UseCell(Mutex::new(ConnectionUse::new())));
     let service = service_fn(|request: Request<Incoming>| {
         let use_guard = UseGuard::new(&uses, !request.body().is_end_stream());
         let response = handler(request);
@@ -290,17 +290,18 @@
                 shutdown_idle = Some(delays.idle);
             }
             reason = wait_for_close(&uses, &limits, shutdown_idle) => {
-                uses.send_modify(|current| current.is_closing = true);
+                uses.update(|current| current.is_closing = true);
+                let unused = uses.get();
                 let polled = poll_fn(|context| {
                     Poll::Ready(Pin::new(&mut connection).poll(context))
                 });
                 if let Poll::Ready(served) = polled.await {
                     break (CloseReason::Ended, served);
                 }
-                if reason == CloseReason::LateHead || uses.borrow().is_unused() {
+                if uses.get() == unused {
                     break (reason, Ok(()));
                 }
-                uses.send_modify(|current| current.is_closing = false);
+                uses.update(|current| current.is_closing = false);
             }
         }
     };
@@ -332,13 +333,12 @@
 /// `shutdown_idle` is the time without use after which a stopping server closes it; `None` if the
 /// server is not stopping.
 async fn wait_for_close(
-    uses: &watch::Sender<ConnectionUse>,
+    uses: &UseCell,
     limits: &impl Fn(Duration) -> ConnectionLimits,
     shutdown_idle: Option<Duration>,
 ) -> CloseReason {
-    let mut changes = uses.subscribe();
     loop {
-        let current = *changes.borrow_and_update();
+        let current = uses.get();
         let since = current.rested_since;
         let close_due = async {
             if current.in_progress || !current.is_flushed {
@@ -367,13 +367,17 @@
         };
         tokio::select! {
             biased;
-            // `uses` outlives this wait, so it ends only with a change.
-            _ = changes.changed() => {}
+            // Changes are made as the connection is polled, by the same task and before this.
+            () = poll_fn(|_| has_changed(uses, &current)) => {}
             reason = close_due => return reason,
         }
     }
 }
 
+fn has_changed(uses: &UseCell, known: &ConnectionUse) -> Poll<()> {
+    if uses.get() == *known { Poll::Pending } else { Poll::Ready(()) }
+}
+
 /// Waits until the limit of a wait that began at `since` has passed.
 async fn wait_for_limit(since: Instant, limit: impl Fn(Duration) -> Duration) {
     loop {
--- a/crates/kernel/src/connection/monitor.rs
+++ b/crates/kernel/src/connection/monitor.rs
@@ -11,10 +11,9 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf},
     net::TcpStream,
-    sync::watch,
 };
 
-use super::ConnectionUse;
+use super::{ConnectionUse, UseCell};
 
 /// Stream of a caller, whose received bytes can be found without the runtime.
 pub trait CallerStream: AsyncRead + AsyncWrite + Unpin {
@@ -39,11 +38,11 @@
 #[derive(Debug)]
 pub(super) struct MonitoredStream<'a, I> {
     stream: &'a mut I,
-    uses: &'a watch::Sender<ConnectionUse>,
+    uses: &'a UseCell,
 }
 
 impl<'a, I> MonitoredStream<'a, I> {
-    pub(super) fn new(stream: &'a mut I, uses: &'a watch::Sender<ConnectionUse>) -> Self {
+    pub(super) fn new(stream: &'a mut I, uses: &'a UseCell) -> Self {
         Self { stream, uses }
     }
 }
@@ -56,9 +55,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         let polled = Pin::new(&mut *self.stream).poll_read(context, buffer);
-        let is_found = || self.uses.borrow().is_closing && self.stream.has_unreported();
+        let is_found = || self.uses.get().is_closing && self.stream.has_unreported();
         if buffer.filled().len() > filled || polled.is_pending() && is_found() {
-            self.uses.send_if_modified(ConnectionUse::record_arrival);
+            self.uses.update(ConnectionUse::record_arrival);
         }
         polled
     }
@@ -70,7 +69,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.uses.send_if_modified(ConnectionUse::record_write);
+        self.uses.update(|current| current.is_flushed = false);
         Pin::new(&mut *self.stream).poll_write(context, bytes)
     }
 
@@ -79,7 +78,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.uses.send_if_modified(ConnectionUse::record_write);
+        self.uses.update(|current| current.is_flushed = false);
         Pin::new(&mut *self.stream).poll_write_vectored(context, slices)
     }
 
@@ -91,7 +90,7 @@
         // The HTTP library flushes once it has written all that it had buffered.
         let flushed = Pin::new(&mut *self.stream).poll_flush(context);
         if flushed.is_ready() {
-            self.uses.send_if_modified(ConnectionUse::record_flush);
+            self.uses.update(ConnectionUse::record_flush);
         }
         flushed
     }
