Entry: silence alone does not end a completion before its deadline

A completion without progress was ended as "unknown: stalled" after four times `stall_ms`, 4.2 s by default, whatever its deadline. Nothing but the silence of its engines spoke for a loss: links and agents were sound.

Its stages are still asked three times to resend their output. After that it waits, and ends at its deadline; a deadline that has passed by then ends it as before.

--- a/crates/entry/src/dispatch/recovery.rs
+++ b/crates/entry/src/dispatch/recovery.rs
@@ -8,7 +8,8 @@
 //! - A request that must not be repeated ends as unknown, unless the agent of its first stage
 //!   returns and reports that it never ran the request (see [`loss`](super::loss)).
 //! - If a completion makes no progress, its stages are asked to resend their last output, since a
-//!   message may have been lost.
+//!   message may have been lost. If that does not help, it ends as unknown once its deadline has
+//!   passed.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,8 +27,7 @@
     submission::{Outcome, UnknownReason},
 };
 
-/// Number of times that the stages of a stalled request are asked to resend their last output
-/// before the request ends as unknown.
+/// Number of times that the stages of a stalled request are asked to resend their last output.
 const MAX_RESEND_REQUESTS: u32 = 3;
 
 impl DispatchState {
@@ -298,6 +298,8 @@
             }
             RequestPhase::Running(run) if is_stalled && !is_call => match run.resend_requests {
                 0..MAX_RESEND_REQUESTS => self.request_resend(now, id),
+                // Silence alone does not show that the stages are lost.
+                _ if now <= request.submission.deadline => Vec::new(),
                 _ => self.finish(now, id, Outcome::Unknown(UnknownReason::Stalled), true),
             },
             _ => Vec::new(),
