--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -89,7 +89,8 @@
         begin_due(&mut self.probe_times.borrow_mut(), address, interval, now)
     }
 
-    /// Like [`ReportCache::begin_probe`], for a check whether the replica accepts connections.
+    /// Returns whether a check that a replica accepts connections is due, that is if the last one was
+    /// at least `interval` milliseconds ago. Records the check in that case.
     pub fn begin_check(&self, address: SocketAddr, interval: Millis, now: Millis) -> bool {
         begin_due(&mut self.check_times.borrow_mut(), address, interval, now)
     }
