Relay: a request counts as arrived even if its handler is never polled

The HTTP library calls the handler when a whole request has arrived, and drops the returned future without polling it if it reads the end of the caller's sending side before. Such a request was not counted, and its connection ended without a line about it. The record and its guard are now made by the call, and a request without a body counts as read then.

Over loopback the relay's handler happened to be polled first: the relay's test of a caller that half-closes at once passed before this change as well.

--- a/crates/kernel/tests/connections.rs
+++ b/crates/kernel/tests/connections.rs
@@ -1,6 +1,6 @@
 //! Connections of callers while a server shuts down.
 
-use std::{convert::Infallible, time::Duration};
+use std::{cell::Cell, convert::Infallible, future::pending, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -260,3 +260,24 @@
         sleep(Duration::from_millis(250)).await;
     }
 }
+
+/// The library may drop the future of a handler without polling it, so that a handler that counts
+/// its requests has to do so when it is called.
+#[tokio::test]
+async fn a_request_whose_caller_left_at_once_reaches_the_handler() {
+    let (mut caller, server) = duplex(1_024);
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: server\r\n\r\n").await.expect("space");
+    caller.shutdown().await.expect("an open connection");
+    let (calls, polls) = (Cell::new(0), Cell::new(0));
+    let handler = |request| {
+        calls.set(calls.get() + 1);
+        let polls = &polls;
+        async move {
+            polls.set(polls.get() + 1);
+            respond(request).await
+        }
+    };
+    let closed = serve_connection(server, LIMITS, DELAYS, pending(), handler).await;
+    assert_eq!((calls.get(), polls.get()), (1, 0));
+    assert!(closed.error.is_some_and(|error| error.is_incomplete_message()));
+}
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -11,7 +11,7 @@
 use futures_util::FutureExt;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, request::Parts};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::headers::{
     ForwardHeaders, RequestHeaders, ResponseHeaders, encode_path, read_request_headers,
@@ -274,39 +274,52 @@
 }
 
 /// Handles a request of a connection. Every failure becomes a refusal, even a panic, so there is
-/// always a response.
-pub async fn handle(
+/// always a response. The request counts as arrived at the call: the HTTP library drops the
+/// returned future without polling it if its caller has left already.
+pub fn handle(
     relay: Rc<Relay>,
-    connection: Rc<CallerConnection>,
+    connection: &Rc<CallerConnection>,
     request: Request<Incoming>,
-) -> RelayResponse {
+) -> impl Future<Output = RelayResponse> + use<> {
     count(&relay.counts.requests);
     let headers = read_request_headers(request.headers());
     let may_have_run = Rc::default();
     let record = Rc::new(RequestRecord::new(&relay, &headers.attempt_id, &may_have_run));
-    let guard = EndGuard::new(&connection, &record);
+    let guard = EndGuard::new(connection, &record);
     let is_head_request = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
+    if body.is_end_stream() {
+        record.record_read();
+    }
     let arrived_at = now_millis();
-    let arrival =
-        RequestArrival { parts, body, headers, arrived_at, may_have_run, record: record.clone() };
-    let responding = AssertUnwindSafe(respond(&relay, arrival)).catch_unwind();
+    let arrival = RequestArrival { parts, body, headers, arrived_at, may_have_run, record };
+    async move {
+        let response = respond_always(&relay, arrival).await;
+        let status = response.status();
+        let has_body = !is_head_request
+            && status != StatusCode::NO_CONTENT
+            && status != StatusCode::NOT_MODIFIED;
+        response.map(|body| guard.watch(body, has_body))
+    }
+}
+
+/// Responds to a request, with a refusal if that panics.
+async fn respond_always(relay: &Rc<Relay>, arrival: RequestArrival) -> RelayResponse {
+    let (record, arrived_at) = (arrival.record.clone(), arrival.arrived_at);
+    let responding = AssertUnwindSafe(respond(relay, arrival)).catch_unwind();
     let mut response = match responding.await {
         Ok(response) => response,
         Err(payload) => {
             record.log_panic(&*payload);
             let refusal = Refusal::Panicked.unless_run(record.may_have_run());
-            refuse(&relay, &record, refusal, arrived_at, RequestClass::default())
+            refuse(relay, &record, refusal, arrived_at, RequestClass::default())
         }
     };
     if relay.shutdown.is_stopping() || relay.should_redirect_callers(now_millis()) {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    let status = response.status();
-    let has_body =
-        !is_head_request && status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
-    response.map(|body| guard.watch(body, has_body))
+    response
 }
 
 /// Serves a request, or refuses it once the response is due in a shutdown.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -96,7 +96,7 @@
     };
     let connection = Rc::new(CallerConnection::default());
     let handler = |request| {
-        let handling = handle(relay.clone(), connection.clone(), request);
+        let handling = handle(relay.clone(), &connection, request);
         async move { Ok::<RelayResponse, Infallible>(handling.await) }
     };
     let stopping = relay.shutdown.wait_until_stopping();
--- a/crates/relay/tests/request_ends.rs
+++ b/crates/relay/tests/request_ends.rs
@@ -111,6 +111,20 @@
     });
 }
 
+/// The library may drop a request whose caller ends its sending side at once before it is handled.
+#[test]
+fn a_request_that_is_half_closed_at_once_leaves_a_line() {
+    run_test(async {
+        let (relay, _replicas) = start_relay(bounds()).await;
+        let mut caller = send_raw(&relay, "/once/no-head", "closed-at-once").await;
+        caller.shutdown().await.expect("the connection is open");
+        let line = wait_for_event("request-ended", "request", "closed-at-once").await;
+        assert_fields(&line, &json!({ "cause": "caller-left", "read": true, "status": null }));
+        let requests = read_metric(&relay, "switchfold_figures", &[("name", "requests")]).await;
+        assert_eq!(requests, Some(1));
+    });
+}
+
 /// A reset on the way must not look like a caller that left.
 #[test]
 fn a_reset_connection_is_told_from_a_caller_that_left() {
