--- a/crates/kernel/tests/silence.rs
+++ b/crates/kernel/tests/silence.rs
@@ -37,6 +37,9 @@
 /// Longest pause of a caller within a request, in milliseconds.
 const MAX_PART_PAUSE_MS: u64 = 2_400;
 
+/// Time for the headers of a request, in milliseconds: callers keep within it.
+const HEADER_TIMEOUT_MS: u64 = 2_500;
+
 /// Longest rest of a caller's connection, in percent of its idle limit.
 const MAX_REST_PERCENT: u32 = 80;
 
@@ -161,6 +164,7 @@
         max_headers: None,
         max_header_bytes: 8_192,
         idle_timeout: Duration::from_millis(idle_ms),
+        header_timeout: Duration::from_millis(HEADER_TIMEOUT_MS),
     };
     let (signal, read_whole) = (ShutdownSignal::new(), Arc::new(AtomicUsize::new(0)));
     let (stream, server) = duplex(1_024);
@@ -168,7 +172,7 @@
     tokio::spawn(async move {
         let stopping = served_signal.raised();
         let handler = |request| respond(request, served_count.clone(), served_signal.clone());
-        serve_connection(server, limits, DELAYS, stopping, handler).await
+        serve_connection(server, |_| limits, DELAYS, stopping, handler).await
     });
     if let Some(stop_ms) = stop_ms {
         let signal = signal.clone();
