Soak: each replica listens on a loopback address of its own

Cause, read: the proxy of a replica that has ended keeps its port as the target until the next start.

`replicas_reuse_no_address_of_each_other` failed before: "left: 127.0.0.1, right: 127.0.0.1". `cargo test -p switchfold-soak` passes.

It comes from `unused_address` of the platform's stand-in, which the tests that start processes use as well.

--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -23,7 +23,7 @@
 use switchfold_platform_standin::{
     EngineEvent, ReceivedRequest, Reply, StandinEngine, StandinReplica, StreamEnd, reject,
     samples::{desk_entry, draining, in_data_centre, started_at},
-    signed_response,
+    signed_response, unused_address,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -240,8 +240,7 @@
     notices: ReplicaNotices,
 ) -> std::io::Result<StandinReplica> {
     let id = arguments.id.clone();
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    StandinReplica::start_at(any_port, move |request: &ReceivedRequest| {
+    StandinReplica::start_at(unused_address()?, move |request: &ReceivedRequest| {
         if let Some(reply) = reject_request(&id, request, &notices) {
             return reply;
         }
@@ -319,8 +318,7 @@
 ) -> std::io::Result<StandinReplica> {
     let id = arguments.id.clone();
     let class_streams = ClassStreams::default();
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    StandinReplica::start_at(any_port, move |request: &ReceivedRequest| {
+    StandinReplica::start_at(unused_address()?, move |request: &ReceivedRequest| {
         let bad = crash_request_name(request).or_else(|| crash_part(request));
         if request.target == CRASH_PATH {
             write_record(&id, request, RunDetails { bad, ..RunDetails::ran(&notices) });
