--- a/crates/local/tests/processes.rs
+++ b/crates/local/tests/processes.rs
@@ -3,10 +3,8 @@
 use std::{
     collections::BTreeMap,
     fs,
-    net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -15,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
 use switchfold_kernel::http::HttpClient;
+use switchfold_platform_standin::unused_address;
 use switchfold_standin::model::oracle;
 
 const LAYERS: u32 = 8;
@@ -36,15 +35,8 @@
     path
 }
 
-/// Returns a socket address for a child process. Its loopback address is different for each call,
-/// so no other socket takes the port before the child does.
-fn unused_address() -> String {
-    static CALLS: AtomicU32 = AtomicU32::new(0);
-    let call = CALLS.fetch_add(1, Ordering::Relaxed) % 254;
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let address = Ipv4Addr::new(127, call as u8 + 1, high, low);
-    let listener = TcpListener::bind((address, 0)).expect("a loopback address");
-    listener.local_addr().expect("bound").to_string()
+fn free_address() -> String {
+    unused_address().expect("a loopback address").to_string()
 }
 
 /// Child processes, which are killed on drop.
@@ -94,7 +86,7 @@
     async fn start(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("switchfold-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let platform = unused_address();
+        let platform = free_address();
         let mut processes = Processes::default();
         processes.start("platform", "switchfold-standin", &["platform", "--listen", &platform]);
         let http = HttpClient::new(Duration::from_secs(30), 8 << 20);
@@ -173,7 +165,7 @@
     }
 
     async fn start_replica(&mut self, stage: u32, replica: u32) {
-        let (engine, agent) = (unused_address(), unused_address());
+        let (engine, agent) = (free_address(), free_address());
         let name = format!("engine-{stage}-{replica}");
         let width = LAYERS / 2;
         let engine_settings = self.settings(&name, &json!({
@@ -194,7 +186,7 @@
     }
 
     async fn start_entry(&mut self, number: usize) {
-        let (web, peer) = (unused_address(), unused_address());
+        let (web, peer) = (free_address(), free_address());
         let name = format!("entry-{number}");
         let settings = self.settings(&name, &json!({
             "name": name, "data_centre": "here", "listen": web, "peer_listen": peer, "cluster_token": "secret",
--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -5,10 +5,9 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{self, Child, Command},
-    sync::atomic::{AtomicU32, Ordering},
 };
 
 use futures_util::future::join_all;
@@ -21,7 +20,7 @@
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica, StandinStore,
     samples::{self, KEY, RouteSample, desk_entry, model_entry},
-    signed_response,
+    signed_response, unused_address,
 };
 use tokio::task::spawn_local;
 
@@ -38,17 +37,6 @@
 const ENDLESS_STREAM: RouteSample =
     RouteSample { prefix: "/stream-endless/", max_attempts: 1, ..STREAM };
 
-/// Returns a socket address for a child process. Its loopback address is different for each call,
-/// so no other socket takes the port before the child does.
-fn unused_address() -> SocketAddr {
-    static CALLS: AtomicU32 = AtomicU32::new(0);
-    let call = CALLS.fetch_add(1, Ordering::Relaxed) % 254;
-    let [.., high, low] = process::id().to_be_bytes();
-    let address = Ipv4Addr::new(127, call as u8 + 1, high, low);
-    let listener = TcpListener::bind((address, 0)).expect("a loopback address");
-    listener.local_addr().expect("bound")
-}
-
 /// A relay that runs as a process, killed when dropped.
 struct RelayProcess {
     child: Child,
@@ -67,12 +55,13 @@
 
 impl RelayProcess {
     async fn start(store: &StandinStore, name: &str) -> Self {
-        let (callers, ready) = (unused_address(), unused_address());
+        let free = || unused_address().expect("a loopback address");
+        let (callers, ready) = (free(), free());
         let bounds = bounds();
         let settings = json!({
             "name": "relay-1", "data_centre": "hall", "region": "west",
-            "listen": callers, "ready_listen": ready, "metrics_listen": unused_address(),
-            "peer_listen": unused_address(),
+            "listen": callers, "ready_listen": ready, "metrics_listen": free(),
+            "peer_listen": free(),
             "platform": store.address(), "first_start": true,
             "bounds": {
                 "revoke_ms": bounds.revoke_ms, "grace_s": bounds.grace_s,
