Limits of callers: the first configuration replaces the defaults at once

The history of limits took the defaults of a relay without a configuration for an older version that callers may go by. For `config_apply_ms` after the first configuration bodies of up to 4 MiB were accepted, whatever it allows. Callers go by no default, so the first configuration now replaces it without a trace.

--- a/crates/router/src/caller_limits.rs
+++ b/crates/router/src/caller_limits.rs
@@ -12,7 +12,8 @@
 /// Limits that are in force, and earlier ones that callers may still go by.
 #[derive(Clone, Debug, Default)]
 pub struct LimitHistory {
-    current: CallerLimits,
+    /// `None` before the first configuration. Callers do not go by the defaults of that time.
+    current: Option<CallerLimits>,
     /// Replaced limits and the times of their replacement, oldest first.
     replaced: VecDeque<(Millis, CallerLimits)>,
 }
@@ -20,25 +21,24 @@
 impl LimitHistory {
     /// Records the limits of a new configuration. `apply_time` is the time for it to take effect.
     pub fn record(&mut self, limits: CallerLimits, apply_time: Millis, now: Millis) {
-        if limits == self.current {
-            return;
+        match self.current.replace(limits) {
+            Some(earlier) if earlier != limits => self.replaced.push_back((now, earlier)),
+            _ => return,
         }
-        self.replaced.push_back((now, self.current));
-        self.current = limits;
         // No wait is longer than the longest limit that it may count by.
-        let known = self.replaced.iter().map(|(_, limits)| limits).chain([&self.current]);
+        let known = self.replaced.iter().map(|(_, limits)| limits).chain([&limits]);
         let longest = known.map(|limits| limits.idle_timeout.max(limits.header_timeout)).max();
         let kept = longest.unwrap_or_default().saturating_add(apply_time);
         self.replaced.retain(|(replaced_at, _)| now - replaced_at <= kept);
     }
 
-    /// Returns the largest of each limit that counts for a wait that began at `since`. It does not
-    /// shrink while the wait lasts.
+    /// Returns the largest of each limit that counts for a wait that began at `since`. Once a
+    /// configuration is known, it does not shrink while the wait lasts.
     pub fn largest_since(&self, since: Millis, apply_time: Millis) -> CallerLimits {
         let earliest = since.saturating_sub(apply_time);
         let counting = self.replaced.iter().rev();
         let counting = counting.take_while(|(replaced_at, _)| *replaced_at >= earliest);
-        counting.fold(self.current, |largest, (_, limits)| CallerLimits {
+        counting.fold(self.current.unwrap_or_default(), |largest, (_, limits)| CallerLimits {
             max_header_bytes: largest.max_header_bytes.max(limits.max_header_bytes),
             max_body_bytes: largest.max_body_bytes.max(limits.max_body_bytes),
             idle_timeout: largest.idle_timeout.max(limits.idle_timeout),
--- a/crates/router/tests/caller_limits.rs
+++ b/crates/router/tests/caller_limits.rs
@@ -23,10 +23,20 @@
     assert_eq!(idle(102_001), 5_000);
 }
 
+/// Guards against defaults that outlast the first configuration, which callers go by from the start.
+#[test]
+fn the_first_configuration_replaces_the_defaults_at_once() {
+    let mut history = LimitHistory::default();
+    assert_eq!(history.largest_since(0, APPLY_TIME), CallerLimits::default());
+    history.record(limits_of(5_000), APPLY_TIME, 100);
+    assert_eq!(history.largest_since(0, APPLY_TIME), limits_of(5_000));
+}
+
 /// Guards against raised limits that do not reach waits that have begun.
 #[test]
 fn a_raised_limit_counts_for_waits_that_have_begun() {
     let mut history = LimitHistory::default();
+    history.record(limits_of(15_000), APPLY_TIME, 0);
     history.record(limits_of(60_000), APPLY_TIME, 10_000);
     assert_eq!(history.largest_since(3_000, APPLY_TIME).idle_timeout, 60_000);
 }
@@ -40,7 +50,8 @@
         begins in prop::collection::vec(0..400_000u64, 1..20),
     ) {
         let mut history = LimitHistory::default();
-        let mut versions = vec![(0, CallerLimits::default())];
+        history.record(limits_of(15_000), APPLY_TIME, 0);
+        let mut versions = vec![(0, limits_of(15_000))];
         let mut now = 0;
         let is_over = |history: &LimitHistory, since: Millis, now: Millis| {
             now - since >= history.largest_since(since, APPLY_TIME).idle_timeout
