Soak: the patience of a caller begins when its request has been sent

A caller that sends its request in two parts left 2 s after the first byte, so that the pause within the request counted as silence of the replica.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -119,7 +119,8 @@
                 let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
                 let spec =
                     CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
-                let outcome = call(&mut connection.sender, &spec, CALL_TIMEOUT).await;
+                let outcome =
+                    call(&mut connection.sender, &spec, CALL_TIMEOUT, Duration::ZERO).await;
                 let relay = connection.relay;
                 let CallEnd { outcome, keep_alive, .. } = outcome;
                 connection.idle_since = Some(epoch_micros());
@@ -177,7 +178,7 @@
                 };
                 let parts = format!("{SHARED_PART}:40,{part}:100,{sent_at:x}:30");
                 let spec = CallSpec { silence: None, kind, id: &id, key: &key, name, body, parts };
-                let end = call(&mut connection.sender, &spec, CALL_TIMEOUT).await;
+                let end = call(&mut connection.sender, &spec, CALL_TIMEOUT, Duration::ZERO).await;
                 (connection.relay, end.outcome)
             }
         };
@@ -244,11 +245,13 @@
     }
 }
 
-/// Makes one call, and leaves once nothing has come for `patience`.
+/// Makes one call, and leaves once nothing has come for `patience` after the request was sent, which
+/// takes `sending`.
 pub(crate) async fn call(
     sender: &mut RequestSender,
     spec: &CallSpec<'_>,
     patience: Duration,
+    sending: Duration,
 ) -> CallEnd {
     let CallSpec { silence, kind, id, key, name, body, parts } = spec;
     let request = Request::post(request_path(kind.prefix(), name))
@@ -265,11 +268,11 @@
         request.headers_mut().insert(SILENCE, value);
     }
     let exchange = async {
-        let sending = async {
+        let request_sent = async {
             sender.ready().await.ok()?;
             sender.send_request(request).await.ok()
         };
-        match timeout(patience, sending).await {
+        match timeout(patience + sending, request_sent).await {
             Ok(Some(response)) => read_response(response, patience).await,
             Ok(None) => CallEnd::without_response(CallOutcome::NoResponse),
             Err(_) => CallEnd::without_response(leave_outcome(patience)),
--- a/crates/soak/src/patient.rs
+++ b/crates/soak/src/patient.rs
@@ -84,7 +84,8 @@
                 let body = request_body(&id);
                 let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
                 let spec = CallSpec { silence, kind, id: &id, key: &key, name: &id, body, parts };
-                let end = call(&mut connection.sender, &spec, patience).await;
+                let sending = pause.map_or(Duration::ZERO, |pause| pause.pause);
+                let end = call(&mut connection.sender, &spec, patience, sending).await;
                 let relay = connection.relay;
                 connection.idle_since = Some(epoch_micros());
                 idle = Some(connection).filter(|_| end.keep_alive);
