--- a/crates/relay/tests/moves.rs
+++ b/crates/relay/tests/moves.rs
@@ -179,6 +179,7 @@
             assert_eq!(event_ids(&called.body), (0..events).collect::<Vec<u64>>());
             assert_eq!(called.is_complete, silence.is_some());
             assert!(started.elapsed() >= silence.unwrap_or(DEADLINE));
+            assert!(started.elapsed() < DEADLINE * 2, "not beyond the deadline");
             assert!(reports.load(Ordering::Relaxed) <= MAX_REPORTS);
             assert_eq!(replica.requests().len(), 1);
         });
--- a/crates/soak/src/ends.rs
+++ b/crates/soak/src/ends.rs
@@ -125,9 +125,6 @@
     // A request whose key is removed meanwhile is not sent again, so that its end may stay unknown.
     let has_lost_key =
         history.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at);
-    if has_lost_key {
-        return None;
-    }
     let silences = silences(history, call, runs);
     let [silence] = silences[..] else { return None };
     let is_short = silence + RESUME_TIME < PATIENCE.as_micros() as Micros;
@@ -136,7 +133,7 @@
             Some(violation(Guarantee::Silence, call, runs, "was left by its caller"))
         }
         CallOutcome::Responded(CallResponse { status, signed: false, .. })
-            if GIVEN_UP.contains(status) =>
+            if GIVEN_UP.contains(status) && !has_lost_key =>
         {
             Some(violation(Guarantee::Silence, call, runs, &format!("got status {status}")))
         }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -602,9 +602,15 @@
     }
     let left =
         || silent_history(call("a", CallKind::Stream, CallOutcome::Left), vec![run("a", "i-1-0")]);
-    let mut without_key = left();
-    without_key.revoked.push(("key".to_owned(), 1_400_000));
-    assert_eq!(violated_guarantees(&without_key), []);
+    // A request whose key is removed is not sent again, but its silent response goes on.
+    for (outcome, expected) in
+        [(CallOutcome::Left, vec![Guarantee::Silence]), (refused(502), vec![])]
+    {
+        let call = call("a", CallKind::Stream, outcome);
+        let mut without_key = silent_history(call, vec![run("a", "i-1-0")]);
+        without_key.revoked.push(("key".to_owned(), 1_400_000));
+        assert_eq!(violated_guarantees(&without_key), expected);
+    }
     // Two silences may follow each other.
     let mut history = left();
     history.disruptions.push(Disruption {
