Streams: all silent responses are kept, and a former one returns with its own permit

A second resumption dropped the first silent response, so that a caller waited although its first engine had resumed. A late send whose head had arrived was finished outside of the race, so that a late failure with a stalled body held back the response of another attempt until the deadline. A response that returned kept the permit of the resumption, and its path was not looked at for replicas that had begun to leave meanwhile. Within 100 ms of its deadline a request ended with 502 although a send was only silent.

The forwarder keeps the former responses in a list, each run with its own permit, and looks at the path whenever the current response changes. LateSends finishes heads within the race.

The other three have no test of their own.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -27,10 +27,9 @@
 use self::{
     moves::MoveWait,
     recovery::StreamLoss,
-    run::{RunOutput, StreamRun},
+    run::{RunOutput, StreamRun, read_any},
 };
 use crate::{
-    admit::Permit,
     counts::count,
     quarantine::record_result,
     request::CallerRequest,
@@ -64,13 +63,12 @@
 struct StreamForwarder {
     relay: Rc<Relay>,
     request: Rc<CallerRequest>,
-    permit: Permit,
     history: Rc<SendHistory>,
     /// Response that is forwarded. Once it broke off, what is left of it until it is replaced.
     current: StreamRun,
-    /// Response that was silent when `current` replaced it. It is forwarded again if it has the next
-    /// event first.
-    former: Option<StreamRun>,
+    /// Responses that were silent when they were replaced, the latest last: at most as many as the
+    /// route allows attempts. The one that has the next event is forwarded again.
+    former: Vec<StreamRun>,
     /// Why `current` has broken off.
     broken: Option<String>,
     /// Search for the replica that holds up the stream, beside the response.
@@ -107,11 +105,11 @@
     opened: OpenStream,
     in_flight: CountGuard,
 ) -> RelayBody {
-    let (current, permit) = StreamRun::new(&relay, opened, request.headers.last_event_id);
+    let current = StreamRun::new(&relay, opened, request.headers.last_event_id);
     let forwarder = StreamForwarder {
         seen_epoch: relay.path_check_epoch.get(),
         current,
-        former: None,
+        former: Vec::new(),
         broken: None,
         investigation: None,
         resumption: None,
@@ -127,7 +125,6 @@
         has_ended: false,
         relay,
         request,
-        permit,
         history,
         _in_flight: in_flight,
     };
@@ -142,8 +139,8 @@
 enum WaitOutcome {
     /// The response that is forwarded has more bytes, or has ended.
     Current(RunOutput),
-    /// The response that was silent before has more bytes, or has ended.
-    Former(RunOutput),
+    /// A former response, by its index, has more bytes, or has ended.
+    Former(usize, RunOutput),
     /// The replica that holds up the stream was found, or none was.
     Investigated(Option<SocketAddr>),
     /// The stream was opened elsewhere, or could not be.
@@ -178,7 +175,7 @@
                     self.recover(&detail, StreamLoss::Broken);
                     None
                 }
-                WaitOutcome::Former(output) => match self.read_former(output) {
+                WaitOutcome::Former(index, output) => match self.read_former(index, output) {
                     Some(RunOutput::Bytes(events)) => Some(events),
                     Some(RunOutput::End) => {
                         self.finish();
@@ -228,17 +225,17 @@
         self.last_forwarded = now;
         self.investigation = None;
         self.resumption = None;
-        self.former = None;
+        self.former.clear();
         self.current.record_event(&self.relay, &self.request);
     }
 
-    /// Handles bytes or the end of the former response. If it has the next events or the end of the
+    /// Handles bytes or the end of a former response. If it has the next events or the end of the
     /// stream, it takes the place of the current one, and they are returned.
-    fn read_former(&mut self, output: RunOutput) -> Option<RunOutput> {
+    fn read_former(&mut self, index: usize, output: RunOutput) -> Option<RunOutput> {
         let output = match output {
             RunOutput::Bytes(chunk) => {
                 self.request.record.record_bytes();
-                let former = self.former.as_mut()?;
+                let former = &mut self.former[index];
                 match former.push(chunk) {
                     Some(events) => RunOutput::Bytes(events),
                     None if former.can_buffer_event() => return None,
@@ -247,7 +244,7 @@
             }
             output => output,
         };
-        let former = self.former.take()?;
+        let former = self.former.remove(index);
         let id = &self.request.headers.attempt_id;
         if let RunOutput::Broken(detail) = output {
             tracing::info!(event = "former-response-broken", request = id, detail);
@@ -281,13 +278,12 @@
         let wake_at = check_at.saturating_sub(now).min(remaining);
         let wake_at = Instant::now() + Duration::from_millis(wake_at);
         let is_broken = self.broken.is_some();
-        let former = OptionFuture::from(self.former.as_mut().map(StreamRun::read));
         let investigation = OptionFuture::from(self.investigation.as_mut());
         let resumption = OptionFuture::from(self.resumption.as_mut());
         tokio::select! {
             biased;
             output = self.current.read(), if !is_broken => WaitOutcome::Current(output),
-            Some(output) = former => WaitOutcome::Former(output),
+            (index, output) = read_any(&mut self.former) => WaitOutcome::Former(index, output),
             Some(resumed) = resumption => {
                 self.resumption = None;
                 WaitOutcome::Resumed(resumed)
@@ -303,7 +299,7 @@
 
     /// Returns the longest pause between events that the route allows, in milliseconds.
     fn max_pause(&self) -> Millis {
-        match self.permit.route.max_event_gap {
+        match self.current.permit.route.max_event_gap {
             0 => DEFAULT_MAX_PAUSE,
             gap => gap,
         }
@@ -322,7 +318,7 @@
         self.has_ended = true;
         record_result(&self.relay, &self.request);
         let took = now_millis() - self.request.arrived_at;
-        self.relay.metrics.record_end(&self.permit, took, Some(self.longest_pause));
+        self.relay.metrics.record_end(&self.current.permit, took, Some(self.longest_pause));
         tracing::info!(
             event = "stream-ended",
             request = self.request.headers.attempt_id,
@@ -331,9 +327,9 @@
             events = self.current.event_count(),
             parts = self.current.path.len(),
             first = %self.current.path[0].instance,
-            route = self.permit.route.name,
-            organisation = self.permit.organisation,
-            rank = self.permit.priority,
+            route = self.current.permit.route.name,
+            organisation = self.current.permit.organisation,
+            rank = self.current.permit.priority,
         );
         self.current.return_connection(&self.relay);
     }
@@ -341,7 +337,7 @@
     fn give_up(&mut self, why: &str, not_resumed: &str) {
         self.has_ended = true;
         self.resumption = None;
-        self.former = None;
+        self.former.clear();
         self.current.close();
         count(&self.relay.counts.failed);
         let quiet_ms = now_millis() - self.last_forwarded;
@@ -354,9 +350,9 @@
             rejected = self.history.rejections(),
             quiet_ms,
             last_event = self.current.last_id(),
-            route = self.permit.route.name,
-            organisation = self.permit.organisation,
-            rank = self.permit.priority,
+            route = self.current.permit.route.name,
+            organisation = self.current.permit.organisation,
+            rank = self.current.permit.priority,
         );
     }
 }
--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -73,13 +73,13 @@
 impl StreamForwarder {
     /// Returns whether requests of the service compete by rank.
     pub(super) fn is_ranked(&self) -> bool {
-        controls_overload(&self.relay, &self.permit)
+        controls_overload(&self.relay, &self.current.permit)
     }
 
     /// Returns whether a stream of a ranked service can be resumed nowhere. It may still move, or
     /// continue where it is.
     pub(super) fn is_exhausted(&self) -> bool {
-        let (route, history) = (&self.permit.route, &self.history);
+        let (route, history) = (&self.current.permit.route, &self.history);
         self.is_ranked()
             && (!route.is_repeatable()
                 || history.sends() >= route.max_attempts.max(1)
@@ -151,7 +151,7 @@
         self.look_again_at(now_millis() + (CHECK_INTERVAL << MAX_DOUBLINGS));
         let id = &self.request.headers.attempt_id;
         let quiet_ms = now_millis() - self.last_forwarded;
-        let rank = self.permit.priority;
+        let rank = self.current.permit.priority;
         let not_resumed = "no attempt left";
         tracing::info!(event = "stream-waits", request = id, rank, why, not_resumed, quiet_ms);
     }
@@ -167,7 +167,7 @@
                 return false;
             };
             let now = now_millis();
-            let rank = self.permit.priority;
+            let rank = self.current.permit.priority;
             let begun = self.relay.state.borrow_mut().moves.try_begin(&plan.new_stages, rank, now);
             if let Err(delay) = begun {
                 self.delay_move(delay, now);
@@ -232,7 +232,7 @@
         tracing::info!(
             event = "move-delayed",
             request = self.request.headers.attempt_id,
-            rank = self.permit.priority,
+            rank = self.current.permit.priority,
             replica = %delay.replica,
             cause = ?delay.cause,
             for_ms = delay.until - now,
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -263,18 +263,18 @@
         &'a self,
         excluded: &'a [ReplicaInstance],
     ) -> Option<PathCriteria<'a>> {
-        let service = self.permit.config.services.get(&self.permit.service);
+        let service = self.current.permit.config.services.get(&self.current.permit.service);
         let engine = service.and_then(|service| service.engine.as_ref())?;
         let mean = (engine.mean_prompt_tokens, engine.mean_completion_tokens);
         Some(PathCriteria {
-            service: &self.permit.service,
+            service: &self.current.permit.service,
             engine,
             tokens: self.request.estimate_tokens(mean),
-            rank: self.permit.priority,
+            rank: self.current.permit.priority,
             excluded,
             first: self.current.path.first().map(|first| (&first.instance, first.range)),
             load_aware: self.relay.settings.load_aware_paths,
-            overcommit: overcommit_rule(&self.relay, &self.permit),
+            overcommit: overcommit_rule(&self.relay, &self.current.permit),
         })
     }
 
@@ -292,7 +292,7 @@
         let id = &self.request.headers.attempt_id;
         let end = order_repath(&self.relay, id, &path).await;
         let quiet_ms = now_millis() - self.last_forwarded;
-        let (rank, parts) = (self.permit.priority, path.len());
+        let (rank, parts) = (self.current.permit.priority, path.len());
         tracing::info!(event = "repath", request = id, rank, ?end, quiet_ms, parts);
         if matches!(end, OrderOutcome::Refused(..)) {
             count(&self.relay.counts.moves_refused);
@@ -336,7 +336,7 @@
         }
         if loss != StreamLoss::Silent {
             self.current.close();
-            match self.former.take() {
+            match self.former.pop() {
                 Some(former) => self.return_to(former),
                 None => self.broken = Some(why.to_owned()),
             }
@@ -352,7 +352,7 @@
             relay: self.relay.clone(),
             request: self.request.clone(),
             history: self.history.clone(),
-            permit: self.permit.clone(),
+            permit: self.current.permit.clone(),
             last_event_id: self.current.last_id(),
             silent_since: self.current.last_progress,
             // Many streams are lost together; their resumptions are spread over time.
@@ -376,18 +376,21 @@
         tracing::info!(event = "stream-resumed", request = id, quiet_ms);
         self.end_move_wait();
         let last_event_id = self.current.last_id();
-        let (run, permit) = StreamRun::new(&self.relay, stream, last_event_id);
-        let current = std::mem::replace(&mut self.current, run);
-        self.former = Some(current).filter(|_| self.broken.take().is_none());
-        self.permit = permit;
+        let run = StreamRun::new(&self.relay, stream, last_event_id);
+        let replaced = std::mem::replace(&mut self.current, run);
+        if self.broken.take().is_none() {
+            self.former.push(replaced);
+        }
         self.is_probed = false;
+        self.handle_replica_change();
     }
 
-    /// Forwards the former response again.
+    /// Forwards a former response again.
     pub(super) fn return_to(&mut self, former: StreamRun) {
         self.current = former;
         self.end_move_wait();
         self.is_probed = false;
+        self.handle_replica_change();
     }
 }
 
@@ -415,14 +418,14 @@
             return Err("the route does not allow a retry".to_owned());
         }
         sleep(self.delay).await;
-        let mut late = LateSends::default();
+        let mut late = LateSends::new(&self.relay, &self.request, &self.history);
         loop {
             let charge = match self.admit_again().await {
                 Err(why) if late.is_empty() => return Err(why),
                 admitted => admitted.ok(),
             };
             let attempt = charge.map(|charge| self.open(charge));
-            let opened = late.race(&self.relay, &self.request, &self.history, attempt).await;
+            let opened = late.race(attempt).await;
             let end = match opened {
                 Some(OpenOutcome::Opened(stream)) => return Ok(stream),
                 Some(OpenOutcome::Late(send, detail)) => {
@@ -439,7 +442,7 @@
                 None if late.is_empty() => return Err("no path".to_owned()),
                 Some(OpenOutcome::Refused(_)) | None => {
                     let attempt = None::<Ready<Option<OpenOutcome>>>;
-                    match late.race(&self.relay, &self.request, &self.history, attempt).await {
+                    match late.race(attempt).await {
                         Some(OpenOutcome::Opened(stream)) => return Ok(stream),
                         _ => return Err("no response".to_owned()),
                     }
--- a/crates/relay/src/forward/run.rs
+++ b/crates/relay/src/forward/run.rs
@@ -1,8 +1,9 @@
 //! One response of an engine to a stream request.
 
-use std::rc::Rc;
+use std::{future::pending, rc::Rc};
 
 use bytes::Bytes;
+use futures_util::future::select_all;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
@@ -41,19 +42,16 @@
     pub(super) path: Vec<PathStage>,
     pub(super) reservation: PathReservation,
     pub(super) tracker: RunTracker,
+    /// Permit under which it was sent.
+    pub(super) permit: Permit,
     /// Time of the last bytes.
     pub(super) last_progress: Millis,
 }
 
 impl StreamRun {
-    /// Creates the run of a stream that was opened after the event `last_event_id`. Returns the
-    /// permit under which it was sent, too.
-    pub(super) fn new(
-        relay: &Relay,
-        opened: OpenStream,
-        last_event_id: Option<u64>,
-    ) -> (Self, Permit) {
-        let run = Self {
+    /// Creates the run of a stream that was opened after the event `last_event_id`.
+    pub(super) fn new(relay: &Relay, opened: OpenStream, last_event_id: Option<u64>) -> Self {
+        Self {
             framer: EventFramer::resume_after(last_event_id),
             partial_event: relay.buffers.share(LengthKind::Open),
             headers: read_response_headers(&opened.head.headers),
@@ -62,9 +60,9 @@
             path: opened.path,
             reservation: opened.reservation,
             tracker: opened.run,
+            permit: opened.permit,
             last_progress: now_millis(),
-        };
-        (run, opened.permit)
+        }
     }
 
     /// Waits for more bytes or the end of the response.
@@ -123,3 +121,14 @@
         self.partial_event.resize(0);
     }
 }
+
+/// Waits until one of several runs has more bytes or ends, and returns its index. Never returns if
+/// there is none.
+pub(super) async fn read_any(runs: &mut [StreamRun]) -> (usize, RunOutput) {
+    if runs.is_empty() {
+        return pending().await;
+    }
+    let reads = runs.iter_mut().map(|run| Box::pin(run.read()));
+    let (output, index, _) = select_all(reads).await;
+    (index, output)
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -156,7 +156,7 @@
         permit = admit(relay, &request.admission)?;
     }
     let history = Rc::new(SendHistory::default());
-    let mut late = LateSends::default();
+    let mut late = LateSends::new(relay, &request, &history);
     let mut charge = None;
     let mut sends_again = true;
     loop {
@@ -174,7 +174,7 @@
             () = wait_until_refused(relay, &request) => {
                 return Err(Refusal::Stopping.unless_run(history.sends() > 0));
             }
-            opened = late.race(relay, &request, &history, opening) => opened,
+            opened = late.race(opening) => opened,
         };
         request.may_have_run.set(history.sends() > 0);
         let (end, detail) = match opened {
@@ -225,7 +225,7 @@
                 };
                 charge = retry.into_charge();
             }
-            _ if !late.is_empty() && has_time => {}
+            _ if !late.is_empty() && request.time_remaining(now) > 0 => {}
             NextStep::AnswerNotRun => {
                 return Err(refusal(relay, &permit, Refusal::NotRun));
             }
--- a/crates/relay/tests/silence.rs
+++ b/crates/relay/tests/silence.rs
@@ -238,3 +238,63 @@
         assert!(wrong.is_empty(), "ranked or not, and what came: {wrong:#?}");
     });
 }
+
+/// Guards against relays that dropped the first silent response when they resumed a stream once more.
+#[test]
+fn the_first_of_three_silent_engines_is_heard() {
+    run_test(async {
+        let (count, begun) = (Arc::default(), Arc::new(AtomicBool::new(false)));
+        let script = || {
+            let begun = begun.clone();
+            engine(in_turn(
+                &count,
+                |request| silent_before(request, 3, Duration::from_millis(4_500)),
+                move |request| match other_run(request, &begun) {
+                    Reply::Stream { head, ids, owner, pause, end, .. } => {
+                        let gate = StreamGate::new(|| GateState::Closed);
+                        Reply::Stream { head, ids, owner, pause, end, gate }
+                    }
+                    reply => reply,
+                },
+            ))
+        };
+        let mut engines = Vec::new();
+        for _ in 0..3 {
+            engines.push(StandinReplica::start(script()).await);
+        }
+        let ids = ["i-1", "i-2", "i-3"];
+        let entries = ids.iter().zip(&engines);
+        let entries: Vec<_> =
+            entries.map(|(id, engine)| entry_of(id, engine, full_model)).collect();
+        let mut config = samples::config(1, &ROUTES, &[KEY]);
+        for route in config["routes"].as_array_mut().expect("the sample has routes") {
+            route["max_attempts"] = 3.into();
+        }
+        let relay = RunningRelay::start_with_config(bounds(), config, &entries).await;
+        let error = first_run_error(&relay.get("/stream/a", "a").await);
+        assert_eq!(error, None);
+        assert_eq!(count.load(Ordering::SeqCst), 3);
+    });
+}
+
+/// Guards against relays that read the body of a late failure to its end before they looked at the
+/// other attempt.
+#[test]
+fn a_late_failure_does_not_delay_another_response() {
+    fn fails_in_part(request: &ReceivedRequest) -> Reply {
+        let reply = signed_response(request, 500, "failed");
+        let Reply::Bytes(bytes) = &reply else { unreachable!("a signed response is bytes") };
+        let body_at = bytes.len() - "iled".len();
+        Reply::Paused(Box::new(reply), vec![(0, OBJECTIVE * 2), (body_at, OBJECTIVE * 100)])
+    }
+    run_test(async {
+        let count = Arc::default();
+        let second = |request: &ReceivedRequest| later(complete_stream(request), OBJECTIVE * 2);
+        let script = || engine(in_turn(&count, fails_in_part, second));
+        let one = StandinReplica::start(script()).await;
+        let two = StandinReplica::start(script()).await;
+        let entries = [entry_of("i-1", &one, full_model), entry_of("i-2", &two, full_model)];
+        let relay = start(false, &entries).await;
+        assert_eq!(first_run_error(&relay.get("/stream/a", "a").await), None);
+    });
+}
