--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -234,8 +234,7 @@
         ProbeOutcome::Silent if silence_counts => Some("no response to a probe"),
         ProbeOutcome::Silent | ProbeOutcome::Unclear => None,
     };
-    let instance =
-        relay.state.borrow().fleet.view.at_address(address).map(|replica| replica.instance.clone());
+    let instance = relay.instance_at(address);
     let replica = instance.as_ref().map(ReplicaInstance::to_string);
     tracing::info!(event = "probe-failed", %address, replica, end = ?outcome, silence_counts);
     if let (Some(instance), Some(why)) = (instance, loss) {
@@ -259,9 +258,7 @@
 }
 
 fn record_crash_at(relay: &Relay, address: SocketAddr) {
-    let instance =
-        relay.state.borrow().fleet.view.at_address(address).map(|replica| replica.instance.clone());
-    if let Some(instance) = instance {
+    if let Some(instance) = relay.instance_at(address) {
         record_crash(relay, &instance);
     }
 }
--- a/crates/relay/src/forward/moves.rs
+++ b/crates/relay/src/forward/moves.rs
@@ -218,10 +218,8 @@
             OrderOutcome::Unknown => MoveOutcome::Unanswered,
             OrderOutcome::Refused(STATUS_CONFLICT, faulty_replica) => {
                 probe_replicas(&self.relay, faulty_replica.into_iter());
-                let state = self.relay.state.borrow();
-                let replica =
-                    faulty_replica.and_then(|address| state.fleet.view.at_address(address));
-                MoveOutcome::Refused(replica.map(|replica| replica.instance.clone()))
+                let instance = faulty_replica.and_then(|at| self.relay.instance_at(at));
+                MoveOutcome::Refused(instance)
             }
             OrderOutcome::Refused(..) | OrderOutcome::NotSent => MoveOutcome::Void,
         }
--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -221,11 +221,10 @@
                 Some(OrderOutcome::Taken) => return true,
                 Some(OrderOutcome::Refused(_, Some(faulty_replica))) => {
                     probe_replicas(&self.relay, std::iter::once(faulty_replica));
-                    let state = self.relay.state.borrow();
-                    let Some(replica) = state.fleet.view.at_address(faulty_replica) else {
+                    let Some(instance) = self.relay.instance_at(faulty_replica) else {
                         return false;
                     };
-                    excluded.push(replica.instance.clone());
+                    excluded.push(instance);
                 }
                 _ => return false,
             }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -55,9 +55,7 @@
 /// Applies the notices in the response of an engine's control interface to the replica that is
 /// listed at this address.
 pub fn apply_notices_at(relay: &Relay, address: SocketAddr, response: ReplicaResponse<'_>) {
-    let instance =
-        relay.state.borrow().fleet.view.at_address(address).map(|replica| replica.instance.clone());
-    if let Some(instance) = instance {
+    if let Some(instance) = relay.instance_at(address) {
         apply_headers(relay, &instance, response);
     }
 }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -160,8 +160,7 @@
 /// A report of an earlier instance than the listed one is not valid. One of a later instance
 /// replaces the listed one at once, before the list shows it.
 pub fn accept_report_start(relay: &Relay, address: SocketAddr, started_at: Millis) -> bool {
-    let known =
-        relay.state.borrow().fleet.view.at_address(address).map(|entry| entry.instance.clone());
+    let known = relay.instance_at(address);
     let Some(instance) = known.filter(|instance| started_at > 0 && instance.started_at() > 0)
     else {
         return true;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -260,6 +261,12 @@
         self.state.borrow().config.get().cloned()
     }
 
+    /// Returns the replica that is listed at an address.
+    pub fn instance_at(&self, address: SocketAddr) -> Option<ReplicaInstance> {
+        let state = self.state.borrow();
+        state.fleet.view.at_address(address).map(|replica| replica.instance.clone())
+    }
+
     /// Returns the limits of a wait for a caller that began at `since`.
     pub fn caller_limits(&self, since: Millis) -> CallerLimits {
         let apply_time = self.bounds.borrow().config_apply();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -469,14 +469,7 @@
 /// Records a failure of the replica at an address, which is then avoided for a while. Returns a
 /// description for logs.
 pub async fn suspect_at(relay: &Rc<Relay>, faulty_replica: SocketAddr, why: &str) -> String {
-    let instance = relay
-        .state
-        .borrow()
-        .fleet
-        .view
-        .at_address(faulty_replica)
-        .map(|replica| replica.instance.clone());
-    match instance {
+    match relay.instance_at(faulty_replica) {
         Some(instance) => {
             check_named(relay, &instance, faulty_replica).await;
             relay.avoid(&instance, why);
@@ -558,14 +551,7 @@
     status: StatusCode,
 ) {
     let faulty_replica = headers.faulty_replica.unwrap_or(first.address);
-    let instance = relay
-        .state
-        .borrow()
-        .fleet
-        .view
-        .at_address(faulty_replica)
-        .map(|replica| replica.instance.clone());
-    let Some(instance) = instance else {
+    let Some(instance) = relay.instance_at(faulty_replica) else {
         // The named replica is unknown here, so the first one is excluded.
         history.exclude(&first.instance);
         return;
