Entry: requests are looked at for silent stages only while an agent is silent

discount_silent_stages looked up the agents of every request at each tick. It looks for silent agents first and is done if there is none, as at nearly all ticks. Which requests get their time back is as before.

--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -26,7 +26,7 @@
 mod scheduling;
 pub mod submission;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -221,15 +221,19 @@
     /// Extends the stall timeouts of requests by `elapsed` if an agent of their stages is silent: its
     /// process may be paused. It counts as lost after its own timeout, and its stage is replaced.
     fn discount_silent_stages(&mut self, now: Millis, elapsed: Millis) {
-        let (replicas, threshold) = (&self.replicas, self.config.silence_threshold);
-        let is_silent = |process: &String| {
-            let view = replicas.get(process).filter(|view| view.connected);
-            view.is_some_and(|view| view.last_message_at + threshold < now)
-        };
+        let threshold = self.config.silence_threshold;
+        let views = self.replicas.iter();
+        let silent = views
+            .filter(|(_, view)| view.connected && view.last_message_at + threshold < now)
+            .map(|(process, _)| process);
+        let silent: BTreeSet<&String> = silent.collect();
+        if silent.is_empty() {
+            return;
+        }
         for request in self.requests.values_mut() {
             let is_call = request.submission.is_call();
             let run = request.run().filter(|_| !is_call);
-            if run.is_some_and(|run| run.processes.iter().any(is_silent)) {
+            if run.is_some_and(|run| run.processes.iter().any(|process| silent.contains(process))) {
                 request.silent_time += elapsed;
             }
         }
