Forward: a resumption waits for its late sends in one loop

When no further attempt was possible, the late sends were raced once in a place of its own, and the first of them to fail ended the resumption although others might have responded. The loop that races them anyway does it, with the reason why no attempt is made.

--- a/crates/relay/src/forward/recovery.rs
+++ b/crates/relay/src/forward/recovery.rs
@@ -3,7 +3,7 @@
 //! The cheapest way comes first: the engines move the request to another path and keep its KV
 //! cache. If they cannot, the stream is resumed after its last event at another replica.
 
-use std::{future::Ready, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
@@ -417,14 +417,19 @@
         }
         sleep(self.delay).await;
         let mut late = LateSends::new(&self.relay, &self.request, &self.history);
+        // Why no further attempt is made, while earlier sends may still have a response.
+        let mut denied = None;
         loop {
-            let charge = match self.admit_again().await {
+            let charge = match denied.clone() {
+                None => self.admit_again().await,
+                Some(why) => Err(why),
+            };
+            let attempt = match charge {
+                Ok(charge) => Some(self.open(charge)),
                 Err(why) if late.is_empty() => return Err(why),
-                admitted => admitted.ok(),
+                Err(_) => None,
             };
-            let attempt = charge.map(|charge| self.open(charge));
-            let opened = late.race(attempt).await;
-            let end = match opened {
+            let end = match late.race(attempt).await {
                 Some(OpenOutcome::Opened(stream)) => return Ok(stream),
                 Some(OpenOutcome::Late(send, detail)) => {
                     late.push(*send);
@@ -434,16 +439,13 @@
                 Some(OpenOutcome::Responded(response)) => {
                     return Err(format!("response with status {}", response.status()));
                 }
-                Some(OpenOutcome::Refused(refusal)) if late.is_empty() => {
-                    return Err(refusal.to_string());
+                Some(OpenOutcome::Refused(refusal)) => {
+                    denied = Some(refusal.to_string());
+                    continue;
                 }
-                None if late.is_empty() => return Err("no path".to_owned()),
-                Some(OpenOutcome::Refused(_)) | None => {
-                    let attempt = None::<Ready<Option<OpenOutcome>>>;
-                    match late.race(attempt).await {
-                        Some(OpenOutcome::Opened(stream)) => return Ok(stream),
-                        _ => return Err("no response".to_owned()),
-                    }
+                None => {
+                    denied = Some("no path".to_owned());
+                    continue;
                 }
             };
             let id = &self.request.headers.attempt_id;
