Relay: a newer configuration counts from the message that names it

Cause: the first message of another relay ends the wait for others (has_heard_peers), and from the next millisecond on the version that it names counts as newer (had_newer_config asks for one before `sent`, which is right for a read of the store and wrong for an admission). A request within that millisecond was admitted by the older copy.

The admission asks for the present now.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -105,7 +105,7 @@
         return false;
     }
     let age = now.saturating_sub(relay.started_at);
-    let is_behind = || state.peers.had_newer_config(state.config_version(), now, now);
+    let is_behind = || state.peers.has_newer_config(state.config_version(), now);
     let has_heard = || age >= HEARING_TIME || has_heard_peers(relay, &state, now);
     age >= bound || has_heard() && !is_behind()
 }
--- a/crates/router/src/membership/sources.rs
+++ b/crates/router/src/membership/sources.rs
@@ -68,6 +68,12 @@
         self.preceding_peers(own, data_centre, now).any(|peer| peer.state.config_version > version)
     }
 
+    /// Returns whether a relay of any data centre has a newer configuration.
+    pub fn has_newer_config(&self, version: u64, now: Millis) -> bool {
+        let mut live = self.peers.values().filter(|peer| peer.is_live(now));
+        live.any(|peer| peer.state.config_version > version)
+    }
+
     /// Returns whether a relay of any data centre had a newer configuration before `sent`. A read
     /// sent then that returns `version` shows that the store was restored from a backup.
     pub fn had_newer_config(&self, version: u64, sent: Millis, now: Millis) -> bool {
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -192,6 +192,20 @@
     assert!(!peers.record_message("unknown", version(9), at(1, 1), now));
 }
 
+/// A message counts at once: a request that is admitted within the same millisecond does not go by an
+/// older configuration.
+#[test]
+fn a_newer_configuration_counts_from_the_message_that_names_it() {
+    let now = 10_000;
+    let mut peers = table(&[("a", "x")], now);
+    let state = PeerState { config_version: 5, ..PeerState::default() };
+    assert!(peers.record_message("a", state, PeerStamp { incarnation: 1, time: 700 }, now));
+    assert!(peers.has_newer_config(4, now));
+    assert!(!peers.has_newer_config(5, now));
+    // A read that was sent then may have been answered before that relay had it.
+    assert!(!peers.had_newer_config(4, now, now));
+}
+
 /// A proof from before this start keeps its age, instead of counting as made at the start.
 ///
 /// Seed 737 of the soak test showed the failure: a relay that started in an outage of the store
