Readiness: the steps of a start and what it waits for are logged and exported

The logs could not tell how far a start had come: no line said that a relay was ready, what it waited for while it was not, or when it took and served its first request, and figures came as sums every ten seconds.

Each step is logged (start-step) and exported (switchfold_start_step) with the age of the process; a relay that is not ready logs once a second which of them is missing (not-ready); figures have what ended in each of the last ten seconds, and switchfold_last_second the last of them. Why a configuration is doubted is told apart (no proof, no peer heard, a newer one elsewhere). No decision changes.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use derive_more::Display;
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
@@ -92,22 +93,47 @@
 /// configuration in the store, in milliseconds.
 const HEARING_TIME: Millis = 1_000;
 
-/// Returns whether the configuration is recent enough to accept API keys: it was last proved to be
+/// Why the configuration may not be the one in force.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum ConfigDoubt {
+    /// It was not proved recently enough.
+    #[display("configuration-proof")]
+    Unproved,
+    /// No other relay was heard since the start.
+    #[display("peer-heard")]
+    Unheard,
+    /// Another relay has a newer one.
+    #[display("newer-configuration")]
+    Behind,
+}
+
+/// Returns whether the configuration is recent enough to accept API keys.
+pub fn is_config_fresh(relay: &Relay, now: Millis) -> bool {
+    config_doubt(relay, now).is_none()
+}
+
+/// Returns why API keys cannot be accepted by the configuration; `None` if it was last proved to be
 /// the current one within the platform's revocation bound.
 ///
 /// A relay that has just started may have read it from a restored store while others hold a newer
 /// one. So it must have heard from another relay first, unless there is none, and none may name a
 /// newer version. Once it has run for as long as the bound, its first read proves nothing more.
-pub fn is_config_fresh(relay: &Relay, now: Millis) -> bool {
+pub fn config_doubt(relay: &Relay, now: Millis) -> Option<ConfigDoubt> {
     let bound = relay.bounds.borrow().revoke();
     let state = relay.state.borrow();
     if !state.config_lease.is_valid(bound, now) {
-        return false;
+        return Some(ConfigDoubt::Unproved);
     }
     let age = now.saturating_sub(relay.started_at);
+    if age >= bound {
+        return None;
+    }
+    let has_heard = age >= HEARING_TIME || has_heard_peers(relay, &state, now);
     let is_behind = || state.peers.has_newer_config(state.config_version(), now);
-    let has_heard = || age >= HEARING_TIME || has_heard_peers(relay, &state, now);
-    age >= bound || has_heard() && !is_behind()
+    match has_heard {
+        false => Some(ConfigDoubt::Unheard),
+        true => is_behind().then_some(ConfigDoubt::Behind),
+    }
 }
 
 fn has_heard_peers(relay: &Relay, state: &RelayState, now: Millis) -> bool {
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -1,7 +1,69 @@
 //! Counters of a relay. Their names are those of the log line `figures` and of the metric
 //! `switchfold_figures`.
 
-use std::cell::Cell;
+use std::{cell::Cell, collections::VecDeque, fmt::Write};
+
+/// Number of seconds whose ended requests are kept: as many as lie between two lines of figures.
+pub const RECENT_SECONDS: usize = 10;
+
+/// Requests that ended, by outcome.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndedRequests {
+    /// Requests that ended with the response of a replica.
+    pub answered: u64,
+    /// Requests refused with the status that promises that they did not run.
+    pub refused: u64,
+    /// Requests that ended without a response of a replica.
+    pub failed: u64,
+}
+
+impl EndedRequests {
+    /// Returns the sums since the start of the process.
+    fn total(counts: &Counts) -> Self {
+        let Counts { answered, refused, failed, .. } = counts;
+        Self { answered: answered.get(), refused: refused.get(), failed: failed.get() }
+    }
+}
+
+/// Ended requests of each of the last seconds.
+#[derive(Debug, Default)]
+pub struct RecentCounts {
+    total: EndedRequests,
+    /// By second, the latest last.
+    seconds: VecDeque<EndedRequests>,
+}
+
+impl RecentCounts {
+    /// Records what ended since the last call.
+    pub fn record(&mut self, counts: &Counts) {
+        let total = EndedRequests::total(counts);
+        let second = EndedRequests {
+            answered: total.answered - self.total.answered,
+            refused: total.refused - self.total.refused,
+            failed: total.failed - self.total.failed,
+        };
+        self.total = total;
+        self.seconds.push_back(second);
+        if self.seconds.len() > RECENT_SECONDS {
+            self.seconds.pop_front();
+        }
+    }
+
+    /// Returns the last second.
+    pub fn last(&self) -> EndedRequests {
+        self.seconds.back().copied().unwrap_or_default()
+    }
+
+    /// Returns one number of each second, separated by blanks.
+    pub fn by_second(&self, number: impl Fn(&EndedRequests) -> u64) -> String {
+        self.seconds.iter().fold(String::new(), |mut text, second| {
+            let blank = if text.is_empty() { "" } else { " " };
+            // Writing to a string does not fail.
+            let _written = write!(text, "{blank}{}", number(second));
+            text
+        })
+    }
+}
 
 /// Counts since the start of the process.
 #[derive(Debug, Default)]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`quarantine`] | requests that crash the replicas that run them |
 //! | [`engine_poll`] | which engines are slow |
 //! | [`placer`] | orders to engines to load layers |
+//! | [`readiness`] | progress of the start, and whether requests can be admitted |
 //! | [`run`], [`shutdown`], [`settings`], [`reload`] | the process and its settings |
 //! | [`logs`], [`counts`], [`metrics`] | logs and metrics |
 
@@ -53,6 +54,7 @@
 pub mod probes;
 pub mod quarantine;
 pub mod reachability;
+pub mod readiness;
 pub mod registry;
 pub mod reload;
 pub mod replicas;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -21,7 +21,10 @@
     attempt::{AttemptEnd, NextStep},
 };
 
-use crate::{admit::Permit, request::LOWEST_PRIORITY, request_end::EndCause, state::Relay};
+use crate::{
+    admit::Permit, counts::EndedRequests, readiness::StartStep, request::LOWEST_PRIORITY,
+    request_end::EndCause, state::Relay,
+};
 
 /// Maximum number of organisations with a label value of their own; all others share one.
 const MAX_ORGANISATION_LABELS: usize = 50;
@@ -62,6 +65,8 @@
     ages: Gauge<u64>,
     waiting: Gauge<u64>,
     promised_returns: Gauge<u64>,
+    start_steps: Gauge<u64>,
+    last_second: Gauge<u64>,
     routes: RefCell<LabelBudget>,
     organisations: RefCell<LabelBudget>,
     services: RefCell<LabelBudget>,
@@ -124,6 +129,15 @@
                 .u64_gauge("switchfold_promised_returns")
                 .with_description("Promised returns that are still to come, by service")
                 .build(),
+            start_steps: meter
+                .u64_gauge("switchfold_start_step")
+                .with_description("Age of the process when its start reached a step, by step")
+                .with_unit("ms")
+                .build(),
+            last_second: meter
+                .u64_gauge("switchfold_last_second")
+                .with_description("Requests that ended in the last second, by outcome")
+                .build(),
             routes: RefCell::new(LabelBudget::new(MAX_ROUTE_LABELS, PROMOTE_AFTER)),
             organisations: RefCell::new(LabelBudget::new(MAX_ORGANISATION_LABELS, PROMOTE_AFTER)),
             services: RefCell::new(LabelBudget::new(MAX_SERVICE_LABELS, SERVICE_PROMOTE_AFTER)),
@@ -191,6 +205,7 @@
         self.copy_store_calls(relay);
         self.copy_ages(relay);
         self.copy_admissions(relay);
+        self.copy_start(relay);
         self.hub.render()
     }
 
@@ -286,6 +301,19 @@
         }
     }
 
+    fn copy_start(&self, relay: &Relay) {
+        for step in StartStep::ALL {
+            if let Some(age) = relay.start.age(step) {
+                self.start_steps.record(age, &[KeyValue::new("step", step.to_string())]);
+            }
+        }
+        let EndedRequests { answered, refused, failed } = relay.recent_counts.borrow().last();
+        for (outcome, number) in [("answered", answered), ("refused", refused), ("failed", failed)]
+        {
+            self.last_second.record(number, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
     /// Exports the queues of ranked services and the returns promised to their callers.
     fn copy_admissions(&self, relay: &Relay) {
         let state = relay.state.borrow();
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -36,6 +36,7 @@
     paths::fullest_replica,
     plain::run_plain,
     quarantine::{QuarantineTrial, check_arrival, start::wait_for_quarantine},
+    readiness::StartStep,
     request_end::{EndCause, RequestRecord},
     responses::{Refusal, RelayResponse},
     shutdown::CountGuard,
@@ -277,6 +278,7 @@
     request: Request<Incoming>,
 ) -> impl Future<Output = RelayResponse> + use<> {
     count(&relay.counts.requests);
+    relay.start.record(StartStep::FirstRequest);
     let headers = read_request_headers(request.headers());
     let may_have_run = Rc::default();
     let record = Rc::new(RequestRecord::new(&relay, &headers.attempt_id, &may_have_run));
@@ -335,6 +337,7 @@
             let status = response.status();
             record.record_response(status, EndCause::Answered);
             count(&relay.counts.answered);
+            relay.start.record(StartStep::FirstAnswer);
             relay.metrics.record_outcome(status.as_u16(), "answered");
             tracing::info!(
                 event = "answered",
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -20,7 +20,7 @@
     metrics::MetricsError,
     shutdown::ShutdownSignal,
 };
-use switchfold_router::{allowance::AllowanceShare, follow::STORE_TIMEOUT};
+use switchfold_router::{Millis, allowance::AllowanceShare, follow::STORE_TIMEOUT};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -31,7 +31,7 @@
 
 use crate::{
     buffers::ResponseBuffers,
-    counts::Counts,
+    counts::{Counts, RECENT_SECONDS},
     engine_poll::poll_engines,
     engines::ReportCache,
     limits::exchange_grants,
@@ -41,6 +41,7 @@
     placer::place_layers,
     pool::ConnectionPool,
     quarantine::{follow_quarantine, start::learn_quarantine, store_quarantine},
+    readiness::{StartProgress, StartStep, check_readiness, watch_start},
     reload::follow_settings,
     request_end::MAX_END_LINES,
     restore::rewrite_after_restores,
@@ -97,6 +98,8 @@
     pub peers: UdpSocket,
     /// Snapshot requests of other relays, on the same port as `peers`.
     pub snapshots: TcpListener,
+    /// Age of the process when it began to bind them: the settings had been read.
+    pub bound_from: Millis,
 }
 
 impl RelaySockets {
@@ -106,6 +109,7 @@
     ///
     /// Fails if an address cannot be bound.
     pub async fn bind(settings: &RelaySettings) -> Result<Self, RunError> {
+        let bound_from = now_millis();
         let (peers, snapshots) = bind_peers(settings.peer_listen).await?;
         Ok(Self {
             callers: listen(settings.listen).await?,
@@ -113,6 +117,7 @@
             metrics: listen(settings.metrics_listen).await?,
             peers,
             snapshots,
+            bound_from,
         })
     }
 }
@@ -144,6 +149,9 @@
     );
     let metrics = RelayMetrics::new().map_err(|source| RunError::Metrics { source })?;
     let relay = Rc::new(new_relay(settings, sockets.peers, metrics));
+    relay.start.record_at(StartStep::Settings, sockets.bound_from);
+    relay.start.record(StartStep::Sockets);
+    spawn_permanent(&relay, "watch_start", watch_start(relay.clone()));
     spawn_permanent(&relay, "follow_config", follow_config(relay.clone()));
     spawn_permanent(&relay, "follow_replicas", follow_replicas(relay.clone()));
     spawn_permanent(&relay, "run_gossip", run_gossip(relay.clone()));
@@ -246,8 +254,10 @@
         reports: ReportCache::default(),
         peer_socket,
         started_at: now_millis(),
+        start: StartProgress::default(),
         incarnation: random.random(),
         counts: Counts::default(),
+        recent_counts: RefCell::default(),
         metrics,
         registered_era: Cell::default(),
         is_redirecting: Cell::new(false),
@@ -271,13 +281,16 @@
     }
 }
 
-/// Closes expired idle connections, and logs the counters at regular intervals. Never returns.
+/// Closes expired idle connections, checks the readiness, and logs the counters at regular intervals.
+/// Never returns.
 async fn sweep_connections(relay: Rc<Relay>) {
     let mut sweeps: u32 = 0;
     loop {
         sleep(SWEEP_INTERVAL).await;
         relay.pool.close_expired();
         relay.state.borrow_mut().route_times.remove_expired(now_millis());
+        relay.recent_counts.borrow_mut().record(&relay.counts);
+        check_readiness(&relay);
         sweeps += 1;
         if sweeps.is_multiple_of(SWEEPS_PER_FIGURES) {
             log_figures(&relay);
@@ -286,7 +299,7 @@
 }
 
 /// Number of sweeps after which the counters are logged.
-const SWEEPS_PER_FIGURES: u32 = 10;
+const SWEEPS_PER_FIGURES: u32 = RECENT_SECONDS as u32;
 
 fn log_figures(relay: &Relay) {
     let Counts {
@@ -332,12 +345,16 @@
         store_copies,
         passed_changes,
     } = &relay.counts;
+    let recent = relay.recent_counts.borrow();
     tracing::info!(
         event = "figures",
         requests = requests.get(),
         answered = answered.get(),
         refused = refused.get(),
         failed = failed.get(),
+        answered_by_second = recent.by_second(|second| second.answered),
+        refused_by_second = recent.by_second(|second| second.refused),
+        failed_by_second = recent.by_second(|second| second.failed),
         lost_runs = lost_runs.get(),
         stopped_requests = stopped_requests.get(),
         malformed_parts = malformed_parts.get(),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -21,8 +21,8 @@
 };
 
 use crate::{
-    admit::is_config_fresh,
     caller_connection::CallerConnection,
+    readiness::is_ready,
     request::handle,
     responses::{RelayResponse, full_body},
     shutdown::{CountGuard, IDLE_CLOSE_DELAY, LAST_USE_DELAY},
@@ -181,19 +181,3 @@
     }
     response
 }
-
-/// Returns whether the relay can admit requests: it knows the configuration, the replicas and the
-/// quarantined requests, and is not shutting down. A relay without contact to the store stays ready for as long as it may
-/// admit keys, unless other relays still have contact: the load balancer needs two seconds to move
-/// new callers to them.
-pub fn is_ready(relay: &Relay) -> bool {
-    let now = now_millis();
-    let redirects = relay.should_redirect_callers(now);
-    relay.record_redirecting(redirects, now);
-    if redirects {
-        return false;
-    }
-    let state = relay.state.borrow();
-    let has_state = state.has_objects() && relay.knows_quarantine.get();
-    has_state && !relay.shutdown.is_stopping() && is_config_fresh(relay, now)
-}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -46,7 +46,7 @@
 use crate::{
     admission::ServiceAdmission,
     buffers::ResponseBuffers,
-    counts::{Counts, count},
+    counts::{Counts, RecentCounts, count},
     engines::ReportCache,
     gossip::{SendScope, send_state},
     logs::{LineInterval, LineLimit},
@@ -54,6 +54,7 @@
     plain::ServiceLoads,
     pool::{ConnectionPool, SendError},
     quarantine::record_crash,
+    readiness::StartProgress,
     registry::PeerAddress,
     settings::{BoundSettings, RelaySettings},
     shutdown::ShutdownState,
@@ -140,7 +141,12 @@
 
     /// Returns whether the configuration and the replicas are known.
     pub fn has_objects(&self) -> bool {
-        self.config.get().is_some() && !self.fleet.view.is_empty()
+        self.config.get().is_some() && self.has_replicas()
+    }
+
+    /// Returns whether the replicas are known.
+    pub fn has_replicas(&self) -> bool {
+        !self.fleet.view.is_empty()
     }
 
     /// Returns the milliseconds until a request of a rank may be sent to a replica, by the
@@ -206,6 +212,8 @@
     pub neighbour_client: HttpClient,
     /// Time of its start.
     pub started_at: Millis,
+    /// Steps that the start has reached.
+    pub start: StartProgress,
     /// Random number of this run of the process, which distinguishes its stamps from those of
     /// earlier runs.
     pub incarnation: u32,
@@ -213,6 +221,8 @@
     pub peer_socket: UdpSocket,
     /// Counters.
     pub counts: Counts,
+    /// Ended requests of each of the last seconds.
+    pub recent_counts: RefCell<RecentCounts>,
     /// Histograms, and the contents of the metrics address.
     pub metrics: RelayMetrics,
     /// Era of the store in which it was last known to hold this relay's object.
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -174,6 +174,11 @@
         tracing::info!(event = "store-call", %kind, %verb, %cause, end = %outcome);
     }
 
+    /// Returns whether the store has answered a call.
+    pub fn has_answer(&self) -> bool {
+        self.counts.borrow().keys().any(|(_, outcome)| *outcome == CallOutcome::Answered)
+    }
+
     /// Returns the number of all calls.
     pub fn total(&self) -> u64 {
         self.counts.borrow().values().sum()
