Objects: the name of an object is read apart from its contents

Cause: an object was decoded as a whole, so that an unreadable one had no name. ObjectList::append took a page without readable objects for the last one, the list ended there, and the relay had no replicas. Beside the configuration, an unreadable object might have been the configuration, so the one in force counted as unconfirmed until the next list, and keys were refused after 3.5 s.

An object without a readable name is left out; a watch that meets one is followed by a list.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 use switchfold_kernel::clock::{epoch_millis, now_millis};
-use switchfold_platform::objects::{ListedObject, ObjectChange};
+use switchfold_platform::objects::{ListedObject, ObjectChange, describe};
 use switchfold_router::{
     Millis,
     fingerprint::RequestFingerprint,
@@ -362,7 +362,7 @@
             }
             _ => {
                 count(&relay.counts.odd_entries);
-                tracing::warn!(event = "quarantine-unreadable", name);
+                tracing::warn!(event = "quarantine-unreadable", name = describe(name));
             }
         }
     }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use switchfold_core::hash::hash_bytes;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::objects::ListedObject;
+use switchfold_platform::objects::{ListedObject, describe};
 use switchfold_router::{
     Millis,
     follow::{FIRST_START_DELAY, START_DELAY, start_delay},
@@ -159,10 +159,13 @@
 
 fn read_relay(object: &ListedObject) -> Option<(String, PeerAddress)> {
     let name = &object.metadata.name;
-    match PeerAddress::deserialize(&object.spec) {
+    let spec = object.readable_spec().map_err(str::to_owned);
+    let address =
+        spec.and_then(|spec| PeerAddress::deserialize(spec).map_err(|error| describe(&error)));
+    match address {
         Ok(address) => Some((name.clone(), address)),
         Err(error) => {
-            tracing::warn!(event = "peer-unreadable", name, %error);
+            tracing::warn!(event = "peer-unreadable", name = describe(name), error);
             None
         }
     }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -7,7 +7,7 @@
 
 use switchfold_kernel::clock::{epoch_millis, now_millis};
 use switchfold_platform::{
-    objects::{ListedObject, ObjectChange, ObjectList, ObjectMetadata},
+    objects::{ListedObject, ObjectChange, ObjectList, ObjectMetadata, describe},
     replicas::decode_replica,
 };
 use switchfold_router::{
@@ -130,7 +130,8 @@
 
 fn read_update(relay: &Relay, object: &ListedObject) -> Option<ReplicaUpdate> {
     let ObjectMetadata { name, revision } = &object.metadata;
-    let entry = decode_replica(name, &object.spec).map_err(|error| error.to_string());
+    let spec = object.readable_spec().map_err(str::to_owned);
+    let entry = spec.and_then(|spec| decode_replica(name, spec).map_err(|error| describe(&error)));
     match entry.and_then(check_start) {
         Ok(entry) => {
             Some(ReplicaUpdate { id: name.clone(), revision: *revision, entry: Some(entry) })
@@ -139,7 +140,8 @@
             let mut state = relay.state.borrow_mut();
             if state.foreign_entries.record(name, *revision) {
                 count(&relay.counts.odd_entries);
-                tracing::warn!(event = "replica-unreadable", replica = name, revision, why);
+                let replica = describe(name);
+                tracing::warn!(event = "replica-unreadable", replica, revision, why);
             }
             state.fleet.overwritten(name, *revision)
         }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -15,7 +15,7 @@
 use switchfold_platform::{
     CONFIG_NAME,
     config::{decode_config, decode_version},
-    objects::{ListedObject, ObjectChanges, ObjectList},
+    objects::{ListedObject, ObjectChanges, ObjectList, describe},
 };
 use switchfold_router::{
     Millis,
@@ -237,7 +237,7 @@
     Ok(at)
 }
 
-/// Counts and logs items that could not be decoded as objects. The other items are applied.
+/// Counts and logs objects whose names could not be decoded. The other objects are applied.
 fn record_unreadable(relay: &Relay, kind: CallKind, errors: &[String], at: u64) {
     let Some(first) = errors.first() else { return };
     relay.counts.odd_entries.set(relay.counts.odd_entries.get() + errors.len() as u64);
@@ -259,20 +259,33 @@
     record_unreadable(relay, followed.kind, &changes.events.unreadable, changes.revision);
     let (at, changed) = (changes.revision, changes.events.decoded.len());
     tracing::debug!(event = "store-watched", kind = %followed.kind, after, at, changed);
+    let is_complete = changes.events.unreadable.is_empty();
     (followed.apply_changes)(relay, changes);
-    Ok(at.max(after))
+    // An unreadable change may be one of any object. A list shows the state after it.
+    if is_complete { Ok(at.max(after)) } else { Err(StoreError::RevisionExpired) }
 }
 
 fn read_config(relay: &Relay, object: &ListedObject, at: u64) {
     if object.metadata.name != CONFIG_NAME {
         return;
     }
-    if apply_config(relay, &object.spec, object.metadata.revision, at) {
-        // Neighbours ask for the new version once they know of it.
-        send_state(relay, SendScope::SameDataCentre);
+    let revision = object.metadata.revision;
+    match object.readable_spec() {
+        Ok(spec) if apply_config(relay, spec, revision, at) => {
+            // Neighbours ask for the new version once they know of it.
+            send_state(relay, SendScope::SameDataCentre);
+        }
+        Ok(_) => {}
+        Err(error) => record_unreadable_config(relay, error, revision),
     }
 }
 
+/// Records that the newest configuration could not be decoded.
+fn record_unreadable_config(relay: &Relay, error: &str, revision: u64) {
+    relay.state.borrow_mut().config_unconfirmed = true;
+    tracing::error!(event = "config-unreadable", error, revision);
+}
+
 /// Records that the store holds no newer version than the one in force.
 ///
 /// If it holds an older one since it was restored from a backup, the operator will write again, and
@@ -310,8 +323,7 @@
     let config = match decoded {
         Ok(config) => Rc::new(config),
         Err(error) => {
-            relay.state.borrow_mut().config_unconfirmed = true;
-            tracing::error!(event = "config-unreadable", %error, revision);
+            record_unreadable_config(relay, &describe(&error), revision);
             return false;
         }
     };
--- a/crates/relay/tests/readiness.rs
+++ b/crates/relay/tests/readiness.rs
@@ -46,7 +46,8 @@
         for step in STEPS {
             let line = wait_for_event("start-step", "step", step).await;
             let age = line["age_ms"].as_u64();
-            let exported = read_metric(&relay, "switchfold_start_step", &[("step", step)]).await;
+            let exported =
+                read_metric(&relay, "switchfold_start_step_milliseconds", &[("step", step)]).await;
             assert!(age.is_some() && exported == age, "{step}: {age:?}, exported {exported:?}");
         }
     });
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -10,6 +10,7 @@
 };
 
 use derive_more::Display;
+use switchfold_core::hash::hash_bytes;
 
 use crate::{
     Millis,
@@ -174,16 +175,18 @@
 /// Listed entries that no replica wrote, so that each is reported once for each revision.
 #[derive(Clone, Debug, Default)]
 pub struct ForeignEntries {
-    seen: HashMap<String, u64>,
+    /// Revisions by the hash of the id, which another writer may have chosen to be long.
+    seen: HashMap<u64, u64>,
 }
 
 impl ForeignEntries {
     /// Records an entry; returns whether it is new.
     pub fn record(&mut self, id: &str, revision: u64) -> bool {
-        if self.seen.len() >= MAX_FOREIGN_IDS && !self.seen.contains_key(id) {
+        let id = hash_bytes(0, id.as_bytes());
+        if self.seen.len() >= MAX_FOREIGN_IDS && !self.seen.contains_key(&id) {
             self.seen.clear();
         }
-        self.seen.insert(id.to_owned(), revision) != Some(revision)
+        self.seen.insert(id, revision) != Some(revision)
     }
 }
 
