Replicas: a wrong time of day makes no entry implausible

A VM that came back without the time of day, at 1970 or a minute behind, took the entry of every replica for another writer's, since all starts lay in its future: it listed no replica for as long as its clock was wrong.

The bound on starts follows this VM's clock unless most listed replicas started after it; then the clock is wrong, and the starts of the others bound each one instead. A start far beyond all others is still another writer's. What remains: a single replica that starts while a clock is more than a minute behind is left out there until its entry changes.

--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -13,7 +13,7 @@
 use switchfold_router::{
     Millis,
     fleet::{FleetChange, ReplicaEntry, ReplicaUpdate},
-    instance::ReplicaInstance,
+    instance::{ReplicaInstance, StartBound},
     replicas::{AppliedList, AppliedUpdate, EraStart, FleetList, UpdateSource},
 };
 use tokio::task::spawn_local;
@@ -25,7 +25,13 @@
 
 /// Applies a full list of the store that was requested at `sent`.
 pub fn apply_store_list(relay: &Rc<Relay>, list: ObjectList, sent: Millis) {
-    let listed = list.items.iter().filter_map(|item| read_update(relay, item)).collect();
+    let decoded: Vec<DecodedEntry> = list.items.iter().map(|item| decode_entry(item)).collect();
+    let starts = decoded.iter().filter_map(|decoded| decoded.as_ref().ok());
+    let bound = StartBound::new(epoch_millis(), starts.map(|entry| entry.instance.started_at()));
+    let listed = list.items.iter().zip(decoded);
+    let listed = listed
+        .filter_map(|(item, decoded)| read_update(relay, &item.metadata, decoded, bound))
+        .collect();
     let list = FleetList { listed, at: list.revision };
     let confirmed = relay.state.borrow().fleet.confirmed_by(&list, now_millis());
     if !confirmed.is_empty() {
@@ -122,17 +128,41 @@
 }
 
 fn change_update(relay: &Relay, change: ObjectChange) -> Option<ReplicaUpdate> {
-    match change.removed {
-        true => Some(removal(change.object.metadata.name, change.object.metadata.revision)),
-        false => read_update(relay, &change.object),
+    let ObjectChange { removed, object } = change;
+    if removed {
+        return Some(removal(object.metadata.name, object.metadata.revision));
     }
+    let decoded = decode_entry(&object);
+    read_update(relay, &object.metadata, decoded, start_bound(relay))
 }
 
-fn read_update(relay: &Relay, object: &ListedObject) -> Option<ReplicaUpdate> {
-    let ObjectMetadata { name, revision } = &object.metadata;
-    let spec = object.readable_spec().map_err(str::to_owned);
-    let entry = spec.and_then(|spec| decode_replica(name, spec).map_err(|error| describe(&error)));
-    match entry.and_then(check_start) {
+/// The entry of an object, or why it describes no replica.
+type DecodedEntry = Result<ReplicaEntry, String>;
+
+fn decode_entry(object: &ListedObject) -> DecodedEntry {
+    let spec = object.readable_spec()?;
+    let entry = decode_replica(&object.metadata.name, spec);
+    entry.map_err(|error| describe(&error))
+}
+
+/// Returns the bound on starts by the replicas that are known.
+fn start_bound(relay: &Relay) -> StartBound {
+    StartBound::new(epoch_millis(), relay.state.borrow().fleet.view.starts())
+}
+
+fn read_update(
+    relay: &Relay,
+    metadata: &ObjectMetadata,
+    decoded: DecodedEntry,
+    bound: StartBound,
+) -> Option<ReplicaUpdate> {
+    let ObjectMetadata { name, revision } = metadata;
+    let possible = decoded.and_then(|entry| match bound.allows(&entry.instance) {
+        true => Ok(entry),
+        // Such a start was not written by a replica.
+        false => Err(format!("start time {} is far in the future", entry.instance.started_at())),
+    });
+    match possible {
         Ok(entry) => {
             Some(ReplicaUpdate { id: name.clone(), revision: *revision, entry: Some(entry) })
         }
@@ -148,14 +178,6 @@
     }
 }
 
-/// Rejects an entry whose start is far in the future: it was not written by a replica.
-fn check_start(entry: ReplicaEntry) -> Result<ReplicaEntry, String> {
-    match entry.instance.is_plausible(epoch_millis()) {
-        true => Ok(entry),
-        false => Err(format!("start time {} is far in the future", entry.instance.started_at())),
-    }
-}
-
 /// Returns whether the report of the replica at an address is valid. `started_at` is the start that
 /// the report names, as unix time in milliseconds, or 0.
 ///
@@ -170,7 +192,7 @@
     if started_at <= instance.started_at() {
         return started_at == instance.started_at();
     }
-    if !instance.restarted_at(started_at).is_plausible(epoch_millis()) {
+    if !start_bound(relay).allows(&instance.restarted_at(started_at)) {
         tracing::warn!(event = "report-unreadable", %address, born = started_at, why = "far in the future");
         return false;
     }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -33,6 +33,11 @@
         self.to <= self.from
     }
 
+    /// Returns whether a model of `layers` layers has all layers of the range.
+    pub fn fits(&self, layers: u32) -> bool {
+        self.to <= layers
+    }
+
     /// Returns whether the range holds `layer`.
     pub fn contains(&self, layer: u32) -> bool {
         self.from <= layer && layer < self.to
@@ -471,6 +476,11 @@
         })
     }
 
+    /// Returns the starts of all replicas, as Unix times in milliseconds; 0 where it is not known.
+    pub fn starts(&self) -> impl Iterator<Item = Millis> {
+        self.entries().map(|entry| entry.instance.started_at())
+    }
+
     /// Returns the replicas of a service.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaEntry> {
         self.entries().filter(move |replica| replica.service == service)
