Replicas: entries with values that no replica writes are left out

The layers are checked against the model where it is known: no path and no plan uses an engine that names layers beyond it.

--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -480,7 +480,8 @@
     let replicas = state.fleet.view.of_service(criteria.service).filter(usable);
     let mut offers: Vec<StageOffer> = kept_stage(state, criteria, numbers).into_iter().collect();
     for replica in replicas {
-        let Some(range) = replica.layers else { continue };
+        let held = replica.layers.filter(|range| range.fits(criteria.engine.layers));
+        let Some(range) = held else { continue };
         let kind = criteria.engine.kind(&replica.kind);
         let (total, reserved) = memory_at(state, criteria.engine, replica, range, now);
         let running_memory = state.memory_reservations.reserved(&replica.instance);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -377,7 +377,7 @@
     }
 
     /// Describes a replica to the planner. Returns `None` if the service does not name its kind of
-    /// accelerator.
+    /// accelerator, or if it names layers that the model does not have.
     fn holder(
         &self,
         replica: &ReplicaEntry,
@@ -386,6 +386,9 @@
         is_lost: bool,
     ) -> Option<LayerHolder> {
         let kind = engine.kind(&replica.kind)?;
+        if replica.layers.is_some_and(|range| !range.fits(engine.layers)) {
+            return None;
+        }
         let pending = self.pending.get(&replica.instance);
         let held = replica.layers.filter(|_| !is_lost);
         Some(LayerHolder {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -18,6 +18,7 @@
 use switchfold_platform::objects::{ListedObject, describe};
 use switchfold_router::{
     Millis,
+    address::is_endpoint,
     follow::{FIRST_START_DELAY, START_DELAY, start_delay},
 };
 use switchfold_store::StoreError;
@@ -48,6 +49,24 @@
     pub data_centre: String,
 }
 
+/// Maximum length of the name of a relay and of its data centre, in bytes.
+const MAX_TEXT_BYTES: usize = 255;
+
+impl PeerAddress {
+    /// Returns why no relay of this name can have written the object.
+    fn check(&self, name: &str) -> Result<(), String> {
+        match () {
+            () if name.len().max(self.data_centre.len()) > MAX_TEXT_BYTES => {
+                Err("a text is too long".to_owned())
+            }
+            () if !is_endpoint(self.address) => {
+                Err(format!("{} is no address of a relay", self.address))
+            }
+            () => Ok(()),
+        }
+    }
+}
+
 /// Writes this relay's address to the store and learns those of the others, for as long as the
 /// process runs.
 ///
@@ -160,8 +179,10 @@
 fn read_relay(object: &ListedObject) -> Option<(String, PeerAddress)> {
     let name = &object.metadata.name;
     let spec = object.readable_spec().map_err(str::to_owned);
-    let address =
-        spec.and_then(|spec| PeerAddress::deserialize(spec).map_err(|error| describe(&error)));
+    let address = spec.and_then(|spec| {
+        let address = PeerAddress::deserialize(spec).map_err(|error| describe(&error))?;
+        address.check(name).map(|()| address)
+    });
     match address {
         Ok(address) => Some((name.clone(), address)),
         Err(error) => {
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -25,7 +25,8 @@
 
 /// Applies a full list of the store that was requested at `sent`.
 pub fn apply_store_list(relay: &Rc<Relay>, list: ObjectList, sent: Millis) {
-    let decoded: Vec<DecodedEntry> = list.items.iter().map(|item| decode_entry(item)).collect();
+    let decoded: Vec<DecodedEntry> =
+        list.items.iter().map(|item| decode_entry(relay, item)).collect();
     let starts = decoded.iter().filter_map(|decoded| decoded.as_ref().ok());
     let bound = StartBound::new(epoch_millis(), starts.map(|entry| entry.instance.started_at()));
     let listed = list.items.iter().zip(decoded);
@@ -132,17 +133,21 @@
     if removed {
         return Some(removal(object.metadata.name, object.metadata.revision));
     }
-    let decoded = decode_entry(&object);
+    let decoded = decode_entry(relay, &object);
     read_update(relay, &object.metadata, decoded, start_bound(relay))
 }
 
 /// The entry of an object, or why it describes no replica.
 type DecodedEntry = Result<ReplicaEntry, String>;
 
-fn decode_entry(object: &ListedObject) -> DecodedEntry {
+fn decode_entry(relay: &Relay, object: &ListedObject) -> DecodedEntry {
     let spec = object.readable_spec()?;
     let entry = decode_replica(&object.metadata.name, spec);
-    entry.map_err(|error| describe(&error))
+    let entry = entry.map_err(|error| describe(&error))?;
+    match relay.settings.is_own_address(entry.address) {
+        true => Err(format!("{} is an address of this relay", entry.address)),
+        false => Ok(entry),
+    }
 }
 
 /// Returns the bound on starts by the replicas that are known.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -60,6 +60,12 @@
 const OVERLOAD_CONTROL_NAMES: &[&str] = &["ranked", "off"];
 
 impl RelaySettings {
+    /// Returns whether this relay listens on an address itself.
+    pub fn is_own_address(&self, address: SocketAddr) -> bool {
+        let own = [self.listen, self.ready_listen, self.peer_listen, self.metrics_listen];
+        own.contains(&address)
+    }
+
     /// Returns these settings with the name that the relay uses towards other relays. It begins
     /// with the class of the VM's processor share; each class has half the share of the one before.
     /// Work that falls to the first relays by name thereby goes to the strongest VMs.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! | module | purpose |
 //! |---|---|
+//! | [`address`] | which addresses can be those of a process |
 //! | [`admission`] | which requests wait for capacity, and which of them is dispatched next |
 //! | [`allowance`] | which share of the retry allowance a relay holds |
 //! | [`attempt`] | what to do after one attempt to run a request |
@@ -48,6 +49,7 @@
 //! The trade-off: a relay chooses alone, from what it last received. Two relays may choose the same
 //! replica at once; the memory and the slots that no path is planned to use absorb that.
 
+pub mod address;
 pub mod admission;
 pub mod allowance;
 pub mod attempt;
