Messages, reports and headers: numbers at the edges of their types are safe to use

Sums of numbers that others send overflowed. Weights of a route, stamps and ages of relays, times of quarantined requests in the store were the same. A suspicion that another relay reported lasted as long as the message said, up to 49 days; a quarantined request as long as its object said.

Sums saturate, times and factors are cut to what they can mean here, and an object of the quarantine has at most 64 runs.

--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -343,7 +343,7 @@
         update_limit(relay, &grant.limit.id, grant.limit.report(written), Some(&message.name));
         let IssuedGrants { stamp, held_for, count, share, .. } = grant.issued_grants();
         if stamp.incarnation == relay.incarnation {
-            let issued = (stamp.time + held_for) as i64;
+            let issued = stamp.time.saturating_add(held_for) as i64;
             let mut state = relay.state.borrow_mut();
             state.grants.add(&grant.limit.id, count, issued, share, now);
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -145,7 +145,7 @@
         let instance = ReplicaInstance::from(instance);
         let is_current = state.fleet.view.get_current(&instance).is_some();
         if is_current && !state.suspects.is_suspect(&instance, now) {
-            state.suspects.merge_peer(&instance, now + Millis::from(*remaining_ms), origin);
+            state.suspects.merge_peer(&instance, Millis::from(*remaining_ms), origin, now);
             tracing::info!(event = "suspect-heard", replica = %instance, from = message.name, lasts = remaining_ms);
             lost.push(instance);
         }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -80,7 +80,8 @@
         let weight = 0.5_f64.powf(age / HALF_LIFE);
         let slots = f64::from(replica.slots.max(1));
         let reported =
-            self.reported.map_or(0.0, |load| f64::from(load.running + load.waiting)) * weight;
+            self.reported.map_or(0.0, |load| f64::from(load.running) + f64::from(load.waiting))
+                * weight;
         let busy = f64::from(self.in_flight).max(reported) / slots;
         (1.0 + busy * busy) * (1.0 + (self.slowness + self.failure_rate * FAILURE_COST) * weight)
     }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -168,6 +168,12 @@
     is_strong: bool,
 }
 
+/// Maximum number of runs that are read from an entry. Three lost runs in a row quarantine a request.
+const MAX_RUNS: usize = 64;
+
+/// Largest age of a run that is told apart, in milliseconds. Older ones do not count either.
+const MAX_RUN_AGE: Millis = 2 * QUARANTINE_TIME;
+
 impl StoredRequest {
     /// Creates the entry for a report. `epoch` is the Unix time at `now`.
     fn new(report: &CrashReport, now: Millis, epoch: u64) -> Self {
@@ -185,16 +191,19 @@
         }
     }
 
-    /// Returns the report of the entry. `epoch` is the Unix time at `now`.
+    /// Returns the report of the entry. `epoch` is the Unix time at `now`. Times that its writer
+    /// cannot have meant are cut: no run was lost in the future, and old ones do not count.
     fn report(&self, fingerprint: RequestFingerprint, now: Millis, epoch: u64) -> CrashReport {
-        let local_time = |time: u64| now as i64 - (epoch as i64 - time as i64);
-        let runs = self.runs.iter().map(|run| CrashRun {
+        let age = |time: u64| epoch.saturating_sub(time).min(MAX_RUN_AGE) as i64;
+        let local_time = |time: u64| now as i64 - age(time);
+        let runs = self.runs.iter().take(MAX_RUNS).map(|run| CrashRun {
             instance: ReplicaInstance::new(&run.id, run.started_at),
             sent: local_time(run.sent),
             lost: local_time(run.lost),
             evidence: if run.is_strong { CrashEvidence::Strong } else { CrashEvidence::Weak },
         });
         let remaining = self.until.checked_sub(epoch).filter(|remaining| *remaining > 0);
+        let remaining = remaining.map(|remaining| remaining.min(QUARANTINE_TIME));
         CrashReport { fingerprint, remaining, runs: runs.collect() }
     }
 }
@@ -353,11 +362,11 @@
         let entry = StoredRequest::deserialize(&object.spec);
         match (RequestFingerprint::parse(name), parse_trial_name(name), entry) {
             (Some(fingerprint), _, Ok(entry)) => {
-                stored.insert(name.clone(), entry.expires_at());
+                stored.insert(name.clone(), entry.expires_at(epoch));
                 reports.push(entry.report(fingerprint, now, epoch));
             }
             (None, Some(trial), Ok(entry)) => {
-                stored.insert(name.clone(), entry.until);
+                stored.insert(name.clone(), entry.expires_at(epoch).min(entry.until));
                 trials.push(trial);
             }
             _ => {
@@ -375,10 +384,12 @@
 }
 
 impl StoredRequest {
-    /// Returns the Unix time after which the entry has no use.
-    fn expires_at(&self) -> u64 {
+    /// Returns the Unix time after which the entry has no use, for an entry that was read at the
+    /// Unix time `epoch`.
+    fn expires_at(&self, epoch: u64) -> u64 {
         let last_lost = self.runs.iter().map(|run| run.lost).max().unwrap_or_default();
-        self.until.max(last_lost) + QUARANTINE_TIME
+        let last_use = self.until.max(last_lost).min(epoch.saturating_add(QUARANTINE_TIME));
+        last_use.saturating_add(QUARANTINE_TIME)
     }
 }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns whether its response has no body whatever its head says.
+    pub fn is_head(&self) -> bool {
+        self.method == Method::HEAD
+    }
+
     /// Returns whether a response with these headers belongs to this request. A response without an
     /// attempt id is assumed to.
     pub fn matches_response(&self, headers: &ResponseHeaders) -> bool {
@@ -131,7 +136,8 @@
     /// Estimates the number of tokens that it may hold, those of its prompt and of its completion.
     /// `mean` has the model's mean numbers of both, for requests that state none.
     pub fn estimate_tokens(&self, mean: (u32, u32)) -> f64 {
-        let (prompt, max_completion) = self.headers.tokens.unwrap_or((mean.0, mean.1 * 2));
+        let (prompt, max_completion) =
+            self.headers.tokens.unwrap_or((mean.0, mean.1.saturating_mul(2)));
         let completion = self.headers.length_hint.unwrap_or(mean.1).min(max_completion);
         f64::from(prompt) + f64::from(completion)
     }
--- a/crates/router/src/clocks.rs
+++ b/crates/router/src/clocks.rs
@@ -19,14 +19,15 @@
     /// Returns the time by this relay's clock at or before which a message with this stamp was
     /// written.
     pub fn written_at(&mut self, peer: &str, stamp: PeerStamp, now: Millis) -> i64 {
-        let difference = now as i64 - stamp.time as i64;
+        let time = i64::try_from(stamp.time).unwrap_or(i64::MAX);
+        let difference = (now as i64).saturating_sub(time);
         let held =
             self.differences.entry(peer.to_owned()).or_insert((stamp.incarnation, difference));
         *held = match held.0 == stamp.incarnation {
             true => (held.0, held.1.min(difference)),
             false => (stamp.incarnation, difference),
         };
-        stamp.time as i64 + held.1
+        time.saturating_add(held.1)
     }
 
     /// Removes a relay.
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -318,7 +318,7 @@
             return is_lost;
         }
         let proofs = live.filter_map(|peer| peer.config_age(now));
-        proofs.min().is_some_and(|age| age + REDIRECT_MARGIN <= own_age)
+        proofs.min().is_some_and(|age| age.saturating_add(REDIRECT_MARGIN) <= own_age)
     }
 }
 
@@ -329,7 +329,8 @@
 impl Peer {
     /// Returns the present age of its proof of the configuration.
     fn config_age(&self, now: Millis) -> Option<Millis> {
-        Some(self.state.config_age? + now.saturating_sub(self.last_received?))
+        let age = now.saturating_sub(self.last_received?);
+        Some(self.state.config_age?.saturating_add(age))
     }
 
     fn is_live(&self, now: Millis) -> bool {
--- a/crates/router/src/membership/proofs.rs
+++ b/crates/router/src/membership/proofs.rs
@@ -77,8 +77,10 @@
 /// take an old proof for a young one and pass it on as such; if they were dropped, relays would
 /// refuse keys for seconds after all of them were restarted.
 pub fn proof_time(stamp: PeerStamp, incarnation: u32, held: Millis, age: Millis) -> Option<i64> {
+    // The times in a message may be damaged; saturated ones prove nothing.
+    let signed = |time: Millis| i64::try_from(time).unwrap_or(i64::MAX);
     let own = stamp.incarnation == incarnation;
-    own.then(|| (stamp.time + held) as i64 - age as i64)
+    own.then(|| signed(stamp.time.saturating_add(held)).saturating_sub(signed(age)))
 }
 
 impl PeerTable {
--- a/crates/router/src/membership/sources.rs
+++ b/crates/router/src/membership/sources.rs
@@ -288,6 +288,8 @@
     /// Returns whether a reported age, advanced to now, is below [`MAX_PEER_READ_AGE`].
     fn is_recent_read(&self, reported: Option<Millis>, now: Millis) -> bool {
         let since = self.last_received.map(|received| now.saturating_sub(received));
-        reported.zip(since).is_some_and(|(reported, since)| reported + since < MAX_PEER_READ_AGE)
+        reported
+            .zip(since)
+            .is_some_and(|(reported, since)| reported.saturating_add(since) < MAX_PEER_READ_AGE)
     }
 }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -73,8 +73,8 @@
     /// Returns a service chosen by weight, or `None` if the route has no target. `draw` is uniform
     /// in `0..1`.
     pub fn choose_service(&self, draw: f64) -> Option<&str> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut remaining = draw * total;
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 && target.weight > 0 {
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -63,8 +63,16 @@
         Some(until)
     }
 
-    /// Merges a suspicion of another relay. The later end wins.
-    pub fn merge_peer(&mut self, instance: &ReplicaInstance, until: Millis, origin: UpdateOrigin) {
+    /// Merges a suspicion of another relay that lasts for `remaining` milliseconds from `now` on,
+    /// at most as long as one lasts here. The later end wins.
+    pub fn merge_peer(
+        &mut self,
+        instance: &ReplicaInstance,
+        remaining: Millis,
+        origin: UpdateOrigin,
+        now: Millis,
+    ) {
+        let until = now + remaining.min(MAX_SUSPICION_TIME);
         let entry = self.suspicions.entry(instance.clone());
         let suspicion = entry.or_insert(Suspicion { until, duration: BASE_SUSPICION_TIME, origin });
         if suspicion.until < until {
--- a/crates/router/tests/gossip_model/mod.rs
+++ b/crates/router/tests/gossip_model/mod.rs
@@ -356,7 +356,7 @@
         let mut is_new = false;
         for (instance, remaining) in &message.suspects {
             if !own.suspects.is_suspect(instance, now) {
-                own.suspects.merge_peer(instance, now + remaining, origin);
+                own.suspects.merge_peer(instance, *remaining, origin, now);
                 is_new = true;
             }
         }
