Relay: an address that is in use at the start is waited for

A relay whose port was taken for a moment when it started, by the process before it or by an outgoing connection of another one, ended at once with exit code 3, and came back only when the platform started it again.

Each bind is repeated for up to 10 s while the address is in use, with one line (address-in-use).

an_address_in_use_is_waited_for failed before (AddrInUse).

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -26,7 +26,7 @@
     signal::unix::{SignalKind, signal},
     sync::Notify,
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -219,19 +219,53 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let udp = UdpSocket::bind(address).await;
-        let udp = udp.map_err(|source| RunError::Listen { address, source })?;
+        let udp = bind_when_free(address, || UdpSocket::bind(address)).await?;
         let bound = udp.local_addr().map_err(|source| RunError::Listen { address, source })?;
-        match listen(bound).await {
+        match address.port() {
+            0 => {}
+            _ => return Ok((udp, listen(bound).await?)),
+        }
+        match TcpListener::bind(bound).await {
             Ok(tcp) => return Ok((udp, tcp)),
-            Err(error) if address.port() != 0 || tries == MAX_PORT_TRIES => return Err(error),
+            Err(source) if tries == MAX_PORT_TRIES => {
+                return Err(RunError::Listen { address: bound, source });
+            }
             Err(_) => {}
         }
     }
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })
+    bind_when_free(address, || TcpListener::bind(address)).await
+}
+
+/// Time for which an address may be in use when the relay starts. An earlier process may still be
+/// ending, or an outgoing connection may have taken the port.
+const MAX_BIND_WAIT: Duration = Duration::from_secs(10);
+
+/// Interval between two attempts to bind an address.
+const BIND_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Binds an address, and tries again while it is in use.
+async fn bind_when_free<T, F: Future<Output = io::Result<T>>>(
+    address: SocketAddr,
+    bind: impl Fn() -> F,
+) -> Result<T, RunError> {
+    let deadline = Instant::now() + MAX_BIND_WAIT;
+    let mut is_first = true;
+    loop {
+        match bind().await {
+            Ok(socket) => return Ok(socket),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
+                if is_first {
+                    tracing::warn!(event = "address-in-use", %address);
+                }
+                is_first = false;
+                sleep(BIND_INTERVAL).await;
+            }
+            Err(source) => return Err(RunError::Listen { address, source }),
+        }
+    }
 }
 
 fn new_relay(settings: RelaySettings, peer_socket: UdpSocket, metrics: RelayMetrics) -> Relay {
