--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -216,10 +216,26 @@
 ///
 /// Returns [`BodyError::TooLarge`] if the body is larger, and [`BodyError::Truncated`] if the
 /// connection ends before the body does.
-pub async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    read_frames(body, limit, None).await
+}
+
+/// Reads a body. If `max_pause` is set, the body is truncated once no bytes arrive for that long.
+async fn read_frames(
+    mut body: Incoming,
+    limit: usize,
+    max_pause: Option<Duration>,
+) -> Result<Bytes, BodyError> {
     let mut buffer = BytesMut::new();
     let mut total = 0;
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = match max_pause {
+            Some(pause) => {
+                time::timeout(pause, body.frame()).await.map_err(|_| BodyError::Truncated)?
+            }
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() else {
             continue;
         };
@@ -314,6 +330,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     body_limit: usize,
     timeout: Duration,
+    /// Time limit for a body whose bytes arrive without a pause of `timeout`.
+    max_body_time: Duration,
 }
 
 impl HttpClient {
@@ -327,7 +345,14 @@
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .retry_canceled_requests(true)
             .build(connector);
-        Self { client, body_limit, timeout }
+        Self { client, body_limit, timeout, max_body_time: timeout }
+    }
+
+    /// Allows a body to take longer than the timeout, up to `max_body_time`, as long as its bytes
+    /// arrive without a pause of the timeout. A large body on a slow link would otherwise be cut and
+    /// read again without end.
+    pub fn with_body_time(self, max_body_time: Duration) -> Self {
+        Self { max_body_time: max_body_time.max(self.timeout), ..self }
     }
 
     /// Sends a request and returns the response when its headers have arrived.
@@ -358,7 +383,8 @@
     pub async fn call(&self, request: Request<Full<Bytes>>) -> Result<FullResponse, CallError> {
         let response = self.send(request).await?;
         let (parts, body) = response.into_parts();
-        match time::timeout(self.timeout, read_body(body, self.body_limit)).await {
+        let reading = read_frames(body, self.body_limit, Some(self.timeout));
+        match time::timeout(self.max_body_time, reading).await {
             Ok(Ok(body)) => Ok(FullResponse { status: parts.status, headers: parts.headers, body }),
             Ok(Err(error)) => Err(CallError::NoResponse { detail: error.to_string() }),
             Err(_) => Err(CallError::NoResponse { detail: "timed out".to_owned() }),
--- a/crates/relay/src/snapshot/fetch.rs
+++ b/crates/relay/src/snapshot/fetch.rs
@@ -12,14 +12,18 @@
 use super::{MAX_SNAPSHOT_BYTES, Snapshot, SnapshotBody, snapshot_target};
 use crate::{counts::count, state::Relay, store_calls::CallKind};
 
-/// Timeout of a request to a neighbour. A list takes a tenth of a second on the link of a small VM
+/// Time without bytes after which a request to a neighbour is given up. A list takes a tenth of a second on the link of a small VM
 /// if twenty relays ask at once. The timeout delays the call to the store that follows it, so it is
 /// below the timeout of that call.
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time limit for a snapshot whose bytes keep arriving: one of a megabyte takes three seconds of the
+/// link of a small VM that seven neighbours ask at once.
+const MAX_FETCH_TIME: Duration = Duration::from_secs(4);
+
 /// Creates the client for requests to neighbours.
 pub fn new_client() -> HttpClient {
-    HttpClient::new(FETCH_TIMEOUT, MAX_SNAPSHOT_BYTES)
+    HttpClient::new(FETCH_TIMEOUT, MAX_SNAPSHOT_BYTES).with_body_time(MAX_FETCH_TIME)
 }
 
 /// Snapshot that a neighbour sent.
