Streams: a resumed response must go on with the next event

A stream that broke off after event 2 was resumed at an engine that answered with event 11, or with event 0: the caller got events 0, 1, 2, 11 or 0, 1, 2, 0, ... and a complete body (ORDER). The relay knew the ids and did not compare them.

The first event of a resumed response must have the id after the last one where two events or more were numbered by one, and a later one otherwise; any other response counts as broken, and another attempt follows where the route allows it.

The same file changes how a response ends that has neither a length nor chunks: without any event it is no whole stream. The end of the connection may be that of the replica, and a caller got a complete empty body.

a_resumed_stream_goes_on_with_the_next_event failed before: events 0, 1, 2, 0, 1, ... in one body.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -164,7 +164,9 @@
                     self.is_probed = false;
                     self.end_move_wait();
                     let events = self.current.push(chunk);
-                    if events.is_none() && !self.current.can_buffer_event() {
+                    if self.current.has_missed() {
+                        self.recover("does not go on after the last event", StreamLoss::Broken);
+                    } else if events.is_none() && !self.current.can_buffer_event() {
                         self.recover("an event is too large", StreamLoss::Excessive);
                     }
                     events
@@ -240,6 +242,9 @@
                 let former = &mut self.former[index];
                 match former.push(chunk) {
                     Some(events) => RunOutput::Bytes(events),
+                    None if former.has_missed() => {
+                        RunOutput::Broken("does not go on after the last event".to_owned())
+                    }
                     None if former.can_buffer_event() => return None,
                     None => RunOutput::Broken("an event is too large".to_owned()),
                 }
--- a/crates/relay/src/forward/run.rs
+++ b/crates/relay/src/forward/run.rs
@@ -9,7 +9,7 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::{
     events::EventFramer,
-    headers::{ResponseHeaders, read_response_headers},
+    headers::{ResponseHeaders, is_framed, read_response_headers},
 };
 use switchfold_router::{Millis, buffers::LengthKind, path::PathStage};
 
@@ -46,6 +46,10 @@
     pub(super) permit: Permit,
     /// Time of the last bytes.
     pub(super) last_progress: Millis,
+    /// Whether the head tells where the body ends.
+    is_framed: bool,
+    /// Whether an event of the response was complete.
+    has_event: bool,
 }
 
 impl StreamRun {
@@ -56,6 +60,8 @@
             framer,
             partial_event: relay.buffers.share(LengthKind::Open),
             headers: read_response_headers(&opened.head.headers),
+            is_framed: is_framed(&opened.head.headers),
+            has_event: false,
             body: opened.body,
             connection: Some(opened.connection),
             path: opened.path,
@@ -79,6 +85,10 @@
             None if self.framer.has_partial() => {
                 RunOutput::Broken("response ended within an event".to_owned())
             }
+            // The end of the connection may be that of the replica.
+            None if !self.is_framed && !self.has_event => {
+                RunOutput::Broken("response without a length ended before an event".to_owned())
+            }
             None => RunOutput::End,
         }
     }
@@ -86,7 +96,14 @@
     /// Adds bytes that were read. Returns the events that are complete now.
     pub(super) fn push(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.last_progress = now_millis();
-        self.framer.push(chunk)
+        let events = self.framer.push(chunk);
+        self.has_event |= events.is_some();
+        events
+    }
+
+    /// Returns whether the response was opened to resume a stream and does not continue it.
+    pub(super) fn has_missed(&self) -> bool {
+        self.framer.has_missed()
     }
 
     /// Records that events were forwarded.
