Responses: the framing of a replica's response is not the caller's

Two fields of a replica's head described its connection to the relay and were passed on to the caller's:

- The version.
To a response of version 1.0 without a length the caller's connection sent neither a length nor chunks, so that a stream which the relay aborted looked complete.
- The length of a stream.

Both are removed for each response. a_torn_response_is_followed_by_another_attempt and a_torn_stream_never_passes_for_whole failed before.

--- a/crates/relay/src/responses.rs
+++ b/crates/relay/src/responses.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
+use switchfold_platform::headers::strip_hop_headers;
 use switchfold_router::Millis;
 
 /// Error of a response body that cannot be completed: the caller's connection is closed before the
@@ -26,6 +27,15 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// Removes from the head of a replica's response what describes its connection to this relay: the
+/// version, hop-by-hop headers and the length of the body. The connection to the caller has its own:
+/// with the version 1.0, an aborted body would end like a complete one.
+pub fn strip_framing(head: &mut response::Parts) {
+    head.version = Version::HTTP_11;
+    strip_hop_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+}
+
 /// Why the relay responds to a request itself instead of forwarding a replica's response.
 ///
 /// [`Display`](std::fmt::Display) gives the reason that logs and metrics carry.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{ResponseHeaders, read_response_headers, strip_hop_headers};
+use switchfold_platform::headers::{ResponseHeaders, read_response_headers};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
@@ -44,7 +44,7 @@
     reachability::check_named,
     request::{CallerRequest, ReplicaTarget},
     response_head::{HeadError, HeadWait, PendingHead, ReceivedHead},
-    responses::{Refusal, RelayResponse, full_body},
+    responses::{Refusal, RelayResponse, full_body, strip_framing},
     retries::{RetryCharge, RetryPermit},
     run_tracker::RunTracker,
     shutdown::CountGuard,
@@ -597,8 +597,7 @@
                 connection.return_to(&relay.pool, headers.keep_alive);
             }
             let mut head = head;
-            strip_hop_headers(&mut head.headers);
-            head.headers.remove(http::header::CONTENT_LENGTH);
+            strip_framing(&mut head);
             OpenOutcome::Responded(Response::from_parts(head, full_body(body)))
         }
         Ok(_) => OpenOutcome::Failed(AttemptEnd::Answered(status), format!("status {status}")),
@@ -616,7 +615,8 @@
     let took = now_millis() - request.arrived_at;
     relay.metrics.record_head(&stream.permit, took);
     let mut head = stream.head.clone();
-    strip_hop_headers(&mut head.headers);
+    // A resumption at another replica may have another length.
+    strip_framing(&mut head);
     let body = stream_body(relay.clone(), request, history, stream, in_flight);
     Response::from_parts(head, body)
 }
