Connections: a head made of two responses is none

A replica that stopped within the head of a surplus response left bytes on a kept connection; where they arrived after the next request was sent, the head of its response was read as their continuation. 'HTTP/1.1 200 ' and 'HTTP/1.1 500 Failed' make a 200 whose reason names the other status, and the caller got the failure of the replica as a success (MIXED).

A head whose reason phrase or values contain a status line, or that names two ids or signatures, is no response: the request counts as one that may have run, and the connection is closed.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -14,10 +14,12 @@
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    ext::ReasonPhrase,
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use switchfold_kernel::clock::now_millis;
+use switchfold_platform::headers::is_merged;
 use switchfold_router::Millis;
 use tokio::{
     net::TcpStream,
@@ -275,6 +277,11 @@
 ) -> Result<(Response<Incoming>, ActiveConnection), (SendError, Unsent)> {
     let sender = connection.sender.as_mut().expect("an active connection has its sender");
     match sender.try_send_request(request).await {
+        // Surplus bytes of the response before, which the connection had not read in time.
+        Ok(response) if is_merged(response.headers(), reason(&response)) => {
+            let detail = "parts of two responses".to_owned();
+            Err((SendError::NoResponse { detail }, None))
+        }
         Ok(response) => Ok((response, connection)),
         Err(mut failure) => {
             let unsent = failure.take_message();
@@ -287,3 +294,8 @@
         }
     }
 }
+
+/// Returns the reason phrase of a response; empty if it is the usual one of its status.
+fn reason(response: &Response<Incoming>) -> &[u8] {
+    response.extensions().get::<ReasonPhrase>().map_or(&[], ReasonPhrase::as_bytes)
+}
