Plain services: a success without a length and without a body is not whole

A replica that stopped right behind such a head left an empty body, which the caller got with a length of its own, as whole.

A success without a body counts as broken unless its status or method has none. A body that stops after its first byte can still not be told from a whole one; it is passed on by the sentence above.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -12,7 +12,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::Response;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{ReplicaLoad, strip_hop_headers};
+use switchfold_platform::headers::ReplicaLoad;
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
@@ -31,7 +31,7 @@
     notices::{min_send_wait, refusal_without_replica},
     quarantine::{check_send, quarantine_remaining},
     request::CallerRequest,
-    responses::{Refusal, RelayResponse, full_body},
+    responses::{Refusal, RelayResponse, full_body, strip_framing},
     retries::{RetryCharge, RetryPermit},
     state::Relay,
 };
@@ -473,7 +473,6 @@
 
 fn forward(response: BufferedResponse) -> RelayResponse {
     let (mut parts, ()) = response.head.into_parts();
-    strip_hop_headers(&mut parts.headers);
-    parts.headers.remove(http::header::CONTENT_LENGTH);
+    strip_framing(&mut parts);
     Response::from_parts(parts, full_body(response.body))
 }
--- a/crates/relay/src/plain/attempt.rs
+++ b/crates/relay/src/plain/attempt.rs
@@ -8,11 +8,13 @@
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
-use switchfold_platform::headers::{ReplicaLoad, ResponseHeaders, read_response_headers};
+use switchfold_platform::headers::{
+    ReplicaLoad, ResponseHeaders, is_framed, read_response_headers,
+};
 use switchfold_router::{
     Millis,
     attempt::{AttemptEnd, promises_not_run},
@@ -240,6 +242,11 @@
             return AttemptOutcome::without_response(end, format!("status {}", parts.status));
         }
         match read_body(&relay.buffers, body, MAX_RESPONSE).await {
+            // The end of the connection may be that of the replica.
+            Ok(body) if body.is_empty() && lacks_body(request, &parts) => {
+                let detail = "response without a length ended before its body".to_owned();
+                AttemptOutcome::without_response(AttemptEnd::Broken, detail)
+            }
             Ok(body) => {
                 if !headers.closes_connection {
                     connection.return_to(&relay.pool, headers.keep_alive);
@@ -270,6 +277,13 @@
     }
 }
 
+/// Returns whether a success whose body is empty may lack it: neither its head nor its status or the
+/// method tells that it has none.
+fn lacks_body(request: &CallerRequest, head: &response::Parts) -> bool {
+    let has_none = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
+    head.status.is_success() && !has_none && !request.is_head() && !is_framed(&head.headers)
+}
+
 /// Returns how an attempt ended if the head of the response alone decides it: the response belongs
 /// to another request, carries no signature, or is a rejection. Returns `None` if the body has to
 /// be read.
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -17,9 +17,10 @@
     engine::{ORDER_PATH, REPORT_PATH},
     headers::{ATTEMPT_ID, DEADLINE, REPLICA_SEAL},
 };
+pub(crate) use switchfold_platform_standin::samples::RouteSample;
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica, StandinStore, StreamEnd, events,
-    samples::{self, HOST, KEY, RouteSample},
+    samples::{self, HOST, KEY},
     signed_response,
 };
 use switchfold_relay::{
