Plain services: the failure of a replica is forwarded if there is no other response

Cause: whether another replica can be tried is decided by the permit of the attempt that failed, but the retry is admitted to the service that the route names by then. If that one has no replica, or the retry is refused for another reason, the response of the first replica had been dropped.

The failure is kept, and forwarded if no further attempt has a response. One whose status promises that the request did not run is not, as before.

the_failure_of_a_replica_is_forwarded_if_there_is_no_retry failed before (502 instead of 500).

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -15,7 +15,7 @@
 use switchfold_platform::headers::ReplicaLoad;
 use switchfold_router::{
     Millis,
-    attempt::{AttemptEnd, AttemptState, NextStep, decide_next},
+    attempt::{AttemptEnd, AttemptState, NextStep, decide_next, promises_not_run},
     fleet::ReplicaEntry,
     grants::GrantWaiter,
     instance::ReplicaInstance,
@@ -288,11 +288,14 @@
     unsent: u32,
     /// Charge for the next attempt.
     charge: Option<RetryCharge>,
+    /// Failure that a replica responded with, for the caller if no further attempt has a response.
+    failure: Option<PlainAnswer>,
 }
 
 impl<'a> PlainRun<'a> {
     fn new(relay: &'a Rc<Relay>, request: &'a CallerRequest, permit: Permit) -> Self {
-        Self { relay, request, permit, tried: Vec::new(), sends: 0, unsent: 0, charge: None }
+        let tried = Vec::new();
+        Self { relay, request, permit, tried, sends: 0, unsent: 0, charge: None, failure: None }
     }
 
     fn finish(mut self) -> LocalBoxFuture<'a, Result<PlainAnswer, Refusal>> {
@@ -330,8 +333,16 @@
     }
 
     /// Makes attempts until there is a response for the caller, or the first one is overdue and
-    /// another one is possible.
+    /// another one is possible. A failure of a replica is forwarded if nothing came of the attempts
+    /// after it.
     async fn proceed(&mut self) -> Result<PlainProgress<'a>, Refusal> {
+        match self.attempt().await {
+            Err(refusal) => self.failure.take().map(PlainProgress::Answered).ok_or(refusal),
+            progress => progress,
+        }
+    }
+
+    async fn attempt(&mut self) -> Result<PlainProgress<'a>, Refusal> {
         let (relay, request) = (self.relay, self.request);
         let may_have_run = &request.may_have_run;
         loop {
@@ -392,10 +403,16 @@
                     let permit = self.permit.clone();
                     return Ok(PlainProgress::Answered(PlainAnswer { response, permit }));
                 }
-                (NextStep::TryElsewhere, _) => {
+                (NextStep::TryElsewhere, response) => {
                     if self.sends > 0 {
                         count(&relay.counts.repeats);
                     }
+                    let status = |response: &BufferedResponse| response.head.status().as_u16();
+                    let failure = response.filter(|response| !promises_not_run(status(response)));
+                    if let Some(response) = failure {
+                        let permit = self.permit.clone();
+                        self.failure = Some(PlainAnswer { response, permit });
+                    }
                     self.permit = admit_retry(relay, &request.admission, may_have_run.get())?;
                     self.charge = retry.into_charge();
                 }
