--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -478,6 +478,7 @@
         ended = ended.or((state.outcome(id) != Some(Outcome::Running)).then_some(now));
     }
     assert_eq!(state.counts().resend_requests, 3);
+    assert_eq!(state.outcome(id), Some(Outcome::Unknown(UnknownReason::Stalled)));
     assert!(ended.is_some_and(|at| at < 9_500), "it did not end in time: {ended:?}");
 }
 
