--- a/crates/relay/tests/readiness.rs
+++ b/crates/relay/tests/readiness.rs
@@ -64,12 +64,17 @@
         relay.wait_ready(StatusCode::OK).await;
         assert_eq!(relay.get("/safe/a", "a").await.status, StatusCode::OK);
         for step in STEPS {
-            let exported =
-                read_metric(&relay, "switchfold_start_step_milliseconds", &[("step", step)]).await;
+            let mut exported = None;
+            wait_until(async || {
+                let labels = [("step", step)];
+                exported = read_metric(&relay, "switchfold_start_step_milliseconds", &labels).await;
+                exported.is_some()
+            })
+            .await;
             // Other tests of this process have starts of their own.
             let logged = events_with("start-step", "step", step);
             let is_logged = logged.iter().any(|line| line["age_ms"].as_u64() == exported);
-            assert!(exported.is_some() && is_logged, "{step}: {exported:?} of {logged:?}");
+            assert!(is_logged, "{step}: {exported:?} of {logged:?}");
         }
     });
 }
