Soak: losses of power

It reports the share of calls served in each second after the return; from the third second on each must be three quarters of that before.

--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -14,6 +14,7 @@
     cluster::ClusterConfig,
     measure::{SCENARIO_HEADER, Scenario, measure_silence},
     plan::ClusterSize,
+    recovery::run_recovery,
     replica::{ReplicaArguments, run_replica},
     run::{SoakReport, run_seed},
 };
@@ -43,6 +44,9 @@
     /// Measures how many callers are served, and in time, while sound replicas are silent for a second
     /// or two. Writes a table.
     Silence(RunArguments),
+    /// Lets relays, replicas and the store lose power, and reports the share of calls that is served in
+    /// each second after their return.
+    Recover(RunArguments),
     /// Runs one stand-in replica. The soak starts these processes itself.
     Replica(ReplicaArguments),
 }
@@ -184,6 +188,32 @@
     Ok(())
 }
 
+/// Runs the losses of all seeds, and returns whether no guarantee was violated.
+async fn recover(arguments: RunArguments) -> io::Result<bool> {
+    let soak_program = std::env::current_exe()?;
+    let runs = arguments.seeds()?.into_iter().map(|seed| {
+        let (arguments, soak_program) = (&arguments, &soak_program);
+        async move {
+            let config = arguments.cluster_config(&format!("loss-{seed}"), soak_program)?;
+            let folder = config.folder.clone();
+            let report = run_recovery(seed, config).await?;
+            if report.violations.is_empty() {
+                std::fs::remove_dir_all(&folder)?;
+            }
+            io::Result::Ok(report)
+        }
+    });
+    let mut reports = stream::iter(runs).buffer_unordered(arguments.jobs.max(1));
+    let (mut passed, mut failed) = (0, 0);
+    while let Some(report) = reports.next().await {
+        let report = report?;
+        println!("{report}");
+        if report.violations.is_empty() { passed += 1 } else { failed += 1 }
+    }
+    println!("{passed} losses without a broken promise, {failed} with");
+    Ok(failed == 0)
+}
+
 fn print_report(report: &SoakReport, folder: &Path) {
     let calls: usize = report.outcomes.values().sum();
     let (after, served) = report.after_faults;
@@ -209,6 +239,7 @@
     let outcome = match SoakArguments::parse().verb {
         SoakCommand::Run(arguments) => stop_on_signal(run(arguments)).await,
         SoakCommand::Silence(arguments) => stop_on_signal(measure(arguments)).await.map(|()| true),
+        SoakCommand::Recover(arguments) => stop_on_signal(recover(arguments)).await,
         SoakCommand::Replica(arguments) => run_replica(arguments).await.map(|()| true),
     };
     match outcome {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -654,6 +654,29 @@
     violations
 }
 
+/// Seconds after the return of everything within which as many calls must be served as before.
+const RECOVERY_SECONDS: usize = 3;
+
+/// From [`RECOVERY_SECONDS`] on, each second's share of served calls is at least three quarters of
+/// that before a loss. `before` and the elements of `after` are numbers of calls and of served ones.
+pub fn check_recovery(before: (usize, usize), after: &[(usize, usize)]) -> Option<Violation> {
+    let (calls_before, served_before) = before;
+    let is_below = |(calls, served): &(usize, usize)| {
+        4 * served * calls_before < 3 * served_before * calls || *calls == 0
+    };
+    if served_before == 0 {
+        return Some(violation(Guarantee::Recovery, "no call was served before the loss"));
+    }
+    let late = after.iter().enumerate().skip(RECOVERY_SECONDS).find(|(_, second)| is_below(second));
+    let describe = |(second, (calls, served)): (usize, &(usize, usize))| {
+        format!(
+            "{served} of {calls} served {second} s after the return, {served_before} of \
+             {calls_before} before"
+        )
+    };
+    late.map(|late| violation(Guarantee::Recovery, describe(late)))
+}
+
 fn check_processes(history: &RunHistory) -> Vec<Violation> {
     let exits = history
         .unexpected_exits
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -187,6 +187,11 @@
         self.relays.len()
     }
 
+    /// Number of replicas, without those of the service that a route is moved to.
+    pub fn replica_count(&self) -> usize {
+        self.config.size.replicas()
+    }
+
     /// Relays in the same data centre as a relay, including that one.
     pub fn relays_in_same_data_centre(&self, number: usize) -> Vec<usize> {
         let data_centre = number % DATA_CENTRES.len();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod process;
 pub mod proxy;
 pub mod record;
+pub mod recovery;
 pub mod replica;
 pub mod run;
 pub mod silence;
