--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,7 +3,7 @@
 use switchfold_soak::{
     checks::{
         DRAIN_TIME, EVENT_COUNT, Guarantee, KEPT_TIME, MAX_MEMORY_KB, REVOKE_TIME, check,
-        response_body,
+        check_recovery, response_body,
     },
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, CallTiming, Disruption, DisruptionKind,
@@ -399,6 +399,23 @@
     assert_eq!(violated_guarantees(&unbroken), []);
 }
 
+#[test]
+fn the_share_of_each_second_after_a_loss_is_checked() {
+    const BEFORE: (usize, usize) = (100, 80);
+    let rows: [(&[(usize, usize)], bool); 6] = [
+        (&[(50, 0), (50, 0), (50, 0), (50, 30)], true),
+        (&[(50, 0), (50, 0), (50, 0), (50, 29)], false),
+        (&[(50, 0), (50, 0), (50, 0), (50, 40), (50, 29)], false),
+        (&[(50, 40), (50, 40), (50, 40), (0, 0)], false),
+        (&[(500, 0), (500, 0), (500, 0), (500, 0)], false),
+        (&[(50, 0), (50, 0), (50, 0)], true),
+    ];
+    for (after, holds) in rows {
+        assert_eq!(check_recovery(BEFORE, after).is_none(), holds, "{after:?}");
+    }
+    assert!(check_recovery((100, 0), &[(10, 10); 10]).is_some(), "nothing to compare with");
+}
+
 /// A request, or a part of prompts, that crashes one replica after the other: as often as allowed
 /// before the settle time, and again after it.
 #[test]
