--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -352,7 +352,7 @@
             let now = round * SEND_INTERVAL;
             for (_, to, remaining) in in_flight.extract_if(.., |(arrives, ..)| *arrives <= now) {
                 if !relays[to].is_suspect(&instance("x"), now) {
-                    relays[to].merge_peer(&instance("x"), now + remaining, UpdateOrigin::Peer);
+                    relays[to].merge_peer(&instance("x"), remaining, UpdateOrigin::Peer, now);
                 }
             }
             for from in 0..relays.len() {
