--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -655,7 +655,7 @@
 }
 
 /// Seconds after the return of everything within which as many calls must be served as before.
-const RECOVERY_SECONDS: usize = 3;
+pub const RECOVERY_SECONDS: usize = 3;
 
 /// From [`RECOVERY_SECONDS`] on, each second's share of served calls is at least three quarters of
 /// that before a loss. `before` and the elements of `after` are numbers of calls and of served ones.
