Replicas: a relay that reports an expiry says so

A replica whose entry expires in an outage may have served all the time. A relay that waits in vain for the entry told the others of its removal without the cause; those that the store did not answer remembered a leaving, and after a restore added the live replica 8.8 s later, bound 5 s.

An expiry is a message of its own.

--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -15,6 +15,7 @@
     instance::ReplicaInstance,
     membership::{GossipLink, GossipPeer, ReportKind, name_hash},
     origin::UpdateAudience,
+    replicas::UpdateSource,
     reservations::ReservationLedger,
 };
 use tokio::time::{Instant, sleep, sleep_until};
@@ -344,9 +345,13 @@
     }
 }
 
-/// Sends changes of replicas to the relays of the data centre. A member sends them to its speakers,
-/// which forward them.
-pub fn send_fleet_changes(relay: &Relay, changes: Vec<ReplicaUpdate>) {
+/// Sends changes of replicas to the relays of the data centre, with whether they are expiries. A
+/// member sends them to its speakers, which forward them.
+pub fn send_fleet_changes(relay: &Relay, changes: Vec<ReplicaUpdate>, source: UpdateSource) {
+    let message = match source {
+        UpdateSource::Expiry => PeerMessage::Expiry,
+        _ => PeerMessage::Fleet,
+    };
     let records: Vec<ReplicaRecord> = changes.into_iter().map(ReplicaRecord::from).collect();
     let plan = relay.gossip_plan.borrow();
     let speakers = plan.peers.iter().filter(|peer| matches!(peer.link, GossipLink::Report(_)));
@@ -355,13 +360,13 @@
         false => near_addresses(relay),
     };
     for chunk in records.chunks(MAX_RECORDS) {
-        send_fleet(relay, &FleetMessage { changes: chunk.to_vec() }, &addresses);
+        send_fleet(relay, &message(FleetMessage { changes: chunk.to_vec() }), &addresses);
     }
 }
 
 /// Forwards changes of replicas that a member sent, if this relay is the speaker that counts the
 /// member's reservations.
-pub fn forward_fleet_changes(relay: &Relay, message: &FleetMessage, from: SocketAddr) {
+pub fn forward_fleet_changes(relay: &Relay, message: &PeerMessage, from: SocketAddr) {
     let is_counted = {
         let state = relay.state.borrow();
         let name = state.peers.name_at(from);
@@ -375,8 +380,8 @@
     }
 }
 
-fn send_fleet(relay: &Relay, message: &FleetMessage, addresses: &[SocketAddr]) {
-    let datagram = PeerMessage::Fleet(message.clone()).encode();
+fn send_fleet(relay: &Relay, message: &PeerMessage, addresses: &[SocketAddr]) {
+    let datagram = message.encode();
     for address in addresses {
         // A relay that misses this sees a different digest in the next message of state.
         let _lost = relay.peer_socket.try_send_to(&datagram, *address);
--- a/crates/relay/src/messages.rs
+++ b/crates/relay/src/messages.rs
@@ -40,6 +40,9 @@
     LoanRequest(LoanMessage),
     /// Loan of retries.
     Loan(LoanMessage),
+    /// Replicas whose entries did not reappear after an outage of the store. A relay that drops it
+    /// as unknown learns of the same removals from its next list.
+    Expiry(FleetMessage),
 }
 
 /// Request for a loan of retries, or the loan that answers it.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -53,7 +53,14 @@
         };
         match PeerMessage::decode(&buffer[..len]) {
             Some(PeerMessage::State(message)) => apply_state(relay, &message, from),
-            Some(PeerMessage::Fleet(message)) => apply_fleet(relay, message, from),
+            Some(PeerMessage::Fleet(message)) => {
+                forward_fleet_changes(relay, &PeerMessage::Fleet(message.clone()), from);
+                apply_fleet(relay, message, UpdateSource::Relay(from));
+            }
+            Some(PeerMessage::Expiry(message)) => {
+                forward_fleet_changes(relay, &PeerMessage::Expiry(message.clone()), from);
+                apply_fleet(relay, message, UpdateSource::PeerExpiry(from));
+            }
             Some(PeerMessage::GrantRequests(message)) => handle_grant_requests(relay, &message),
             Some(PeerMessage::Grants(message)) => handle_grants(relay, &message),
             Some(PeerMessage::LoanRequest(message)) => handle_loan_request(relay, &message),
@@ -262,8 +269,7 @@
 /// store themselves.
 const MIN_ANSWER_GAIN: Millis = 200;
 
-fn apply_fleet(relay: &Relay, message: FleetMessage, from: SocketAddr) {
-    forward_fleet_changes(relay, &message, from);
+fn apply_fleet(relay: &Relay, message: FleetMessage, source: UpdateSource) {
     let updates = message.changes.into_iter().map(ReplicaUpdate::from).collect();
-    apply_updates(relay, updates, UpdateSource::Relay(from));
+    apply_updates(relay, updates, source);
 }
--- a/crates/relay/src/replicas.rs
+++ b/crates/relay/src/replicas.rs
@@ -36,7 +36,7 @@
     let list = FleetList { listed, at: list.revision };
     let confirmed = relay.state.borrow().fleet.confirmed_by(&list, now_millis());
     if !confirmed.is_empty() {
-        send_fleet_changes(relay, confirmed);
+        send_fleet_changes(relay, confirmed, UpdateSource::List);
     }
     apply_list(relay, list, UpdateSource::List, sent);
 }
@@ -117,13 +117,13 @@
         apply_updates(relay, vec![update], UpdateSource::Watch);
     }
     if !updates.is_empty() {
-        send_fleet_changes(relay, updates);
+        send_fleet_changes(relay, updates, UpdateSource::Watch);
     }
 }
 
 fn send_and_apply(relay: &Relay, updates: Vec<ReplicaUpdate>, source: UpdateSource) {
     if !updates.is_empty() {
-        send_fleet_changes(relay, updates.clone());
+        send_fleet_changes(relay, updates.clone(), source);
         apply_updates(relay, updates, source);
     }
 }
@@ -205,7 +205,7 @@
         relay.state.borrow_mut().fleet.apply_start(instance.id(), started_at, now_millis());
     if let Some(applied) = applied {
         record_applied(relay, &applied);
-        send_fleet_changes(relay, known_update(relay, instance.id()));
+        send_fleet_changes(relay, known_update(relay, instance.id()), UpdateSource::Report);
     }
     true
 }
@@ -217,7 +217,7 @@
     let Some(applied) = applied else { return };
     count(&relay.counts.leaving_told);
     record_applied(relay, &applied);
-    send_fleet_changes(relay, known_update(relay, instance.id()));
+    send_fleet_changes(relay, known_update(relay, instance.id()), UpdateSource::Answer);
 }
 
 /// Returns the known entry of a replica as an update for other relays.
--- a/crates/relay/tests/store_restore.rs
+++ b/crates/relay/tests/store_restore.rs
@@ -4,6 +4,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use assert_matches::assert_matches;
 use harness::{
     BoundRelay, ROUTES, RunningRelay, bounds, call, request, respond_healthy, run_test, wait_until,
 };
@@ -14,7 +15,11 @@
     StandinReplica, StandinStore, StoreBehaviour,
     samples::{KEY, LAYERS, config, desk_entry, draining, in_data_centre, model_entry},
 };
-use tokio::time::sleep;
+use switchfold_relay::messages::{PeerMessage, StateMessage};
+use tokio::{
+    net::UdpSocket,
+    time::{interval, sleep},
+};
 
 /// A key that is revoked.
 const REVOKED_KEY: &str = "key-old";
@@ -22,6 +27,9 @@
 /// Duration of the store's outage: shorter than the time after which missing entries expire.
 const OUTAGE: Duration = Duration::from_millis(100);
 
+/// Duration of an outage in which entries may expire.
+const EXPIRING_OUTAGE: Duration = Duration::from_millis(1_500);
+
 /// Time after the restore during which the relay must not apply entries of the backup that it knows
 /// to be outdated. The store removes the entries of ended replicas within this time.
 const UNCONFIRMED_TIME: Duration = Duration::from_millis(1_500);
@@ -175,3 +183,46 @@
         });
     }
 }
+
+/// Guards against replicas that stayed unlisted after a restore because other relays remembered an
+/// expiry as a leaving: the message of the expiry must say so.
+#[test]
+fn other_relays_learn_that_an_entry_has_expired() {
+    run_test(async {
+        let replica = StandinReplica::start(respond_healthy).await;
+        let store = StandinStore::start().await;
+        store.put(CONFIG_KIND, CONFIG_NAME, config(1, &ROUTES, &[KEY]));
+        store.put(REPLICA_KIND, "i-1", desk_entry(replica.address()));
+        let relay = RunningRelay::start_with_store(store, bounds()).await;
+        relay.wait_ready(StatusCode::OK).await;
+        let peer = UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+        let message = StateMessage {
+            name: "relay-9".to_owned(),
+            data_centre: "hall".to_owned(),
+            ..StateMessage::default()
+        };
+        let state = PeerMessage::State(Box::new(message)).encode();
+        relay.store.set_behaviour(StoreBehaviour::Unavailable);
+        sleep(EXPIRING_OUTAGE).await;
+        relay.store.remove(REPLICA_KIND, "i-1");
+        relay.store.compact();
+        relay.store.set_behaviour(StoreBehaviour::Healthy);
+        let mut state_interval = interval(Duration::from_millis(100));
+        let mut datagram = vec![0; 65_536];
+        let reported = loop {
+            tokio::select! {
+                _ = state_interval.tick() => {
+                    peer.send_to(&state, relay.peers).await.expect("loopback accepts it");
+                }
+                received = peer.recv_from(&mut datagram) => {
+                    let (length, _) = received.expect("the socket is bound");
+                    match PeerMessage::decode(&datagram[..length]) {
+                        Some(PeerMessage::State(_)) => {}
+                        other => break other,
+                    }
+                }
+            }
+        };
+        assert_matches!(reported, Some(PeerMessage::Expiry(message)) if message.changes.len() == 1);
+    });
+}
--- a/crates/router/src/replicas.rs
+++ b/crates/router/src/replicas.rs
@@ -43,6 +43,9 @@
     /// Expiry: the entry did not reappear after an outage of the store.
     #[display("lapse")]
     Expiry,
+    /// Expiry that another relay of the data centre reported, by its address.
+    #[display("lapse at relay {_0}")]
+    PeerExpiry(SocketAddr),
     /// A later start at the same address.
     #[display("successor")]
     Successor,
@@ -389,7 +392,8 @@
 
     /// Returns why a replica is gone, by the source of its removal.
     fn removal_by(&self, id: &str, source: UpdateSource, now: Millis) -> ReplicaRemoval {
-        let has_expired = source == UpdateSource::Expiry || self.missing.is_awaited(id);
+        let is_expiry = matches!(source, UpdateSource::Expiry | UpdateSource::PeerExpiry(_));
+        let has_expired = is_expiry || self.missing.is_awaited(id);
         let answer_age = self.known_answer_age(now);
         let is_unanswered =
             self.missing.is_in_outage(now) || answer_age.is_none_or(|age| age >= MAX_PEER_READ_AGE);
--- a/crates/router/tests/fleets.rs
+++ b/crates/router/tests/fleets.rs
@@ -202,13 +202,16 @@
 fn a_restored_backup_brings_no_replica_back_that_had_left() {
     // How it was removed at revision 8, the start and the revision in the backup, and the time after
     // the first list at which a list that still contains it adds it.
+    let peer_expiry = UpdateSource::PeerExpiry(([127, 0, 0, 1], 9).into());
     let rows = [
         ("left", UpdateSource::Watch, (100, 5), Some(8_800)),
         ("left, with a later start", UpdateSource::Watch, (200, 6), Some(8_800)),
         ("expired in an outage", UpdateSource::Expiry, (100, 5), Some(3_800)),
+        ("expired by another relay's message", peer_expiry, (100, 5), Some(3_800)),
         ("left, but written since", UpdateSource::Watch, (100, 9), Some(8_800)),
         ("left, but a later start was written since", UpdateSource::Watch, (200, 9), None),
         ("expired, but written since", UpdateSource::Expiry, (100, 9), None),
+        ("expired by a message, but written since", peer_expiry, (100, 9), None),
     ];
     for (name, source, (started_at, revision), added_after) in rows {
         let mut fleet = FleetTracker::default();
--- a/crates/router/tests/model/relay.rs
+++ b/crates/router/tests/model/relay.rs
@@ -64,6 +64,7 @@
         echo: Option<(PeerStamp, Millis)>,
     },
     Fleet(Vec<ReplicaUpdate>),
+    Expiry(Vec<ReplicaUpdate>),
 }
 
 /// The store and the links of a relay.
@@ -471,6 +472,10 @@
                     let source = UpdateSource::Relay(address(message.from));
                     self.fleet.apply_all(updates, source, now);
                 }
+                Body::Expiry(updates) => {
+                    let source = UpdateSource::PeerExpiry(address(message.from));
+                    self.fleet.apply_all(updates, source, now);
+                }
                 Body::State { state, stamp, echo } => {
                     let (name, data_centre) = RELAYS[message.from];
                     self.peers.record_message(name, state, stamp, now);
@@ -511,7 +516,11 @@
             return;
         }
         for to in self.near() {
-            self.send(to, Body::Fleet(updates.clone()), messages, now);
+            let body = match source {
+                UpdateSource::Expiry => Body::Expiry,
+                _ => Body::Fleet,
+            };
+            self.send(to, body(updates.clone()), messages, now);
         }
         self.fleet.apply_all(updates, source, now);
     }
