Relay: accepted connections, longest turn of the thread, and layers after a start

figures and switchfold_figures have accepted, accept_errors, open_connections and longest_turn_ms; start-step has layers; plan has loading, the engines whose orders the list does not show as done. accept-failed is written once a second at most.

--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -68,6 +68,10 @@
 /// Counts since the start of the process.
 #[derive(Debug, Default)]
 pub struct Counts {
+    /// Connections accepted from callers.
+    pub accepted: Cell<u64>,
+    /// Attempts to accept a connection of a caller that failed.
+    pub accept_errors: Cell<u64>,
     /// Requests received from callers.
     pub requests: Cell<u64>,
     /// Requests that ended with the response of a replica.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -215,6 +215,10 @@
         let share = relay.allowance_fraction(now);
         let state = relay.state.borrow();
         let figures = [
+            ("accepted", counts.accepted.get()),
+            ("accept_errors", counts.accept_errors.get()),
+            ("open_connections", relay.shutdown.open_connections() as u64),
+            ("longest_turn_ms", relay.longest_turn.get()),
             ("requests", counts.requests.get()),
             ("answered", counts.answered.get()),
             ("refused", counts.refused.get()),
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -318,7 +318,7 @@
             }
             match scores {
                 None => drop(self.settled.insert(name, holders)),
-                Some(scores) => log_plan(&name, holders.len(), orders.len(), scores),
+                Some(scores) => log_plan(&name, &holders, orders.len(), scores),
             }
             all_orders.extend(orders);
         }
@@ -348,7 +348,7 @@
         let mut all_orders = Vec::new();
         for (name, orders) in self.searches.advance(&groups, model, now).await {
             let scores = plan_scores(&groups[&name], &orders, model);
-            log_plan(&name, groups[&name].len(), orders.len(), scores);
+            log_plan(&name, &groups[&name], orders.len(), scores);
             all_orders.extend(orders);
         }
         all_orders
@@ -466,14 +466,16 @@
 }
 
 /// Logs the plan for a group with its layout score before and after the orders.
-fn log_plan(name: &GroupName, replicas: usize, orders: usize, scores: (f64, f64)) {
+fn log_plan(name: &GroupName, holders: &[LayerHolder], orders: usize, scores: (f64, f64)) {
     let GroupName { data_centre, number, .. } = name;
+    let loading = holders.iter().filter(|holder| holder.range != holder.held).count();
     let (score_before, score_after) = scores;
     tracing::info!(
         event = "plan",
         data_centre,
         part = number,
-        replicas,
+        replicas = holders.len(),
+        loading,
         orders,
         worth_before = score_before,
         worth_after = score_after,
--- a/crates/relay/src/readiness.rs
+++ b/crates/relay/src/readiness.rs
@@ -7,7 +7,7 @@
 
 use derive_more::Display;
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::Millis;
+use switchfold_router::{Millis, placement::widest_gap};
 use tokio::time::sleep;
 
 use crate::{
@@ -49,6 +49,9 @@
     /// The relay is ready.
     #[display("ready")]
     Ready,
+    /// The engines of the data centre hold all layers of a model.
+    #[display("layers")]
+    Layers,
     /// A caller sent a request.
     #[display("first-request")]
     FirstRequest,
@@ -59,7 +62,7 @@
 
 impl StartStep {
     /// All steps, in the usual order.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Settings,
         Self::Sockets,
         Self::StoreAnswer,
@@ -68,6 +71,7 @@
         Self::Quarantine,
         Self::PeerHeard,
         Self::Ready,
+        Self::Layers,
         Self::FirstRequest,
         Self::FirstAnswer,
     ];
@@ -159,10 +163,29 @@
     }
 }
 
+/// Returns whether the engines of this data centre hold all layers of a model.
+fn holds_all_layers(relay: &Relay) -> bool {
+    let Some(config) = relay.config() else { return false };
+    let state = relay.state.borrow();
+    config.engines().any(|(service, engine)| {
+        let engines = state.fleet.view.of_service(service);
+        let engines = engines.filter(|entry| entry.data_centre == relay.settings.data_centre);
+        let mut counts = vec![0; engine.layers as usize];
+        for range in engines.filter_map(|entry| entry.layers) {
+            let held = counts.iter_mut().take(range.to as usize).skip(range.from as usize);
+            held.for_each(|count| *count += 1);
+        }
+        engine.layers > 0 && widest_gap(&counts).is_none()
+    })
+}
+
 /// Records the steps that the start has reached since the last check, and logs what keeps the relay
 /// from being ready.
 pub fn check_readiness(relay: &Relay) {
     let now = now_millis();
+    if relay.start.age(StartStep::Layers).is_none() && holds_all_layers(relay) {
+        relay.start.record(StartStep::Layers);
+    }
     {
         let state = relay.state.borrow();
         let reached = [
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -306,6 +306,8 @@
         quarantine_notify: Notify::new(),
         send_notify: Notify::new(),
         pending_send: Cell::new(None),
+        accept_error_lines: LineInterval::default(),
+        longest_turn: Cell::default(),
         dropped_datagram_lines: LineInterval::default(),
         missing_path_lines: LineInterval::default(),
         end_lines: LineLimit::new(MAX_END_LINES),
@@ -336,6 +338,8 @@
 
 fn log_figures(relay: &Relay) {
     let Counts {
+        accepted,
+        accept_errors,
         requests,
         answered,
         refused,
@@ -381,6 +385,10 @@
     let recent = relay.recent_counts.borrow();
     tracing::info!(
         event = "figures",
+        accepted = accepted.get(),
+        accept_errors = accept_errors.get(),
+        open_connections = relay.shutdown.open_connections(),
+        longest_turn_ms = relay.longest_turn.take(),
         requests = requests.get(),
         answered = answered.get(),
         refused = refused.get(),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     caller_connection::CallerConnection,
+    counts::count,
     readiness::is_ready,
     request::handle,
     responses::{RelayResponse, full_body},
@@ -44,9 +45,16 @@
                 () = drained.as_mut() => break,
             };
             match accepted {
-                Ok((stream, _)) => spawn(stream),
+                Ok((stream, _)) => {
+                    count(&relay.counts.accepted);
+                    spawn(stream);
+                }
                 Err(error) => {
-                    tracing::warn!(event = "accept-failed", %error);
+                    count(&relay.counts.accept_errors);
+                    if relay.accept_error_lines.admit(now_millis()) {
+                        let open = relay.shutdown.open_connections();
+                        tracing::warn!(event = "accept-failed", %error, open);
+                    }
                     sleep(Duration::from_millis(10)).await;
                 }
             }
--- a/crates/relay/tests/readiness.rs
+++ b/crates/relay/tests/readiness.rs
@@ -11,11 +11,11 @@
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
 use switchfold_platform_standin::{
     StandinReplica, StandinStore, StoreBehaviour,
-    samples::{KEY, config, desk_entry},
+    samples::{KEY, LAYERS, config, desk_entry, model_entry},
 };
 
 /// Steps that a relay without neighbours reaches once it has served a request.
-const STEPS: [&str; 9] = [
+const STEPS: [&str; 10] = [
     "settings",
     "sockets",
     "store-answer",
@@ -23,6 +23,7 @@
     "replicas",
     "quarantine",
     "ready",
+    "layers",
     "first-request",
     "first-answer",
 ];
@@ -57,6 +58,9 @@
         store.put(CONFIG_KIND, CONFIG_NAME, config(1, &ROUTES, &[KEY]));
         let (id, entry) = entry_of("i-1", &replica, desk_entry);
         store.put(REPLICA_KIND, id, entry);
+        let engine = StandinReplica::start(respond_healthy).await;
+        let (id, entry) = entry_of("i-2", &engine, |address| model_entry(address, 0, LAYERS));
+        store.put(REPLICA_KIND, id, entry);
         store.set_behaviour(StoreBehaviour::KindUnavailable(REPLICA_KIND));
         let relay = RunningRelay::start_with_store(store, bounds()).await;
         wait_for_event("not-ready", "missing", "replicas").await;
@@ -78,3 +82,19 @@
         }
     });
 }
+
+#[test]
+fn accepted_connections_are_exported() {
+    run_test(async {
+        let replica = StandinReplica::start(respond_healthy).await;
+        let relay = RunningRelay::start(bounds(), &[entry_of("i-1", &replica, desk_entry)]).await;
+        for id in ["a", "b"] {
+            assert_eq!(relay.get("/safe/a", id).await.status, StatusCode::OK);
+        }
+        let figures = [("accepted", 2), ("accept_errors", 0)];
+        for (name, value) in figures {
+            let exported = read_metric(&relay, "switchfold_figures", &[("name", name)]).await;
+            assert_eq!(exported, Some(value), "{name}");
+        }
+    });
+}
