Soak: losses of power at the size and the load times of a large deployment

Half of the former streams must be served 5 s after the return, nine tenths after 8 s.

Relays are shut down at the same time, which took a minute for 26 of them.

--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -17,6 +17,7 @@
     recovery::run_recovery,
     replica::{ReplicaArguments, run_replica},
     run::{SoakReport, run_seed},
+    shape::{LARGE_SHAPE, QUICK_SHAPE},
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -80,6 +81,9 @@
     /// Number of callers.
     #[arg(long, default_value_t = 16)]
     callers: usize,
+    /// Use three data centres, and engines that load a large model in seconds.
+    #[arg(long)]
+    large: bool,
     /// Relay program. Defaults to `switchfold-relay` in the directory of this program.
     #[arg(long, value_name = "FILE")]
     relay: Option<PathBuf>,
@@ -114,6 +118,7 @@
                 desks: self.desks,
                 callers: self.callers,
             },
+            shape: if self.large { LARGE_SHAPE } else { QUICK_SHAPE },
             relay: self.relay.clone().unwrap_or(default_relay),
             replica: soak_program.to_owned(),
             folder,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -677,6 +677,26 @@
     late.map(|late| violation(Guarantee::Recovery, describe(late)))
 }
 
+/// Seconds after the return of everything, and the share of the former service in percent that is
+/// served from then on although all engines came back without layers.
+pub const LOAD_RECOVERY: [(usize, usize); 2] = [(5, 50), (8, 90)];
+
+/// From each time of [`LOAD_RECOVERY`] on, at least its share of what was served in a second before is
+/// served in each second. The elements of `after` are numbers of calls and of served ones.
+pub fn check_load_recovery(served_before: usize, after: &[(usize, usize)]) -> Option<Violation> {
+    if served_before == 0 {
+        return Some(violation(Guarantee::Recovery, "no call was served before the loss"));
+    }
+    let seconds = || after.iter().map(|(_, served)| *served).enumerate();
+    let late = LOAD_RECOVERY.iter().find_map(|(from, percent)| {
+        seconds().skip(*from).find(|(_, served)| served * 100 < served_before * percent)
+    });
+    let describe = |(second, served)| {
+        format!("{served} served {second} s after the return, {served_before} in a second before")
+    };
+    late.map(|late| violation(Guarantee::Recovery, describe(late)))
+}
+
 fn check_processes(history: &RunHistory) -> Vec<Violation> {
     let exits = history
         .unexpected_exits
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -12,13 +12,14 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
+use serde_json::{Value, json};
 use switchfold_kernel::clock::epoch_micros;
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
-use switchfold_platform_standin::StandinStore;
+use switchfold_platform_standin::{StandinStore, samples::KIND};
 use tokio::{
     io::{BufReader, Lines},
     process::ChildStdout,
@@ -35,9 +36,11 @@
     record::{CallKind, Disruption, DisruptionKind, Micros, RunHistory, RunRecord},
     replica::{
         CRASH_EXIT_CODE, CRASH_PART_PREFIX, CRASH_PREFIX, CRASH_SECOND_PREFIX, CUT_PREFIX,
-        HEARTBEAT, LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
+        LEAVING_PREFIX, LINGER, LISTENING_PREFIX, LONG_LINGER,
     },
+    shape::ClusterShape,
     slot::ProcessSlot,
+    weights::WeightStore,
 };
 
 /// Time from SIGTERM to SIGKILL, in seconds.
@@ -49,15 +52,9 @@
 /// Number of keys that are never removed.
 const MIN_KEY_COUNT: usize = 3;
 
-/// Data centres that replicas and relays are assigned to in turn.
-const DATA_CENTRES: [&str; 2] = ["hall", "far"];
-
 /// Interval between two checks of processes and expired entries.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of these checks for each check of the relays' readiness.
-const POLLS_PER_READY_CHECK: u32 = 6;
-
 /// Time for which a crash of a replica counts as a disruption: until it is restarted and has loaded
 /// its layers.
 const CRASH_RECOVERY_TIME: Duration = Duration::from_millis(2_500);
@@ -74,6 +71,8 @@
 pub struct ClusterConfig {
     /// Size of the cluster.
     pub size: ClusterSize,
+    /// Shape of the cluster.
+    pub shape: ClusterShape,
     /// Relay program.
     pub relay: PathBuf,
     /// Program of the stand-in replica.
@@ -86,6 +85,7 @@
 struct RelaySlot {
     slot: Mutex<ProcessSlot>,
     settings: PathBuf,
+    settings_text: Value,
     log: PathBuf,
     listen: SocketAddr,
     ready: SocketAddr,
@@ -103,6 +103,7 @@
     is_listening: AtomicBool,
     service: &'static str,
     data_centre: &'static str,
+    kind: &'static str,
 }
 
 #[derive(Debug)]
@@ -117,6 +118,8 @@
 pub struct SoakCluster {
     config: ClusterConfig,
     store: StandinStore,
+    /// Store of the weights, unless layers load at once.
+    weights: Option<WeightStore>,
     relays: Vec<RelaySlot>,
     replicas: Vec<ReplicaSlot>,
     keys: Mutex<KeySet>,
@@ -138,25 +141,37 @@
     /// 60 s.
     pub async fn start(config: ClusterConfig) -> io::Result<Arc<Self>> {
         let store = StandinStore::start().await;
+        let (size, shape) = (config.size, config.shape);
+        let weights = match shape.model {
+            Some(model) => Some(WeightStore::start(model.weights).await?),
+            None => None,
+        };
         let mut relays = Vec::new();
-        for number in 0..config.size.relays {
-            relays.push(RelaySlot::new(&config.folder, number, store.address()).await?);
+        for number in 0..size.relays {
+            let data_centre = shape.data_centre(number);
+            relays
+                .push(RelaySlot::new(&config.folder, number, data_centre, store.address()).await?);
         }
         let mut replicas = Vec::new();
-        let replica_count = config.size.replicas();
+        let replica_count = size.replicas();
         for number in 0..replica_count + ANNEX_COUNT {
             let service = match number {
-                number if number < config.size.engines => "engine",
+                number if number < size.engines => "engine",
                 number if number < replica_count => "desk",
                 _ => ANNEX,
             };
+            let (data_centre, kind) = match service {
+                "engine" => shape.engine(number, size.engines),
+                _ => (shape.data_centre(number), KIND),
+            };
             replicas.push(ReplicaSlot {
                 slot: Mutex::default(),
                 reused_id: Mutex::default(),
                 link: LinkProxy::start().await?,
                 is_listening: AtomicBool::default(),
                 service,
-                data_centre: DATA_CENTRES[number % DATA_CENTRES.len()],
+                data_centre,
+                kind,
             });
         }
         let valid = (0..KEY_COUNT).map(|number| format!("key-{number}")).collect();
@@ -166,6 +181,7 @@
         let cluster = Arc::new(Self {
             config,
             store,
+            weights,
             relays,
             replicas,
             keys,
@@ -179,9 +195,15 @@
         cluster.write_config(1);
         tokio::spawn(cluster.clone().supervise());
         cluster.wait_until_ready().await?;
+        cluster.relays.iter().try_for_each(|relay| relay.write_settings(false))?;
         Ok(cluster)
     }
 
+    /// Ends the time before the first request, in which loads of layers are quick.
+    pub fn begin_use(&self) {
+        self.weights.iter().for_each(WeightStore::begin_use);
+    }
+
     /// Number of relays.
     pub fn relay_count(&self) -> usize {
         self.relays.len()
@@ -194,8 +216,9 @@
 
     /// Relays in the same data centre as a relay, including that one.
     pub fn relays_in_same_data_centre(&self, number: usize) -> Vec<usize> {
-        let data_centre = number % DATA_CENTRES.len();
-        (0..self.relays.len()).filter(|other| other % DATA_CENTRES.len() == data_centre).collect()
+        let shape = self.config.shape;
+        let is_near = |other: &usize| shape.data_centre(*other) == shape.data_centre(number);
+        (0..self.relays.len()).filter(is_near).collect()
     }
 
     /// Returns a replica of the plain service that keeps serving for [`LONG_LINGER`] after it
@@ -318,7 +341,11 @@
         keys.version += step;
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
         let state = lock(&self.config_state);
-        self.store.put(CONFIG_KIND, CONFIG_NAME, state.encode(keys.version, &valid));
+        let mut config = state.encode(keys.version, &valid);
+        if let Some(model) = self.config.shape.model {
+            model.describe(&mut config);
+        }
+        self.store.put(CONFIG_KIND, CONFIG_NAME, config);
         self.history().idle_limits.push((epoch_micros(), state.idle_limit_ms() * 1_000));
     }
 
@@ -363,24 +390,26 @@
         self.is_running.store(true, Ordering::Relaxed);
     }
 
-    /// Records the memory of all relays, stops them one after the other, and ends all processes.
+    /// Records the memory of all relays, stops them, and ends all processes.
     pub async fn shut_down(&self) {
         self.is_supervised.store(false, Ordering::Relaxed);
         sleep(POLL_INTERVAL * 2).await;
-        for (number, relay) in self.relays.iter().enumerate() {
-            let process = lock(&relay.slot).process.take();
-            let Some(mut process) = process else { continue };
-            self.history().memory_kb.extend(process.memory_kb());
-            process.signal(Signal::SIGTERM);
-            let exit_status = process.wait(Duration::from_secs(GRACE_PERIOD_S)).await;
-            if !exit_status.is_some_and(|exit_status| exit_status.success()) {
-                let detail = format!("relay {number} exited with {exit_status:?} after SIGTERM");
-                self.history().unexpected_exits.push(detail);
-            }
-        }
+        join_all((0..self.relays.len()).map(|number| self.shut_down_relay(number))).await;
         self.replicas.iter().for_each(|replica| drop(lock(&replica.slot).process.take()));
     }
 
+    async fn shut_down_relay(&self, number: usize) {
+        let process = lock(&self.relays[number].slot).process.take();
+        let Some(mut process) = process else { return };
+        self.history().memory_kb.extend(process.memory_kb());
+        process.signal(Signal::SIGTERM);
+        let exit_status = process.wait(Duration::from_secs(GRACE_PERIOD_S)).await;
+        if !exit_status.is_some_and(|exit_status| exit_status.success()) {
+            let detail = format!("relay {number} exited with {exit_status:?} after SIGTERM");
+            self.history().unexpected_exits.push(detail);
+        }
+    }
+
     async fn wait_until_ready(&self) -> io::Result<()> {
         const STARTUP_TIMEOUT: Duration = Duration::from_secs(60);
         let deadline = Instant::now() + STARTUP_TIMEOUT;
@@ -398,7 +427,8 @@
     /// Restarts processes, checks the relays' readiness, and expires the entries of replicas
     /// without heartbeats.
     async fn supervise(self: Arc<Self>) {
-        let mut round: u32 = 0;
+        let ClusterShape { heartbeat, ready_interval, .. } = self.config.shape;
+        let mut ready_checked: Option<Instant> = None;
         while self.is_supervised.load(Ordering::Relaxed) {
             for number in 0..self.replicas.len() {
                 self.restart_replica_if_due(number);
@@ -407,12 +437,12 @@
                 self.restart_relay_if_due(number);
             }
             if !self.keeps_entries.load(Ordering::Relaxed) {
-                self.store.expire(REPLICA_KIND, HEARTBEAT * MAX_MISSED_HEARTBEATS);
+                self.store.expire(REPLICA_KIND, heartbeat * MAX_MISSED_HEARTBEATS);
             }
-            if round.is_multiple_of(POLLS_PER_READY_CHECK) {
+            if ready_checked.is_none_or(|checked| checked.elapsed() >= ready_interval) {
+                ready_checked = Some(Instant::now());
                 tokio::spawn(self.clone().check_readiness());
             }
-            round += 1;
             sleep(POLL_INTERVAL).await;
         }
     }
@@ -456,7 +486,12 @@
         let store = self.store.address().to_string();
         let linger = if lingers_long(number) { LONG_LINGER } else { LINGER };
         let linger = linger.as_millis().to_string();
-        let arguments = [
+        let shape = self.config.shape;
+        let heartbeat = shape.heartbeat.as_millis().to_string();
+        let lag = shape.list_lag.as_millis().to_string();
+        let layers = shape.layers().to_string();
+        let weights = self.weights.as_ref().map(|weights| weights.address().to_string());
+        let mut arguments = vec![
             "replica",
             "--id",
             &id,
@@ -470,7 +505,18 @@
             replica.data_centre,
             "--linger-ms",
             &linger,
+            "--heartbeat-ms",
+            &heartbeat,
+            "--lag-ms",
+            &lag,
+            "--kind",
+            replica.kind,
+            "--layers",
+            &layers,
         ];
+        if let Some(weights) = &weights {
+            arguments.extend(["--weights", weights]);
+        }
         replica.link.set_target(None);
         replica.is_listening.store(false, Ordering::Relaxed);
         match SoakProcess::start_read(&self.config.replica, &arguments) {
@@ -554,13 +600,18 @@
 }
 
 impl RelaySlot {
-    async fn new(folder: &Path, number: usize, store: SocketAddr) -> io::Result<Self> {
+    async fn new(
+        folder: &Path,
+        number: usize,
+        data_centre: &str,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
         let link = LinkProxy::start().await?;
         link.set_target(Some(store));
         let [listen, ready, peers, metrics] = free_ports()?;
         let settings = json!({
             "name": format!("relay-{number}"),
-            "data_centre": DATA_CENTRES[number % DATA_CENTRES.len()],
+            "data_centre": data_centre,
             "region": "west",
             "listen": listen, "ready_listen": ready,
             "peer_listen": peers, "metrics_listen": metrics,
@@ -571,17 +622,25 @@
                 "retry_allowance": RETRY_ALLOWANCE,
             },
         });
-        let file = folder.join(format!("relay-{number}.json"));
-        std::fs::write(&file, settings.to_string())?;
-        Ok(Self {
+        let slot = Self {
             slot: Mutex::default(),
-            settings: file,
+            settings: folder.join(format!("relay-{number}.json")),
+            settings_text: settings,
             log: folder.join(format!("relay-{number}.log")),
             listen,
             ready,
             failed_ready_checks: Mutex::default(),
             store_link: link,
-        })
+        };
+        slot.write_settings(true)?;
+        Ok(slot)
+    }
+
+    /// Writes the settings file. `first_start` states that the system has never run before.
+    fn write_settings(&self, first_start: bool) -> io::Result<()> {
+        let mut settings = self.settings_text.clone();
+        settings["first_start"] = first_start.into();
+        std::fs::write(&self.settings, settings.to_string())
     }
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`cluster`], [`process`], [`proxy`] | processes and links, and the faults injected into them; `slot` restarts processes |
 //! | [`replica`], [`notices`] | the stand-in replica as a program, and the notices in its response headers |
 //! | [`config`] | the configuration, and its changes |
+//! | [`shape`], [`weights`] | data centres and intervals of a cluster, its model, and the store that engines load layers from |
 //! | [`silence`] | silence within the response to one request |
 //! | [`caller`], [`patient`] | callers; `pausing` sends their requests in parts |
 //! | [`record`], [`checks`], [`ends`] | what was recorded, and the guarantees it is checked against |
@@ -38,5 +39,7 @@
 pub mod recovery;
 pub mod replica;
 pub mod run;
+pub mod shape;
 pub mod silence;
 mod slot;
+pub mod weights;
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -23,21 +23,30 @@
 
 use crate::{
     caller::{CallerContext, CrashRequest, run_caller},
-    checks::{Violation, check, check_recovery},
+    checks::{Violation, check, check_load_recovery, check_recovery},
     cluster::{ClusterConfig, SoakCluster},
     config::ConfigChange,
     record::{CallKind, CallRecord, DisruptionKind, Micros},
 };
 
+/// Time for which engines load their first layers before callers call.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+
 /// Time before the loss in which callers call.
 const WARM_UP_TIME: Duration = Duration::from_secs(6);
 
 /// Part of it, at its end, with whose share of served calls the recovery is compared.
-const COMPARED_TIME: Micros = 3_000_000;
+const COMPARED_TIME: Micros = COMPARED_SECONDS as Micros * 1_000_000;
+
+/// The same in seconds.
+const COMPARED_SECONDS: usize = 3;
 
 /// Time after the return of everything that is measured.
 const MEASURED_SECONDS: usize = 10;
 
+/// The same, with engines that load a large model.
+const MEASURED_LOAD_SECONDS: usize = 30;
+
 /// Callers that are added in a surge, for each of the others.
 const SURGE_FACTOR: usize = 3;
 
@@ -102,8 +111,9 @@
 }
 
 impl PowerLoss {
-    fn draw(random: &mut ChaCha8Rng) -> Self {
-        let scopes = [
+    /// Draws a loss, in which all engines lose their layers if `loses_engines` is set.
+    fn draw(random: &mut ChaCha8Rng, loses_engines: bool) -> Self {
+        let all = [
             LossScope::Relays,
             LossScope::Relays,
             LossScope::RelaysAndReplicas,
@@ -111,6 +121,8 @@
             LossScope::Replicas,
             LossScope::Nothing,
         ];
+        let of_replicas = [LossScope::RelaysAndReplicas, LossScope::Replicas];
+        let scopes = if loses_engines { &of_replicas[..] } else { &all };
         let cues =
             [LossCue::Quiet, LossCue::Configuration, LossCue::KeyRemoval, LossCue::PlannedStops];
         let stores = [
@@ -250,10 +262,14 @@
 ///
 /// Fails if the cluster does not start or a caller panics.
 pub async fn run_recovery(seed: u64, config: ClusterConfig) -> io::Result<RecoveryReport> {
-    let size = config.size;
+    let (size, is_large) = (config.size, config.shape.model.is_some());
     let cluster = SoakCluster::start(config).await?;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let loss = PowerLoss::draw(&mut random);
+    let loss = PowerLoss::draw(&mut random, is_large);
+    if is_large {
+        sleep(LOAD_TIME).await;
+    }
+    cluster.begin_use();
     let callers = RunningCallers::start(&cluster, &format!("s{seed}c"), size.callers, seed);
     sleep(WARM_UP_TIME).await;
     let surge_size = if loss.has_surge { size.callers * SURGE_FACTOR } else { 0 };
@@ -265,13 +281,17 @@
     sleep(if loss.has_surge { SURGE_TIME } else { Duration::ZERO }).await;
     let mut calls = surge.stop().await?;
     let back_at = epoch_micros();
-    sleep(Duration::from_secs(MEASURED_SECONDS as u64)).await;
+    let seconds = if is_large { MEASURED_LOAD_SECONDS } else { MEASURED_SECONDS };
+    sleep(Duration::from_secs(seconds as u64)).await;
     calls.extend(callers.stop().await?);
     if let Some(writer) = writer {
         writer.abort();
     }
     cluster.shut_down().await;
-    let is_counted = |call: &&CallRecord| cluster.is_valid_key(&call.key);
+    // Without layers only streams are refused.
+    let is_counted = |call: &&CallRecord| {
+        cluster.is_valid_key(&call.key) && (!is_large || call.kind.is_stream())
+    };
     let count = |from: Micros, to: Micros| {
         let sent = calls.iter().filter(is_counted);
         let sent = sent.filter(|call| (from..to).contains(&call.sent_at));
@@ -280,12 +300,15 @@
         })
     };
     let before = count(lost_at - COMPARED_TIME, lost_at);
-    let seconds = (0..MEASURED_SECONDS as u64).map(|second| back_at + second * 1_000_000);
-    let after: Vec<(usize, usize)> = seconds.map(|from| count(from, from + 1_000_000)).collect();
+    let starts = (0..seconds as u64).map(|second| back_at + second * 1_000_000);
+    let after: Vec<(usize, usize)> = starts.map(|from| count(from, from + 1_000_000)).collect();
     let mut history = cluster.history();
     history.calls = calls;
     let mut violations = check(&history, switchfold_platform_standin::samples::ORGANISATION);
-    violations.extend(check_recovery(before, &after));
+    violations.extend(match is_large {
+        true => check_load_recovery(before.1 / COMPARED_SECONDS, &after),
+        false => check_recovery(before, &after),
+    });
     Ok(RecoveryReport { seed, loss: loss.to_string(), before, after, violations })
 }
 
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -21,8 +21,9 @@
     objects::ObjectStore,
 };
 use switchfold_platform_standin::{
-    EngineEvent, ReceivedRequest, Reply, StandinEngine, StandinReplica, StreamEnd, reject,
-    samples::{desk_entry, draining, in_data_centre, started_at},
+    EngineEvent, EngineModel, LayerLoader, ReceivedRequest, Reply, StandinEngine, StandinReplica,
+    StreamEnd, reject,
+    samples::{KIND, LAYERS, desk_entry, draining, in_data_centre, started_at},
     signed_response, unused_address,
 };
 use tokio::{
@@ -38,11 +39,9 @@
     notices::ReplicaNotices,
     record::{CallKind, RunRecord},
     silence::RequestedSilence,
+    weights::load_layers,
 };
 
-/// Interval between two writes of the replica's entry to the store.
-pub const HEARTBEAT: Duration = Duration::from_millis(300);
-
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -104,6 +103,41 @@
     /// leaves.
     #[arg(long)]
     pub linger_ms: u64,
+    /// Milliseconds between two writes of the entry.
+    #[arg(long, default_value_t = 300)]
+    pub heartbeat_ms: u64,
+    /// Age of an entry when it is written, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub lag_ms: u64,
+    /// Kind of accelerator of an engine.
+    #[arg(long, default_value = KIND)]
+    pub kind: String,
+    /// Number of layers of an engine's model.
+    #[arg(long, default_value_t = LAYERS)]
+    pub layers: u32,
+    /// Address of the store of the weights, unless layers load at once.
+    #[arg(long)]
+    pub weights: Option<SocketAddr>,
+}
+
+impl ReplicaArguments {
+    fn engine_model(&self) -> EngineModel {
+        let Self { kind, layers, weights, .. } = self.clone();
+        let loader = weights.map_or_else(|| EngineModel::default().loader, load_from);
+        EngineModel { layers, kind, loader }
+    }
+}
+
+/// Returns a loader from a store of weights. A load that the store does not answer is begun again.
+fn load_from(weights: SocketAddr) -> LayerLoader {
+    Arc::new(move |layers| {
+        Box::pin(async move {
+            while let Err(error) = load_layers(weights, layers).await {
+                eprintln!("the weights cannot be loaded: {error}");
+                sleep(STORE_TIMEOUT).await;
+            }
+        })
+    })
 }
 
 /// Prefix of the first line that a replica writes: the address that it listens on follows.
@@ -121,7 +155,9 @@
     let notices = ReplicaNotices::default();
     notices.listen()?;
     let start_millis = epoch_millis();
-    let engine = StandinEngine::started_at(start_millis);
+    let engine = StandinEngine::started_at(start_millis).with_model(arguments.engine_model());
+    let heartbeat = Duration::from_millis(arguments.heartbeat_ms);
+    let lag = Duration::from_millis(arguments.lag_ms);
     let replica = match arguments.service {
         ServiceKind::Desk | ServiceKind::Annex => start_desk(&arguments, notices).await?,
         ServiceKind::Engine => start_engine(&arguments, engine.clone(), notices).await?,
@@ -136,10 +172,11 @@
     while left_at.is_none_or(|left_at| left_at.elapsed() < linger) {
         engine.take_cuts().iter().for_each(|id| println!("{CUT_PREFIX}{id}"));
         if left_at.is_some_and(|left_at| left_at.elapsed() > KEEP_ENTRY_AFTER_LEAVING) {
-            sleep(HEARTBEAT).await;
+            sleep(heartbeat).await;
             continue;
         }
         let entry = entry(&arguments, &engine, start_millis, is_leaving);
+        sleep(lag).await;
         let write_result = store.replace(REPLICA_KIND, &arguments.id, &entry).await;
         if is_leaving && left_at.is_none() && write_result.is_ok() {
             left_at = Some(Instant::now());
@@ -147,7 +184,7 @@
         }
         tokio::select! {
             _ = term.recv() => is_leaving = true,
-            () = sleep(HEARTBEAT) => {}
+            () = sleep(heartbeat.saturating_sub(lag)) => {}
         }
     }
     Ok(())
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,7 +3,7 @@
 use switchfold_soak::{
     checks::{
         DRAIN_TIME, EVENT_COUNT, Guarantee, KEPT_TIME, MAX_MEMORY_KB, REVOKE_TIME, check,
-        check_recovery, response_body,
+        check_load_recovery, check_recovery, response_body,
     },
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, CallTiming, Disruption, DisruptionKind,
@@ -416,6 +416,23 @@
     assert!(check_recovery((100, 0), &[(10, 10); 10]).is_some(), "nothing to compare with");
 }
 
+#[test]
+fn what_is_served_after_all_engines_lost_their_layers_is_checked() {
+    let seconds = |served: &[usize]| -> Vec<(usize, usize)> {
+        served.iter().map(|served| (100, *served)).collect()
+    };
+    let rows: [(&[usize], bool); 4] = [
+        (&[0, 0, 0, 0, 0, 50, 50, 50, 90, 100], true),
+        (&[0, 0, 0, 0, 0, 49, 50, 50, 90, 100], false),
+        (&[0, 0, 0, 0, 0, 50, 50, 50, 89, 100], false),
+        (&[100, 100, 100, 100, 100, 100, 100, 100, 100, 0], false),
+    ];
+    for (after, holds) in rows {
+        assert_eq!(check_load_recovery(100, &seconds(after)).is_none(), holds, "{after:?}");
+    }
+    assert!(check_load_recovery(0, &seconds(&[10; 10])).is_some(), "nothing to compare with");
+}
+
 /// A request, or a part of prompts, that crashes one replica after the other: as often as allowed
 /// before the settle time, and again after it.
 #[test]
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -9,6 +9,7 @@
 
 use switchfold_soak::{
     cluster::ClusterConfig, plan::ClusterSize, recovery::run_recovery, run::run_seed,
+    shape::QUICK_SHAPE,
 };
 
 const SEED: u64 = 3;
@@ -38,6 +39,7 @@
     fs::create_dir_all(&folder).expect("the folder can be created");
     ClusterConfig {
         size: ClusterSize { relays: 2, engines: 4, desks: 2, callers: 6 },
+        shape: QUICK_SHAPE,
         relay: program("switchfold-relay"),
         replica: PathBuf::from(env!("CARGO_BIN_EXE_switchfold-soak")),
         folder,
