Placement: a relay that was restarted does not take the system for unused

What callers saw: after a loss of all VMs no stream was served for ten seconds and more. Until the first request of all, loads cost next to nothing, and the planner orders all of them at once. It took that time to last until the first request that it had itself, or that reservations told of. After a loss a planner may be without requests for seconds, and nothing is reserved while no path exists: it ordered 55 loads side by side for nine places, so that each took six times as long, ordered those again that were not listed in time, and searched for layouts.

Only a first start has evidence that the system was never used. The class: what a process has not seen since its start is taken for what never happened.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -459,10 +459,12 @@
     planned
 }
 
-/// Returns whether no request has arrived yet, neither at this relay nor, as far as it knows, at
-/// others.
+/// Returns whether the system has had no request yet. A relay that has been restarted has no evidence
+/// of that: the requests before its start are not known to it.
 fn is_unused(relay: &Relay) -> bool {
-    relay.counts.requests.get() == 0 && relay.state.borrow().memory_reservations.is_idle()
+    relay.settings.first_start
+        && relay.counts.requests.get() == 0
+        && relay.state.borrow().memory_reservations.is_idle()
 }
 
 /// Logs the plan for a group with its layout score before and after the orders.
