Placement: after a loss of all engines each data centre soon has a path

What callers saw: after a loss of all engines, streams were refused until the layers of other data centres were loaded. While only some loads run at full speed, orders were sent by the names of the groups, the largest engines first: the first data centre loaded all of its layers, and some twice, before the last one began.

A group without layers now completes its first path first, in loads of about equal length: large engines load a part of their layers, and the rest once the path is whole. Orders for layers that nobody holds or loads go before all others, one group after the other; the others follow, of each group in turn.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -21,7 +21,8 @@
     groups::planner_count,
     instance::ReplicaInstance,
     placement::{
-        LayerHolder, ModelShape, PlacementConfig, PlacementOrder, layout_score, plan_group,
+        GroupOrders, LayerHolder, ModelShape, PlacementConfig, PlacementOrder, PlacementReason,
+        layout_score, plan_group, sequence_orders,
     },
     routing::EngineSpec,
 };
@@ -106,6 +107,9 @@
 #[derive(Debug)]
 struct Placer {
     pending: HashMap<ReplicaInstance, PendingOrder>,
+    /// Layers that replicas are to hold once their group has a path, if they were ordered to load only
+    /// a part of them.
+    targets: HashMap<ReplicaInstance, LayerRange>,
     suspects: HashMap<ReplicaInstance, SuspectReport>,
     /// Replicas whose orders were not sent or were rejected since the last round.
     rejected: Rc<RefCell<Vec<ReplicaInstance>>>,
@@ -148,6 +152,7 @@
     fn new() -> Self {
         Self {
             pending: HashMap::new(),
+            targets: HashMap::new(),
             suspects: HashMap::new(),
             rejected: Rc::default(),
             order_permits: Rc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
@@ -199,18 +204,29 @@
             let is_done = replica.layers == Some(order.range);
             !is_done && now < order.until
         });
+        let pending = &self.pending;
+        self.targets.retain(|instance, target| {
+            let listed = state.fleet.view.get_current(instance);
+            let holds_part = listed.and_then(|replica| replica.layers).is_some_and(|held| {
+                target.from <= held.from && held.to <= target.to && held != *target
+            });
+            holds_part || listed.is_some() && pending.contains_key(instance)
+        });
     }
 
     async fn run_round(&mut self, relay: &Rc<Relay>, share: PlanShare, now: Millis) {
         let Some(config) = relay.config() else { return };
         self.check_suspects(relay, now).await;
         for (service, engine) in config.engines() {
-            let orders = self.plan(relay, share, service, engine, now).await;
             let limit = (engine.max_parallel_loads as usize / share.planners).max(1);
             // Before the first request, loads are quick and all of them may run at once.
-            let is_unused = is_unused(relay);
+            let max_parallel = (!is_unused(relay)).then_some(limit);
+            let config =
+                PlacementConfig { max_parallel_loads: max_parallel, ..PlacementConfig::default() };
+            let planned = self.plan(relay, share, (service, engine), config, now).await;
+            let orders = sequence_orders(planned, engine.layers);
             let free = limit.saturating_sub(self.pending.len());
-            let max_orders = if is_unused { orders.len() } else { free };
+            let max_orders = max_parallel.map_or(orders.len(), |_| free);
             for order in orders.into_iter().take(max_orders) {
                 self.start_order(relay, engine, order, now).await;
             }
@@ -272,24 +288,23 @@
         self.suspects.get(instance).is_some_and(|report| !report.holds)
     }
 
-    /// Plans the groups of this relay, except those that have not changed since they needed no
-    /// orders. Planning takes some milliseconds of a core, so it runs on another thread than the
+    /// Plans the groups of this relay, and returns those that need orders. Groups that have not changed
+    /// since they needed none are left out. Planning takes some milliseconds of a core, so it runs on another thread than the
     /// one that forwards events.
     async fn plan(
         &mut self,
         relay: &Relay,
         share: PlanShare,
-        service: &str,
-        engine: &EngineSpec,
+        (service, engine): (&str, &EngineSpec),
+        config: PlacementConfig,
         now: Millis,
-    ) -> Vec<PlacementOrder> {
+    ) -> Vec<GroupOrders> {
         let mut groups = self.groups(relay, service, engine, now);
         let covered = covered_data_centres(&groups, engine.layers);
         retain_share(&mut groups, share);
         groups.retain(|name, holders| self.settled.get(name) != Some(holders));
         let model = model_shape(engine);
         let planning = spawn_blocking(move || {
-            let config = PlacementConfig::default();
             let planned = groups.into_iter().map(|(name, holders)| {
                 let mut orders = plan_group(&holders, model, &config);
                 if covered.contains(&name.data_centre) {
@@ -309,7 +324,7 @@
                 return Vec::new();
             }
         };
-        let mut all_orders = Vec::new();
+        let mut groups = Vec::new();
         for (name, holders, orders, scores) in planned {
             let is_new = holders.iter().all(|holder| holder.range.is_none());
             if is_new && share.planners == 1 && is_unused(relay) {
@@ -318,11 +333,13 @@
             }
             match scores {
                 None => drop(self.settled.insert(name, holders)),
-                Some(scores) => log_plan(&name, &holders, orders.len(), scores),
+                Some(scores) => {
+                    log_plan(&name, &holders, orders.len(), scores);
+                    groups.push(GroupOrders { holders, orders });
+                }
             }
-            all_orders.extend(orders);
         }
-        all_orders
+        groups
     }
 
     /// Returns the orders of the searches that have finished. Drops all searches once requests
@@ -397,6 +414,7 @@
             slots: replica.slots,
             layer_ms: kind.step_factor * engine.step_ms / f64::from(engine.layers.max(1)),
             range: pending.map(|order| order.range).or(held),
+            target: self.targets.get(&replica.instance).copied(),
             held,
             can_order: pending.is_none() && !is_suspect,
         })
@@ -416,6 +434,12 @@
             u64::from(order.range.len()) * engine.load_time / u64::from(engine.layers.max(1));
         let until = now + load_time * 2 + LIST_DELAY;
         self.pending.insert(order.instance.clone(), PendingOrder { range: order.range, until });
+        match order.reason {
+            PlacementReason::FirstPath { target } if target != order.range => {
+                self.targets.insert(order.instance.clone(), target);
+            }
+            _ => drop(self.targets.remove(&order.instance)),
+        }
         let (relay, rejected) = (relay.clone(), self.rejected.clone());
         let order_permits = self.order_permits.clone();
         spawn_local(async move {
@@ -511,7 +535,7 @@
         data_centre = replica.data_centre,
         from,
         to,
-        reason = ?order.reason,
+        reason = %order.reason,
         give_up = ?unload_mode,
         orders_taken = report.orders_accepted,
         end = ?outcome,
--- a/crates/router/benches/plans.rs
+++ b/crates/router/benches/plans.rs
@@ -38,6 +38,7 @@
             slots: 0,
             layer_ms: 1.02 * step_factor / f64::from(MODEL.layers),
             range: None,
+            target: None,
             held: None,
             can_order: true,
         }
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -9,7 +9,8 @@
 //! 1. **A new group**, in which no replica holds any layer, is laid out greedily at once. While it
 //!    serves no request, [`improve_group`] searches for the layout with the highest capacity, now
 //!    and after the loss of any one replica. The search takes seconds at a small VM, and the group
-//!    works without it.
+//!    works without it. If loads take long, as after a loss of all replicas, its first path is
+//!    completed first, in small loads.
 //! 2. **Empty replicas** of an existing group get the layers with which the layout scores highest.
 //! 3. **Gaps** that remain are closed. Wide ones are given to a replica all of whose layers others
 //!    hold as well; for the rest, all replicas in the order of their layers take over layers from
@@ -22,12 +23,19 @@
 //! of the whole group, which would move the memory of every running request.
 
 mod capacity;
+mod first_path;
 mod gaps;
 mod scarcity;
 mod search;
+mod sequence;
 mod tiling;
 
-pub use self::gaps::widest_gap;
+use derive_more::Display;
+
+pub use self::{
+    gaps::widest_gap,
+    sequence::{GroupOrders, sequence_orders},
+};
 use crate::{
     fleet::LayerRange,
     instance::ReplicaInstance,
@@ -48,11 +56,13 @@
     pub max_fill: f64,
     /// Layers held by the group in its usual layout, relative to the layers of the model.
     pub target_coverage: f64,
+    /// Number of loads that run at full speed; `None` if loads cost next to nothing.
+    pub max_parallel_loads: Option<usize>,
 }
 
 impl Default for PlacementConfig {
     fn default() -> Self {
-        Self { usual_fill: 0.70, max_fill: 0.90, target_coverage: 1.10 }
+        Self { usual_fill: 0.70, max_fill: 0.90, target_coverage: 1.10, max_parallel_loads: None }
     }
 }
 
@@ -69,6 +79,8 @@
     pub layer_ms: f64,
     /// Layers that it holds, or will hold once its order is carried out; `None` if it is empty.
     pub range: Option<LayerRange>,
+    /// Layers that it is to hold once the group has a path, if it has loaded only a part of them.
+    pub target: Option<LayerRange>,
     /// Layers that it holds now.
     pub held: Option<LayerRange>,
     /// Whether it can be given an order now: it is healthy, and no earlier order to it is under
@@ -100,15 +112,22 @@
 }
 
 /// Why a replica is to hold other layers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum PlacementReason {
+    /// No replica holds anything, and loads take long: the first path is completed first.
+    #[display("FirstPath")]
+    FirstPath {
+        /// Layers that it is to hold once the path is whole: those of the order, or more.
+        target: LayerRange,
+    },
     /// It holds nothing.
     Empty,
     /// No replica holds layers next to its own.
     Gap,
     /// Others hold its layers, and no replica holds the ordered ones.
     Move,
-    /// The layout scores higher with the ordered layers.
+    /// The layout scores higher with the ordered layers, or they are the rest of a
+    /// [`FirstPath`](Self::FirstPath).
     Balance,
     /// A search found a better layout while the group serves no request.
     Search,
@@ -143,7 +162,7 @@
     pub fn unload_mode(self) -> UnloadMode {
         match self {
             Self::Gap | Self::Move => UnloadMode::Cut,
-            Self::Empty | Self::Balance | Self::Search => UnloadMode::Wait,
+            Self::FirstPath { .. } | Self::Empty | Self::Balance | Self::Search => UnloadMode::Wait,
         }
     }
 }
@@ -159,10 +178,15 @@
     }
     let mut plan = GroupPlan::new(holders, model, config);
     let is_new = holders.iter().all(|holder| holder.range.is_none() && holder.can_order);
-    match is_new {
-        true => plan.lay_out(),
-        false => plan.place_empty(),
+    match config.max_parallel_loads {
+        None if is_new => plan.lay_out(),
+        Some(max_parallel) if is_new => {
+            plan.lay_out_path(max_parallel);
+            plan.place_empty();
+        }
+        _ => plan.place_empty(),
     }
+    plan.complete_targets();
     plan.close_gaps();
     let settled = plan.orders.is_empty() && holders.iter().all(LayerHolder::is_settled);
     if settled {
@@ -232,6 +256,11 @@
         });
         let mut plan = Self { holders, model, config, fill: config.usual_fill, orders: Vec::new() };
         plan.fill = plan.choose_fill();
+        if widest_gap(&plan.planned_counts()).is_none() {
+            plan.holders
+                .iter_mut()
+                .for_each(|holder| holder.range = holder.target.or(holder.range));
+        }
         plan
     }
 
@@ -326,6 +355,20 @@
         }
     }
 
+    /// Orders replicas that hold a part of their layers to load the rest.
+    fn complete_targets(&mut self) {
+        let is_partial = |holder: &LayerHolder| {
+            holder.can_order && holder.held.is_some() && holder.range != holder.held
+        };
+        for index in 0..self.holders.len() {
+            if let Some(range) =
+                self.holders[index].range.filter(|_| is_partial(&self.holders[index]))
+            {
+                self.order(index, range, PlacementReason::Balance);
+            }
+        }
+    }
+
     /// Returns the first layer of the range of `len` layers with the largest gain; the lowest of
     /// equal ones.
     fn best_start(&self, len: u32) -> u32 {
--- a/crates/router/tests/groups.rs
+++ b/crates/router/tests/groups.rs
@@ -93,6 +93,7 @@
             slots: 0,
             layer_ms: 1.02 * step_factor / 80.0,
             range: None,
+            target: None,
             held: None,
             can_order: true,
         };
--- a/crates/router/tests/layouts.rs
+++ b/crates/router/tests/layouts.rs
@@ -32,6 +32,7 @@
         slots: 0,
         layer_ms: STEP_MS * kind.1 / f64::from(MODEL.layers),
         range,
+        target: None,
         held: range,
         can_order: true,
     }
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -211,6 +211,7 @@
         slots: 0,
         layer_ms: 0.1,
         range,
+        target: None,
         held: range,
         can_order: true,
     }
