Placement: a load frees its place when it ends, not when the list shows it

An order occupied one of the places for loads until the list of replicas showed its end, a heartbeat and its delay later, or until it expired while the load still ran; meanwhile the store of the weights was idle, or had more loads than it runs at full speed.

Replicas whose loads should have ended are asked for a report, every 0.4 s. One that holds the ordered layers frees its place, and may get its next order; one that still loads keeps its place beyond the time at which the order would expire.

a_load_that_has_ended_makes_room_before_the_list_shows_it failed before: engines got a second order before others got their first.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -85,6 +85,23 @@
     range: LayerRange,
     /// Time at which the order expires.
     until: Millis,
+    /// Time from which on the replica is asked whether it has loaded the layers.
+    next_check: Millis,
+    /// Whether the replica reported that it has.
+    has_ended: bool,
+}
+
+/// Interval between two reports requested from a replica whose load should have ended, in
+/// milliseconds.
+const LOAD_CHECK_INTERVAL: Millis = 400;
+
+/// What a replica with a pending order reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LoadProgress {
+    /// It holds the layers.
+    Ended,
+    /// It carries out an order.
+    Running,
 }
 
 /// Interval between two reports requested from a suspected replica, in milliseconds.
@@ -113,6 +130,8 @@
     suspects: HashMap<ReplicaInstance, SuspectReport>,
     /// Replicas whose orders were not sent or were rejected since the last round.
     rejected: Rc<RefCell<Vec<ReplicaInstance>>>,
+    /// What replicas with pending orders reported since the last round.
+    progress: Rc<RefCell<Vec<(ReplicaInstance, LoadProgress)>>>,
     /// Limits the number of orders that are sent at once.
     order_permits: Rc<Semaphore>,
     /// Groups that needed no orders when they were last planned.
@@ -155,6 +174,7 @@
             targets: HashMap::new(),
             suspects: HashMap::new(),
             rejected: Rc::default(),
+            progress: Rc::default(),
             order_permits: Rc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
             settled: BTreeMap::new(),
             searches: LayoutSearches::default(),
@@ -193,6 +213,13 @@
                 order.until = order.until.min(now + REJECTED_PAUSE);
             }
         }
+        for (instance, progress) in self.progress.borrow_mut().drain(..) {
+            let Some(order) = self.pending.get_mut(&instance) else { continue };
+            match progress {
+                LoadProgress::Ended => order.has_ended = true,
+                LoadProgress::Running => order.until = order.until.max(now + LIST_DELAY),
+            }
+        }
         let state = relay.state.borrow();
         let count = state.fleet.view.len() as u64;
         if count != self.replica_count {
@@ -217,6 +244,7 @@
     async fn run_round(&mut self, relay: &Rc<Relay>, share: PlanShare, now: Millis) {
         let Some(config) = relay.config() else { return };
         self.check_suspects(relay, now).await;
+        self.check_loads(relay, now);
         for (service, engine) in config.engines() {
             let limit = (engine.max_parallel_loads as usize / share.planners).max(1);
             // Before the first request, loads are quick and all of them may run at once.
@@ -225,7 +253,8 @@
                 PlacementConfig { max_parallel_loads: max_parallel, ..PlacementConfig::default() };
             let planned = self.plan(relay, share, (service, engine), config, now).await;
             let orders = sequence_orders(planned, engine.layers);
-            let free = limit.saturating_sub(self.pending.len());
+            let loading = self.pending.values().filter(|order| !order.has_ended).count();
+            let free = limit.saturating_sub(loading);
             let max_orders = max_parallel.map_or(orders.len(), |_| free);
             for order in orders.into_iter().take(max_orders) {
                 self.start_order(relay, engine, order, now).await;
@@ -236,6 +265,28 @@
         }
     }
 
+    /// Asks replicas whose loads should have ended, in the background. The list shows the end of a load
+    /// up to a heartbeat and its delay later, while the next load could run.
+    fn check_loads(&mut self, relay: &Rc<Relay>, now: Millis) {
+        for (instance, order) in &mut self.pending {
+            let replica = relay.state.borrow().fleet.view.get_current(instance).cloned();
+            let Some(replica) = replica.filter(|_| !order.has_ended && now >= order.next_check)
+            else {
+                continue;
+            };
+            order.next_check = now + LOAD_CHECK_INTERVAL;
+            let (relay, progress, range) = (relay.clone(), self.progress.clone(), order.range);
+            spawn_local(async move {
+                let Some(report) = fetch_report(&relay, replica.address).await else { return };
+                let reported = match report.busy {
+                    true => Some(LoadProgress::Running),
+                    false => (report.layers == Some(range)).then_some(LoadProgress::Ended),
+                };
+                progress.borrow_mut().extend(reported.map(|it| (replica.instance, it)));
+            });
+        }
+    }
+
     /// Fetches reports of suspected replicas to find out whether they still hold their layers.
     /// Those that do not are checked again until they do or are no longer listed. A suspicion alone
     /// moves no layers, since a single bad link may have caused it.
@@ -407,7 +458,8 @@
             return None;
         }
         let pending = self.pending.get(&replica.instance);
-        let held = replica.layers.filter(|_| !is_lost);
+        let loaded = pending.filter(|order| order.has_ended).map(|order| order.range);
+        let held = loaded.or(replica.layers).filter(|_| !is_lost);
         Some(LayerHolder {
             instance: replica.instance.clone(),
             memory_mb: kind.memory_mb,
@@ -416,7 +468,7 @@
             range: pending.map(|order| order.range).or(held),
             target: self.targets.get(&replica.instance).copied(),
             held,
-            can_order: pending.is_none() && !is_suspect,
+            can_order: pending.is_none_or(|order| order.has_ended) && !is_suspect,
         })
     }
 
@@ -431,9 +483,18 @@
         let replica = relay.state.borrow().fleet.view.get_current(&order.instance).cloned();
         let Some(replica) = replica else { return };
         let load_time =
-            u64::from(order.range.len()) * engine.load_time / u64::from(engine.layers.max(1));
-        let until = now + load_time * 2 + LIST_DELAY;
-        self.pending.insert(order.instance.clone(), PendingOrder { range: order.range, until });
+            |layers: u32| u64::from(layers) * engine.load_time / u64::from(engine.layers.max(1));
+        let range = order.range;
+        let kept = replica
+            .layers
+            .map_or(0, |held| range.to.min(held.to).saturating_sub(range.from.max(held.from)));
+        let pending = PendingOrder {
+            range,
+            until: now + load_time(range.len()) * 2 + LIST_DELAY,
+            next_check: now + load_time(range.len() - kept),
+            has_ended: false,
+        };
+        self.pending.insert(order.instance.clone(), pending);
         match order.reason {
             PlacementReason::FirstPath { target } if target != order.range => {
                 self.targets.insert(order.instance.clone(), target);
