Placement: the first path is also completed first while engines still return

After a loss of power engines come back over seconds. A group whose listed engines did not hold the whole model yet had each of them load all of its layers at once: 4.9 s for the largest, which kept the places from the loads that were missing.

Soak: a ready relay must respond on a new connection within 4 s, at every moment of a run. What is served after a loss of all engines is compared as a share: a second in which 106 of 106 streams were served counted as too little, since callers had sent fewer.

--- a/crates/router/tests/load_times.rs
+++ b/crates/router/tests/load_times.rs
@@ -54,17 +54,24 @@
 
 /// Lets all engines load, and returns the time after the first round at which each data centre has a
 /// path, in milliseconds. Data centres without one are left out.
-fn path_times() -> BTreeMap<&'static str, u64> {
+///
+/// The engines return over the time `spread`, and the times count from the return of the last.
+fn path_times(spread: u64) -> BTreeMap<&'static str, u64> {
     let mut groups: BTreeMap<&str, Vec<ModelEngine>> = ENGINES.iter().map(empty_group).collect();
     let mut times = BTreeMap::new();
-    for now in (0..WHOLE_SERVICE).step_by(STEP as usize) {
+    for now in (0..spread + WHOLE_SERVICE).step_by(STEP as usize) {
         finish_loads(&mut groups, now);
         if now % ROUND == 0 {
-            send_orders(&mut groups);
+            // The last engine of a group returns at the end of the spread.
+            let returned = |count: usize| match now < spread {
+                true => count * now as usize / spread as usize,
+                false => count,
+            };
+            send_orders(&mut groups, returned);
         }
         for (name, engines) in &groups {
             if covers(engines.iter().filter_map(|engine| engine.loaded.map(|(range, _)| range))) {
-                times.entry(*name).or_insert(now);
+                times.entry(*name).or_insert(now.saturating_sub(spread));
             }
         }
     }
@@ -119,15 +126,19 @@
     }
 }
 
-/// Sends orders while there are places. A load occupies its place until it ends.
-fn send_orders(groups: &mut BTreeMap<&str, Vec<ModelEngine>>) {
+/// Sends orders while there are places. A load occupies its place until it ends. `returned` is how many
+/// engines of a group are back.
+fn send_orders(groups: &mut BTreeMap<&str, Vec<ModelEngine>>, returned: impl Fn(usize) -> usize) {
     let config = PlacementConfig {
         max_parallel_loads: Some(MAX_PARALLEL_LOADS),
         ..PlacementConfig::default()
     };
     let planned = groups.values().map(|engines| {
-        let holders: Vec<LayerHolder> =
-            engines.iter().map(|engine| engine.holder.clone()).collect();
+        let holders: Vec<LayerHolder> = engines
+            .iter()
+            .take(returned(engines.len()))
+            .map(|engine| engine.holder.clone())
+            .collect();
         let orders = plan_group(&holders, MODEL, &config);
         GroupOrders { holders, orders }
     });
@@ -154,7 +165,10 @@
 /// first path after 20 s.
 #[test]
 fn every_data_centre_soon_has_a_path_after_all_engines_lost_their_layers() {
-    let times = path_times();
-    let early = times.values().filter(|time| **time <= HALF_SERVICE).count();
-    assert!(times.len() == ENGINES.len() && early * 2 >= ENGINES.len(), "{times:?}");
+    for spread in [0, 4_000, 8_000] {
+        let times = path_times(spread);
+        let early = times.values().filter(|time| **time <= HALF_SERVICE).count();
+        let is_soon = times.len() == ENGINES.len() && early * 2 >= ENGINES.len();
+        assert!(is_soon, "spread {spread}: {times:?}");
+    }
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -331,11 +331,14 @@
 /// Whether a relay reports itself ready within 500 ms.
 pub async fn is_ready(address: SocketAddr) -> bool {
     const READY_TIMEOUT: Duration = Duration::from_millis(500);
-    let exchange = async {
-        let mut connection = connect((0, address)).await.ok()?;
-        let request = Request::get("/readyz").header(header::HOST, "relay").body(Full::default());
-        let response = connection.sender.send_request(request.ok()?).await.ok()?;
-        Some(response.status() == StatusCode::OK)
-    };
-    timeout(READY_TIMEOUT, exchange).await.ok().flatten().unwrap_or(false)
+    let status = timeout(READY_TIMEOUT, fetch_status(address, "/readyz")).await;
+    status.ok().flatten() == Some(StatusCode::OK)
+}
+
+/// Returns the status of the response to a request on a new connection; `None` if there is none.
+pub(crate) async fn fetch_status(address: SocketAddr, path: &str) -> Option<StatusCode> {
+    let mut connection = connect((0, address)).await.ok()?;
+    let request = Request::get(path).header(header::HOST, HOST).body(Full::default());
+    let response = connection.sender.send_request(request.ok()?).await.ok()?;
+    Some(response.status())
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 
 use crate::{
+    attendance::CONTACT_TIME,
     ends::check_ends,
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, DisruptionKind, Micros, RunHistory,
@@ -150,6 +151,9 @@
     /// The memory of each relay does not exceed [`MAX_MEMORY_KB`].
     #[display("memory")]
     Memory,
+    /// A relay that says that it is ready responds on a new connection within [`CONTACT_TIME`].
+    #[display("attendance")]
+    Attendance,
     /// Requests are served again after the last fault.
     #[display("recovery")]
     Recovery,
@@ -681,18 +685,26 @@
 /// served from then on although all engines came back without layers.
 pub const LOAD_RECOVERY: [(usize, usize); 2] = [(5, 50), (8, 90)];
 
-/// From each time of [`LOAD_RECOVERY`] on, at least its share of what was served in a second before is
-/// served in each second. The elements of `after` are numbers of calls and of served ones.
-pub fn check_load_recovery(served_before: usize, after: &[(usize, usize)]) -> Option<Violation> {
+/// From each time of [`LOAD_RECOVERY`] on, the share of calls that is served in each second is at least
+/// its share of that before. `before` and the elements of `after` are numbers of calls and of served
+/// ones.
+pub fn check_load_recovery(before: (usize, usize), after: &[(usize, usize)]) -> Option<Violation> {
+    let (calls_before, served_before) = before;
     if served_before == 0 {
         return Some(violation(Guarantee::Recovery, "no call was served before the loss"));
     }
-    let seconds = || after.iter().map(|(_, served)| *served).enumerate();
+    let is_below = |(calls, served): &(usize, usize), percent: usize| {
+        served * calls_before * 100 < served_before * calls * percent || *calls == 0
+    };
     let late = LOAD_RECOVERY.iter().find_map(|(from, percent)| {
-        seconds().skip(*from).find(|(_, served)| served * 100 < served_before * percent)
+        let mut seconds = after.iter().enumerate().skip(*from);
+        seconds.find(|(_, second)| is_below(second, *percent))
     });
-    let describe = |(second, served)| {
-        format!("{served} served {second} s after the return, {served_before} in a second before")
+    let describe = |(second, (calls, served)): (usize, &(usize, usize))| {
+        format!(
+            "{served} of {calls} served {second} s after the return, {served_before} of \
+             {calls_before} before"
+        )
     };
     late.map(|late| violation(Guarantee::Recovery, describe(late)))
 }
@@ -709,5 +721,9 @@
     let not_recovered = calls > 0 && served * 4 < calls;
     let not_recovered = not_recovered
         .then(|| violation(Guarantee::Recovery, format!("{served} of {calls} served")));
-    exits.chain(over_limit).chain(not_recovered).collect()
+    let unattended = history.longest_unattended.iter().filter(|(_, time)| **time >= CONTACT_TIME);
+    let unattended = unattended.map(|(relay, _)| {
+        violation(Guarantee::Attendance, format!("relay {relay} is ready and does not respond"))
+    });
+    exits.chain(over_limit).chain(unattended).chain(not_recovered).collect()
 }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -27,6 +27,7 @@
 };
 
 use crate::{
+    attendance::wait_for_response,
     caller::{CallerContext, CrashRequest, is_ready},
     checks::{RETRY_ALLOWANCE, RETRY_RATIO, RETRY_WINDOW, REVOKE_TIME},
     config::{ANNEX, ConfigChange, ConfigState},
@@ -90,6 +91,8 @@
     listen: SocketAddr,
     ready: SocketAddr,
     failed_ready_checks: Mutex<u32>,
+    /// Time since which all checks found the relay ready.
+    ready_since: Mutex<Option<Instant>>,
     store_link: LinkProxy,
 }
 
@@ -194,6 +197,8 @@
         });
         cluster.write_config(1);
         tokio::spawn(cluster.clone().supervise());
+        (0..cluster.relays.len())
+            .for_each(|number| drop(tokio::spawn(cluster.clone().attend(number))));
         cluster.wait_until_ready().await?;
         cluster.relays.iter().try_for_each(|relay| relay.write_settings(false))?;
         Ok(cluster)
@@ -447,11 +452,27 @@
         }
     }
 
+    /// Records the longest time in which a relay that is ready throughout does not respond.
+    async fn attend(self: Arc<Self>, number: usize) {
+        let relay = &self.relays[number];
+        while self.is_supervised.load(Ordering::Relaxed) {
+            let began = Instant::now();
+            let waited = wait_for_response(relay.listen).await;
+            if lock(&relay.ready_since).is_some_and(|since| since < began) {
+                let mut history = self.history();
+                let longest = history.longest_unattended.entry(number).or_default();
+                *longest = waited.max(*longest);
+            }
+        }
+    }
+
     async fn check_readiness(self: Arc<Self>) {
         for relay in &self.relays {
             let ready = is_ready(relay.ready).await;
             let mut failed_ready_checks = lock(&relay.failed_ready_checks);
             *failed_ready_checks = if ready { 0 } else { *failed_ready_checks + 1 };
+            let mut since = lock(&relay.ready_since);
+            *since = ready.then(|| since.unwrap_or_else(Instant::now));
         }
     }
 
@@ -630,6 +651,7 @@
             listen,
             ready,
             failed_ready_checks: Mutex::default(),
+            ready_since: Mutex::default(),
             store_link: link,
         };
         slot.write_settings(true)?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`shape`], [`weights`] | data centres and intervals of a cluster, its model, and the store that engines load layers from |
 //! | [`silence`] | silence within the response to one request |
 //! | [`caller`], [`patient`] | callers; `pausing` sends their requests in parts |
+//! | [`attendance`] | connections to relays that say they are ready |
 //! | [`record`], [`checks`], [`ends`] | what was recorded, and the guarantees it is checked against |
 //! | [`run`] | one run of a seed |
 //! | [`measure`] | measures what silence costs callers |
@@ -23,6 +24,7 @@
 //! processes. A seed therefore determines the schedule of faults, but not the outcome. Logs of a
 //! run are kept if it violated a guarantee.
 
+pub mod attendance;
 pub mod caller;
 pub mod checks;
 pub mod cluster;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,7 +3,10 @@
 //! Times are in microseconds since the Unix epoch. All processes of a soak run on one machine and
 //! share its clock.
 
-use std::{collections::HashSet, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -268,6 +271,9 @@
     pub idle_limits: Vec<(Micros, Micros)>,
     /// Processes that exited unexpectedly, or did not exit after a signal to stop.
     pub unexpected_exits: Vec<String>,
+    /// Longest time in which a relay that was ready throughout left connections without a response, by
+    /// relay.
+    pub longest_unattended: BTreeMap<usize, Duration>,
     /// Resident memory of each relay at the end, in KB.
     pub memory_kb: Vec<u64>,
     /// Number of calls made after all faults were over, and of those that were served.
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -36,10 +36,7 @@
 const WARM_UP_TIME: Duration = Duration::from_secs(6);
 
 /// Part of it, at its end, with whose share of served calls the recovery is compared.
-const COMPARED_TIME: Micros = COMPARED_SECONDS as Micros * 1_000_000;
-
-/// The same in seconds.
-const COMPARED_SECONDS: usize = 3;
+const COMPARED_TIME: Micros = 3_000_000;
 
 /// Time after the return of everything that is measured.
 const MEASURED_SECONDS: usize = 10;
@@ -187,6 +184,8 @@
     pub before: (usize, usize),
     /// Calls and served calls of each second after everything is back.
     pub after: Vec<(usize, usize)>,
+    /// Longest time in which a ready relay did not respond on a new connection.
+    pub longest_unattended: Duration,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
 }
@@ -196,6 +195,8 @@
         let (calls, served) = self.before;
         write!(formatter, "seed {}: {}\n    before {served}/{calls}, after", self.seed, self.loss)?;
         self.after.iter().try_for_each(|(calls, served)| write!(formatter, " {served}/{calls}"))?;
+        let unattended_ms = self.longest_unattended.as_millis();
+        write!(formatter, "\n    a ready relay did not respond for {unattended_ms} ms at most")?;
         self.violations.iter().try_for_each(|violation| write!(formatter, "\n    {violation}"))
     }
 }
@@ -306,10 +307,18 @@
     history.calls = calls;
     let mut violations = check(&history, switchfold_platform_standin::samples::ORGANISATION);
     violations.extend(match is_large {
-        true => check_load_recovery(before.1 / COMPARED_SECONDS, &after),
+        true => check_load_recovery(before, &after),
         false => check_recovery(before, &after),
     });
-    Ok(RecoveryReport { seed, loss: loss.to_string(), before, after, violations })
+    let longest_unattended = history.longest_unattended.values().max().copied().unwrap_or_default();
+    Ok(RecoveryReport {
+        seed,
+        loss: loss.to_string(),
+        before,
+        after,
+        longest_unattended,
+        violations,
+    })
 }
 
 /// Applies a loss, and waits until everything is back.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,6 +1,9 @@
 //! Checks that each violated guarantee is reported, and that excused cases are not.
 
+use std::time::Duration;
+
 use switchfold_soak::{
+    attendance::CONTACT_TIME,
     checks::{
         DRAIN_TIME, EVENT_COUNT, Guarantee, KEPT_TIME, MAX_MEMORY_KB, REVOKE_TIME, check,
         check_load_recovery, check_recovery, response_body,
@@ -387,6 +390,10 @@
             Guarantee::Memory,
         ),
         (RunHistory { after_faults: (100, 24), ..Default::default() }, Guarantee::Recovery),
+        (
+            RunHistory { longest_unattended: [(0, CONTACT_TIME)].into(), ..Default::default() },
+            Guarantee::Attendance,
+        ),
     ];
     for (history, expected) in rows {
         assert_eq!(violated_guarantees(&history), [expected]);
@@ -394,6 +401,7 @@
     let unbroken = RunHistory {
         memory_kb: vec![MAX_MEMORY_KB],
         after_faults: (100, 25),
+        longest_unattended: [(0, CONTACT_TIME - Duration::from_millis(1))].into(),
         ..RunHistory::default()
     };
     assert_eq!(violated_guarantees(&unbroken), []);
@@ -428,9 +436,13 @@
         (&[100, 100, 100, 100, 100, 100, 100, 100, 100, 0], false),
     ];
     for (after, holds) in rows {
-        assert_eq!(check_load_recovery(100, &seconds(after)).is_none(), holds, "{after:?}");
+        let found = check_load_recovery((100, 100), &seconds(after));
+        assert_eq!(found.is_none(), holds, "{after:?}");
     }
-    assert!(check_load_recovery(0, &seconds(&[10; 10])).is_some(), "nothing to compare with");
+    assert!(
+        check_load_recovery((100, 0), &seconds(&[10; 10])).is_some(),
+        "nothing to compare with"
+    );
 }
 
 /// A request, or a part of prompts, that crashes one replica after the other: as often as allowed
