--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -85,6 +85,8 @@
     range: LayerRange,
     /// Time at which the order expires.
     until: Millis,
+    /// Whether the replica unloads layers, for which it may wait without loading any.
+    unloads: bool,
     /// Time from which on the replica is asked whether it has loaded the layers.
     next_check: Millis,
     /// Whether the replica reported that it has.
@@ -217,6 +219,7 @@
             let Some(order) = self.pending.get_mut(&instance) else { continue };
             match progress {
                 LoadProgress::Ended => order.has_ended = true,
+                LoadProgress::Running if order.unloads => {}
                 LoadProgress::Running => order.until = order.until.max(now + LIST_DELAY),
             }
         }
@@ -340,8 +343,8 @@
     }
 
     /// Plans the groups of this relay, and returns those that need orders. Groups that have not changed
-    /// since they needed none are left out. Planning takes some milliseconds of a core, so it runs on another thread than the
-    /// one that forwards events.
+    /// since they needed none are left out. Planning takes some milliseconds of a core, so it runs on
+    /// another thread than the one that forwards events.
     async fn plan(
         &mut self,
         relay: &Relay,
@@ -491,6 +494,7 @@
         let pending = PendingOrder {
             range,
             until: now + load_time(range.len()) * 2 + LIST_DELAY,
+            unloads: replica.layers.is_some_and(|held| held.len() > kept),
             next_check: now + load_time(range.len() - kept),
             has_ended: false,
         };
