--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -685,16 +685,23 @@
 /// served from then on although all engines came back without layers.
 pub const LOAD_RECOVERY: [(usize, usize); 2] = [(5, 50), (8, 90)];
 
-/// From each time of [`LOAD_RECOVERY`] on, the share of calls that is served in each second is at least
-/// its share of that before. `before` and the elements of `after` are numbers of calls and of served
-/// ones.
-pub fn check_load_recovery(before: (usize, usize), after: &[(usize, usize)]) -> Option<Violation> {
+/// From each time of [`LOAD_RECOVERY`] on, at least its share of the calls served in a second before is
+/// served in each second, or of the share of calls that was served: refused callers call more often,
+/// and the number of calls varies. `before` are the calls of `seconds_before` and those of them that
+/// were served, `after` the same of each second.
+pub fn check_load_recovery(
+    before: (usize, usize),
+    seconds_before: usize,
+    after: &[(usize, usize)],
+) -> Option<Violation> {
     let (calls_before, served_before) = before;
     if served_before == 0 {
         return Some(violation(Guarantee::Recovery, "no call was served before the loss"));
     }
     let is_below = |(calls, served): &(usize, usize), percent: usize| {
-        served * calls_before * 100 < served_before * calls * percent || *calls == 0
+        let is_rare = served * seconds_before * 100 < served_before * percent;
+        let is_smaller = served * calls_before * 100 < served_before * calls * percent;
+        is_rare && (is_smaller || *calls == 0)
     };
     let late = LOAD_RECOVERY.iter().find_map(|(from, percent)| {
         let mut seconds = after.iter().enumerate().skip(*from);
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -36,7 +36,10 @@
 const WARM_UP_TIME: Duration = Duration::from_secs(6);
 
 /// Part of it, at its end, with whose share of served calls the recovery is compared.
-const COMPARED_TIME: Micros = 3_000_000;
+const COMPARED_TIME: Micros = COMPARED_SECONDS as Micros * 1_000_000;
+
+/// The same in seconds.
+const COMPARED_SECONDS: usize = 3;
 
 /// Time after the return of everything that is measured.
 const MEASURED_SECONDS: usize = 10;
@@ -307,7 +310,7 @@
     history.calls = calls;
     let mut violations = check(&history, switchfold_platform_standin::samples::ORGANISATION);
     violations.extend(match is_large {
-        true => check_load_recovery(before, &after),
+        true => check_load_recovery(before, COMPARED_SECONDS, &after),
         false => check_recovery(before, &after),
     });
     let longest_unattended = history.longest_unattended.values().max().copied().unwrap_or_default();
