Placement: small first loads only for a group whose engines are all listed

The planner waits for a settled list again, up to 4 s, and completes the first path first where no engine holds a layer. The test of the load times now also compares the layout at the end with one that is laid out at once.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -58,8 +58,8 @@
 /// milliseconds: two messages of the relay that had the share before may be lost.
 const TAKEOVER_DELAY: Millis = 600;
 
-/// Time without a change in the number of replicas after which the first layout of a new system is
-/// planned, in milliseconds. Later the first path is loaded by the replicas that are there.
+/// Time without a change in the number of replicas after which the first layout is planned, in
+/// milliseconds.
 const SETTLE_TIME: Millis = 900;
 
 /// Time after the start of the relay after which the first layout is planned even if replicas still
@@ -161,8 +161,8 @@
         else {
             continue;
         };
-        let is_settled = age >= MAX_SETTLE_TIME || now - placer.fleet_changed > SETTLE_TIME;
-        if relay.settings.first_start && !is_settled {
+        let is_settled = now - placer.fleet_changed > SETTLE_TIME;
+        if age < MAX_SETTLE_TIME && !is_settled {
             continue;
         }
         placer.run_round(&relay, share, now).await;
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -9,10 +9,9 @@
 //! 1. **A new group**, in which no replica holds any layer, is laid out greedily at once. While it
 //!    serves no request, [`improve_group`] searches for the layout with the highest capacity, now
 //!    and after the loss of any one replica. The search takes seconds at a small VM, and the group
-//!    works without it.
+//!    works without it. If loads take long, as after a loss of all replicas, its first path is
+//!    completed first, in small loads.
 //! 2. **Empty replicas** of an existing group get the layers with which the layout scores highest.
-//!    If loads take long and the group has a gap, they close it first, in small loads; a new group
-//!    is then laid out in the same way.
 //! 3. **Gaps** that remain are closed. Wide ones are given to a replica all of whose layers others
 //!    hold as well; for the rest, all replicas in the order of their layers take over layers from
 //!    each other with the fewest loads, up to [`PlacementConfig::max_fill`] of their memory.
@@ -115,7 +114,7 @@
 /// Why a replica is to hold other layers.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum PlacementReason {
-    /// It holds nothing, and loads take long: the first path of its group is completed first.
+    /// No replica holds anything, and loads take long: the first path is completed first.
     #[display("FirstPath")]
     FirstPath {
         /// Layers that it is to hold once the path is whole: those of the order, or more.
@@ -181,11 +180,11 @@
     let is_new = holders.iter().all(|holder| holder.range.is_none() && holder.can_order);
     match config.max_parallel_loads {
         None if is_new => plan.lay_out(),
-        None => plan.place_empty(),
-        Some(max_parallel) => {
+        Some(max_parallel) if is_new => {
             plan.lay_out_path(max_parallel);
             plan.place_empty();
         }
+        _ => plan.place_empty(),
     }
     plan.complete_targets();
     plan.close_gaps();
@@ -257,7 +256,11 @@
         });
         let mut plan = Self { holders, model, config, fill: config.usual_fill, orders: Vec::new() };
         plan.fill = plan.choose_fill();
-        plan.apply_targets();
+        if widest_gap(&plan.planned_counts()).is_none() {
+            plan.holders
+                .iter_mut()
+                .for_each(|holder| holder.range = holder.target.or(holder.range));
+        }
         plan
     }
 
--- a/crates/router/tests/load_times.rs
+++ b/crates/router/tests/load_times.rs
@@ -7,8 +7,8 @@
     fleet::LayerRange,
     instance::ReplicaInstance,
     placement::{
-        GroupOrders, LayerHolder, ModelShape, PlacementConfig, PlacementReason, plan_group,
-        sequence_orders, widest_gap,
+        GroupOrders, LayerHolder, ModelShape, PlacementConfig, PlacementReason, layout_score,
+        plan_group, sequence_orders, widest_gap,
     },
 };
 
@@ -47,35 +47,55 @@
     loaded: Option<(LayerRange, u64)>,
 }
 
+/// Engines by data centre.
+type ModelGroups = BTreeMap<&'static str, Vec<ModelEngine>>;
+
+/// Smallest score of the layout in the end, relative to one that is laid out at once.
+const MIN_WORTH: f64 = 0.95;
+
 /// Our goals for half of the former service, and for all of it, after all engines lost their layers,
 /// in milliseconds.
 const HALF_SERVICE: u64 = 5_000;
 const WHOLE_SERVICE: u64 = 8_000;
 
-/// Lets all engines load, and returns the time after the first round at which each data centre has a
-/// path, in milliseconds. Data centres without one are left out.
-///
-/// The engines return over the time `spread`, and the times count from the return of the last.
-fn path_times(spread: u64) -> BTreeMap<&'static str, u64> {
-    let mut groups: BTreeMap<&str, Vec<ModelEngine>> = ENGINES.iter().map(empty_group).collect();
+/// Time after which all planned loads have ended, in milliseconds.
+const LOADED: u64 = 30_000;
+
+/// Lets all engines load. Returns the time after the first round at which each data centre has a path,
+/// in milliseconds, and the engines at the end. Data centres without a path are left out.
+fn load_all() -> (BTreeMap<&'static str, u64>, ModelGroups) {
+    let mut groups: ModelGroups = ENGINES.iter().map(empty_group).collect();
     let mut times = BTreeMap::new();
-    for now in (0..spread + WHOLE_SERVICE).step_by(STEP as usize) {
+    for now in (0..LOADED).step_by(STEP as usize) {
         finish_loads(&mut groups, now);
         if now % ROUND == 0 {
-            // The last engine of a group returns at the end of the spread.
-            let returned = |count: usize| match now < spread {
-                true => count * now as usize / spread as usize,
-                false => count,
-            };
-            send_orders(&mut groups, returned);
+            send_orders(&mut groups);
         }
         for (name, engines) in &groups {
             if covers(engines.iter().filter_map(|engine| engine.loaded.map(|(range, _)| range))) {
-                times.entry(*name).or_insert(now.saturating_sub(spread));
+                times.entry(*name).or_insert(now);
             }
         }
     }
-    times
+    (times, groups)
+}
+
+/// Returns the sum of the scores of the layouts.
+fn score(groups: impl Iterator<Item = Vec<LayerHolder>>) -> f64 {
+    groups.map(|holders| layout_score(&holders, MODEL)).sum()
+}
+
+/// Returns the holders of a new group after its orders were carried out.
+fn laid_out_at_once(group: &(&'static str, [usize; 3])) -> Vec<LayerHolder> {
+    let (_, engines) = empty_group(group);
+    let mut holders: Vec<LayerHolder> = engines.into_iter().map(|engine| engine.holder).collect();
+    for order in plan_group(&holders, MODEL, &PlacementConfig::default()) {
+        let holder = holders.iter_mut().find(|holder| holder.instance == order.instance);
+        let holder = holder.expect("an order is for an engine of the group");
+        holder.range = Some(order.range);
+        holder.held = holder.range;
+    }
+    holders
 }
 
 fn empty_group((name, counts): &(&'static str, [usize; 3])) -> (&'static str, Vec<ModelEngine>) {
@@ -106,7 +126,7 @@
     widest_gap(&counts).is_none()
 }
 
-fn finish_loads(groups: &mut BTreeMap<&str, Vec<ModelEngine>>, now: u64) {
+fn finish_loads(groups: &mut ModelGroups, now: u64) {
     let loading = groups.values().flatten().filter(|engine| engine.load.is_some()).count();
     let slowdown = (loading as f64 / MAX_PARALLEL_LOADS as f64).max(1.0);
     for engine in groups.values_mut().flatten() {
@@ -126,19 +146,15 @@
     }
 }
 
-/// Sends orders while there are places. A load occupies its place until it ends. `returned` is how many
-/// engines of a group are back.
-fn send_orders(groups: &mut BTreeMap<&str, Vec<ModelEngine>>, returned: impl Fn(usize) -> usize) {
+/// Sends orders while there are places. A load occupies its place until it ends.
+fn send_orders(groups: &mut ModelGroups) {
     let config = PlacementConfig {
         max_parallel_loads: Some(MAX_PARALLEL_LOADS),
         ..PlacementConfig::default()
     };
     let planned = groups.values().map(|engines| {
-        let holders: Vec<LayerHolder> = engines
-            .iter()
-            .take(returned(engines.len()))
-            .map(|engine| engine.holder.clone())
-            .collect();
+        let holders: Vec<LayerHolder> =
+            engines.iter().map(|engine| engine.holder.clone()).collect();
         let orders = plan_group(&holders, MODEL, &config);
         GroupOrders { holders, orders }
     });
@@ -165,10 +181,17 @@
 /// first path after 20 s.
 #[test]
 fn every_data_centre_soon_has_a_path_after_all_engines_lost_their_layers() {
-    for spread in [0, 4_000, 8_000] {
-        let times = path_times(spread);
-        let early = times.values().filter(|time| **time <= HALF_SERVICE).count();
-        let is_soon = times.len() == ENGINES.len() && early * 2 >= ENGINES.len();
-        assert!(is_soon, "spread {spread}: {times:?}");
-    }
+    let (times, groups) = load_all();
+    let early = times.values().filter(|time| **time <= HALF_SERVICE).count();
+    assert!(times.len() == ENGINES.len() && early * 2 >= ENGINES.len(), "{times:?}");
+    assert!(times.values().all(|time| *time <= WHOLE_SERVICE), "{times:?}");
+    let loaded = groups.into_values().map(|engines| {
+        let holders = engines.into_iter().map(|engine| {
+            let held = engine.loaded.map(|(range, _)| range);
+            LayerHolder { range: held, held, ..engine.holder }
+        });
+        holders.collect()
+    });
+    let (loaded, at_once) = (score(loaded), score(ENGINES.iter().map(laid_out_at_once)));
+    assert!(loaded >= at_once * MIN_WORTH, "{loaded} against {at_once}");
 }
