Layers: one function each for overlaps and for counts by layer; one queue of orders

The overlap of two ranges stood in the planner, in two places of the placement and in a test: LayerRange::overlap. Counting the ranges that hold each layer stood in GroupPlan::count, and again in the readiness of a relay, the sequence of orders and a test; whether a data centre holds all layers was asked in two ways: layer_counts with widest_gap serves all of them. Rejected orders and reports of loads came back to the planner through two queues, which are one now.

--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -97,13 +97,15 @@
 /// milliseconds.
 const LOAD_CHECK_INTERVAL: Millis = 400;
 
-/// What a replica with a pending order reported.
+/// What became of a pending order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum LoadProgress {
-    /// It holds the layers.
-    Ended,
-    /// It carries out an order.
+enum OrderProgress {
+    /// It was not sent, or the replica rejected it.
+    Rejected,
+    /// The replica reported that it carries out an order.
     Running,
+    /// The replica reported that it holds the layers.
+    Ended,
 }
 
 /// Interval between two reports requested from a suspected replica, in milliseconds.
@@ -130,10 +132,8 @@
     /// a part of them.
     targets: HashMap<ReplicaInstance, LayerRange>,
     suspects: HashMap<ReplicaInstance, SuspectReport>,
-    /// Replicas whose orders were not sent or were rejected since the last round.
-    rejected: Rc<RefCell<Vec<ReplicaInstance>>>,
-    /// What replicas with pending orders reported since the last round.
-    progress: Rc<RefCell<Vec<(ReplicaInstance, LoadProgress)>>>,
+    /// What became of pending orders since the last round.
+    progress: Rc<RefCell<Vec<(ReplicaInstance, OrderProgress)>>>,
     /// Limits the number of orders that are sent at once.
     order_permits: Rc<Semaphore>,
     /// Groups that needed no orders when they were last planned.
@@ -175,7 +175,6 @@
             pending: HashMap::new(),
             targets: HashMap::new(),
             suspects: HashMap::new(),
-            rejected: Rc::default(),
             progress: Rc::default(),
             order_permits: Rc::new(Semaphore::new(MAX_CONCURRENT_ORDERS)),
             settled: BTreeMap::new(),
@@ -210,17 +209,13 @@
     /// Records changes of the number of replicas, and drops pending orders that are done, expired
     /// or rejected.
     fn observe(&mut self, relay: &Relay, now: Millis) {
-        for instance in self.rejected.borrow_mut().drain(..) {
-            if let Some(order) = self.pending.get_mut(&instance) {
-                order.until = order.until.min(now + REJECTED_PAUSE);
-            }
-        }
         for (instance, progress) in self.progress.borrow_mut().drain(..) {
             let Some(order) = self.pending.get_mut(&instance) else { continue };
             match progress {
-                LoadProgress::Ended => order.has_ended = true,
-                LoadProgress::Running if order.unloads => {}
-                LoadProgress::Running => order.until = order.until.max(now + LIST_DELAY),
+                OrderProgress::Rejected => order.until = order.until.min(now + REJECTED_PAUSE),
+                OrderProgress::Running if order.unloads => {}
+                OrderProgress::Running => order.until = order.until.max(now + LIST_DELAY),
+                OrderProgress::Ended => order.has_ended = true,
             }
         }
         let state = relay.state.borrow();
@@ -282,8 +277,8 @@
             spawn_local(async move {
                 let Some(report) = fetch_report(&relay, replica.address).await else { return };
                 let reported = match report.busy {
-                    true => Some(LoadProgress::Running),
-                    false => (report.layers == Some(range)).then_some(LoadProgress::Ended),
+                    true => Some(OrderProgress::Running),
+                    false => (report.layers == Some(range)).then_some(OrderProgress::Ended),
                 };
                 progress.borrow_mut().extend(reported.map(|it| (replica.instance, it)));
             });
@@ -488,9 +483,7 @@
         let load_time =
             |layers: u32| u64::from(layers) * engine.load_time / u64::from(engine.layers.max(1));
         let range = order.range;
-        let kept = replica
-            .layers
-            .map_or(0, |held| range.to.min(held.to).saturating_sub(range.from.max(held.from)));
+        let kept = replica.layers.map_or(0, |held| held.overlap(&range).len());
         let pending = PendingOrder {
             range,
             until: now + load_time(range.len()) * 2 + LIST_DELAY,
@@ -505,12 +498,12 @@
             }
             _ => drop(self.targets.remove(&order.instance)),
         }
-        let (relay, rejected) = (relay.clone(), self.rejected.clone());
+        let (relay, progress) = (relay.clone(), self.progress.clone());
         let order_permits = self.order_permits.clone();
         spawn_local(async move {
             let _permit = order_permits.acquire().await;
             if !send_order(&relay, &replica, &order).await {
-                rejected.borrow_mut().push(order.instance);
+                progress.borrow_mut().push((order.instance, OrderProgress::Rejected));
             }
         });
     }
--- a/crates/relay/src/placer/groups.rs
+++ b/crates/relay/src/placer/groups.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use switchfold_router::{
-    fleet::{FleetView, LayerRange},
+    fleet::FleetView,
     groups::{group_count, group_of, is_planned_by},
-    placement::LayerHolder,
+    placement::{LayerHolder, layer_counts, widest_gap},
     routing::RoutingConfig,
 };
 
@@ -97,8 +97,7 @@
     let is_covered = |data_centre: &&String| {
         let holders = groups.iter().filter(|(name, _)| name.data_centre == **data_centre);
         let ranges = holders.flat_map(|(_, holders)| holders).filter_map(|holder| holder.held);
-        let ranges: Vec<LayerRange> = ranges.collect();
-        (0..layers).all(|layer| ranges.iter().any(|range| range.contains(layer)))
+        widest_gap(&layer_counts(ranges, layers)).is_none()
     };
     data_centres.into_iter().filter(is_covered).cloned().collect()
 }
--- a/crates/relay/src/readiness.rs
+++ b/crates/relay/src/readiness.rs
@@ -7,7 +7,10 @@
 
 use derive_more::Display;
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::{Millis, placement::widest_gap};
+use switchfold_router::{
+    Millis,
+    placement::{layer_counts, widest_gap},
+};
 use tokio::time::sleep;
 
 use crate::{
@@ -170,11 +173,7 @@
     config.engines().any(|(service, engine)| {
         let engines = state.fleet.view.of_service(service);
         let engines = engines.filter(|entry| entry.data_centre == relay.settings.data_centre);
-        let mut counts = vec![0; engine.layers as usize];
-        for range in engines.filter_map(|entry| entry.layers) {
-            let held = counts.iter_mut().take(range.to as usize).skip(range.from as usize);
-            held.for_each(|count| *count += 1);
-        }
+        let counts = layer_counts(engines.filter_map(|entry| entry.layers), engine.layers);
         engine.layers > 0 && widest_gap(&counts).is_none()
     })
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -42,6 +42,11 @@
     pub fn contains(&self, layer: u32) -> bool {
         self.from <= layer && layer < self.to
     }
+
+    /// Returns the layers that both ranges hold; the result may be empty.
+    pub fn overlap(&self, other: &Self) -> Self {
+        Self { from: self.from.max(other.from), to: self.to.min(other.to) }
+    }
 }
 
 /// Whether a replica may be used, by its entry in the store.
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -298,19 +298,13 @@
     fn held_counts(&self) -> Vec<u32> {
         self.count(self.holders.iter().filter_map(|holder| {
             let (held, range) = (holder.held?, holder.range?);
-            let both = LayerRange { from: held.from.max(range.from), to: held.to.min(range.to) };
+            let both = held.overlap(&range);
             (!both.is_empty()).then_some(both)
         }))
     }
 
     fn count(&self, ranges: impl Iterator<Item = LayerRange>) -> Vec<u32> {
-        let mut counts = vec![0; self.model.layers as usize];
-        for range in ranges {
-            for layer in range.from..range.to.min(self.model.layers) {
-                counts[layer as usize] += 1;
-            }
-        }
-        counts
+        layer_counts(ranges, self.model.layers)
     }
 
     fn free_mb_by_layer(&self) -> Vec<f64> {
@@ -437,6 +431,17 @@
     }
 }
 
+/// Returns how many of the ranges hold each layer of a model of `layers` layers.
+pub fn layer_counts(ranges: impl Iterator<Item = LayerRange>, layers: u32) -> Vec<u32> {
+    let mut counts = vec![0; layers as usize];
+    for range in ranges {
+        for layer in range.from..range.to.min(layers) {
+            counts[layer as usize] += 1;
+        }
+    }
+    counts
+}
+
 /// Returns whether other replicas hold all of these layers too, and no request begins there.
 fn is_redundant(range: LayerRange, counts: &[u32]) -> bool {
     range.from > 0 && (range.from..range.to).all(|layer| counts[layer as usize] > 1)
--- a/crates/router/src/placement/sequence.rs
+++ b/crates/router/src/placement/sequence.rs
@@ -6,7 +6,7 @@
 
 use std::cmp::Reverse;
 
-use crate::placement::{LayerHolder, PlacementOrder};
+use crate::placement::{LayerHolder, PlacementOrder, layer_counts};
 
 /// Orders for a group, and its replicas before them.
 #[derive(Clone, Debug)]
@@ -51,14 +51,10 @@
 
 /// Returns which layers no replica of the group holds or loads.
 fn missing_layers(group: &GroupOrders, layers: u32) -> Vec<bool> {
-    let mut missing = vec![true; layers as usize];
     let ranges = |holder: &LayerHolder| {
         let loading = if holder.can_order { None } else { holder.range };
         [holder.held, loading]
     };
-    for range in group.holders.iter().flat_map(ranges).flatten() {
-        let held = missing.iter_mut().take(range.to as usize).skip(range.from as usize);
-        held.for_each(|is_missing| *is_missing = false);
-    }
-    missing
+    let ranges = group.holders.iter().flat_map(ranges).flatten();
+    layer_counts(ranges, layers).into_iter().map(|count| count == 0).collect()
 }
--- a/crates/router/src/placement/tiling.rs
+++ b/crates/router/src/placement/tiling.rs
@@ -118,7 +118,7 @@
     fn unload_cost(&self, served: LayerRange) -> f64 {
         let Some(range) = self.holder.range else { return 0.0 };
         let kept = extended_range(range, served, self.max_layers);
-        let overlap = range.to.min(kept.to).saturating_sub(range.from.max(kept.from));
+        let overlap = range.overlap(&kept).len();
         let unloaded = f64::from(range.len() - overlap) * self.costs.unload;
         let unloads_first = range.from == 0 && kept.from > 0;
         unloaded + if unloads_first { self.costs.unload_first } else { 0.0 }
--- a/crates/router/tests/load_times.rs
+++ b/crates/router/tests/load_times.rs
@@ -7,8 +7,8 @@
     fleet::LayerRange,
     instance::ReplicaInstance,
     placement::{
-        GroupOrders, LayerHolder, ModelShape, PlacementConfig, PlacementReason, layout_score,
-        plan_group, sequence_orders, widest_gap,
+        GroupOrders, LayerHolder, ModelShape, PlacementConfig, PlacementReason, layer_counts,
+        layout_score, plan_group, sequence_orders, widest_gap,
     },
 };
 
@@ -119,11 +119,7 @@
 }
 
 fn covers(ranges: impl Iterator<Item = LayerRange>) -> bool {
-    let mut counts = vec![0; MODEL.layers as usize];
-    for range in ranges {
-        (range.from..range.to).for_each(|layer| counts[layer as usize] += 1);
-    }
-    widest_gap(&counts).is_none()
+    widest_gap(&layer_counts(ranges, MODEL.layers)).is_none()
 }
 
 fn finish_loads(groups: &mut ModelGroups, now: u64) {
@@ -170,9 +166,7 @@
             _ => None,
         };
         engine.holder.can_order = false;
-        let held = engine.loaded.map_or(0, |(held, _)| {
-            order.range.to.min(held.to).saturating_sub(order.range.from.max(held.from))
-        });
+        let held = engine.loaded.map_or(0, |(held, _)| held.overlap(&order.range).len());
         engine.load = Some((order.range, f64::from(order.range.len() - held) * LAYER_TIME));
     }
 }
