--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -86,7 +86,7 @@
 struct RelaySlot {
     slot: Mutex<ProcessSlot>,
     settings: PathBuf,
-    settings_text: Value,
+    settings_values: Value,
     log: PathBuf,
     listen: SocketAddr,
     ready: SocketAddr,
@@ -646,7 +646,7 @@
         let slot = Self {
             slot: Mutex::default(),
             settings: folder.join(format!("relay-{number}.json")),
-            settings_text: settings,
+            settings_values: settings,
             log: folder.join(format!("relay-{number}.log")),
             listen,
             ready,
@@ -660,7 +660,7 @@
 
     /// Writes the settings file. `first_start` states that the system has never run before.
     fn write_settings(&self, first_start: bool) -> io::Result<()> {
-        let mut settings = self.settings_text.clone();
+        let mut settings = self.settings_values.clone();
         settings["first_start"] = first_start.into();
         std::fs::write(&self.settings, settings.to_string())
     }
--- a/crates/soak/src/shape.rs
+++ b/crates/soak/src/shape.rs
@@ -51,10 +51,9 @@
     model: None,
 };
 
-/// A large model on three kinds of accelerators, with the load times of the deployment
-/// bystrina-pay-grown.
+/// A large model on three kinds of accelerators, with load times of seconds.
 pub const LARGE_SHAPE: ClusterShape = ClusterShape {
-    data_centres: &["sofia-a", "sofia-b", "sofia-c"],
+    data_centres: &["east", "middle", "west"],
     heartbeat: Duration::from_millis(1_200),
     list_lag: Duration::from_millis(800),
     ready_interval: Duration::from_millis(1_000),
@@ -63,15 +62,15 @@
         layer_mb: 1_750.0,
         kinds: &[("a100", 72_000.0, 2.4), ("v100", 14_000.0, 5.3), ("l4", 22_000.0, 16.0)],
         engines: &[
-            ("sofia-a", "a100", 2),
-            ("sofia-a", "v100", 9),
-            ("sofia-a", "l4", 10),
-            ("sofia-b", "a100", 1),
-            ("sofia-b", "v100", 14),
-            ("sofia-b", "l4", 5),
-            ("sofia-c", "a100", 2),
-            ("sofia-c", "v100", 6),
-            ("sofia-c", "l4", 7),
+            ("east", "a100", 2),
+            ("east", "v100", 9),
+            ("east", "l4", 10),
+            ("middle", "a100", 1),
+            ("middle", "v100", 14),
+            ("middle", "l4", 5),
+            ("west", "a100", 2),
+            ("west", "v100", 6),
+            ("west", "l4", 7),
         ],
         weights: WeightLimits { layer_time: Duration::from_millis(175), max_parallel: 9 },
     }),
