--- a/review/standins-2/clients.rs
+++ b/review/standins-2/clients.rs
@@ -41,13 +41,14 @@
     }
 }
 
-/// Sends one request with an API key.
+/// Sends one request, with an API key if there is one.
 pub fn send(
     relay: SocketAddr,
     id: &str,
     method: &str,
     path: &str,
     key: Option<&str>,
+    body: &[u8],
 ) -> ClientAnswer {
     let key = key.map(|key| format!("Bearer {key}"));
     let deadline = CLIENT_DEADLINE_MS.to_string();
@@ -59,7 +60,7 @@
         ("X-Token-Usage", "100,80"),
     ];
     headers.extend(key.iter().map(|key| ("Authorization", key.as_str())));
-    http::call(relay, method, path, &headers, b"", Duration::from_millis(CLIENT_DEADLINE_MS))
+    http::call(relay, method, path, &headers, body, Duration::from_millis(CLIENT_DEADLINE_MS))
 }
 
 /// Clients that run until they are stopped.
@@ -91,7 +92,7 @@
             while !stopping.load(Ordering::Relaxed) {
                 number += 1;
                 let (id, sent) = (format!("{client:08x}{number:08x}"), began.elapsed());
-                let answer = send(relay, &id, method, path, Some(&key));
+                let answer = send(relay, &id, method, path, Some(&key), b"");
                 let exchange = Exchange { id, path: path.to_owned(), sent, answer };
                 exchanges.lock().expect("no client panics").push(exchange);
                 thread::sleep(Duration::from_millis(CLIENT_PAUSE_MS));
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -78,8 +78,36 @@
 pub struct RelayProcess {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Name.
+    pub name: String,
     ready: SocketAddr,
-    _process: OwnedProcess,
+    process: OwnedProcess,
+}
+
+impl RelayProcess {
+    /// Returns the memory that the process uses, in kB.
+    pub fn resident_kb(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.0.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        size.ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Kills the process with SIGKILL.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.process.0.kill()?;
+        self.process.0.wait().map(drop)
+    }
+
+    /// Starts the process again with the settings that it then has: the system as a whole no longer
+    /// starts for the first time.
+    pub fn restart(&mut self, folder: &Path) -> io::Result<()> {
+        let file = folder.join(format!("{}.json", self.name));
+        let settings = fs::read_to_string(&file)?;
+        fs::write(&file, settings.replace(r#""first_start": true"#, r#""first_start": false"#))?;
+        self.process = start_program(folder, &self.name)?;
+        Ok(())
+    }
 }
 
 /// Runs of one replica, as it reported them.
@@ -188,7 +216,8 @@
         Ok(deployment)
     }
 
-    fn wait_until_ready(&self) -> io::Result<()> {
+    /// Waits until all relays are ready.
+    pub fn wait_until_ready(&self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(READY_TIMEOUT_S);
         let is_ready = |relay: &RelayProcess| {
             let timeout = Duration::from_millis(READY_CALL_MS);
@@ -237,14 +266,20 @@
     for (gap, value) in SETTINGS.into_iter().chain(own) {
         settings = settings.replace(gap, value);
     }
-    let file = folder.join(format!("edge-{number}.json"));
-    fs::write(&file, settings)?;
-    let log = File::create(folder.join(format!("edge-{number}.log")))?;
+    let name = format!("edge-{number}");
+    fs::write(folder.join(format!("{name}.json")), settings)?;
+    let process = start_program(folder, &name)?;
+    Ok(RelayProcess { callers, name, ready, process })
+}
+
+/// Starts the program of a relay, whose settings are in the folder.
+fn start_program(folder: &Path, name: &str) -> io::Result<OwnedProcess> {
+    let log = folder.join(format!("{name}.log"));
+    let log = File::options().create(true).append(true).open(log)?;
     let mut command = Command::new(RELAY_PROGRAM);
-    command.env("SWITCHFOLD_NODE_FILE", &file).stdin(Stdio::null());
-    command.stderr(log.try_clone()?).stdout(log);
-    let process = OwnedProcess::start(&mut command, folder)?;
-    Ok(RelayProcess { callers, ready, _process: process })
+    command.env("SWITCHFOLD_NODE_FILE", folder.join(format!("{name}.json")));
+    command.stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log);
+    OwnedProcess::start(&mut command, folder)
 }
 
 /// Returns the entry of a replica in the store.
--- a/review/standins-2/keys.rs
+++ b/review/standins-2/keys.rs
@@ -49,7 +49,7 @@
         .map(|number| {
             let (id, sent) = (format!("unknown{number:09x}"), clients.elapsed());
             let relay = deployment.relays[number].callers;
-            let answer = send(relay, &id, "POST", "/bid/17", Some(UNKNOWN_KEY));
+            let answer = send(relay, &id, "POST", "/bid/17", Some(UNKNOWN_KEY), b"");
             Exchange { id, path: "/bid/17".to_owned(), sent, answer }
         })
         .collect();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod http;
 mod keys;
+mod memory;
 mod replica;
 mod store;
 mod truncated;
@@ -33,6 +34,7 @@
     let result = match name {
         "truncated" => truncated::run(Path::new(folder), has_trouble)?,
         "keys" => keys::run(Path::new(folder), has_trouble)?,
+        "memory" => memory::run(Path::new(folder), has_trouble)?,
         _ => return Err(io::Error::other(format!("unknown case {name}"))),
     };
     let mut lines = result.record;
