--- a/review/standins-2/clients.rs
+++ b/review/standins-2/clients.rs
@@ -41,7 +41,10 @@
     }
 }
 
-/// Sends one request, with an API key if there is one.
+/// Prompt of a sound request: parts and their tokens. The first one is shared by all.
+pub const SOUND_PROMPT: &str = "91bd3f06:40,e4402b7d:60";
+
+/// Sends one request with a sound prompt, and with an API key if there is one.
 pub fn send(
     relay: SocketAddr,
     id: &str,
@@ -49,6 +52,19 @@
     path: &str,
     key: Option<&str>,
     body: &[u8],
+) -> ClientAnswer {
+    send_prompt(relay, id, method, path, key, SOUND_PROMPT, body)
+}
+
+/// Sends one request, with an API key if there is one.
+pub fn send_prompt(
+    relay: SocketAddr,
+    id: &str,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    prompt: &str,
+    body: &[u8],
 ) -> ClientAnswer {
     let key = key.map(|key| format!("Bearer {key}"));
     let deadline = CLIENT_DEADLINE_MS.to_string();
@@ -58,6 +74,7 @@
         ("X-Deadline-Ms", &deadline),
         ("X-Model", "m"),
         ("X-Token-Usage", "100,80"),
+        ("X-Prompt-Prefix", prompt),
     ];
     headers.extend(key.iter().map(|key| ("Authorization", key.as_str())));
     http::call(relay, method, path, &headers, body, Duration::from_millis(CLIENT_DEADLINE_MS))
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -13,7 +13,11 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, replica::LAYERS, store::Store};
+use crate::{
+    http,
+    replica::{DeadlyEnd, LAYERS, ReplicaKind},
+    store::Store,
+};
 
 /// Command of a relay, as the deploy file gives it.
 const RELAY_PROGRAM: &str = "target/release/switchfold-relay";
@@ -115,6 +119,8 @@
 pub struct RunLog {
     /// Each run's attempt id and the rest of its line, in order.
     pub runs: Vec<(String, String)>,
+    /// When the line of each run was read.
+    pub times: Vec<Instant>,
     /// Attempt ids of the runs that have not ended.
     pub running: HashSet<String>,
 }
@@ -130,9 +136,16 @@
 }
 
 impl ReplicaProcess {
-    fn start(folder: &Path, id: &str, is_engine: bool) -> io::Result<Self> {
+    /// Starts a replica.
+    pub fn start(
+        folder: &Path,
+        id: &str,
+        kind: ReplicaKind,
+        deadly_end: DeadlyEnd,
+    ) -> io::Result<Self> {
         let mut command = Command::new(env::current_exe()?);
-        command.arg("replica").arg(id).arg(if is_engine { "engine" } else { "plain" });
+        command.arg("replica").arg(id).arg(kind.name());
+        command.arg(deadly_end.name());
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         let mut process = OwnedProcess::start(&mut command, folder)?;
         let output = process.0.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
@@ -168,6 +181,7 @@
     match kind {
         "run" => {
             log.runs.push((id.to_owned(), words.next().unwrap_or_default().to_owned()));
+            log.times.push(Instant::now());
             log.running.insert(id.to_owned());
         }
         _ => drop(log.running.remove(id)),
@@ -197,8 +211,11 @@
     ) -> io::Result<Self> {
         let (store, platform) = Store::start()?;
         let start = |number, is_engine: bool| {
-            let kind = if is_engine { "model" } else { "desk" };
-            ReplicaProcess::start(folder, &format!("i-{kind}-{number}"), is_engine)
+            let (name, kind) = match is_engine {
+                true => ("model", ReplicaKind::Engine),
+                false => ("desk", ReplicaKind::Plain),
+            };
+            ReplicaProcess::start(folder, &format!("i-{name}-{number}"), kind, DeadlyEnd::None)
         };
         let desks =
             (0..desks).map(|number| start(number, false)).collect::<io::Result<Vec<_>>>()?;
@@ -283,7 +300,7 @@
 }
 
 /// Returns the entry of a replica in the store.
-fn entry(service: &str, address: SocketAddr) -> String {
+pub fn entry(service: &str, address: SocketAddr) -> String {
     let slots = if service == "model" { 192 } else { 6 };
     let layers = match service {
         "model" => format!(r#"{{"from":0,"target_version":{LAYERS},"version":1}}"#),
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 //! Exit codes of a case: 0 the rules held; 1 a rule was broken; 2 the case could not run.
 
 mod clients;
+mod deadly;
 mod deployment;
 mod http;
 mod keys;
@@ -14,6 +15,9 @@
 
 use std::{env, fs, io, path::Path, process::ExitCode};
 
+use deadly::{DARK, KILLED_WITHOUT_LENGTH};
+use replica::{DeadlyEnd, ReplicaKind};
+
 /// Exit code of a case in which a rule was broken.
 const BROKEN: u8 = 1;
 
@@ -34,6 +38,8 @@
     let result = match name {
         "truncated" => truncated::run(Path::new(folder), has_trouble)?,
         "keys" => keys::run(Path::new(folder), has_trouble)?,
+        "killed" => deadly::run(Path::new(folder), has_trouble, KILLED_WITHOUT_LENGTH)?,
+        "dark" => deadly::run(Path::new(folder), has_trouble, DARK)?,
         "memory" => memory::run(Path::new(folder), has_trouble)?,
         _ => return Err(io::Error::other(format!("unknown case {name}"))),
     };
@@ -50,9 +56,12 @@
     let arguments: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let outcome = match words[..] {
-        ["replica", id, kind] => replica::run(id, kind == "engine").map(|()| ExitCode::SUCCESS),
+        ["replica", id, kind, end] => {
+            let deadly_end = DeadlyEnd::parse(end);
+            replica::run(id, ReplicaKind::parse(kind), deadly_end).map(|()| ExitCode::SUCCESS)
+        }
         ["case", name, folder, record] => run_case(name, folder, record),
-        _ => Err(io::Error::other("expected: replica ID KIND, or case NAME FOLDER RECORD")),
+        _ => Err(io::Error::other("expected: replica ID KIND END, or case NAME FOLDER RECORD")),
     };
     outcome.unwrap_or_else(|error| {
         eprintln!("could not run: {error}");
