--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -221,8 +221,9 @@
 
     /// Ends this process as a deadly request does.
     fn end_process(&self) -> io::Result<()> {
-        let signal = if self.deadly_end == DeadlyEnd::Dark { "-STOP" } else { "-KILL" };
-        Command::new("kill").arg(signal).arg(process::id().to_string()).status()?;
+        let signal = if self.deadly_end == DeadlyEnd::Dark { "STOP" } else { "KILL" };
+        let command = format!("kill -{signal} {}", process::id());
+        Command::new("sh").args(["-c", &command]).status()?;
         loop {
             thread::sleep(Duration::from_secs(1));
         }
