--- a/review/standins-2/deadly.rs
+++ b/review/standins-2/deadly.rs
@@ -22,9 +22,6 @@
 /// Number of engines, as in the site file.
 const ENGINES: usize = 39;
 
-/// Number of clients with sound requests.
-const CLIENTS: usize = 48;
-
 /// Time for which such requests come, in milliseconds.
 const DEADLY_TIME_MS: u64 = 20_000;
 
@@ -58,15 +55,26 @@
     end: DeadlyEnd,
     /// Pause between two of them, in milliseconds.
     pause_ms: u64,
+    /// Number of clients with sound requests, one of some two seconds after the other: so many that
+    /// less than 0.03 of all requests are deadly.
+    sound_clients: usize,
 }
 
 /// Engines whose streams end with their connection are killed.
-pub const KILLED_WITHOUT_LENGTH: DeadlyPlan =
-    DeadlyPlan { kind: ReplicaKind::Engine, end: DeadlyEnd::Kill, pause_ms: 1_500 };
+pub const KILLED_WITHOUT_LENGTH: DeadlyPlan = DeadlyPlan {
+    kind: ReplicaKind::Engine,
+    end: DeadlyEnd::Kill,
+    pause_ms: 1_500,
+    sound_clients: 48,
+};
 
 /// Engines whose streams have chunks go dark.
-pub const DARK: DeadlyPlan =
-    DeadlyPlan { kind: ReplicaKind::ChunkedEngine, end: DeadlyEnd::Dark, pause_ms: 500 };
+pub const DARK: DeadlyPlan = DeadlyPlan {
+    kind: ReplicaKind::ChunkedEngine,
+    end: DeadlyEnd::Dark,
+    pause_ms: 500,
+    sound_clients: 144,
+};
 
 /// An engine that went down.
 struct LostEngine {
@@ -87,7 +95,7 @@
     }
     thread::sleep(Duration::from_millis(DEADLY_AT_MS));
     let mut clients = ClientGroup::new();
-    for number in 0..CLIENTS {
+    for number in 0..plan.sound_clients {
         clients.add(deployment.relays[number % RELAYS].callers, "POST", "/note/17", KEY);
     }
     thread::sleep(Duration::from_millis(DEADLY_AT_MS));
