Logs: organisations and keys of a configuration; whether the route of a send is public

A relay that has not taken the new version, a configuration without organisations and a route that became public could not be told apart: `config-taken` named the number of routes only, and `dispatch` did not tell whether its route is public.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -204,6 +204,7 @@
             fingerprint = %self.fingerprint,
             route = permit.route.name,
             organisation = permit.organisation,
+            public = permit.route.public,
             rank = permit.priority,
             config = permit.config.version,
             config_age = state.config_lease.age(now),
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -328,6 +328,7 @@
         }
     };
     let (version, routes) = (config.version, config.route_count());
+    let (organisations, keys) = (config.organisation_count(), config.key_count());
     let object = ConfigObject { revision, at, spec: Bytes::from(spec.to_string()) };
     {
         let apply_time = relay.bounds.borrow().config_apply();
@@ -339,6 +340,6 @@
         state.config_unconfirmed = false;
         state.config_object = Some(object);
     }
-    tracing::info!(event = "config-taken", version, routes, revision);
+    tracing::info!(event = "config-taken", version, routes, organisations, keys, revision);
     true
 }
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -399,6 +399,16 @@
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
     }
+
+    /// Returns the number of organisations.
+    pub fn organisation_count(&self) -> usize {
+        self.organisations.len()
+    }
+
+    /// Returns the number of API keys.
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
 }
 
 /// Holds the configuration in force; its version only ever increases.
