--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -251,6 +251,8 @@
     /// Limits on what callers send; `None` if the defaults apply.
     pub limits: Option<CallerLimits>,
     routes: HashMap<String, Vec<Rc<RouteRule>>>,
+    /// Whether requests need a key, apart from those of public routes.
+    needs_keys: bool,
     organisations: Vec<OrganisationRule>,
     keys: HashMap<String, usize>,
     rankings: HashMap<String, ServiceRanking>,
@@ -315,24 +317,29 @@
 /// Result of checking a request's key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum KeyCheck<'a> {
-    /// The key is not known, and none is needed: the route is public, or no organisation is
-    /// configured.
+    /// The request has no key, and needs none: the route is public, or the configuration has no
+    /// organisations.
     NotNeeded,
     /// The key belongs to this organisation.
     Known(&'a OrganisationRule),
-    /// A key is needed, and the request has none or an unknown one.
+    /// The request has a key that belongs to no organisation, or lacks one that it needs.
     Unknown,
 }
 
 impl RoutingConfig {
     /// Creates the configuration and its look-up tables.
+    ///
+    /// `organisations` is `None` if the configuration has none by design, so that requests need no
+    /// key. An empty list has no key that a request could carry: only public routes are served.
     pub fn new(
         version: u64,
         routes: Vec<RouteRule>,
         services: Vec<ServiceSpec>,
         limits: Option<CallerLimits>,
-        organisations: Vec<OrganisationRule>,
+        organisations: Option<Vec<OrganisationRule>>,
     ) -> Self {
+        let needs_keys = organisations.is_some();
+        let organisations = organisations.unwrap_or_default();
         let mut by_host: HashMap<String, Vec<Rc<RouteRule>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Rc::new(route));
@@ -342,11 +349,21 @@
         }
         let mut keys = HashMap::new();
         for (index, organisation) in organisations.iter().enumerate() {
-            keys.extend(organisation.keys.iter().map(|key| (key.clone(), index)));
+            let valid = organisation.keys.iter().filter(|key| !key.is_empty());
+            keys.extend(valid.map(|key| (key.clone(), index)));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
         let rankings = rank_services(&by_host, &services, &organisations);
-        Self { version, services, limits, routes: by_host, organisations, keys, rankings }
+        Self {
+            version,
+            services,
+            limits,
+            routes: by_host,
+            needs_keys,
+            organisations,
+            keys,
+            rankings,
+        }
     }
 
     /// Returns the route of a host and a path: the one with the longest matching prefix.
@@ -359,13 +376,13 @@
         rules.iter().find(|rule| path.starts_with(&rule.path_prefix)).cloned()
     }
 
-    /// Checks the key of a request to a route.
+    /// Checks the key of a request to a route. A key that belongs to no organisation is never
+    /// ignored: it may have been removed.
     pub fn check_key(&self, route: &RouteRule, key: Option<&str>) -> KeyCheck<'_> {
-        let organisation = key.and_then(|key| self.keys.get(key));
-        match organisation {
-            Some(index) => KeyCheck::Known(&self.organisations[*index]),
-            None if route.public || self.organisations.is_empty() => KeyCheck::NotNeeded,
-            None => KeyCheck::Unknown,
+        match key.map(|key| self.keys.get(key)) {
+            Some(Some(index)) => KeyCheck::Known(&self.organisations[*index]),
+            None if route.public || !self.needs_keys => KeyCheck::NotNeeded,
+            Some(None) | None => KeyCheck::Unknown,
         }
     }
 
--- a/crates/router/tests/ranks.rs
+++ b/crates/router/tests/ranks.rs
@@ -50,7 +50,7 @@
         keys: vec![format!("key-{name}")],
         priority: *priority,
     });
-    RoutingConfig::new(1, routes, services, None, organisations.collect())
+    RoutingConfig::new(1, routes, services, None, Some(organisations.collect()))
 }
 
 fn rank(config: &RoutingConfig, route: &str, key: &str) -> u8 {
