Keys: a request is checked again right before it is sent

Callers saw: a request whose key was removed while its body arrived was sent to a replica with the key's organisation. A request was admitted when its head had arrived, and again before each further attempt, but not before the first send, although up to its whole deadline may pass in between: for the body, for the order of a ranked service, for a replica's grant.

Fix: plain requests and streams, first attempts, resumptions and late ones, are checked by the configuration in force right before the send. What follows the configuration in the meantime, the choice of a service, stays as admitted.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -10,7 +10,7 @@
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{
     Millis,
-    routing::{KeyCheck, RouteRule, RoutingConfig},
+    routing::{KeyCheck, OrganisationRule, RouteRule, RoutingConfig},
 };
 
 use crate::{
@@ -25,7 +25,7 @@
     pub host: String,
     /// Path, without query.
     pub path: String,
-    /// API key; `None` if the caller sent none.
+    /// API key; `None` if the caller sent none. Empty if it could not be read.
     pub key: Option<String>,
 }
 
@@ -44,26 +44,36 @@
     pub priority: u8,
 }
 
+/// Returns the route of a request and the organisation of its key.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives. An outdated configuration proves neither that a
+/// route is missing nor that a key is known or unknown.
+fn check_access<'a>(
+    config: &'a RoutingConfig,
+    is_fresh: bool,
+    request: &AdmissionRequest,
+) -> Result<(Rc<RouteRule>, Option<&'a OrganisationRule>), Refusal> {
+    let denied = |refusal| if is_fresh { refusal } else { Refusal::StaleConfiguration };
+    let route = config.route(&request.host, &request.path).ok_or(denied(Refusal::NoRoute))?;
+    match config.check_key(&route, request.key.as_deref()) {
+        KeyCheck::NotNeeded => Ok((route, None)),
+        KeyCheck::Known(_) if !route.public && !is_fresh => Err(Refusal::StaleConfiguration),
+        KeyCheck::Known(organisation) => Ok((route, Some(organisation))),
+        KeyCheck::Unknown => Err(denied(Refusal::UnknownKey)),
+    }
+}
+
 /// Admits or refuses a request by the configuration in force.
 ///
 /// # Errors
 ///
 /// Returns the refusal that the caller receives.
 pub fn admit(relay: &Relay, request: &AdmissionRequest) -> Result<Permit, Refusal> {
-    let now = now_millis();
     let config = relay.config().ok_or(Refusal::NoConfiguration)?;
-    let is_fresh = is_config_fresh(relay, now);
-    // An outdated configuration proves neither that a route is missing nor that a key is unknown.
-    let denied = |refusal| if is_fresh { refusal } else { Refusal::StaleConfiguration };
-    let route = config.route(&request.host, &request.path).ok_or(denied(Refusal::NoRoute))?;
-    let organisation = match config.check_key(&route, request.key.as_deref()) {
-        KeyCheck::NotNeeded => None,
-        KeyCheck::Known(organisation) => Some(organisation),
-        KeyCheck::Unknown => return Err(denied(Refusal::UnknownKey)),
-    };
-    if organisation.is_some() && !route.public && !is_fresh {
-        return Err(Refusal::StaleConfiguration);
-    }
+    let is_fresh = is_config_fresh(relay, now_millis());
+    let (route, organisation) = check_access(&config, is_fresh, request)?;
     let draw = relay.random.borrow_mut().random();
     let service = route.choose_service(draw).ok_or(Refusal::NoReplica)?.to_owned();
     let priority = config.rank(&service, &route, organisation);
@@ -71,11 +81,22 @@
         organisation: organisation.map(|organisation| organisation.name.clone()),
         priority,
         service,
-        route: route.clone(),
+        route,
         config: config.clone(),
     })
 }
 
+/// Checks an admitted request again right before it is sent: its key may have been removed while its
+/// body arrived or it waited.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller receives.
+pub fn check_admitted(relay: &Relay, request: &AdmissionRequest) -> Result<(), Refusal> {
+    let config = relay.config().ok_or(Refusal::NoConfiguration)?;
+    check_access(&config, is_config_fresh(relay, now_millis()), request).map(drop)
+}
+
 /// Admits a request for another attempt. If an earlier one may have run, a refusal does not deny it.
 ///
 /// # Errors
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -25,7 +25,7 @@
 use self::attempt::{AttemptOutcome, BufferedResponse, PlainAttempt};
 pub use self::attempt::{drain_rejection, end_from_headers};
 use crate::{
-    admit::{Permit, admit_retry},
+    admit::{Permit, admit_retry, check_admitted},
     counts::count,
     limits::{GrantWait, request_grant},
     notices::{min_send_wait, refusal_without_replica},
@@ -349,9 +349,9 @@
             let replica = wait_for_replica(relay, request, &self.permit, &self.tried)
                 .await
                 .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
-            if let Err(refusal) = check_send(relay, request) {
-                return Err(refusal.unless_run(may_have_run.get()));
-            }
+            check_admitted(relay, &request.admission)
+                .and_then(|()| check_send(relay, request))
+                .map_err(|refusal| refusal.unless_run(may_have_run.get()))?;
             let mut charge = None;
             if let Some(retry) = self.charge.take() {
                 charge = retry.begin_send(&self.permit.service);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -28,7 +28,7 @@
     admission::{
         CapacityWait, controls_overload, overcommit_rule, record_first_event, wait_for_capacity,
     },
-    admit::{Permit, admit, admit_retry},
+    admit::{Permit, admit, admit_retry, check_admitted},
     buffers::read_body,
     counts::count,
     engines::{ReportState, probe_replicas, recent_report},
@@ -340,7 +340,8 @@
         return None;
     };
     let first = relay.state.borrow().fleet.view.get_current(&path[0].instance).cloned()?;
-    if let Err(refusal) = check_send(relay, request) {
+    let checked = check_admitted(relay, &request.admission);
+    if let Err(refusal) = checked.and_then(|()| check_send(relay, request)) {
         return Some(OpenOutcome::Refused(refusal));
     }
     let charge = match charge.map(|charge| charge.begin_send(&permit.service)) {
