Keys: a key counts only as long as the configuration may be trusted, on public routes too

A relay whose configuration may be outdated accepted every key that it knew on routes that are public in it, and labelled the request with the key's organisation.

Fix: a request with a key gets 503 from such a relay, whatever its route; one without a key is served on ("Disruption of the store alone excuses nothing for safe and unsafe requests without a key").

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -59,7 +59,8 @@
     let route = config.route(&request.host, &request.path).ok_or(denied(Refusal::NoRoute))?;
     match config.check_key(&route, request.key.as_deref()) {
         KeyCheck::NotNeeded => Ok((route, None)),
-        KeyCheck::Known(_) if !route.public && !is_fresh => Err(Refusal::StaleConfiguration),
+        // Holds on public routes as well: the route may no longer be one.
+        KeyCheck::Known(_) if !is_fresh => Err(Refusal::StaleConfiguration),
         KeyCheck::Known(organisation) => Ok((route, Some(organisation))),
         KeyCheck::Unknown => Err(denied(Refusal::UnknownKey)),
     }
--- a/crates/relay/tests/keys.rs
+++ b/crates/relay/tests/keys.rs
@@ -16,6 +16,7 @@
     samples::{HOST, KEY, LAYERS, ORGANISATION, config, desk_entry, model_entry},
     signed_response,
 };
+use switchfold_relay::settings::BoundSettings;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -259,6 +260,37 @@
     });
 }
 
+/// Time for which a configuration counts as current in tests of outdated ones, in milliseconds.
+const SHORT_REVOKE_MS: f64 = 400.0;
+
+/// Guards against keys accepted, or denied, by a configuration that may be outdated: on routes that
+/// were public, and where there were no organisations. Requests without a key are served on.
+#[test]
+fn an_outdated_configuration_neither_accepts_nor_denies_a_key() {
+    let public = |config: &mut Value| {
+        for route in config["routes"].as_array_mut().expect("a list") {
+            route["public"] = json!(true);
+        }
+    };
+    for change in [public as fn(&mut Value), |config| remove_field(config, "tenants")] {
+        run_test(async {
+            let mut first = config(1, &ROUTES, &[KEY]);
+            change(&mut first);
+            let deployment = Deployment::start(first).await;
+            let bounds = BoundSettings { revoke_ms: SHORT_REVOKE_MS, ..bounds() };
+            let relay = BoundRelay::new("relay-1", deployment.store.clone(), bounds).await.run();
+            let path = "/once/a";
+            wait_until(async || status_of(&relay, path, "a", None).await == StatusCode::OK).await;
+            deployment.store.set_behaviour(StoreBehaviour::Unavailable);
+            for key in ["key-one", "key-foreign"] {
+                wait_until(async || status_of(&relay, path, "b", Some(key)).await == UNSURE).await;
+            }
+            assert_eq!(status_of(&relay, path, "c", None).await, StatusCode::OK);
+            assert_eq!(status_of(&relay, "/none/a", "d", None).await.as_u16(), 503);
+        });
+    }
+}
+
 /// Guards against a request that is sent with a key that was removed while its body arrived.
 #[test]
 fn a_key_is_checked_again_when_the_body_has_arrived() {
