Entry: a request without a token belongs to no organisation

Callers saw: an organisation whose configuration held the hash of an empty token admitted every request without a token. The entry hashed the empty string where a request carries none, as it did for the operators' token. Now a missing or an empty token matches nothing.

Test: a_missing_token_belongs_to_no_organisation failed before with 200.

--- a/crates/entry/src/web/access.rs
+++ b/crates/entry/src/web/access.rs
@@ -41,9 +41,11 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn bearer_token(headers: &HeaderMap) -> Option<&str> {
+/// Returns the hash of the bearer token of a request; `None` if it carries none or an empty one.
+fn bearer_hash(headers: &HeaderMap) -> Option<String> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    value.strip_prefix("Bearer ").map(str::trim)
+    let token = value.strip_prefix("Bearer ").map(str::trim)?;
+    (!token.is_empty()).then(|| token_hash(token))
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -55,9 +57,9 @@
     context: &WebContext,
     headers: &HeaderMap,
 ) -> Result<(), Box<HttpResponse>> {
-    let hash = token_hash(bearer_token(headers).unwrap_or_default());
     let expected = context.settings.operator_token_sha256.to_ascii_lowercase();
-    if bool::from(hash.as_bytes().ct_eq(expected.as_bytes())) {
+    let is_expected = |hash: &String| bool::from(hash.as_bytes().ct_eq(expected.as_bytes()));
+    if bearer_hash(headers).as_ref().is_some_and(is_expected) {
         return Ok(());
     }
     let message = "the operators' bearer token is missing or wrong";
@@ -70,12 +72,12 @@
     headers: &HeaderMap,
 ) -> Result<OrganisationConfig, Box<HttpResponse>> {
     let view: Arc<ConfigView> = context.view.borrow().clone();
-    let hash = token_hash(bearer_token(headers).unwrap_or_default());
     // The time of a lookup by hash reveals nothing about a similar token. The deciding comparison
     // is in constant time nonetheless.
-    let found = view.organisations.get(&hash);
-    let found = found.filter(|config| {
-        bool::from(config.token_sha256.to_ascii_lowercase().as_bytes().ct_eq(hash.as_bytes()))
+    let found = bearer_hash(headers).and_then(|hash| {
+        let config = view.organisations.get(&hash)?;
+        let expected = config.token_sha256.to_ascii_lowercase();
+        bool::from(expected.as_bytes().ct_eq(hash.as_bytes())).then_some(config)
     });
     found.cloned().ok_or_else(|| {
         let message = "the bearer token is missing, or belongs to no organisation";
--- a/crates/local/tests/contracts.rs
+++ b/crates/local/tests/contracts.rs
@@ -526,3 +526,28 @@
     }
     assert_eq!(status, StatusCode::OK, "the entry is ready again after it reached the store");
 }
+
+/// SHA-256 of no bytes.
+const EMPTY_SHA256: &str = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+
+/// Guards against requests without a token being those of an organisation whose hash was made of an
+/// empty one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_missing_token_belongs_to_no_organisation() {
+    let deployment = start_deployment(|_| {}).await;
+    let config = json!({"name": "careless", "token_sha256": EMPTY_SHA256});
+    let created = deployment.run_statement(&format!("create organisation {config}")).await;
+    assert_eq!(created["status"], 200, "{created}");
+    let event = ("switchfold-event", "dawn");
+    for headers in [
+        vec![event],
+        vec![event, ("authorization", "Bearer ")],
+        vec![event, ("authorization", "Basic token-0")],
+    ] {
+        for _ in 0..5 {
+            let response = deployment.request_completion(&headers, &completion_body(1)).await;
+            assert_eq!(response.status, StatusCode::UNAUTHORIZED, "{headers:?}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
