Routes: a service with a weight of 0 gets no requests

Where all weights of a route were 0, its requests went to the first service, which the operator had given no share. A weight above 0 is still chosen whatever the draw.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Returns a service chosen by weight, or `None` if the route has no target. `draw` is uniform
-    /// in `0..1`.
+    /// Returns a service chosen by weight, or `None` if none has one above 0. `draw` is uniform in
+    /// `0..1`.
     pub fn choose_service(&self, draw: f64) -> Option<&str> {
         let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
         let mut remaining = draw * total;
@@ -82,7 +82,7 @@
             }
         }
         let last = self.targets.iter().rev().find(|target| target.weight > 0);
-        last.or(self.targets.first()).map(|target| target.service.as_str())
+        last.map(|target| target.service.as_str())
     }
 }
 
