Routes: a route without a path prefix matches no path

An empty prefix began every path, so a route without one took all requests of its host that no longer prefix matched. Prefixes begin and end with a slash (PROTOCOL.md, Requests); an empty one now matches nothing.

Test: a_route_without_a_prefix_matches_no_path failed before.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -37,7 +37,7 @@
     pub name: String,
     /// Host that it matches, in lower case.
     pub host: String,
-    /// Prefix of the paths that it matches; ends with a slash.
+    /// Prefix of the paths that it matches; ends with a slash. Without one it matches none.
     pub path_prefix: String,
     /// Whether its requests may run more than once.
     pub kind: RouteKind,
@@ -61,6 +61,10 @@
 }
 
 impl RouteRule {
+    fn matches(&self, path: &str) -> bool {
+        !self.path_prefix.is_empty() && path.starts_with(&self.path_prefix)
+    }
+
     /// Returns whether a request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
@@ -373,7 +377,7 @@
             Some(rules) => rules,
             None => self.routes.get(&host.to_ascii_lowercase())?,
         };
-        rules.iter().find(|rule| path.starts_with(&rule.path_prefix)).cloned()
+        rules.iter().find(|rule| rule.matches(path)).cloned()
     }
 
     /// Checks the key of a request to a route. A key that belongs to no organisation is never
