Responses: what is no final response of HTTP/1.1 reaches no caller

Callers saw: a replica that answered with the status 101, or with one from 600 to 999, had that forwarded as an answer, of plain services and of streams; after 101 the caller's connection was lost. It returns 101 whether or not an upgrade was asked for, and all codes up to 999. An order that was answered so counted as refused although it may have been carried out, and an agent passed the status on to its entry.

Fix: where a response head is received, in the relay's connections to replicas and engines and in the client of all other calls (store, neighbours, agents), only 200 to 599 is a response (RFC 9110, section 15). Anything else is none: the request may have run, so it is tried elsewhere only where it may be repeated, and ends as unknown otherwise.

The client: a_status_that_is_not_final_is_no_response (101, 600 and 999 were returned before, by reading).

--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -301,6 +301,13 @@
     },
 }
 
+/// Returns whether a status is that of a final response (RFC 9110, section 15). The HTTP library also
+/// returns a switch to another protocol, which was not asked for, and three-digit codes above those
+/// that are defined.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether the client reports that it did not begin to write the request.
 fn is_unwritten(error: &legacy::Error) -> bool {
     let source = error.source().and_then(|source| source.downcast_ref::<hyper::Error>());
@@ -366,7 +373,11 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
         match time::timeout(self.timeout, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final(response.status()) => Ok(response),
+            Ok(Ok(response)) => {
+                let detail = format!("status {} is no final response", response.status());
+                Err(CallError::NoResponse { detail })
+            }
             Ok(Err(error)) if error.is_connect() || is_unwritten(&error) => {
                 Err(CallError::NotConnected { detail: with_sources(&error) })
             }
--- a/crates/kernel/tests/calls.rs
+++ b/crates/kernel/tests/calls.rs
@@ -1,4 +1,4 @@
-//! Reuse of pooled connections by the client.
+//! Reuse of pooled connections by the client, and responses that are none.
 //!
 //! A client that was idle for longer than the grace period of a stopping entry wrote its next
 //! request to a connection that the entry had just closed. The client had not noticed, because its
@@ -13,13 +13,19 @@
     time::Duration,
 };
 
+use assert_matches::assert_matches;
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use switchfold_kernel::http::HttpClient;
+use switchfold_kernel::http::{CallError, HttpClient};
 
 /// Reads the headers of one request and sends a response.
 fn respond(stream: &mut TcpStream) {
+    respond_with(stream, "200 OK");
+}
+
+/// Reads the headers of one request and sends a response with this status.
+fn respond_with(stream: &mut TcpStream, status: &str) {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -28,8 +34,7 @@
         }
         head.push(byte[0]);
     }
-    stream
-        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\nok")
         .expect("the client reads the response");
 }
 
@@ -73,3 +78,31 @@
     close_results.recv().expect("the server is running");
     assert_eq!(client.call(request(address)).await.expect("a response").status, StatusCode::OK);
 }
+
+/// Guards against a status that is no final one, such as 101 or 600, which agents passed on to callers
+/// as an answer.
+#[tokio::test]
+async fn a_status_that_is_not_final_is_no_response() {
+    let client = HttpClient::new(Duration::from_secs(20), 1 << 10);
+    for (status, is_final) in [
+        ("000 None", false),
+        ("101 Switching Protocols", false),
+        ("600 Odd", false),
+        ("999 Odd", false),
+        ("200 OK", true),
+        ("599 Odd", true),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
+        let address = listener.local_addr().expect("a bound address");
+        thread::spawn(move || {
+            respond_with(&mut listener.accept().expect("a connection").0, status);
+        });
+        match client.call(request(address)).await {
+            Ok(response) => assert!(is_final, "{status}: {response:?}"),
+            Err(error) => {
+                assert!(!is_final, "{status}: {error}");
+                assert_matches!(error, CallError::NoResponse { .. });
+            }
+        }
+    }
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -18,7 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use switchfold_kernel::clock::now_millis;
+use switchfold_kernel::{clock::now_millis, http::is_final};
 use switchfold_platform::headers::is_merged;
 use switchfold_router::Millis;
 use tokio::{
@@ -277,6 +277,10 @@
 ) -> Result<(Response<Incoming>, ActiveConnection), (SendError, Unsent)> {
     let sender = connection.sender.as_mut().expect("an active connection has its sender");
     match sender.try_send_request(request).await {
+        Ok(response) if !is_final(response.status()) => {
+            let detail = format!("status {} is no final response", response.status());
+            Err((SendError::NoResponse { detail }, None))
+        }
         // Surplus bytes of the response before, which the connection had not read in time.
         Ok(response) if is_merged(response.headers(), reason(&response)) => {
             let detail = "parts of two responses".to_owned();
