--- a/crates/relay/tests/final_responses.rs
+++ b/crates/relay/tests/final_responses.rs
@@ -230,9 +230,9 @@
             };
             let relay = start_relay(1, script).await;
             let mut caller = KeptConnection::open(&relay).await;
-            for row in 0..INTERIM.len() {
+            for (row, interim) in INTERIM.iter().enumerate() {
                 let (status, _) = caller.call_until_sent(path, &format!("alone-{row}")).await;
-                assert_eq!(status, StatusCode::BAD_GATEWAY, "{path}: {}", INTERIM[row]);
+                assert_eq!(status, StatusCode::BAD_GATEWAY, "{path}: {interim}");
                 let (status, body) = caller.call_until_sent(path, &format!("many-{row}")).await;
                 assert_eq!((status.as_u16(), &body[..]), (404, &b"own"[..]), "{path}");
             }
