Soak: the operator removes all keys at the end of a run

Each run now ends with one, in a form that is drawn (no organisation, null, no field; no key, null, no field), while callers go on with the removed keys and with one that no version had, and a relay is restarted.

The calls counted after the last fault are those whose key was valid when they ended, as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -300,9 +300,7 @@
 fn check_valid_key(history: &RunHistory, call: &CallRecord) -> Option<Violation> {
     let is_refused =
         matches!(&call.outcome, CallOutcome::Responded(response) if response.status == 401);
-    let was_removed =
-        history.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at);
-    (is_refused && !was_removed).then(|| {
+    (is_refused && !history.had_lost_key(call)).then(|| {
         violation(Guarantee::ValidKey, format!("{}: {} was called unknown", call.id, call.key))
     })
 }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    io,
+    io, mem,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     sync::{
@@ -30,7 +30,7 @@
     attendance::wait_for_response,
     caller::{CallerContext, CrashRequest, is_ready},
     checks::{RETRY_ALLOWANCE, RETRY_RATIO, RETRY_WINDOW, REVOKE_TIME},
-    config::{ANNEX, ConfigChange, ConfigState},
+    config::{ANNEX, ConfigChange, ConfigState, KeyRemoval},
     plan::{ClusterSize, CrashTarget},
     process::SoakProcess,
     proxy::LinkProxy,
@@ -380,6 +380,23 @@
         self.history().revoked.push((removed, epoch_micros()));
     }
 
+    /// Removes all keys. Callers use them on, and one that no version has held.
+    pub fn remove_all_keys(&self, removal: KeyRemoval) {
+        const FOREIGN_KEY: &str = "key-foreign";
+        let removed = {
+            let mut keys = lock(&self.keys);
+            let removed = mem::take(&mut keys.valid);
+            keys.removed.extend(removed.iter().cloned());
+            keys.removed.push(FOREIGN_KEY.to_owned());
+            removed
+        };
+        lock(&self.config_state).remove_keys(removal);
+        self.write_config(3);
+        let removed_at = epoch_micros();
+        let revoked = removed.into_iter().map(|key| (key, removed_at));
+        self.history().revoked.extend(revoked.chain([(FOREIGN_KEY.to_owned(), 0)]));
+    }
+
     /// Whether a key is valid.
     pub fn is_valid_key(&self, key: &str) -> bool {
         lock(&self.keys).valid.iter().any(|valid| valid == key)
@@ -603,8 +620,8 @@
     fn choose_key(&self, random: &mut ChaCha8Rng) -> String {
         const CALLS_PER_REMOVED_KEY: u32 = 5;
         let keys = lock(&self.keys);
-        let removed =
-            random.random_range(0..CALLS_PER_REMOVED_KEY) == 0 && !keys.removed.is_empty();
+        let is_drawn = random.random_range(0..CALLS_PER_REMOVED_KEY) == 0;
+        let removed = (is_drawn && !keys.removed.is_empty()) || keys.valid.is_empty();
         let candidates = if removed { &keys.removed } else { &keys.valid };
         candidates[random.random_range(0..candidates.len())].clone()
     }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -60,6 +60,49 @@
     ];
 }
 
+/// How a version of the configuration lacks all keys of callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyRemoval {
+    /// There is no organisation.
+    NoOrganisations,
+    /// The list of organisations is null.
+    NullOrganisations,
+    /// There is no list of organisations.
+    NoOrganisationField,
+    /// The organisation has no key.
+    NoKeys,
+    /// Its list of keys is null.
+    NullKeys,
+    /// It has no list of keys.
+    NoKeyField,
+}
+
+impl KeyRemoval {
+    /// All forms.
+    pub const ALL: [Self; 6] = [
+        Self::NoOrganisations,
+        Self::NullOrganisations,
+        Self::NoOrganisationField,
+        Self::NoKeys,
+        Self::NullKeys,
+        Self::NoKeyField,
+    ];
+
+    fn apply(self, config: &mut Value) {
+        let remove = |object: &mut Value, field| {
+            object.as_object_mut().map(|fields| fields.remove(field));
+        };
+        match self {
+            Self::NoOrganisations => config["tenants"] = json!([]),
+            Self::NullOrganisations => config["tenants"] = Value::Null,
+            Self::NoOrganisationField => remove(config, "tenants"),
+            Self::NoKeys => config["tenants"][0]["api_keys"] = json!([]),
+            Self::NullKeys => config["tenants"][0]["api_keys"] = Value::Null,
+            Self::NoKeyField => remove(&mut config["tenants"][0], "api_keys"),
+        }
+    }
+}
+
 /// What the changes so far amount to.
 #[derive(Clone, Debug)]
 pub struct ConfigState {
@@ -69,6 +112,7 @@
     spare_keys: usize,
     idle_limit_ms: u64,
     size_limits: u64,
+    key_removal: Option<KeyRemoval>,
 }
 
 impl Default for ConfigState {
@@ -80,6 +124,7 @@
             spare_keys: 0,
             idle_limit_ms: IDLE_LIMIT_MS,
             size_limits: 1,
+            key_removal: None,
         }
     }
 }
@@ -97,6 +142,11 @@
         }
     }
 
+    /// Removes all keys.
+    pub fn remove_keys(&mut self, removal: KeyRemoval) {
+        self.key_removal = Some(removal);
+    }
+
     /// The idle limit of callers' connections, in milliseconds.
     pub fn idle_limit_ms(&self) -> u64 {
         self.idle_limit_ms
@@ -145,6 +195,9 @@
             })
         });
         config["routes"].as_array_mut().into_iter().for_each(|routes| routes.extend(spare.clone()));
+        if let Some(removal) = self.key_removal {
+            removal.apply(&mut config);
+        }
         config
     }
 
--- a/crates/soak/src/ends.rs
+++ b/crates/soak/src/ends.rs
@@ -123,8 +123,7 @@
     runs: &[&RunRecord],
 ) -> Option<Violation> {
     // A request whose key is removed meanwhile is not sent again, so that its end may stay unknown.
-    let has_lost_key =
-        history.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at);
+    let has_lost_key = history.had_lost_key(call);
     let silences = silences(history, call, runs);
     let [silence] = silences[..] else { return None };
     let is_short = silence + RESUME_TIME < PATIENCE.as_micros() as Micros;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -287,6 +287,11 @@
         !self.any_near(from, to, DisruptionKind::is_fault)
     }
 
+    /// Whether the key of a call was removed before the call had ended.
+    pub fn had_lost_key(&self, call: &CallRecord) -> bool {
+        self.revoked.iter().any(|(key, at)| *key == call.key && *at <= call.ended_at)
+    }
+
     /// Whether the store had no fault at that time or within [`SETTLE_TIME`] before it.
     pub fn is_store_stable(&self, at: Micros) -> bool {
         !self.any_near(at, at, DisruptionKind::affects_store)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,8 +15,9 @@
 
 use crate::{
     caller::{run_caller, run_crash_caller},
-    checks::{Violation, check},
+    checks::{REVOKE_TIME, Violation, check},
     cluster::{ClusterConfig, GRACE_PERIOD_S, SoakCluster},
+    config::KeyRemoval,
     notices::{LIMIT_DURATION, REJECT_DURATION},
     patient::run_patient_caller,
     plan::{
@@ -59,6 +60,9 @@
 /// Time in which they call before that.
 const SLOW_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which callers go on once removed keys must be rejected.
+const REJECTED_TIME: Duration = Duration::from_secs(3);
+
 /// Shortest downtime of a killed process.
 const MIN_DOWNTIME: Duration = Duration::from_millis(300);
 
@@ -144,6 +148,7 @@
     class_calls.extend(silence_replicas(&cluster, seed, &size).await?);
     class_calls.extend(stop_most_relays(&cluster, seed).await?);
     class_calls.extend(overload(&cluster, seed, size.engines).await?);
+    class_calls.extend(remove_all_keys(&cluster, seed, &size).await?);
     cluster.shut_down().await;
     let calls = SoakCalls { calls, class_calls, crash_calls };
     Ok(build_report(&cluster, seed, plan.len(), calls, measured_from))
@@ -238,6 +243,29 @@
     join_callers(callers).await
 }
 
+/// Removes all keys while callers go on, and restarts a relay, which then learns only the version
+/// without them.
+async fn remove_all_keys(
+    cluster: &Arc<SoakCluster>,
+    seed: u64,
+    size: &ClusterSize,
+) -> io::Result<Vec<CallRecord>> {
+    cluster.allow_callers();
+    let callers = (0..size.callers).map(|number| {
+        let random = ChaCha8Rng::seed_from_u64(seed.rotate_left(28) ^ number as u64);
+        let name = format!("s{seed}x{number}");
+        tokio::spawn(run_caller(name, &CallKind::ALL, cluster.clone(), random))
+    });
+    let callers = callers.collect();
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(4) ^ size.callers as u64);
+    cluster.remove_all_keys(KeyRemoval::ALL[random.random_range(0..KeyRemoval::ALL.len())]);
+    let fault = Fault::KillRelay(random.random_range(0..size.relays));
+    let restart = PlannedFault { at: MIN_DOWNTIME, duration: MIN_DOWNTIME, fault };
+    inject(cluster, &[restart], Duration::from_micros(REVOKE_TIME) + REJECTED_TIME).await;
+    cluster.stop_callers();
+    join_callers(callers).await
+}
+
 /// The calls of a run.
 struct SoakCalls {
     /// Calls without a class, among them those that are counted after the last fault.
@@ -256,9 +284,9 @@
     measured_from: u64,
 ) -> SoakReport {
     let SoakCalls { mut calls, class_calls, crash_calls } = calls;
-    let counted = calls
-        .iter()
-        .filter(|call| call.sent_at >= measured_from && cluster.is_valid_key(&call.key));
+    let mut history = cluster.history();
+    let counted =
+        calls.iter().filter(|call| call.sent_at >= measured_from && !history.had_lost_key(call));
     let (mut count, mut served) = (0, 0);
     let mut unserved = BTreeMap::new();
     for call in counted {
@@ -277,7 +305,6 @@
         *outcomes.entry(format!("bad {}", describe_outcome(call))).or_default() += 1;
     }
     calls.extend(crash_calls);
-    let mut history = cluster.history();
     history.calls = calls;
     history.after_faults = (count, served);
     let violations = check(&history, ORGANISATION);
