Plain services: without a latency objective no attempt is overdue

A route whose objective is missing, null or 0 made a second attempt a millisecond after the first for each request that may be repeated, until the retry budget was spent.

Test: without_an_objective_no_request_is_overdue failed before (two sends).

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -444,10 +444,11 @@
     /// request that may be repeated is followed by another one before it has ended.
     async fn permit_overlap(&self) -> (Permit, Option<RetryCharge>) {
         let (relay, request, route) = (self.relay, self.request, &self.permit.route);
-        if self.sends > 0 || !route.is_repeatable() || route.max_attempts < 2 {
+        let has_another = route.is_repeatable() && route.max_attempts >= 2;
+        if self.sends > 0 || !has_another || route.objective == 0 {
             return pending().await;
         }
-        sleep(Duration::from_millis(route.objective.max(1))).await;
+        sleep(Duration::from_millis(route.objective)).await;
         if is_stopped(relay, request, &self.permit)
             || quarantine_remaining(relay, request).is_some()
         {
--- a/crates/relay/tests/overlap.rs
+++ b/crates/relay/tests/overlap.rs
@@ -11,11 +11,14 @@
     time::Duration,
 };
 
-use harness::{CallResult, RunningRelay, bounds, call, entry_of, run_test, wait_until};
+use harness::{CallResult, ROUTES, RunningRelay, bounds, call, entry_of, run_test, wait_until};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use serde_json::Value;
 use switchfold_platform_standin::{
-    ReceivedRequest, Reply, StandinReplica, samples::desk_entry, signed_response,
+    ReceivedRequest, Reply, StandinReplica,
+    samples::{KEY, config, desk_entry},
+    signed_response,
 };
 use switchfold_relay::settings::BoundSettings;
 
@@ -179,3 +182,21 @@
         assert_eq!(sends(&replicas), 1);
     });
 }
+
+/// Guards against a request whose route has no objective being overdue at once, which took an
+/// attempt from the retry budget for each request.
+#[test]
+fn without_an_objective_no_request_is_overdue() {
+    run_test(async {
+        let replicas = [StandinReplica::start(pauses).await, StandinReplica::start(pauses).await];
+        let entries =
+            [entry_of("i-0", &replicas[0], desk_entry), entry_of("i-1", &replicas[1], desk_entry)];
+        let mut config = config(1, &ROUTES, &[KEY]);
+        for route in config["routes"].as_array_mut().expect("a list") {
+            route["goal_ms"] = Value::Null;
+        }
+        let relay = RunningRelay::start_with_config(bounds(), config, &entries).await;
+        assert_served(&relay.get("/safe/a", "a").await, "late");
+        assert_eq!(sends(&replicas), 1);
+    });
+}
