Bytes without end: a bound for interim responses

Callers saw: beside 100 requests whose replicas sent interim responses (103) without end, a sound request to another replica got 503 (stale-configuration): the relay parsed heads until the deadline of each request, its follower of the store got no turn, and it could no longer prove its configuration. The requests themselves were held until their deadline (504).

Cause: the HTTP library skips interim responses without a bound, and reads on as long as there are bytes.

Fix: a connection to a replica fails once there were more than 100 interim responses to its request: the request may have run, and ends like any other broken one.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,7 +15,7 @@
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`response_head`], [`late_sends`], [`forward`], [`paths`] | streams over engines |
 //! | [`run_tracker`] | runs of requests at replicas, and evidence from lost runs |
-//! | [`pool`], [`engines`], [`probes`], [`reachability`] | connections, calls and probes to replicas |
+//! | [`pool`], [`interim`], [`engines`], [`probes`], [`reachability`] | connections, calls and probes to replicas |
 //! | [`buffers`] | memory for responses of replicas |
 //! | [`state`] | what a relay knows, shared by its tasks |
 //! | [`watch`], [`replicas`], [`store_calls`] | state from the store |
@@ -40,6 +40,7 @@
 pub mod engines;
 pub mod forward;
 pub mod gossip;
+pub mod interim;
 pub mod late_sends;
 pub mod limits;
 pub mod logs;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -27,6 +27,8 @@
     time::timeout,
 };
 
+use crate::interim::{BoundedStream, InterimCount};
+
 /// Time for a connection to open. A link takes less than a millisecond, and TCP retransmits a lost
 /// packet only after a second, so waiting longer does not pay off.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -93,6 +95,7 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    interim: InterimCount,
 }
 
 impl ActiveConnection {
@@ -101,8 +104,8 @@
     pub fn return_to(mut self, pool: &ConnectionPool, keep_alive: Option<Millis>) {
         let Some(sender) = self.sender.take() else { return };
         let idle = keep_alive.unwrap_or(DEFAULT_IDLE_TIMEOUT) * IDLE_PERCENT / 100;
-        let connection =
-            IdleConnection { sender, task: self.task.clone(), expiry: now_millis() + idle };
+        let (task, interim) = (self.task.clone(), self.interim.clone());
+        let connection = IdleConnection { sender, task, interim, expiry: now_millis() + idle };
         pool.keep(self.address, connection);
     }
 }
@@ -119,6 +122,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    interim: InterimCount,
     expiry: Millis,
 }
 
@@ -226,6 +230,7 @@
                     address,
                     sender: Some(connection.sender),
                     task: connection.task,
+                    interim: connection.interim,
                 });
             }
             connection.task.abort();
@@ -254,14 +259,15 @@
         Err(_) => return Err(not_sent("connection timed out".to_owned())),
     };
     set_options(&stream).map_err(|error| not_sent(error.to_string()))?;
-    let handshake =
-        http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(TokioIo::new(stream)).await;
+    let interim = InterimCount::default();
+    let stream = TokioIo::new(BoundedStream::new(stream, &interim));
+    let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(stream).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     let task = spawn_local(async move {
         // The request on the connection receives the error.
         let _ended = connection.await;
     });
-    Ok(ActiveConnection { address, sender: Some(sender), task: task.abort_handle() })
+    Ok(ActiveConnection { address, sender: Some(sender), task: task.abort_handle(), interim })
 }
 
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
@@ -273,9 +279,10 @@
 
 async fn send_on(
     mut connection: ActiveConnection,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ActiveConnection), (SendError, Unsent)> {
     let sender = connection.sender.as_mut().expect("an active connection has its sender");
+    connection.interim.count_of(&mut request);
     match sender.try_send_request(request).await {
         Ok(response) if !is_final(response.status()) => {
             let detail = format!("status {} is no final response", response.status());
