--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -8,6 +8,8 @@
     net::SocketAddr,
     path::PathBuf,
     process::{self, Child, Command},
+    sync::mpsc,
+    thread,
 };
 
 use futures_util::future::join_all;
@@ -154,11 +156,26 @@
     "large ".repeat(500_000)
 }
 
+/// Starts replicas on a thread of their own: those that write without end would otherwise take the
+/// processor from the store, whose answers prove the configuration to the relay.
+fn start_replicas() -> [StandinReplica; 2] {
+    let (started, replicas) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async {
+            let both = [StandinReplica::start(script).await, StandinReplica::start(script).await];
+            started.send(both).expect("the test waits");
+            std::future::pending::<()>().await
+        });
+    });
+    replicas.recv().expect("the replicas start")
+}
+
 async fn start(name: &str) -> (RelayProcess, [StandinReplica; 2], StandinStore) {
     let store = StandinStore::start().await;
     let routes = [harness::ONCE, SAFE, STREAM, ENDLESS, ENDLESS_STREAM];
     store.put(CONFIG_KIND, CONFIG_NAME, samples::config(1, &routes, &[KEY]));
-    let replicas = [StandinReplica::start(script).await, StandinReplica::start(script).await];
+    let replicas = start_replicas();
     let entries: [(&str, Value); 2] = [
         ("i-1", desk_entry(replicas[0].address())),
         ("i-2", model_entry(replicas[1].address(), 0, samples::LAYERS)),
