Planned stop: the relay exits after the last responses, not at a time

Callers saw: requests that a stopping relay had read, and sent to a replica, ended without a response when the relay got no processor time near the end of its grace period. Responses are due 0.6 s before the kill and the process exited 0.4 s before it; after a standstill over both, the exit could come first.

Fix: the relay exits once every request whose head it has read has its response, until the kill, and for up to twenty turns if that time has passed too.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -297,7 +297,9 @@
     }
     let arrived_at = now_millis();
     let arrival = RequestArrival { parts, body, headers, arrived_at, may_have_run, record };
+    let unanswered = CountGuard::for_unanswered(&relay);
     async move {
+        let _unanswered = unanswered;
         let response = respond_always(&relay, arrival).await;
         let status = response.status();
         let has_body = !is_head_request
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -34,6 +34,10 @@
 /// VM after two failed checks.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(3_000);
 
+/// Number and duration of the turns that due responses still get when the process should have exited.
+const LAST_TURNS: u32 = 20;
+const LAST_TURN: Duration = Duration::from_millis(5);
+
 /// Serves callers until the shutdown is complete.
 pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
     let spawn = |stream| drop(spawn_local(serve_caller(relay.clone(), stream)));
@@ -62,8 +66,16 @@
     }
     // Closing the listener would reset the connections in its queue, with the requests on them.
     take_queued(listener).into_iter().for_each(spawn);
-    let exit_by = relay.shutdown.schedule().map_or(0, |schedule| schedule.exit_by);
-    wait_while(&relay, exit_by, |relay| relay.shutdown.open_connections() > 0).await;
+    let Some(schedule) = relay.shutdown.schedule() else { return };
+    wait_while(&relay, schedule.exit_by, |relay| relay.shutdown.open_connections() > 0).await;
+    wait_while(&relay, schedule.killed_at, |relay| relay.shutdown.unanswered() > 0).await;
+    // After a pause that lasted beyond these times, the due responses have had no turn yet.
+    for _ in 0..LAST_TURNS {
+        if relay.shutdown.unanswered() == 0 {
+            break;
+        }
+        sleep(LAST_TURN).await;
+    }
 }
 
 /// Waits until a shutdown needs no new connections any more: no request is in flight and callers
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -35,6 +35,7 @@
     schedule: Cell<Option<StopSchedule>>,
     awake: Cell<AwakeTimes>,
     in_flight: Cell<usize>,
+    unanswered: Cell<usize>,
     open_connections: Cell<usize>,
     panicked_task: Cell<Option<&'static str>>,
     began: Notify,
@@ -121,6 +122,11 @@
         self.in_flight.get()
     }
 
+    /// Returns the number of requests whose head was read and that have no response yet.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.get()
+    }
+
     /// Returns the number of open connections of callers.
     pub fn open_connections(&self) -> usize {
         self.open_connections.get()
@@ -140,6 +146,11 @@
         Self::new(relay, |shutdown| &shutdown.in_flight)
     }
 
+    /// Counts one more request as without a response.
+    pub fn for_unanswered(relay: &Rc<Relay>) -> Self {
+        Self::new(relay, |shutdown| &shutdown.unanswered)
+    }
+
     /// Counts one more connection as open.
     pub fn for_connection(relay: &Rc<Relay>) -> Self {
         Self::new(relay, |shutdown| &shutdown.open_connections)
--- a/crates/router/src/stops.rs
+++ b/crates/router/src/stops.rs
@@ -30,8 +30,10 @@
     pub signalled_at: Millis,
     /// Time by which every request has its response.
     pub answer_by: Millis,
-    /// Time by which the process exits.
+    /// Time by which the process exits if every request that was read has its response.
     pub exit_by: Millis,
+    /// Time of the kill. Only a process that gets little processor time runs beyond `exit_by`.
+    pub killed_at: Millis,
 }
 
 impl StopSchedule {
@@ -44,6 +46,7 @@
             signalled_at,
             answer_by: before_kill(MAX_ANSWER_MARGIN, 10).max(now + MIN_ANSWER_TIME),
             exit_by: before_kill(MAX_EXIT_MARGIN, 20).max(now + MIN_ANSWER_TIME * 2),
+            killed_at: signalled_at + grace,
         }
     }
 
