Callers: a refusal that leaves a body unread announces the end of its connection

Callers saw: a request refused before its body had arrived (401, 404, 503) got its response on a connection that was then closed without an announcement, and the next request on it got no response. The HTTP library closes a connection whose request it has not read to its end; the relay did not say so.

Fix: the body of a refused request is read for up to 20 ms, within the limit of bodies, so that the connection can be kept; otherwise the response carries `Connection: close`. So does every response to a request that was not read to its end, such as one whose body is too large.

Test: a_refusal_announces_the_end_of_its_connection failed before: no `Connection: close` beside an unread body.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -321,7 +321,9 @@
             refuse(relay, &record, refusal, arrived_at, RequestClass::default())
         }
     };
-    if relay.shutdown.is_stopping() || relay.should_redirect_callers(now_millis()) {
+    // The connection ends behind a request that was not read to its end.
+    let must_close = !record.was_read() || relay.shutdown.is_stopping();
+    if must_close || relay.should_redirect_callers(now_millis()) {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -392,9 +394,15 @@
     let RequestArrival { parts, body, headers, arrived_at, may_have_run, record } = arrival;
     let admission = read_admission(&parts, &headers);
     wait_for_config(relay).await;
-    let permit = admit(relay, &admission)?;
-    *class = RequestClass::of(&permit);
     let max_body = relay.caller_limits(arrived_at).max_body_bytes;
+    let permit = match admit(relay, &admission) {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            discard_body(body, max_body, &record).await;
+            return Err(refusal);
+        }
+    };
+    *class = RequestClass::of(&permit);
     let route_timeout = match permit.route.timeout {
         0 => DEFAULT_TIMEOUT,
         timeout => timeout,
@@ -450,6 +458,17 @@
     }
 }
 
+/// Time for which the rest of a body is awaited that belongs to a refused request.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Reads the rest of a body, so that the connection can be kept, unless it takes too long.
+async fn discard_body(body: Incoming, max_body: usize, record: &RequestRecord) {
+    let reading = Limited::new(body, max_body).collect();
+    if matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_))) {
+        record.record_read();
+    }
+}
+
 fn read_admission(parts: &Parts, headers: &RequestHeaders) -> AdmissionRequest {
     let header = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = parts.uri.host().or(header).unwrap_or_default();
--- a/crates/relay/src/request_end.rs
+++ b/crates/relay/src/request_end.rs
@@ -117,6 +117,11 @@
         self.was_read.set(true);
     }
 
+    /// Returns whether the request was read completely.
+    pub fn was_read(&self) -> bool {
+        self.was_read.get()
+    }
+
     /// Records that the request is sent to a replica.
     pub fn record_sent(&self, replica: &ReplicaInstance) {
         self.sends.update(|sends| sends + 1);
--- a/crates/relay/tests/connections.rs
+++ b/crates/relay/tests/connections.rs
@@ -14,11 +14,12 @@
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
 use switchfold_platform_standin::{
     StandinReplica, StandinStore,
-    samples::{self, KEY, RouteSample, desk_entry},
+    samples::{self, HOST, KEY, RouteSample, desk_entry},
     signed_response,
 };
 use switchfold_relay::settings::BoundSettings;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{sleep, timeout},
 };
@@ -107,3 +108,46 @@
         assert_eq!(status, StatusCode::OK);
     });
 }
+
+/// Guards against a refusal that ended its connection without announcing it, because the body of the
+/// request had not arrived: the caller's next request got no response.
+#[test]
+fn a_refusal_announces_the_end_of_its_connection() {
+    run_test(async {
+        let replica =
+            StandinReplica::start(|request| signed_response(request, 200, "confirmed")).await;
+        let entries = [entry_of("i-1", &replica, desk_entry)];
+        let relay = RunningRelay::start(bounds(), &entries).await;
+        let head = |id: &str, path: &str| {
+            format!(
+                "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer unknown\r\n\
+                 x-attempt-id: {id}\r\ncontent-length: 8\r\n\r\n"
+            )
+        };
+        for (path, status) in [("/once/a", "401"), ("/none/a", "404")] {
+            let mut stream = TcpStream::connect(relay.address).await.expect("a connection");
+            let mut response = Vec::new();
+            let read_head = async |stream: &mut TcpStream, response: &mut Vec<u8>| {
+                response.clear();
+                while !response.ends_with(b"\r\n\r\n") {
+                    let read = timeout(WAIT_TIMEOUT, stream.read_buf(response)).await;
+                    assert_ne!(read.expect("in time").expect("a response"), 0, "{path}");
+                }
+                String::from_utf8_lossy(response).to_ascii_lowercase()
+            };
+            // A body that has arrived is read, and the connection is kept.
+            for number in 0..3 {
+                let whole = head(&format!("whole-{number}"), path) + "question";
+                stream.write_all(whole.as_bytes()).await.expect("the connection is kept");
+                let text = read_head(&mut stream, &mut response).await;
+                assert!(text.starts_with(&format!("http/1.1 {status}")), "{text}");
+                assert!(!text.contains("connection: close"), "{text}");
+            }
+            let part = head("part", path) + "ques";
+            stream.write_all(part.as_bytes()).await.expect("the connection is kept");
+            let text = read_head(&mut stream, &mut response).await;
+            assert!(text.starts_with(&format!("http/1.1 {status}")), "{text}");
+            assert!(text.contains("connection: close"), "{text}");
+        }
+    });
+}
