--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -172,8 +172,15 @@
                     events
                 }
                 WaitOutcome::Current(RunOutput::End) => {
-                    self.finish();
-                    return None;
+                    if self.current.confirm_end(&self.relay).await {
+                        self.finish();
+                        return None;
+                    }
+                    self.recover(
+                        "engine ended with a response without a length",
+                        StreamLoss::Broken,
+                    );
+                    None
                 }
                 WaitOutcome::Current(RunOutput::Broken(detail)) => {
                     self.recover(&detail, StreamLoss::Broken);
@@ -181,10 +188,14 @@
                 }
                 WaitOutcome::Former(index, output) => match self.read_former(index, output) {
                     Some(RunOutput::Bytes(events)) => Some(events),
-                    Some(RunOutput::End) => {
+                    Some(RunOutput::End) if self.current.confirm_end(&self.relay).await => {
                         self.finish();
                         return None;
                     }
+                    Some(RunOutput::End) => {
+                        self.recover("engine ended with a former response", StreamLoss::Broken);
+                        None
+                    }
                     _ => None,
                 },
                 WaitOutcome::Investigated(faulty_replica) => {
--- a/crates/relay/src/forward/run.rs
+++ b/crates/relay/src/forward/run.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     admit::Permit, buffers::BufferShare, paths::PathReservation, pool::ActiveConnection,
-    request::CallerRequest, run_tracker::RunTracker, state::Relay, stream::OpenStream,
+    reachability::confirm_end, request::CallerRequest, run_tracker::RunTracker, state::Relay,
+    stream::OpenStream,
 };
 
 /// Maximum size of an event, in bytes.
@@ -93,6 +94,13 @@
         }
     }
 
+    /// Returns whether the end of the response is that of the stream: a response without a length also
+    /// ends when its engine does.
+    pub(super) async fn confirm_end(&self, relay: &Relay) -> bool {
+        let first = &self.path[0];
+        self.is_framed || confirm_end(relay, &first.instance, first.address).await
+    }
+
     /// Adds bytes that were read. Returns the events that are complete now.
     pub(super) fn push(&mut self, chunk: Bytes) -> Option<Bytes> {
         self.last_progress = now_millis();
--- a/crates/relay/src/plain/attempt.rs
+++ b/crates/relay/src/plain/attempt.rs
@@ -32,7 +32,7 @@
     notices::{SendGate, apply_notices},
     pool::{ActiveConnection, SendError},
     quarantine::record_result,
-    reachability::check_reachable,
+    reachability::{check_reachable, confirm_end},
     request::{CallerRequest, ReplicaTarget},
     retries::RetryCharge,
     run_tracker::RunTracker,
@@ -243,10 +243,21 @@
         }
         match read_body(&relay.buffers, body, MAX_RESPONSE).await {
             // The end of the connection may be that of the replica.
-            Ok(body) if body.is_empty() && lacks_body(request, &parts) => {
+            Ok(body)
+                if body.is_empty()
+                    && parts.status.is_success()
+                    && !has_known_end(request, &parts) =>
+            {
                 let detail = "response without a length ended before its body".to_owned();
                 AttemptOutcome::without_response(AttemptEnd::Broken, detail)
             }
+            Ok(_)
+                if !has_known_end(request, &parts)
+                    && !confirm_end(relay, &replica.instance, replica.address).await =>
+            {
+                let detail = "replica ended with a response without a length".to_owned();
+                AttemptOutcome::without_response(AttemptEnd::Broken, detail)
+            }
             Ok(body) => {
                 if !headers.closes_connection {
                     connection.return_to(&relay.pool, headers.keep_alive);
@@ -277,11 +288,13 @@
     }
 }
 
-/// Returns whether a success whose body is empty may lack it: neither its head nor its status or the
-/// method tells that it has none.
-fn lacks_body(request: &CallerRequest, head: &response::Parts) -> bool {
-    let has_none = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
-    head.status.is_success() && !has_none && !request.is_head() && !is_framed(&head.headers)
+/// Returns whether the head of a response, its status or the method tells where it ends.
+fn has_known_end(request: &CallerRequest, head: &response::Parts) -> bool {
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    has_no_body || request.is_head() || is_framed(&head.headers)
 }
 
 /// Returns how an attempt ended if the head of the response alone decides it: the response belongs
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -7,7 +7,10 @@
 
 use switchfold_kernel::clock::now_millis;
 use switchfold_router::{Millis, instance::ReplicaInstance};
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use crate::state::Relay;
 
@@ -32,6 +35,24 @@
     let _in_time = timeout(REACHABILITY_TIMEOUT, check).await;
 }
 
+/// Time from the end of a connection to the check whether its replica has ended: a process that is
+/// killed may close its listener after its connections.
+const END_CHECK_DELAY: Duration = Duration::from_millis(2);
+
+/// Returns whether a replica is still there after the end of a connection that alone tells that a
+/// response is complete. A killed process ends its connections in the same way. Only a refused
+/// connection shows that it is gone.
+pub async fn confirm_end(relay: &Relay, instance: &ReplicaInstance, address: SocketAddr) -> bool {
+    sleep(END_CHECK_DELAY).await;
+    match relay.pool.open_idle(address).await {
+        Err(error) if error.is_refused() => {
+            relay.record_unreachable(instance, &error);
+            false
+        }
+        _ => true,
+    }
+}
+
 /// Like [`check_reachable`], for a replica that a report names: all requests that wait for it find
 /// it at the same time, so one of them checks it.
 pub async fn check_named(relay: &Rc<Relay>, instance: &ReplicaInstance, address: SocketAddr) {
--- a/crates/relay/tests/unframed.rs
+++ b/crates/relay/tests/unframed.rs
@@ -2,7 +2,10 @@
 
 mod harness;
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use harness::{CallResult, RunningRelay, bounds, entry_of, event_ids, respond_healthy, run_test};
 use switchfold_platform::engine::{ORDER_PATH, REPORT_PATH};
@@ -22,9 +25,29 @@
     Reply::BytesThenClose((head + body).into_bytes())
 }
 
+/// Time from a response without a length to the crash of its replica.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// Sends `body` unframed, and crashes.
+fn crash_unframed(request: &ReceivedRequest, body: &str) -> Reply {
+    match unframed(request, body) {
+        Reply::BytesThenClose(bytes) => Reply::Crash(bytes, CRASH_DELAY),
+        other => other,
+    }
+}
+
 /// Calls a relay with two replicas of each service, of which the one that receives the request first
 /// sends `body` unframed. Returns the outcome and the number of requests sent.
 async fn call_unframed(path: &str, body: &'static str) -> (CallResult, usize) {
+    call_with_first(path, body, unframed).await
+}
+
+/// Calls a relay as [`call_unframed`] does; the first replica responds by `reply`.
+async fn call_with_first(
+    path: &str,
+    body: &'static str,
+    reply: fn(&ReceivedRequest, &str) -> Reply,
+) -> (CallResult, usize) {
     let count = Arc::new(Mutex::new(0));
     let script = || {
         let count = count.clone();
@@ -34,7 +57,7 @@
             }
             let mut count = count.lock().expect("no script panics");
             *count += 1;
-            if *count == 1 { unframed(request, body) } else { respond_healthy(request) }
+            if *count == 1 { reply(request, body) } else { respond_healthy(request) }
         }
     };
     let replicas = [
@@ -86,3 +109,22 @@
         assert_eq!(sent, 1);
     });
 }
+
+/// Guards against a response without a length that was cut short by the crash of its replica and
+/// passed on as complete.
+#[test]
+fn an_unframed_response_of_a_replica_that_crashed_is_not_complete() {
+    run_test(async {
+        let (called, sent) = call_with_first("/once/a", "conf", crash_unframed).await;
+        assert_eq!((called.status.as_u16(), sent), (502, 1), "{called:?}");
+        let (called, sent) = call_with_first("/safe/a", "conf", crash_unframed).await;
+        assert_eq!((called.status.as_u16(), called.body.as_str()), (200, "confirmed"));
+        assert_eq!(sent, 2);
+        let event = "id: 0\ndata: x\n\n";
+        let (called, sent) = call_with_first("/stream-once/a", event, crash_unframed).await;
+        assert_eq!((event_ids(&called.body), called.is_complete, sent), (vec![0], false, 1));
+        let (called, sent) = call_with_first("/stream/a", event, crash_unframed).await;
+        assert_eq!(event_ids(&called.body), (0..EVENTS).collect::<Vec<u64>>());
+        assert_eq!((called.is_complete, sent), (true, 2));
+    });
+}
