--- a/crates/relay/src/buffers.rs
+++ b/crates/relay/src/buffers.rs
@@ -1,4 +1,4 @@
-//! Reads bodies of replicas within the memory that all of them may use together.
+//! Reads bodies within the memory that all of them may use together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -8,14 +8,14 @@
 use hyper::body::{Body, Incoming};
 use switchfold_router::buffers::{BufferLedger, FREE_BYTES, LengthKind};
 
-/// Memory for buffered responses. Clones share it.
+/// Memory for buffered bodies, of responses or of requests. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct ResponseBuffers {
+pub struct BodyBuffers {
     ledger: Arc<Mutex<BufferLedger>>,
 }
 
-impl ResponseBuffers {
-    /// Returns an empty share for one response.
+impl BodyBuffers {
+    /// Returns an empty share for one body.
     pub fn share(&self, kind: LengthKind) -> BufferShare {
         BufferShare { buffers: self.clone(), kind, held: 0 }
     }
@@ -25,10 +25,10 @@
     }
 }
 
-/// Memory that one response uses, given back when dropped.
+/// Memory that one body uses, given back when dropped.
 #[derive(Debug)]
 pub struct BufferShare {
-    buffers: ResponseBuffers,
+    buffers: BodyBuffers,
     kind: LengthKind,
     held: usize,
 }
@@ -72,13 +72,13 @@
 /// Why a body was not read to its end.
 #[derive(Debug, Display, Error)]
 pub enum BodyError {
-    /// It is larger than a single response may be.
+    /// It is larger than a single body may be.
     #[display("larger than {limit} bytes")]
     TooLarge {
         /// Maximum size, in bytes.
         limit: usize,
     },
-    /// It is larger than all buffered responses allow at the moment.
+    /// It is larger than all buffered bodies allow at the moment.
     #[display("no memory for more than {read} bytes")]
     NoMemory {
         /// Number of bytes that were read.
@@ -90,7 +90,7 @@
 }
 
 impl BodyError {
-    /// Returns whether the replica sent more than the relay accepts.
+    /// Returns whether the sender sent more than the relay accepts.
     pub fn is_excessive(&self) -> bool {
         matches!(self, Self::TooLarge { .. } | Self::NoMemory { .. })
     }
@@ -102,7 +102,7 @@
 ///
 /// Fails if the connection fails or the body is too large.
 pub async fn read_body(
-    buffers: &ResponseBuffers,
+    buffers: &BodyBuffers,
     mut body: Incoming,
     limit: usize,
 ) -> Result<Bytes, BodyError> {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, request::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::headers::{
@@ -30,6 +30,7 @@
 
 use crate::{
     admit::{AdmissionRequest, Permit, admit, is_config_fresh},
+    buffers::{BodyError, read_body},
     caller_connection::{CallerConnection, EndGuard},
     counts::count,
     notices::ReplicaResponse,
@@ -409,12 +410,11 @@
     };
     let deadline = arrived_at + headers.deadline.unwrap_or(route_timeout).min(route_timeout);
     let remaining = Duration::from_millis(deadline.saturating_sub(now_millis()));
-    let body = match timeout(remaining, Limited::new(body, max_body).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::BodyTooLarge);
-        }
-        Ok(Err(_)) => return Err(Refusal::BodyTruncated),
+    let body = match timeout(remaining, read_body(&relay.request_buffers, body, max_body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge { .. })) => return Err(Refusal::BodyTooLarge),
+        Ok(Err(BodyError::NoMemory { .. })) => return Err(Refusal::NoMemory),
+        Ok(Err(BodyError::Broken(_))) => return Err(Refusal::BodyTruncated),
         Err(_) => return Err(Refusal::TimedOutUnsent),
     };
     record.record_read();
@@ -461,10 +461,20 @@
 /// Time for which the rest of a body is awaited that belongs to a refused request.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Reads the rest of a body, so that the connection can be kept, unless it takes too long.
-async fn discard_body(body: Incoming, max_body: usize, record: &RequestRecord) {
-    let reading = Limited::new(body, max_body).collect();
-    if matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_))) {
+/// Reads the rest of a body without keeping it, so that the connection can be kept, unless it takes too
+/// long.
+async fn discard_body(mut body: Incoming, max_body: usize, record: &RequestRecord) {
+    let reading = async {
+        let mut len = 0;
+        while let Some(frame) = body.frame().await {
+            len += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if len > max_body {
+                return None;
+            }
+        }
+        Some(())
+    };
+    if matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Some(()))) {
         record.record_read();
     }
 }
--- a/crates/relay/src/responses.rs
+++ b/crates/relay/src/responses.rs
@@ -56,6 +56,9 @@
     /// The body is larger than allowed.
     #[display("body-too-large")]
     BodyTooLarge,
+    /// The bodies of all requests together are larger than the relay has memory for.
+    #[display("no-memory")]
+    NoMemory,
     /// The body did not arrive completely.
     #[display("body-broken")]
     BodyTruncated,
@@ -109,6 +112,7 @@
         match self {
             Self::NoConfiguration
             | Self::StaleConfiguration
+            | Self::NoMemory
             | Self::Stopping
             | Self::NoReplica
             | Self::NotRun
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -30,7 +30,7 @@
 };
 
 use crate::{
-    buffers::ResponseBuffers,
+    buffers::BodyBuffers,
     counts::{Counts, RECENT_SECONDS},
     engine_poll::poll_engines,
     engines::ReportCache,
@@ -283,7 +283,8 @@
         settings,
         state: RefCell::new(state),
         pool: ConnectionPool::default(),
-        buffers: ResponseBuffers::default(),
+        buffers: BodyBuffers::default(),
+        request_buffers: BodyBuffers::default(),
         reports: ReportCache::default(),
         peer_socket,
         started_at: now_millis(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -46,7 +46,7 @@
 
 use crate::{
     admission::ServiceAdmission,
-    buffers::ResponseBuffers,
+    buffers::BodyBuffers,
     counts::{Counts, RecentCounts, count},
     engines::ReportCache,
     gossip::{SendScope, send_state},
@@ -204,7 +204,9 @@
     /// Connections to replicas.
     pub pool: ConnectionPool,
     /// Memory for buffered responses.
-    pub buffers: ResponseBuffers,
+    pub buffers: BodyBuffers,
+    /// Memory for the bodies of requests, until their responses are known.
+    pub request_buffers: BodyBuffers,
     /// Latest status reports of engines.
     pub reports: ReportCache,
     /// Client of the platform's object store.
--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -1,22 +1,22 @@
-//! How many bytes of responses a relay buffers at a time.
+//! How many bytes of bodies a relay buffers at a time, of responses and, apart from them, of requests.
 //!
-//! A limit for each response does not bound the memory of the process, since many responses may be
-//! large at once. All buffered bytes together are bounded by two pools. Responses that declare their
-//! length reserve it. The others may not end at all: each of them may use at most a part of what its
+//! A limit for each body does not bound the memory of the process, since many may be large at once. All
+//! buffered bytes together are bounded by two pools. Bodies that declare their length reserve it. The
+//! others may not end at all: each of them may use at most a part of what its
 //! pool has left, so that the limit falls the more of them there are, and a new one always has room.
 
-/// Bytes of each response that are not counted: small responses need no room in a pool.
+/// Bytes of each body that are not counted: small bodies need no room in a pool.
 pub const FREE_BYTES: usize = 16 << 10;
 
 /// Size of each pool, in bytes.
 const POOL_BYTES: usize = 20 << 20;
 
-/// Whether a response declares its length.
+/// Whether a body declares its length.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LengthKind {
     /// It does.
     Declared,
-    /// It ends when the replica says so.
+    /// It ends when the sender says so.
     Open,
 }
 
@@ -28,7 +28,7 @@
 }
 
 impl BufferLedger {
-    /// Changes the size of one response's buffer from `held` to `wanted` bytes. Returns whether that
+    /// Changes the size of one body's buffer from `held` to `wanted` bytes. Returns whether that
     /// is allowed; if not, nothing changes. A smaller size always is.
     pub fn resize(&mut self, kind: LengthKind, held: usize, wanted: usize) -> bool {
         let held = held.saturating_sub(FREE_BYTES);
