Tests: the relay process in one place

Two test files started a relay as a process, each with a copy of the same code. It is in the harness now; settings, bounds and checks are as they were.

--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -3,26 +3,19 @@
 
 mod harness;
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::PathBuf,
-    process::{self, Child, Command},
-    sync::mpsc,
-    thread,
-};
+use std::{sync::mpsc, thread};
 
 use futures_util::future::join_all;
 use harness::{
-    CallResult, SAFE, STREAM, bounds, request, respond_healthy, run_test, try_call, wait_until,
+    CallResult, SAFE, STREAM, bounds, relay_process::RelayProcess, respond_healthy, run_test,
 };
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND, engine::REPORT_PATH};
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica, StandinStore,
     samples::{self, KEY, RouteSample, desk_entry, model_entry},
-    signed_response, unused_address,
+    signed_response,
 };
 use tokio::task::spawn_local;
 
@@ -39,68 +32,8 @@
 const ENDLESS_STREAM: RouteSample =
     RouteSample { prefix: "/stream-endless/", max_attempts: 1, ..STREAM };
 
-/// A relay that runs as a process, killed when dropped.
-struct RelayProcess {
-    child: Child,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    settings: PathBuf,
-}
-
-impl Drop for RelayProcess {
-    fn drop(&mut self) {
-        let _has_ended = self.child.kill();
-        let _status = self.child.wait();
-        let _removed = fs::remove_file(&self.settings);
-    }
-}
-
-impl RelayProcess {
-    async fn start(store: &StandinStore, name: &str) -> Self {
-        let free = || unused_address().expect("a loopback address");
-        let (callers, ready) = (free(), free());
-        let bounds = bounds();
-        let settings = json!({
-            "name": "relay-1", "data_centre": "hall", "region": "west",
-            "listen": callers, "ready_listen": ready, "metrics_listen": free(),
-            "peer_listen": free(),
-            "platform": store.address(), "first_start": true,
-            "bounds": {
-                "revoke_ms": bounds.revoke_ms, "grace_s": bounds.grace_s,
-                "retry_ratio": bounds.retry_ratio, "retry_window_s": bounds.retry_window_s,
-                "retry_allowance": bounds.retry_allowance,
-            },
-        });
-        let path =
-            std::env::temp_dir().join(format!("switchfold-endless-{name}-{}.json", process::id()));
-        fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_switchfold-relay"))
-            .args(["--log-level", "error", "--settings"])
-            .arg(&path)
-            .spawn()
-            .expect("the relay starts");
-        let relay = Self { child, callers, ready, settings: path };
-        let is_ready = async || {
-            let request = http::Request::get("/readyz").body(Default::default());
-            let response = try_call(relay.ready, request.expect("a request")).await;
-            response.is_some_and(|response| response.status == StatusCode::OK)
-        };
-        wait_until(is_ready).await;
-        relay
-    }
-
-    /// Returns the largest resident memory so far, in KB.
-    fn peak_memory_kb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = fs::read_to_string(path).expect("the relay runs");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let digits = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-        digits.and_then(|digits| digits.trim().parse().ok()).expect("a size")
-    }
-
-    async fn call(&self, path: &str, id: &str) -> Option<CallResult> {
-        try_call(self.callers, request(path, id)).await
-    }
+async fn start_relay(store: &StandinStore, name: &str) -> RelayProcess {
+    RelayProcess::start(store, &format!("endless-{name}"), &bounds(), "error").await
 }
 
 /// Returns a response of the replica whose head ends with `framing` and whose body never ends.
@@ -181,7 +114,7 @@
         ("i-2", model_entry(replicas[1].address(), 0, samples::LAYERS)),
     ];
     entries.into_iter().for_each(|(id, entry)| store.put(REPLICA_KIND, id, entry));
-    let relay = RelayProcess::start(&store, name).await;
+    let relay = start_relay(&store, name).await;
     (relay, replicas, store)
 }
 
@@ -251,7 +184,7 @@
             store.put(REPLICA_KIND, &format!("i-e{number}"), entry);
             engines.push(engine);
         }
-        let relay = RelayProcess::start(&store, "report").await;
+        let relay = start_relay(&store, "report").await;
         let relay = std::rc::Rc::new(relay);
         let streams = (0..CONCURRENT).map(|number| {
             let relay = relay.clone();
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub(crate) mod recorded_events;
+pub(crate) mod relay_process;
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/relay/tests/last_requests.rs
+++ b/crates/relay/tests/last_requests.rs
@@ -3,32 +3,26 @@
 
 mod harness;
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::PathBuf,
-    process::{self, Child, Command},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
-use harness::{ONCE, WAIT_TIMEOUT, bounds, request, run_test, try_call, wait_until};
+use harness::{ONCE, WAIT_TIMEOUT, bounds, relay_process::RelayProcess, run_test};
 use http::StatusCode;
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde_json::{Value, json};
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica, StandinStore,
     samples::{HOST, KEY, config, desk_entry},
-    signed_response, unused_address,
+    signed_response,
 };
+use switchfold_relay::settings::BoundSettings;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::{JoinHandle, spawn_local},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Grace period of the stops, in seconds.
@@ -47,98 +41,41 @@
 /// Number of connections at a time.
 const CALLERS: usize = 40;
 
-/// A relay that runs as a process, killed when dropped.
-struct RelayProcess {
-    child: Child,
-    callers: SocketAddr,
-    folder: PathBuf,
-}
-
-impl Drop for RelayProcess {
-    fn drop(&mut self) {
-        let _has_ended = self.child.kill();
-        let _status = self.child.wait();
-        let _removed = fs::remove_dir_all(&self.folder);
-    }
+fn signal(relay: &RelayProcess, signal: Signal) {
+    kill(Pid::from_raw(relay.child.id() as i32), signal).expect("the relay has not been reaped");
 }
 
-impl RelayProcess {
-    async fn start(store: &StandinStore, name: &str) -> Self {
-        let free = || unused_address().expect("a loopback address");
-        let (callers, ready) = (free(), free());
-        let bounds = bounds();
-        let settings = json!({
-            "name": "relay-1", "data_centre": "hall", "region": "west",
-            "listen": callers, "ready_listen": ready, "metrics_listen": free(),
-            "peer_listen": free(), "platform": store.address(), "first_start": true,
-            "bounds": {
-                "revoke_ms": 60_000, "grace_s": GRACE_S, "retry_ratio": bounds.retry_ratio,
-                "retry_window_s": bounds.retry_window_s, "retry_allowance": bounds.retry_allowance,
-            },
-        });
-        let folder = std::env::temp_dir().join(format!("switchfold-last-{name}-{}", process::id()));
-        fs::create_dir_all(&folder).expect("the folder can be created");
-        let path = folder.join("relay.json");
-        fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_switchfold-relay"))
-            .args(["--log-level", "info", "--settings"])
-            .arg(&path)
-            .stdout(fs::File::create(folder.join("log")).expect("a file"))
-            .spawn()
-            .expect("the relay starts");
-        let relay = Self { child, callers, folder };
-        let is_ready = async || {
-            let request = http::Request::get("/readyz").body(Default::default());
-            let response = try_call(ready, request.expect("a request")).await;
-            response.is_some_and(|response| response.status == StatusCode::OK)
-        };
-        wait_until(is_ready).await;
-        relay
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the relay has not been reaped");
-    }
-
-    /// Lets the process stand still from before the last responses are due until after it should have
-    /// exited, and waits for its exit. Returns whether it has exited.
-    async fn pause_at_the_end(&mut self) -> bool {
-        let grace = Duration::from_secs_f64(GRACE_S);
-        sleep(grace - Duration::from_millis(450)).await;
-        self.signal(Signal::SIGSTOP);
-        sleep(Duration::from_millis(350)).await;
-        self.signal(Signal::SIGCONT);
-        for _ in 0..100 {
-            sleep(Duration::from_millis(20)).await;
-            if self.child.try_wait().expect("a child").is_some() {
-                return true;
-            }
+/// Lets the process stand still from before the last responses are due until after it should have
+/// exited, and waits for its exit. Returns whether it has exited.
+async fn pause_at_the_end(relay: &mut RelayProcess) -> bool {
+    let grace = Duration::from_secs_f64(GRACE_S);
+    sleep(grace - Duration::from_millis(450)).await;
+    signal(relay, Signal::SIGSTOP);
+    sleep(Duration::from_millis(350)).await;
+    signal(relay, Signal::SIGCONT);
+    for _ in 0..100 {
+        sleep(Duration::from_millis(20)).await;
+        if relay.child.try_wait().expect("a child").is_some() {
+            return true;
         }
-        false
     }
+    false
+}
 
-    /// Lets the process run for a share of the time until it has exited, or for the grace period and a
-    /// little longer. Returns whether it has exited.
-    async fn starve(&mut self, (run_ms, pause_ms): (u64, u64)) -> bool {
-        let ends_at = tokio::time::Instant::now() + Duration::from_secs_f64(GRACE_S + 1.0);
-        while tokio::time::Instant::now() < ends_at {
-            self.signal(Signal::SIGSTOP);
-            sleep(Duration::from_millis(pause_ms)).await;
-            self.signal(Signal::SIGCONT);
-            sleep(Duration::from_millis(run_ms)).await;
-            if self.child.try_wait().expect("a child").is_some() {
-                return true;
-            }
+/// Lets the process run for a share of the time until it has exited, or for the grace period and a
+/// little longer. Returns whether it has exited.
+async fn starve(relay: &mut RelayProcess, (run_ms, pause_ms): (u64, u64)) -> bool {
+    let ends_at = Instant::now() + Duration::from_secs_f64(GRACE_S + 1.0);
+    while Instant::now() < ends_at {
+        signal(relay, Signal::SIGSTOP);
+        sleep(Duration::from_millis(pause_ms)).await;
+        signal(relay, Signal::SIGCONT);
+        sleep(Duration::from_millis(run_ms)).await;
+        if relay.child.try_wait().expect("a child").is_some() {
+            return true;
         }
-        false
-    }
-
-    /// Returns the lines of the log with this event.
-    fn events(&self, event: &str) -> Vec<Value> {
-        let log = fs::read_to_string(self.folder.join("log")).expect("the log is written");
-        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        lines.filter(|line| line["event"] == event).collect()
     }
+    false
 }
 
 /// How the bytes of a request arrive.
@@ -250,16 +187,16 @@
 fn a_relay_that_stood_still_at_the_end_of_a_stop_responds_before_it_exits() {
     run_test(async {
         let (mut relay, callers, _replica) = start("paused").await;
-        relay.signal(Signal::SIGTERM);
-        assert!(relay.pause_at_the_end().await, "the relay exits");
+        signal(&relay, Signal::SIGTERM);
+        assert!(pause_at_the_end(&mut relay).await, "the relay exits");
         check_end(&relay, callers, "paused").await;
     });
 }
 
 async fn stop_starved(share: (u64, u64)) {
     let (mut relay, callers, _replica) = start(&format!("{}-{}", share.0, share.1)).await;
-    relay.signal(Signal::SIGTERM);
-    assert!(relay.starve(share).await, "the relay exits within its grace period");
+    signal(&relay, Signal::SIGTERM);
+    assert!(starve(&mut relay, share).await, "the relay exits within its grace period");
     check_end(&relay, callers, &format!("{share:?}")).await;
 }
 
@@ -269,8 +206,9 @@
     store.put(CONFIG_KIND, CONFIG_NAME, config(1, &[ONCE], &[KEY]));
     let replica = StandinReplica::start(respond_after_work).await;
     store.put(REPLICA_KIND, "i-1", desk_entry(replica.address()));
-    let relay = RelayProcess::start(&store, name).await;
-    let served = try_call(relay.callers, request("/once/a", "first")).await;
+    let bounds = BoundSettings { revoke_ms: 60_000.0, grace_s: GRACE_S, ..bounds() };
+    let relay = RelayProcess::start(&store, &format!("last-{name}"), &bounds, "info").await;
+    let served = relay.call("/once/a", "first").await;
     assert_eq!(served.expect("a response").status, StatusCode::OK);
     let callers = (0..CALLERS)
         .map(|number| spawn_local(Caller::new(relay.callers, number).call_until_gone()))
