Figures tell how busy the thread of a relay is, and how late it runs tasks

Change: figures and metrics have busy_percent, the part of the time in which the thread had tasks, and mean_wait_ms, the mean time from the acceptance of a connection to the start of its task, which enters longest_turn_ms as well.

--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -82,7 +82,7 @@
             }
         }
         round += 1;
-        relay.record_turn(next.elapsed());
+        relay.load.record_turn(next.elapsed());
         relay.shutdown.record_awake();
         remove_expired(relay);
         plan_gossip(relay);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,7 @@
 //! | [`placer`] | orders to engines to load layers |
 //! | [`readiness`] | progress of the start, and whether requests can be admitted |
 //! | [`run`], [`shutdown`], [`settings`], [`reload`] | the process and its settings |
-//! | [`logs`], [`counts`], [`metrics`] | logs and metrics |
+//! | [`logs`], [`counts`], [`metrics`], [`thread_load`] | logs and metrics |
 
 pub mod admission;
 pub mod admit;
@@ -74,4 +74,5 @@
 pub mod state;
 pub mod store_calls;
 pub mod stream;
+pub mod thread_load;
 pub mod watch;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -213,12 +213,15 @@
         let counts = &relay.counts;
         let now = now_millis();
         let share = relay.allowance_fraction(now);
+        let load = relay.load.figures();
         let state = relay.state.borrow();
         let figures = [
             ("accepted", counts.accepted.get()),
             ("accept_errors", counts.accept_errors.get()),
             ("open_connections", relay.shutdown.open_connections() as u64),
-            ("longest_turn_ms", relay.longest_turn.get()),
+            ("longest_turn_ms", load.longest_turn),
+            ("mean_wait_ms", load.mean_wait as u64),
+            ("busy_percent", load.busy_percent as u64),
             ("requests", counts.requests.get()),
             ("answered", counts.answered.get()),
             ("refused", counts.refused.get()),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -51,6 +51,7 @@
     snapshot::{fetch::new_client, serve::serve_snapshots},
     state::{Relay, RelayState},
     store_calls::CountedStore,
+    thread_load::ThreadLoad,
     watch::{follow_config, follow_replicas},
 };
 
@@ -308,7 +309,7 @@
         send_notify: Notify::new(),
         pending_send: Cell::new(None),
         accept_error_lines: LineInterval::default(),
-        longest_turn: Cell::default(),
+        load: ThreadLoad::default(),
         dropped_datagram_lines: LineInterval::default(),
         missing_path_lines: LineInterval::default(),
         end_lines: LineLimit::new(MAX_END_LINES),
@@ -384,12 +385,15 @@
         passed_changes,
     } = &relay.counts;
     let recent = relay.recent_counts.borrow();
+    let load = relay.load.take_figures();
     tracing::info!(
         event = "figures",
         accepted = accepted.get(),
         accept_errors = accept_errors.get(),
         open_connections = relay.shutdown.open_connections(),
-        longest_turn_ms = relay.longest_turn.take(),
+        longest_turn_ms = load.longest_turn,
+        mean_wait_ms = load.mean_wait,
+        busy_percent = load.busy_percent,
         requests = requests.get(),
         answered = answered.get(),
         refused = refused.get(),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -17,7 +17,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -40,7 +40,7 @@
 
 /// Serves callers until the shutdown is complete.
 pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
-    let spawn = |stream| drop(spawn_local(serve_caller(relay.clone(), stream)));
+    let spawn = |stream| drop(spawn_local(serve_caller(relay.clone(), stream, Instant::now())));
     {
         let mut drained = pin!(wait_until_drained(&relay));
         loop {
@@ -96,7 +96,8 @@
     }
 }
 
-async fn serve_caller(relay: Rc<Relay>, stream: TcpStream) {
+async fn serve_caller(relay: Rc<Relay>, stream: TcpStream, accepted_at: Instant) {
+    relay.load.record_wait(accepted_at.elapsed());
     let _open = CountGuard::for_connection(&relay);
     let _nodelay = stream.set_nodelay(true);
     let limits = |waited: Duration| {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,7 +8,6 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -60,6 +59,7 @@
     settings::{BoundSettings, RelaySettings},
     shutdown::ShutdownState,
     store_calls::{CallTally, CountedStore},
+    thread_load::ThreadLoad,
 };
 
 /// What a relay knows: its configuration, the replicas, the other relays, and figures about them.
@@ -260,9 +260,8 @@
     pub pending_send: Cell<Option<SendScope>>,
     /// Limit of the lines about connections that could not be accepted.
     pub accept_error_lines: LineInterval,
-    /// Longest time that a due task waited for the thread since the last line of figures, in
-    /// milliseconds.
-    pub longest_turn: Cell<Millis>,
+    /// Load of the thread since the last line of figures.
+    pub load: ThreadLoad,
     /// Limit of the lines about dropped datagrams.
     pub dropped_datagram_lines: LineInterval,
     /// Limit of the lines about requests without a path.
@@ -293,11 +292,6 @@
         self.state.borrow().caller_limits.largest_since(since, apply_time)
     }
 
-    /// Records how long a due task waited for the thread.
-    pub fn record_turn(&self, waited: Duration) {
-        self.longest_turn.update(|longest| longest.max(waited.as_millis() as Millis));
-    }
-
     /// Returns a random time of up to `max` milliseconds.
     pub fn random_delay(&self, max: Millis) -> Millis {
         self.random.borrow_mut().random_range(0..=max)
--- a/crates/relay/tests/readiness.rs
+++ b/crates/relay/tests/readiness.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use harness::{
     ROUTES, RunningRelay, bounds, entry_of, read_metric,
     recorded_events::{events_with, record_events, wait_for_event},
@@ -98,3 +100,25 @@
         }
     });
 }
+
+/// Longer than the tasks of a relay take by themselves.
+const HELD_TIME: Duration = Duration::from_millis(300);
+
+#[test]
+fn the_load_of_the_thread_is_exported() {
+    run_test(async {
+        let replica = StandinReplica::start(respond_healthy).await;
+        let relay = RunningRelay::start(bounds(), &[entry_of("i-1", &replica, desk_entry)]).await;
+        let read = async |name| {
+            read_metric(&relay, "switchfold_figures", &[("name", name)]).await.expect("a metric")
+        };
+        wait_until(async || {
+            // The relay runs on the thread of the test.
+            std::thread::sleep(HELD_TIME);
+            read("longest_turn_ms").await >= 100
+        })
+        .await;
+        assert!((1..=100).contains(&read("busy_percent").await));
+        assert!(read("mean_wait_ms").await < u64::MAX);
+    });
+}
