Soak: most new connections go to one relay while callers open one for each call

Change: a crowd sends nine of ten new connections to one relay, or to the next one once that is out. It is drawn in run beside all other faults and beside silences, and in half of the losses of recover. Entries of engines have the deployment's 192 slots in the large shape; with the six of the sample the engines themselves were full.

--- a/crates/soak/src/bin/switchfold-soak.rs
+++ b/crates/soak/src/bin/switchfold-soak.rs
@@ -12,6 +12,7 @@
 use futures_util::{StreamExt, stream};
 use switchfold_soak::{
     cluster::ClusterConfig,
+    crowd::{CrowdSize, run_crowd},
     measure::{SCENARIO_HEADER, Scenario, measure_silence},
     plan::ClusterSize,
     recovery::run_recovery,
@@ -48,6 +49,9 @@
     /// Lets relays, replicas and the store lose power, and reports the share of calls that is served in
     /// each second after their return.
     Recover(RunArguments),
+    /// Hands most new connections to one relay, and reports the share of requests that is served at the
+    /// first attempt which a relay read, in each second.
+    Crowd(CrowdArguments),
     /// Runs one stand-in replica. The soak starts these processes itself.
     Replica(ReplicaArguments),
 }
@@ -92,6 +96,18 @@
     folder: PathBuf,
 }
 
+#[derive(Debug, Args)]
+struct CrowdArguments {
+    #[command(flatten)]
+    run: RunArguments,
+    /// Callers that are added while the crowd lasts.
+    #[arg(long, default_value_t = 16)]
+    added_callers: usize,
+    /// Share of a processor core that each relay gets. Defaults to as much as it uses.
+    #[arg(long)]
+    processor_share: Option<f64>,
+}
+
 impl RunArguments {
     fn seeds(&self) -> io::Result<Vec<u64>> {
         let Some(file) = &self.seed_file else {
@@ -219,6 +235,21 @@
     Ok(failed == 0)
 }
 
+/// Runs the crowds of all seeds, and returns whether no guarantee was violated.
+async fn crowd(arguments: CrowdArguments) -> io::Result<bool> {
+    let soak_program = std::env::current_exe()?;
+    let CrowdArguments { run, added_callers: callers, processor_share } = arguments;
+    let size = CrowdSize { callers, length: Duration::from_secs(run.seconds), processor_share };
+    let mut is_clean = true;
+    for seed in run.seeds()? {
+        let config = run.cluster_config(&format!("crowd-{seed}"), &soak_program)?;
+        let report = run_crowd(seed, size, config).await?;
+        println!("{report}");
+        is_clean &= report.violations.is_empty();
+    }
+    Ok(is_clean)
+}
+
 fn print_report(report: &SoakReport, folder: &Path) {
     let calls: usize = report.outcomes.values().sum();
     let (after, served) = report.after_faults;
@@ -245,6 +276,7 @@
         SoakCommand::Run(arguments) => stop_on_signal(run(arguments)).await,
         SoakCommand::Silence(arguments) => stop_on_signal(measure(arguments)).await.map(|()| true),
         SoakCommand::Recover(arguments) => stop_on_signal(recover(arguments)).await,
+        SoakCommand::Crowd(arguments) => stop_on_signal(crowd(arguments)).await,
         SoakCommand::Replica(arguments) => run_replica(arguments).await.map(|()| true),
     };
     match outcome {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -75,6 +75,8 @@
     fn idle_limit(&self) -> Micros;
     /// Returns a request that crashes replicas, or `None` while the run has none.
     fn choose_crash_request(&self, random: &mut ChaCha8Rng) -> Option<CrashRequest>;
+    /// Whether callers open a new connection for each call.
+    fn opens_connections(&self) -> bool;
     /// Whether callers keep calling.
     fn is_running(&self) -> bool;
 }
@@ -124,7 +126,7 @@
                 let relay = connection.relay;
                 let CallEnd { outcome, keep_alive, .. } = outcome;
                 connection.idle_since = Some(epoch_micros());
-                idle = Some(connection).filter(|_| keep_alive);
+                idle = Some(connection).filter(|_| keep_alive && !context.opens_connections());
                 (relay, outcome)
             }
         };
@@ -293,6 +295,9 @@
 async fn read_response(response: http::Response<Incoming>, patience: Duration) -> CallEnd {
     let (parts, mut body) = response.into_parts();
     let closes = parts.headers.get(header::CONNECTION).is_some_and(|value| value == "close");
+    let retry_after = parts.headers.get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let retry_after = retry_after.and_then(|text| text.parse().ok());
+    let retry_after = retry_after.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let mut bytes = Vec::new();
     let mut last_at = epoch_micros();
     let (mut first_event_at, mut longest_pause) = (None, 0);
@@ -319,6 +324,7 @@
         signed: parts.headers.contains_key(REPLICA_SEAL),
         complete,
         body: String::from_utf8_lossy(&bytes).into_owned(),
+        retry_after,
     };
     CallEnd {
         outcome: CallOutcome::Responded(response),
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -157,6 +157,10 @@
     /// Requests are served again after the last fault.
     #[display("recovery")]
     Recovery,
+    /// While most new connections go to one relay, requests are served at the first attempt that is
+    /// read at least three quarters as often as before.
+    #[display("crowd")]
+    Crowd,
 }
 
 /// A violated guarantee.
@@ -714,6 +718,27 @@
     late.map(|late| violation(Guarantee::Recovery, describe(late)))
 }
 
+/// In each second of a crowd the share of requests that are served at the first attempt which was read
+/// is at least three quarters of that before. A second with few requests does not count.
+pub fn check_crowd(before: (usize, usize), during: &[(usize, usize)]) -> Option<Violation> {
+    const MIN_REQUESTS: usize = 20;
+    let (calls_before, served_before) = before;
+    if served_before == 0 {
+        return Some(violation(Guarantee::Crowd, "no request was served before the crowd"));
+    }
+    let is_below = |(calls, served): &&(usize, usize)| {
+        *calls >= MIN_REQUESTS && 4 * served * calls_before < 3 * served_before * calls
+    };
+    let late: Vec<String> = during
+        .iter()
+        .filter(is_below)
+        .map(|(calls, served)| format!("{served} of {calls}"))
+        .collect();
+    let detail =
+        || format!("{} in a second, {served_before} of {calls_before} before", late.join(", "));
+    (!late.is_empty()).then(|| violation(Guarantee::Crowd, detail()))
+}
+
 fn check_processes(history: &RunHistory) -> Vec<Violation> {
     let exits = history
         .unexpected_exits
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -41,6 +41,7 @@
     },
     shape::ClusterShape,
     slot::ProcessSlot,
+    throttle::{ProcessorLimit, THROTTLE_INTERVAL},
     weights::WeightStore,
 };
 
@@ -128,6 +129,8 @@
     keys: Mutex<KeySet>,
     config_state: Mutex<ConfigState>,
     crash_requests: Mutex<Vec<CrashRequest>>,
+    /// Relay that gets most new connections.
+    crowded: Mutex<Option<usize>>,
     history: Mutex<RunHistory>,
     is_running: AtomicBool,
     is_supervised: AtomicBool,
@@ -190,6 +193,7 @@
             keys,
             config_state: Mutex::default(),
             crash_requests: Mutex::default(),
+            crowded: Mutex::default(),
             history: Mutex::new(history),
             is_running: AtomicBool::new(true),
             is_supervised: AtomicBool::new(true),
@@ -268,6 +272,60 @@
         self.history().disruptions.push(Disruption { kind, from, to });
     }
 
+    /// Hands most new connections to a relay from now on, or to the next one once that is out.
+    pub fn begin_crowd(&self, number: usize) {
+        *lock(&self.crowded) = Some(number);
+    }
+
+    /// Hands new connections to all relays again.
+    pub fn end_crowd(&self) {
+        *lock(&self.crowded) = None;
+    }
+
+    /// Returns the number and address of a relay that the load balancer uses, other than `number` if
+    /// there is one, whether or not one of them gets most connections.
+    pub fn choose_other_relay(
+        &self,
+        number: usize,
+        random: &mut ChaCha8Rng,
+    ) -> (usize, SocketAddr) {
+        let eligible = self.eligible_relays();
+        let others: Vec<usize> = eligible.iter().copied().filter(|it| *it != number).collect();
+        let others = if others.is_empty() { eligible } else { others };
+        let chosen = others[random.random_range(0..others.len())];
+        (chosen, self.relays[chosen].listen)
+    }
+
+    /// Returns a key that is never removed.
+    pub fn valid_key(&self) -> String {
+        lock(&self.keys).valid.last().cloned().unwrap_or_default()
+    }
+
+    /// Holds each relay to a share of a processor core from now on.
+    pub fn throttle_relays(self: &Arc<Self>, share: f64) {
+        (0..self.relays.len()).for_each(|number| {
+            drop(tokio::spawn(self.clone().throttle_relay(number, share)));
+        });
+    }
+
+    async fn throttle_relay(self: Arc<Self>, number: usize, share: f64) {
+        let mut limit: Option<ProcessorLimit> = None;
+        let mut counted = Instant::now();
+        while self.is_supervised.load(Ordering::Relaxed) {
+            sleep(THROTTLE_INTERVAL).await;
+            let elapsed = mem::replace(&mut counted, Instant::now()).elapsed();
+            let slot = lock(&self.relays[number].slot);
+            let process = slot.process.as_ref().and_then(SoakProcess::id);
+            let Some(process) = process.filter(|_| !slot.is_frozen) else { continue };
+            if limit.as_ref().is_none_or(|limit| limit.process() != process) {
+                limit = Some(ProcessorLimit::new(share, process));
+            }
+            let signal = limit.as_mut().and_then(|limit| limit.count(elapsed));
+            signal.into_iter().for_each(|signal| slot.signal(signal));
+        }
+        self.signal_relay(number, Signal::SIGCONT);
+    }
+
     /// Sends a signal to a relay.
     pub fn signal_relay(&self, number: usize, signal: Signal) {
         lock(&self.relays[number].slot).signal(signal);
@@ -493,6 +551,16 @@
         }
     }
 
+    /// Numbers of the relays that the load balancer uses.
+    fn eligible_relays(&self) -> Vec<usize> {
+        const MAX_FAILED_CHECKS: u32 = 2;
+        let is_ready =
+            |number: &usize| *lock(&self.relays[*number].failed_ready_checks) < MAX_FAILED_CHECKS;
+        let all: Vec<usize> = (0..self.relays.len()).collect();
+        let eligible: Vec<usize> = all.iter().copied().filter(is_ready).collect();
+        if eligible.len() * 2 < all.len() { all } else { eligible }
+    }
+
     fn restart_relay_if_due(&self, number: usize) {
         let relay = &self.relays[number];
         let mut slot = lock(&relay.slot);
@@ -528,6 +596,7 @@
         let heartbeat = shape.heartbeat.as_millis().to_string();
         let lag = shape.list_lag.as_millis().to_string();
         let layers = shape.layers().to_string();
+        let slots = shape.slots().to_string();
         let weights = self.weights.as_ref().map(|weights| weights.address().to_string());
         let mut arguments = vec![
             "replica",
@@ -551,6 +620,8 @@
             replica.kind,
             "--layers",
             &layers,
+            "--slots",
+            &slots,
         ];
         if let Some(weights) = &weights {
             arguments.extend(["--weights", weights]);
@@ -603,16 +674,24 @@
 
 impl CallerContext for SoakCluster {
     fn choose_relay(&self, random: &mut ChaCha8Rng) -> (usize, SocketAddr) {
-        const MAX_FAILED_CHECKS: u32 = 2;
-        let is_ready =
-            |number: &usize| *lock(&self.relays[*number].failed_ready_checks) < MAX_FAILED_CHECKS;
-        let all: Vec<usize> = (0..self.relays.len()).collect();
-        let eligible: Vec<usize> = all.iter().copied().filter(is_ready).collect();
-        let eligible = if eligible.len() * 2 < all.len() { all } else { eligible };
-        let number = eligible[random.random_range(0..eligible.len())];
+        const CROWD_RATIO: (u32, u32) = (9, 10);
+        let eligible = self.eligible_relays();
+        let drawn = eligible[random.random_range(0..eligible.len())];
+        let crowded = *lock(&self.crowded);
+        let crowded = crowded.filter(|_| random.random_ratio(CROWD_RATIO.0, CROWD_RATIO.1));
+        // The next one in order, once that relay is out.
+        let crowded = crowded.map(|from| {
+            let next = eligible.iter().find(|number| **number >= from);
+            *next.unwrap_or(&eligible[0])
+        });
+        let number = crowded.unwrap_or(drawn);
         (number, self.relays[number].listen)
     }
 
+    fn opens_connections(&self) -> bool {
+        lock(&self.crowded).is_some()
+    }
+
     fn idle_limit(&self) -> Micros {
         self.history().idle_limit(epoch_micros())
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`record`], [`checks`], [`ends`] | what was recorded, and the guarantees it is checked against |
 //! | [`run`] | one run of a seed |
 //! | [`measure`] | measures what silence costs callers |
+//! | [`crowd`] | one run in which most new connections go to one relay; `throttle` holds relays to a share of a core |
 //!
 //! In contrast to the tests in virtual time, a run depends on how the system schedules its
 //! processes. A seed therefore determines the schedule of faults, but not the outcome. Logs of a
@@ -29,6 +30,7 @@
 pub mod checks;
 pub mod cluster;
 pub mod config;
+pub mod crowd;
 pub mod ends;
 pub mod measure;
 pub mod notices;
@@ -44,4 +46,5 @@
 pub mod shape;
 pub mod silence;
 mod slot;
+mod throttle;
 pub mod weights;
--- a/crates/soak/src/patient.rs
+++ b/crates/soak/src/patient.rs
@@ -88,7 +88,8 @@
                 let end = call(&mut connection.sender, &spec, patience, sending).await;
                 let relay = connection.relay;
                 connection.idle_since = Some(epoch_micros());
-                idle = Some(connection).filter(|_| end.keep_alive);
+                let is_kept = end.keep_alive && !context.opens_connections();
+                idle = Some(connection).filter(|_| is_kept);
                 (relay, end)
             }
         };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -87,6 +87,8 @@
     SetLimit(usize),
     /// A sound replica is silent for a while (SIGSTOP), and resumes.
     SilenceReplica(usize),
+    /// The load balancer hands most new connections to a relay, and callers open one for each call.
+    Crowd(usize),
     /// The operator changes the configuration.
     ChangeConfig(ConfigChange),
 }
@@ -151,6 +153,22 @@
     (0..count).map(restore).collect()
 }
 
+/// Range of the duration of a crowd, in milliseconds.
+const CROWD_DURATION_MS: std::ops::Range<u64> = 2_000..8_000;
+
+/// Plans one to three crowds at relays. Uses a random generator of its own.
+pub fn make_relay_crowds(seed: u64, size: &ClusterSize, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(52) ^ SEED_SALT);
+    let length_ms = length.as_millis() as u64;
+    let crowds = (0..random.random_range(1..4)).map(|_| {
+        let at = Duration::from_millis(random.random_range(0..=length_ms / 2));
+        let duration = Duration::from_millis(random.random_range(CROWD_DURATION_MS));
+        let fault = Fault::Crowd(random.random_range(0..size.relays));
+        PlannedFault { at, duration: duration.min(length - at), fault }
+    });
+    crowds.collect()
+}
+
 /// Kinds of objects that a starting relay cannot serve without.
 const READ_KINDS: [&str; 3] = [CONFIG_KIND, REPLICA_KIND, RELAY_KIND];
 
@@ -284,8 +302,8 @@
     }
 }
 
-/// Salt of the seeds of [`make_notice_faults`], [`make_limit_faults`], [`make_restore_faults`] and
-/// [`make_start_faults`].
+/// Salt of the seeds of [`make_notice_faults`], [`make_limit_faults`], [`make_restore_faults`],
+/// [`make_start_faults`] and [`make_relay_crowds`].
 const SEED_SALT: u64 = 0x6e6f_7469_6365_7321;
 
 /// The replica that a request crashes.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns the process id, unless the process has exited and was reaped.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Kills the process and waits for its exit.
     ///
     /// # Errors
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -129,6 +129,8 @@
     pub complete: bool,
     /// Received part of the body.
     pub body: String,
+    /// Time after which the caller is told to come back.
+    pub retry_after: Option<Duration>,
 }
 
 /// A call, as its caller saw it.
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -26,6 +26,7 @@
     checks::{Violation, check, check_load_recovery, check_recovery},
     cluster::{ClusterConfig, SoakCluster},
     config::ConfigChange,
+    plan::ClusterSize,
     record::{CallKind, CallRecord, DisruptionKind, Micros},
 };
 
@@ -227,6 +228,10 @@
         self.cluster.choose_crash_request(random)
     }
 
+    fn opens_connections(&self) -> bool {
+        self.cluster.opens_connections()
+    }
+
     fn is_running(&self) -> bool {
         self.is_running.load(Ordering::Relaxed)
     }
@@ -281,7 +286,10 @@
     let writer = loss.has_odd_objects.then(|| write_odd_objects(cluster.store().clone()));
     sleep(RENEW_INTERVAL).await;
     let surge = RunningCallers::start(&cluster, &format!("s{seed}o"), surge_size, !seed);
+    let crowded = draw_crowded_relay(seed, &size);
+    crowded.into_iter().for_each(|number| cluster.begin_crowd(number));
     apply_loss(&cluster, loss, &mut random).await;
+    cluster.end_crowd();
     sleep(if loss.has_surge { SURGE_TIME } else { Duration::ZERO }).await;
     let mut calls = surge.stop().await?;
     let back_at = epoch_micros();
@@ -324,6 +332,13 @@
     })
 }
 
+/// Draws whether most new connections go to one relay during the loss, and to which. Uses a random
+/// generator of its own.
+fn draw_crowded_relay(seed: u64, size: &ClusterSize) -> Option<usize> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    random.random_ratio(1, 2).then(|| random.random_range(0..size.relays))
+}
+
 /// Applies a loss, and waits until everything is back.
 async fn apply_loss(cluster: &Arc<SoakCluster>, loss: PowerLoss, random: &mut ChaCha8Rng) {
     let (behaviour, lasts) = loss.store;
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -23,7 +23,7 @@
 use switchfold_platform_standin::{
     EngineEvent, EngineModel, LayerLoader, ReceivedRequest, Reply, StandinEngine, StandinReplica,
     StreamEnd, reject,
-    samples::{KIND, LAYERS, desk_entry, draining, in_data_centre, started_at},
+    samples::{ENTRY_SLOTS, KIND, LAYERS, desk_entry, draining, in_data_centre, started_at},
     signed_response, unused_address,
 };
 use tokio::{
@@ -115,6 +115,9 @@
     /// Number of layers of an engine's model.
     #[arg(long, default_value_t = LAYERS)]
     pub layers: u32,
+    /// Number of requests that an engine runs at once, as its entry says.
+    #[arg(long, default_value_t = ENTRY_SLOTS)]
+    pub slots: u32,
     /// Address of the store of the weights, unless layers load at once.
     #[arg(long)]
     pub weights: Option<SocketAddr>,
@@ -219,6 +222,9 @@
     if arguments.service == ServiceKind::Annex {
         entry["service"] = ANNEX.into();
     }
+    if arguments.service == ServiceKind::Engine {
+        entry["slots"] = arguments.slots.into();
+    }
     let entry = in_data_centre(entry, &arguments.data_centre);
     if is_leaving { draining(entry) } else { entry }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,8 +22,8 @@
     patient::run_patient_caller,
     plan::{
         ClusterSize, Fault, PlannedFault, STORE_OUTAGE_AFTER_FREEZE, make_crash_faults,
-        make_limit_faults, make_notice_faults, make_plan, make_restore_faults, make_silence_plan,
-        make_start_faults,
+        make_limit_faults, make_notice_faults, make_plan, make_relay_crowds, make_restore_faults,
+        make_silence_plan, make_start_faults,
     },
     proxy::LinkCondition,
     record::{CallKind, CallOutcome, CallRecord, DisruptionKind},
@@ -133,6 +133,7 @@
     plan.extend(make_restore_faults(seed, length));
     plan.extend(make_limit_faults(seed, &size, length));
     plan.extend(make_start_faults(seed, &size, length));
+    plan.extend(make_relay_crowds(seed, &size, length));
     plan.sort_by_key(|planned| planned.at);
     inject(&cluster, &plan, length).await;
     sleep(RECONNECT_TIME).await;
@@ -200,7 +201,10 @@
         tokio::spawn(run_patient_caller(name, &CallKind::SILENCE, true, cluster.clone(), random))
     });
     let callers = callers.collect();
-    inject(cluster, &make_silence_plan(seed, size, SILENCE_TIME), SILENCE_TIME).await;
+    let mut plan = make_silence_plan(seed, size, SILENCE_TIME);
+    plan.extend(make_relay_crowds(!seed, size, SILENCE_TIME));
+    plan.sort_by_key(|planned| planned.at);
+    inject(cluster, &plan, SILENCE_TIME).await;
     sleep(MAX_CALL_TIME).await;
     cluster.stop_callers();
     cluster.keep_entries(false);
@@ -395,6 +399,11 @@
             cluster.signal_replica(number, Signal::SIGCONT);
         }
         Fault::SilenceReplica(number) => silence_replica(&cluster, number, duration).await,
+        Fault::Crowd(number) => {
+            cluster.begin_crowd(number);
+            sleep(duration).await;
+            cluster.end_crowd();
+        }
         Fault::ChangeConfig(change) => {
             cluster.record_disruption(DisruptionKind::PlannedWork, duration);
             cluster.change_config(change);
--- a/crates/soak/src/shape.rs
+++ b/crates/soak/src/shape.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use switchfold_platform_standin::samples::{KIND, LAYERS};
+use switchfold_platform_standin::samples::{ENTRY_SLOTS, KIND, LAYERS};
 
 use crate::weights::WeightLimits;
 
@@ -18,6 +18,8 @@
 pub struct ModelScale {
     /// Number of layers.
     pub layers: u32,
+    /// Number of requests that an engine runs at once.
+    pub slots: u32,
     /// Memory of a layer in MB.
     layer_mb: f64,
     kinds: &'static [AcceleratorKind],
@@ -59,6 +61,7 @@
     ready_interval: Duration::from_millis(1_000),
     model: Some(ModelScale {
         layers: 80,
+        slots: 192,
         layer_mb: 1_750.0,
         kinds: &[("a100", 72_000.0, 2.4), ("v100", 14_000.0, 5.3), ("l4", 22_000.0, 16.0)],
         engines: &[
@@ -92,6 +95,11 @@
         all[number * all.len() / count.max(1) % all.len()]
     }
 
+    /// Returns the number of requests that an engine runs at once.
+    pub fn slots(&self) -> u32 {
+        self.model.map_or(ENTRY_SLOTS, |model| model.slots)
+    }
+
     /// Returns the number of layers of the model.
     pub fn layers(&self) -> u32 {
         self.model.map_or(LAYERS, |model| model.layers)
@@ -112,7 +120,7 @@
             engine["loads_at_once"] = json!(self.weights.max_parallel);
             let load_time = self.weights.layer_time * self.layers;
             engine["models"][0]["load_s"] = json!(load_time.as_secs_f64());
-            engine["slots"] = json!(192);
+            engine["slots"] = json!(self.slots);
             engine["kv_capacity"] = json!(100_000);
         }
     }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -6,7 +6,7 @@
     attendance::CONTACT_TIME,
     checks::{
         DRAIN_TIME, EVENT_COUNT, Guarantee, KEPT_TIME, MAX_MEMORY_KB, REVOKE_TIME, check,
-        check_load_recovery, check_recovery, response_body,
+        check_crowd, check_load_recovery, check_recovery, response_body,
     },
     record::{
         CallKind, CallOutcome, CallRecord, CallResponse, CallTiming, Disruption, DisruptionKind,
@@ -17,7 +17,13 @@
 const ORGANISATION: &str = "fisher";
 
 fn response(status: u16, signed: bool, complete: bool, body: &str) -> CallOutcome {
-    CallOutcome::Responded(CallResponse { status, signed, complete, body: body.to_owned() })
+    CallOutcome::Responded(CallResponse {
+        status,
+        signed,
+        complete,
+        body: body.to_owned(),
+        retry_after: None,
+    })
 }
 
 fn call(id: &str, kind: CallKind, outcome: CallOutcome) -> CallRecord {
@@ -452,6 +458,23 @@
     assert!(nothing.is_some(), "nothing to compare with");
 }
 
+#[test]
+fn what_is_served_at_first_during_a_crowd_is_checked() {
+    const BEFORE: (usize, usize) = (400, 400);
+    let rows: &[(&[(usize, usize)], bool)] = &[
+        (&[(100, 100), (300, 225)], true),
+        (&[(100, 100), (300, 224)], false),
+        (&[(100, 0)], false),
+        (&[(19, 0)], true),
+        (&[], true),
+    ];
+    for (during, holds) in rows {
+        assert_eq!(check_crowd(BEFORE, during).is_none(), *holds, "{during:?}");
+    }
+    assert!(check_crowd((400, 200), &[(100, 40)]).is_none(), "four fifths of the share before");
+    assert!(check_crowd((400, 0), &[(100, 100)]).is_some(), "nothing to compare with");
+}
+
 /// A request, or a part of prompts, that crashes one replica after the other: as often as allowed
 /// before the settle time, and again after it.
 #[test]
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -5,7 +5,7 @@
 use switchfold_soak::{
     cluster::ANNEX_COUNT,
     config::ConfigChange,
-    plan::{ClusterSize, Fault, make_plan, make_silence_plan},
+    plan::{ClusterSize, Fault, make_plan, make_relay_crowds, make_silence_plan},
 };
 
 const SIZE: ClusterSize = ClusterSize { relays: 4, engines: 8, desks: 3, callers: 16 };
@@ -37,6 +37,15 @@
     assert_eq!(kinds.len(), 15);
 }
 
+#[test]
+fn crowds_end_with_the_run_and_come_to_every_relay() {
+    let crowds: Vec<_> = (0..50).flat_map(|seed| make_relay_crowds(seed, &SIZE, LENGTH)).collect();
+    assert!(crowds.iter().all(|planned| planned.at + planned.duration <= LENGTH));
+    for number in 0..SIZE.relays {
+        assert!(crowds.iter().any(|planned| planned.fault == Fault::Crowd(number)), "{number}");
+    }
+}
+
 #[test]
 fn every_change_and_silence_is_planned() {
     let plans: Vec<_> = (0..50).map(|seed| make_silence_plan(seed, &SIZE, LENGTH)).collect();
