Relay: connections of callers are bounded by the memory and the descriptors of the VM

What callers saw: many clients with large or unfinished requests ended the process, which ran out of memory, and with it all other requests.

Cause: bodies were bounded together, connections were not: each had some 130 KB in a debug build, whatever it sent, for as long as its caller liked. Two more: the HTTP library keeps room on each connection for the whole future of a request, used or not; the ports of readiness and metrics kept all connections.

A new one beyond the bound closes the one from which no whole request has come for the longest time; then one whose response has not been read for two seconds; then an idle one. A request that was read whole is served; if all connections serve one, the new one is closed unread. Futures of requests are allocated as they come. The pools for bodies follow the memory. The two other ports keep 64 connections each.

--- a/crates/relay/src/buffers.rs
+++ b/crates/relay/src/buffers.rs
@@ -15,6 +15,11 @@
 }
 
 impl BodyBuffers {
+    /// Creates empty pools of this size, in bytes.
+    pub fn new(pool_bytes: usize) -> Self {
+        Self { ledger: Arc::new(Mutex::new(BufferLedger::new(pool_bytes))) }
+    }
+
     /// Returns an empty share for one body.
     pub fn share(&self, kind: LengthKind) -> BufferShare {
         BufferShare { buffers: self.clone(), kind, held: 0 }
--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -12,11 +12,16 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use switchfold_kernel::clock::now_millis;
-use switchfold_router::Millis;
+use switchfold_router::{
+    Millis,
+    connections::{ConnectionId, ConnectionPhase},
+};
+use tokio::sync::Notify;
 
 use crate::{
     request_end::{EndCause, RequestRecord},
     responses::{BodyAborted, RelayBody},
+    state::Relay,
 };
 
 /// A request whose response was dropped before it was complete.
@@ -29,14 +34,69 @@
 /// Requests of a connection. The HTTP library drops the response in progress without telling why,
 /// so the end of a dropped request is logged when the connection has returned its error, or when
 /// the task of the connection is dropped.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallerConnection {
+    relay: Rc<Relay>,
+    id: ConnectionId,
+    /// Phase that goes on once what is unsent has been sent; `None` while nothing is.
+    sending: Cell<Option<ConnectionPhase>>,
     requests: Cell<u64>,
     last_request: RefCell<Option<String>>,
     dropped: RefCell<Vec<DroppedRequest>>,
 }
 
 impl CallerConnection {
+    /// Adds a connection to those that are open. `evicted` is notified if it is to be closed for
+    /// another one.
+    pub fn new(relay: &Rc<Relay>, evicted: Rc<Notify>) -> Self {
+        Self {
+            relay: relay.clone(),
+            id: relay.connections.borrow_mut().open(evicted, now_millis()),
+            sending: Cell::default(),
+            requests: Cell::default(),
+            last_request: RefCell::default(),
+            dropped: RefCell::default(),
+        }
+    }
+
+    /// Records that a request of this connection was read to its end.
+    pub fn record_read(&self) {
+        self.set_phase(ConnectionPhase::Serving);
+    }
+
+    /// Records whether the caller leaves bytes unread that are to be sent.
+    pub fn record_unsent(&self, is_unsent: bool) {
+        if is_unsent == self.sending.get().is_some() {
+            return;
+        }
+        let phase = match self.sending.take() {
+            Some(phase) => phase,
+            None => {
+                self.sending.set(self.relay.connections.borrow().phase(self.id));
+                ConnectionPhase::Unsent
+            }
+        };
+        self.set_phase(phase);
+    }
+
+    /// Records that the response to the last request is complete.
+    fn record_complete(&self) {
+        match self.sending.get() {
+            Some(_) => self.sending.set(Some(ConnectionPhase::Resting)),
+            None => self.set_phase(ConnectionPhase::Resting),
+        }
+    }
+
+    fn set_phase(&self, phase: ConnectionPhase) {
+        self.relay.connections.borrow_mut().set_phase(self.id, phase, now_millis());
+    }
+
+    /// Logs the ends of requests that were in progress when the connection was closed for another
+    /// one. Returns the id of the last of them.
+    pub fn end_evicted(&self) -> Option<String> {
+        self.end_dropped(EndCause::Evicted, None)
+    }
+
     /// Returns the number of requests so far.
     pub fn request_count(&self) -> u64 {
         self.requests.get()
@@ -65,6 +125,7 @@
 
 impl Drop for CallerConnection {
     fn drop(&mut self) {
+        self.relay.connections.borrow_mut().close(self.id);
         let cause = if thread::panicking() { EndCause::Panicked } else { EndCause::ProcessExit };
         self.end_dropped(cause, None);
     }
@@ -83,6 +144,7 @@
     /// Starts to watch a request of a connection.
     pub fn new(connection: &Rc<CallerConnection>, record: &Rc<RequestRecord>) -> Self {
         connection.requests.update(|count| count + 1);
+        connection.set_phase(ConnectionPhase::Receiving);
         connection.last_request.replace(Some(record.id().to_owned()));
         Self { connection: connection.clone(), record: record.clone(), has_ended: false }
     }
@@ -99,6 +161,7 @@
     fn end_complete(&mut self) {
         if !std::mem::replace(&mut self.has_ended, true) {
             self.record.end_complete();
+            self.connection.record_complete();
         }
     }
 
--- a/crates/relay/src/counts.rs
+++ b/crates/relay/src/counts.rs
@@ -74,6 +74,8 @@
     pub accept_errors: Cell<u64>,
     /// Connections closed before anything was read, since the relay could not serve them in time.
     pub shed_connections: Cell<u64>,
+    /// Connections closed for new ones, since too many were open.
+    pub evicted_connections: Cell<u64>,
     /// Requests received from callers.
     pub requests: Cell<u64>,
     /// Requests that ended with the response of a replica.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`serve`], [`request`], [`admit`], [`responses`] | requests of callers, their admission and responses |
-//! | [`request_end`], [`caller_connection`] | how requests and connections of callers end |
+//! | [`request_end`], [`caller_connection`], [`caller_stream`] | how requests and connections of callers end |
 //! | [`admission`] | streams that wait for capacity at ranked services |
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`response_head`], [`late_sends`], [`forward`], [`paths`] | streams over engines |
@@ -35,6 +35,7 @@
 pub mod admit;
 pub mod buffers;
 pub mod caller_connection;
+pub mod caller_stream;
 pub mod counts;
 pub mod engine_poll;
 pub mod engines;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -219,6 +219,7 @@
             ("accepted", counts.accepted.get()),
             ("accept_errors", counts.accept_errors.get()),
             ("shed_connections", counts.shed_connections.get()),
+            ("evicted_connections", counts.evicted_connections.get()),
             ("open_connections", relay.shutdown.open_connections() as u64),
             ("longest_turn_ms", load.longest_turn),
             ("mean_wait_ms", load.mean_wait as u64),
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -291,13 +291,16 @@
     let may_have_run = Rc::default();
     let record = Rc::new(RequestRecord::new(&relay, &headers.attempt_id, &may_have_run));
     let guard = EndGuard::new(connection, &record);
+    let connection = connection.clone();
     let is_head_request = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
     if body.is_end_stream() {
         record.record_read();
+        connection.record_read();
     }
     let arrived_at = now_millis();
-    let arrival = RequestArrival { parts, body, headers, arrived_at, may_have_run, record };
+    let arrival =
+        RequestArrival { parts, body, headers, arrived_at, may_have_run, record, connection };
     let unanswered = CountGuard::for_unanswered(&relay);
     async move {
         let _unanswered = unanswered;
@@ -383,6 +386,7 @@
     arrived_at: Millis,
     may_have_run: Rc<Cell<bool>>,
     record: Rc<RequestRecord>,
+    connection: Rc<CallerConnection>,
 }
 
 /// Serves a request, and sets `class` once it is admitted.
@@ -392,7 +396,8 @@
     in_flight: CountGuard,
     class: &mut RequestClass,
 ) -> Result<RelayResponse, Refusal> {
-    let RequestArrival { parts, body, headers, arrived_at, may_have_run, record } = arrival;
+    let RequestArrival { parts, body, headers, arrived_at, may_have_run, record, connection } =
+        arrival;
     let admission = read_admission(&parts, &headers);
     wait_for_config(relay).await;
     let max_body = relay.caller_limits(arrived_at).max_body_bytes;
@@ -418,6 +423,7 @@
         Err(_) => return Err(Refusal::TimedOutUnsent),
     };
     record.record_read();
+    connection.record_read();
     let uri = origin_form(&parts.uri);
     let fingerprint = RequestFingerprint::of(&RequestParts {
         method: parts.method.as_str(),
--- a/crates/relay/src/request_end.rs
+++ b/crates/relay/src/request_end.rs
@@ -48,6 +48,9 @@
     /// The connection was reset or failed otherwise.
     #[display("connection-failed")]
     ConnectionFailed,
+    /// The relay closed the connection for a new one, since too many were open.
+    #[display("evicted")]
+    Evicted,
     /// The process ended.
     #[display("process-exit")]
     ProcessExit,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -20,7 +20,9 @@
     metrics::MetricsError,
     shutdown::ShutdownSignal,
 };
-use switchfold_router::{Millis, allowance::AllowanceShare, follow::STORE_TIMEOUT};
+use switchfold_router::{
+    Millis, allowance::AllowanceShare, connections::ConnectionTable, follow::STORE_TIMEOUT,
+};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -276,6 +278,9 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let allowance_share = AllowanceShare::starting_at(now_millis(), settings.first_start);
     let state = RelayState { allowance_share, ..RelayState::default() };
+    let buffers = BodyBuffers::new(settings.response_pool_bytes());
+    let request_buffers = BodyBuffers::new(settings.request_pool_bytes());
+    let connections = RefCell::new(ConnectionTable::new(settings.max_connections()));
     Relay {
         store,
         calls,
@@ -284,8 +289,10 @@
         settings,
         state: RefCell::new(state),
         pool: ConnectionPool::default(),
-        buffers: BodyBuffers::default(),
-        request_buffers: BodyBuffers::default(),
+        buffers,
+        request_buffers,
+        connections,
+        eviction_lines: LineInterval::default(),
         reports: ReportCache::default(),
         peer_socket,
         started_at: now_millis(),
@@ -346,6 +353,7 @@
         accepted,
         accept_errors,
         shed_connections,
+        evicted_connections,
         requests,
         answered,
         refused,
@@ -395,6 +403,7 @@
         accepted = accepted.get(),
         accept_errors = accept_errors.get(),
         shed_connections = shed_connections.get(),
+        evicted_connections = evicted_connections.get(),
         intake_limit = relay.intake.borrow().limit(),
         open_connections = relay.shutdown.open_connections(),
         longest_turn_ms = load.longest_turn,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,9 @@
 //! HTTP servers for callers, readiness checks and metrics.
 
-use std::{cell::RefCell, convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::VecDeque, convert::Infallible, pin::pin, rc::Rc, sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -16,13 +19,14 @@
 use switchfold_router::{Millis, intake::MAX_STARTING};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-    task::{spawn_local, yield_now},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+    task::{AbortHandle, spawn_local, yield_now},
     time::{Instant, sleep},
 };
 
 use crate::{
     caller_connection::CallerConnection,
+    caller_stream::WatchedStream,
     counts::count,
     readiness::is_ready,
     request::handle,
@@ -42,8 +46,10 @@
 /// Serves callers until the shutdown is complete.
 pub async fn serve_callers(relay: Rc<Relay>, listener: TcpListener) {
     let spawn = |stream, start: Option<OwnedSemaphorePermit>| {
+        let evicted = Rc::new(Notify::new());
+        let connection = Rc::new(CallerConnection::new(&relay, evicted.clone()));
         let new_connection = CountGuard::for_new_connection(&relay);
-        let serving = serve_caller(relay.clone(), stream, new_connection);
+        let serving = serve_caller(relay.clone(), stream, connection, evicted, new_connection);
         let (relay, accepted_at) = (relay.clone(), Instant::now());
         spawn_local(async move {
             wait_for_turn(&relay, accepted_at).await;
@@ -66,7 +72,7 @@
             match accepted {
                 Ok((stream, start)) => {
                     count(&relay.counts.accepted);
-                    match takes_connection(&relay) {
+                    match takes_connection(&relay) && make_room(&relay) {
                         true => spawn(stream, start),
                         false => shed(&relay, stream),
                     }
@@ -119,6 +125,23 @@
     relay.intake.borrow_mut().takes(relay.shutdown.load(), now_millis())
 }
 
+/// Makes room for one more connection, for which another one may be closed. Returns whether there is
+/// room.
+fn make_room(relay: &Relay) -> bool {
+    let now = now_millis();
+    let room = relay.connections.borrow_mut().make_room(now);
+    let Ok(evicted) = room else { return false };
+    if let Some(evicted) = evicted {
+        evicted.notify_one();
+        count(&relay.counts.evicted_connections);
+        if relay.eviction_lines.admit(now) {
+            let open = relay.shutdown.open_connections();
+            tracing::warn!(event = "connections-evicted", open);
+        }
+    }
+    true
+}
+
 /// Closes a connection before anything is read from it, so that its caller tries another relay.
 fn shed(relay: &Rc<Relay>, stream: TcpStream) {
     drop(stream);
@@ -145,7 +168,13 @@
     relay.record_wait(due_at.elapsed());
 }
 
-async fn serve_caller(relay: Rc<Relay>, stream: TcpStream, new_connection: CountGuard) {
+async fn serve_caller(
+    relay: Rc<Relay>,
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+    evicted: Rc<Notify>,
+    new_connection: CountGuard,
+) {
     let _open = CountGuard::for_connection(&relay);
     let new_connection = RefCell::new(Some(new_connection));
     let _nodelay = stream.set_nodelay(true);
@@ -163,14 +192,22 @@
         after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
         idle: Duration::from_millis(LAST_USE_DELAY),
     };
-    let connection = Rc::new(CallerConnection::default());
+    let stream = WatchedStream::new(stream, &connection);
     let handler = |request| {
         drop(new_connection.take());
-        let handling = handle(relay.clone(), &connection, request);
+        // The HTTP library has room for the returned future on each connection, with a request or not.
+        let handling = Box::pin(handle(relay.clone(), &connection, request));
         async move { Ok::<RelayResponse, Infallible>(handling.await) }
     };
     let stopping = relay.shutdown.wait_until_stopping();
-    let closed = serve_connection(stream, limits, delays, stopping, handler).await;
+    let closed = tokio::select! {
+        biased;
+        closed = serve_connection(stream, limits, delays, stopping, handler) => closed,
+        () = evicted.notified() => {
+            connection.end_evicted();
+            return;
+        }
+    };
     let in_progress = connection.end_requests(closed.error.as_ref());
     log_closed(&relay, &connection, &closed, in_progress);
 }
@@ -225,16 +262,25 @@
     .await;
 }
 
-/// Responds to every request on `listener` with the result of `respond`.
+/// Maximum number of open connections to each of these endpoints.
+const MAX_PROBE_CONNECTIONS: usize = 64;
+
+/// Responds to every request on `listener` with the result of `respond`. Too many connections close
+/// the oldest.
 async fn serve_each(listener: TcpListener, respond: impl Fn() -> RelayResponse + 'static) {
     let respond = Rc::new(respond);
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(10)).await;
             continue;
         };
+        open.retain(|connection| !connection.is_finished());
+        if open.len() >= MAX_PROBE_CONNECTIONS {
+            open.pop_front().iter().for_each(AbortHandle::abort);
+        }
         let respond = respond.clone();
-        spawn_local(async move {
+        let serving = spawn_local(async move {
             let service = service_fn(|_: Request<Incoming>| {
                 let response = respond();
                 async move { Ok::<RelayResponse, Infallible>(response) }
@@ -242,6 +288,7 @@
             let _ended =
                 http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
+        open.push_back(serving.abort_handle());
     }
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 use switchfold_kernel::settings::{CheckedSettings, FieldError, FieldKind, FieldRule};
-use switchfold_router::Millis;
+use switchfold_router::{Millis, buffers::POOL_BYTES, connections::max_connections};
 
 /// Settings of a relay, as read from its JSON file.
 #[derive(Clone, Debug, Deserialize)]
@@ -34,6 +34,12 @@
     /// Share of a processor core that the process gets.
     #[serde(default)]
     pub processor_share: Option<f64>,
+    /// Memory that the process may use, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+    /// Number of descriptors that the process may have open.
+    #[serde(default = "default_descriptors")]
+    pub max_descriptors: f64,
     /// How requests beyond the capacity are treated.
     #[serde(default)]
     pub overload_control: OverloadControl,
@@ -44,6 +50,26 @@
     pub bounds: BoundSettings,
 }
 
+/// Default memory of a process, in MB.
+fn default_memory_mb() -> f64 {
+    256.0
+}
+
+/// Default number of descriptors of a process.
+fn default_descriptors() -> f64 {
+    4_096.0
+}
+
+/// Smallest size of a pool for bodies, in bytes. It has room for the largest request body that
+/// configurations allow.
+const MIN_POOL_BYTES: usize = 8 << 20;
+
+/// Part of the memory that each pool for request bodies may use.
+const REQUEST_POOL_FRACTION: f64 = 1.0 / 16.0;
+
+/// Part of the memory that each pool for responses may use.
+const RESPONSE_POOL_FRACTION: f64 = 1.0 / 8.0;
+
 /// How a relay treats requests beyond the capacity.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -66,6 +92,26 @@
         own.contains(&address)
     }
 
+    /// Returns the number of connections of callers that may be open.
+    pub fn max_connections(&self) -> usize {
+        max_connections(self.memory_mb, self.max_descriptors as usize)
+    }
+
+    /// Returns the size of each pool for request bodies, in bytes.
+    pub fn request_pool_bytes(&self) -> usize {
+        self.pool_bytes(REQUEST_POOL_FRACTION)
+    }
+
+    /// Returns the size of each pool for responses, in bytes.
+    pub fn response_pool_bytes(&self) -> usize {
+        self.pool_bytes(RESPONSE_POOL_FRACTION)
+    }
+
+    fn pool_bytes(&self, fraction: f64) -> usize {
+        let bytes = self.memory_mb * fraction * f64::from(1 << 20);
+        (bytes as usize).clamp(MIN_POOL_BYTES, POOL_BYTES)
+    }
+
     /// Returns these settings with the name that the relay uses towards other relays. It begins
     /// with the class of the VM's processor share; each class has half the share of the one before.
     /// Work that falls to the first relays by name thereby goes to the strongest VMs.
@@ -204,6 +250,16 @@
             "whether the whole system starts for the first time",
         ),
         optional("processor_share", FieldKind::Decimal(0.0, 1_024.0), "share of a processor core"),
+        optional(
+            "memory_mb",
+            FieldKind::Decimal(0.0, 1_048_576.0),
+            "memory that the process may use",
+        ),
+        optional(
+            "max_descriptors",
+            FieldKind::Decimal(0.0, 1_048_576.0),
+            "descriptors that the process may have open",
+        ),
         optional(
             "overload_control",
             FieldKind::OneOf(OVERLOAD_CONTROL_NAMES),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -23,6 +23,7 @@
     budget::RetryBudget,
     caller_limits::LimitHistory,
     clocks::PeerClocks,
+    connections::ConnectionTable,
     fleet::EntryState,
     freshness::FreshnessLease,
     grants::{HeldGrants, RetrySchedule},
@@ -232,6 +233,10 @@
     pub recent_counts: RefCell<RecentCounts>,
     /// Histograms, and the contents of the metrics address.
     pub metrics: RelayMetrics,
+    /// Open connections of callers.
+    pub connections: RefCell<ConnectionTable<Rc<Notify>>>,
+    /// Limit of the lines about connections that were closed for new ones.
+    pub eviction_lines: LineInterval,
     /// Era of the store in which it was last known to hold this relay's object.
     pub registered_era: Cell<Option<u64>>,
     /// Whether new callers were redirected to other relays at the last readiness check.
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -216,6 +216,8 @@
             platform: store.address(),
             first_start: false,
             processor_share: None,
+            memory_mb: 256.0,
+            max_descriptors: 4_096.0,
             overload_control: OverloadControl::default(),
             load_aware_paths: false,
             bounds,
--- a/crates/relay/tests/harness/relay_process.rs
+++ b/crates/relay/tests/harness/relay_process.rs
@@ -20,7 +20,10 @@
     pub(crate) child: Child,
     /// Address for callers.
     pub(crate) callers: SocketAddr,
-    ready: SocketAddr,
+    /// Address of the readiness endpoint.
+    pub(crate) ready: SocketAddr,
+    /// Address of the metrics endpoint.
+    pub(crate) metrics: SocketAddr,
     folder: PathBuf,
 }
 
@@ -39,12 +42,23 @@
         name: &str,
         bounds: &BoundSettings,
         log_level: &str,
+    ) -> Self {
+        Self::start_with(store, name, bounds, log_level, json!({})).await
+    }
+
+    /// Does the same as [`Self::start`] with more settings.
+    pub(crate) async fn start_with(
+        store: &StandinStore,
+        name: &str,
+        bounds: &BoundSettings,
+        log_level: &str,
+        more: Value,
     ) -> Self {
         let free = || unused_address().expect("a loopback address");
-        let (callers, ready) = (free(), free());
-        let settings = json!({
+        let (callers, ready, metrics) = (free(), free(), free());
+        let mut settings = json!({
             "name": "relay-1", "data_centre": "hall", "region": "west",
-            "listen": callers, "ready_listen": ready, "metrics_listen": free(),
+            "listen": callers, "ready_listen": ready, "metrics_listen": metrics,
             "peer_listen": free(), "platform": store.address(), "first_start": true,
             "bounds": {
                 "revoke_ms": bounds.revoke_ms, "grace_s": bounds.grace_s,
@@ -52,6 +66,9 @@
                 "retry_allowance": bounds.retry_allowance,
             },
         });
+        settings.as_object_mut().into_iter().for_each(|settings| {
+            settings.extend(more.as_object().cloned().unwrap_or_default());
+        });
         let folder = std::env::temp_dir().join(format!("switchfold-{name}-{}", process::id()));
         fs::create_dir_all(&folder).expect("the folder can be created");
         let path = folder.join("relay.json");
@@ -62,7 +79,7 @@
             .stdout(fs::File::create(folder.join("log")).expect("a file"))
             .spawn()
             .expect("the relay starts");
-        let relay = Self { child, callers, ready, folder };
+        let relay = Self { child, callers, ready, metrics, folder };
         let is_ready = async || {
             let request = Request::get("/readyz").body(Full::default()).expect("a request");
             let response = try_call(relay.ready, request).await;
@@ -74,13 +91,27 @@
 
     /// Returns the largest resident memory so far, in KB.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
+        self.read_status("VmHWM:")
+    }
+
+    /// Returns the resident memory, in KB.
+    pub(crate) fn memory_kb(&self) -> u64 {
+        self.read_status("VmRSS:")
+    }
+
+    fn read_status(&self, field: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).expect("the relay runs");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let digits = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        let size = status.lines().find_map(|line| line.strip_prefix(field));
+        let digits = size.and_then(|size| size.trim().strip_suffix(" kB"));
         digits.and_then(|digits| digits.trim().parse().ok()).expect("a size")
     }
 
+    /// Returns the number of open descriptors.
+    pub(crate) fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the relay runs").count()
+    }
+
     /// Calls a path with the sample key; `id` is the attempt id.
     pub(crate) async fn call(&self, path: &str, id: &str) -> Option<CallResult> {
         try_call(self.callers, request(path, id)).await
--- a/crates/relay/tests/sockets.rs
+++ b/crates/relay/tests/sockets.rs
@@ -27,6 +27,8 @@
         platform: any,
         first_start: false,
         processor_share: None,
+        memory_mb: 256.0,
+        max_descriptors: 4_096.0,
         overload_control: OverloadControl::default(),
         load_aware_paths: false,
         bounds: bounds(),
--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -8,8 +8,8 @@
 /// Bytes of each body that are not counted: small bodies need no room in a pool.
 pub const FREE_BYTES: usize = 16 << 10;
 
-/// Size of each pool, in bytes.
-const POOL_BYTES: usize = 20 << 20;
+/// Size of each pool by default, in bytes.
+pub const POOL_BYTES: usize = 20 << 20;
 
 /// Whether a body declares its length.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,13 +21,25 @@
 }
 
 /// Bytes that are buffered at the moment.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct BufferLedger {
+    pool_bytes: usize,
     declared: usize,
     open: usize,
 }
 
+impl Default for BufferLedger {
+    fn default() -> Self {
+        Self::new(POOL_BYTES)
+    }
+}
+
 impl BufferLedger {
+    /// Creates two empty pools of this size.
+    pub fn new(pool_bytes: usize) -> Self {
+        Self { pool_bytes, declared: 0, open: 0 }
+    }
+
     /// Changes the size of one body's buffer from `held` to `wanted` bytes. Returns whether that
     /// is allowed; if not, nothing changes. A smaller size always is.
     pub fn resize(&mut self, kind: LengthKind, held: usize, wanted: usize) -> bool {
@@ -38,7 +50,7 @@
             LengthKind::Open => &mut self.open,
         };
         let others = *used - held;
-        let left = POOL_BYTES.saturating_sub(others);
+        let left = self.pool_bytes.saturating_sub(others);
         let limit = match kind {
             LengthKind::Declared => left,
             LengthKind::Open => left / 5 * 4,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`budget`] | how many retries a service may still get |
 //! | [`buffers`] | how many bytes of responses are buffered at a time |
 //! | [`clocks`] | which time of the receiver a message's time stamp corresponds to |
+//! | [`connections`] | how many connections of callers stay open, and which one is closed for a new one |
 //! | [`coordinator`] | which relay hands out the grants for a replica's rate limit |
 //! | [`era`] | which of two states of the store is newer, also after a restore from a backup |
 //! | [`fingerprint`] | which requests are identical apart from their ids |
@@ -60,6 +61,7 @@
 pub mod buffers;
 pub mod caller_limits;
 pub mod clocks;
+pub mod connections;
 pub mod coordinator;
 pub mod era;
 pub mod fingerprint;
