Relay: without a descriptor for a connection, no replica is suspected

What callers saw: a relay whose descriptors were taken by connections of callers suspected the replicas that it could not connect to, and told the other relays.

Cause: each connection that could not be opened counted as a failure of the replica, also if the relay's own process had no descriptor for it.

Change: EMFILE, ENFILE, ENOBUFS and ENOMEM say nothing of the replica: the request is tried elsewhere, a line connection-unopened is written once a second at most, and a probe counts as unclear.

--- a/crates/relay/src/engines.rs
+++ b/crates/relay/src/engines.rs
@@ -249,12 +249,17 @@
 }
 
 async fn probe(relay: &Relay, address: SocketAddr) -> ProbeOutcome {
-    probe_with_retry(async |new_connection| {
-        exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), new_connection)
-            .await
-            .map(drop)
-    })
-    .await
+    let is_local = Cell::new(false);
+    let outcome = probe_with_retry(async |new_connection| {
+        let sent = exchange(relay, address, Method::GET, REPORT_PATH, Vec::new(), new_connection);
+        let sent = sent.await;
+        is_local.set(sent.as_ref().is_err_and(SendError::is_local));
+        sent.map(drop)
+    });
+    match outcome.await {
+        ProbeOutcome::Refused(_) if is_local.get() => ProbeOutcome::Unclear,
+        outcome => outcome,
+    }
 }
 
 fn record_crash_at(relay: &Relay, address: SocketAddr) {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,13 @@
 //! connection whose request is abandoned is closed at once, so that the replica stops working on
 //! it.
 
-use std::{cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -17,6 +23,7 @@
     ext::ReasonPhrase,
 };
 use hyper_util::rt::TokioIo;
+use nix::errno::Errno;
 use socket2::SockRef;
 use switchfold_kernel::{clock::now_millis, http::is_final};
 use switchfold_platform::headers::is_merged;
@@ -58,8 +65,8 @@
     NotSent {
         /// Why it was not sent.
         detail: String,
-        /// Whether the replica's host refused the connection: nobody listens at the address.
-        is_refused: bool,
+        /// What is known of the cause.
+        cause: UnsentCause,
     },
     /// No byte of the request was sent, since the replica accepts no requests of this relay at the
     /// moment.
@@ -84,7 +91,37 @@
 
     /// Returns whether the connection was refused, which a silent replica does not do.
     pub fn is_refused(&self) -> bool {
-        matches!(self, Self::NotSent { is_refused: true, .. })
+        matches!(self, Self::NotSent { cause: UnsentCause::Refused, .. })
+    }
+
+    /// Returns whether this process could not even try to reach the replica.
+    pub fn is_local(&self) -> bool {
+        matches!(self, Self::NotSent { cause: UnsentCause::Local, .. })
+    }
+}
+
+/// Why no byte of a request was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnsentCause {
+    /// The replica's host refused the connection: nobody listens at the address.
+    Refused,
+    /// This process or its host has no descriptor or no memory for a connection.
+    Local,
+    /// Anything else.
+    Unknown,
+}
+
+impl UnsentCause {
+    /// Returns the cause of a connection that could not be opened.
+    fn of(error: &io::Error) -> Self {
+        let is_local = error.raw_os_error().map(Errno::from_raw).is_some_and(|errno| {
+            matches!(errno, Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM)
+        });
+        match error.kind() {
+            _ if is_local => Self::Local,
+            ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::Unknown,
+        }
     }
 }
 
@@ -249,12 +286,12 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<ActiveConnection, SendError> {
-    let not_sent = |detail: String| SendError::NotSent { detail, is_refused: false };
+    let not_sent = |detail: String| SendError::NotSent { detail, cause: UnsentCause::Unknown };
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => {
-            let is_refused = error.kind() == ErrorKind::ConnectionRefused;
-            return Err(SendError::NotSent { detail: error.to_string(), is_refused });
+            let cause = UnsentCause::of(&error);
+            return Err(SendError::NotSent { detail: error.to_string(), cause });
         }
         Err(_) => return Err(not_sent("connection timed out".to_owned())),
     };
@@ -298,7 +335,7 @@
             let unsent = failure.take_message();
             let detail = failure.into_error().to_string();
             let error = match unsent {
-                Some(_) => SendError::NotSent { detail, is_refused: false },
+                Some(_) => SendError::NotSent { detail, cause: UnsentCause::Unknown },
                 None => SendError::NoResponse { detail },
             };
             Err((error, unsent))
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -320,6 +320,7 @@
         intake: RefCell::default(),
         measures_wait: Cell::default(),
         shed_lines: LineInterval::default(),
+        local_error_lines: LineInterval::default(),
         dropped_datagram_lines: LineInterval::default(),
         missing_path_lines: LineInterval::default(),
         end_lines: LineLimit::new(MAX_END_LINES),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -275,6 +275,8 @@
     pub measures_wait: Cell<bool>,
     /// Limit of the lines about connections that were closed unread.
     pub shed_lines: LineInterval,
+    /// Limit of the lines about connections to replicas that this process could not open.
+    pub local_error_lines: LineInterval,
     /// Limit of the lines about dropped datagrams.
     pub dropped_datagram_lines: LineInterval,
     /// Limit of the lines about requests without a path.
@@ -324,8 +326,15 @@
     }
 
     /// Records that no connection to a replica could be opened, and avoids it. Only a refused
-    /// connection shows that the replica has crashed; without any response it may be well.
+    /// connection shows that the replica has crashed; without any response it may be well. One that this
+    /// process has no descriptor for says nothing of the replica.
     pub fn record_unreachable(&self, instance: &ReplicaInstance, error: &SendError) {
+        if error.is_local() {
+            if self.local_error_lines.admit(now_millis()) {
+                tracing::warn!(event = "connection-unopened", replica = %instance, %error);
+            }
+            return;
+        }
         if error.is_refused() {
             record_crash(self, instance);
         }
--- a/crates/relay/tests/harness/relay_process.rs
+++ b/crates/relay/tests/harness/relay_process.rs
@@ -53,6 +53,31 @@
         bounds: &BoundSettings,
         log_level: &str,
         more: Value,
+    ) -> Self {
+        let program = Command::new(env!("CARGO_BIN_EXE_switchfold-relay"));
+        Self::start_program(program, store, name, bounds, log_level, more).await
+    }
+
+    /// Does the same as [`Self::start`] with a limit of the descriptors that the process can open.
+    pub(crate) async fn start_limited(
+        store: &StandinStore,
+        name: &str,
+        bounds: &BoundSettings,
+        max_open: usize,
+    ) -> Self {
+        let mut shell = Command::new("sh");
+        let script = format!("ulimit -n {max_open}; exec \"$0\" \"$@\"");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_switchfold-relay")]);
+        Self::start_program(shell, store, name, bounds, "warn", json!({})).await
+    }
+
+    async fn start_program(
+        mut program: Command,
+        store: &StandinStore,
+        name: &str,
+        bounds: &BoundSettings,
+        log_level: &str,
+        more: Value,
     ) -> Self {
         let free = || unused_address().expect("a loopback address");
         let (callers, ready, metrics) = (free(), free(), free());
@@ -73,7 +98,7 @@
         fs::create_dir_all(&folder).expect("the folder can be created");
         let path = folder.join("relay.json");
         fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_switchfold-relay"))
+        let child = program
             .args(["--log-level", log_level, "--settings"])
             .arg(&path)
             .stdout(fs::File::create(folder.join("log")).expect("a file"))
