Relay: a connection that is closed for another one reads no further request; tidying

A connection whose close was due could still read a request that had just arrived, and drop it. The soak counts a connection as closed unread only if it ends within 1.5 s.

--- a/crates/relay/src/caller_connection.rs
+++ b/crates/relay/src/caller_connection.rs
@@ -92,9 +92,9 @@
     }
 
     /// Logs the ends of requests that were in progress when the connection was closed for another
-    /// one. Returns the id of the last of them.
-    pub fn end_evicted(&self) -> Option<String> {
-        self.end_dropped(EndCause::Evicted, None)
+    /// one.
+    pub fn end_evicted(&self) {
+        self.end_dropped(EndCause::Evicted, None);
     }
 
     /// Returns the number of requests so far.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,7 +1,7 @@
 //! HTTP servers for callers, readiness checks and metrics.
 
 use std::{
-    cell::RefCell, collections::VecDeque, convert::Infallible, pin::pin, rc::Rc, sync::Arc,
+    cell::Cell, collections::VecDeque, convert::Infallible, pin::pin, rc::Rc, sync::Arc,
     time::Duration,
 };
 
@@ -176,7 +176,7 @@
     new_connection: CountGuard,
 ) {
     let _open = CountGuard::for_connection(&relay);
-    let new_connection = RefCell::new(Some(new_connection));
+    let new_connection = Cell::new(Some(new_connection));
     let _nodelay = stream.set_nodelay(true);
     let limits = |waited: Duration| {
         let since = now_millis().saturating_sub(waited.as_millis() as Millis);
@@ -201,12 +201,13 @@
     };
     let stopping = relay.shutdown.wait_until_stopping();
     let closed = tokio::select! {
+        // A request that has just arrived is not read any more.
         biased;
-        closed = serve_connection(stream, limits, delays, stopping, handler) => closed,
         () = evicted.notified() => {
             connection.end_evicted();
             return;
         }
+        closed = serve_connection(stream, limits, delays, stopping, handler) => closed,
     };
     let in_progress = connection.end_requests(closed.error.as_ref());
     log_closed(&relay, &connection, &closed, in_progress);
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -110,7 +110,7 @@
             ConnectionPhase::Unsent => now.saturating_sub(*since) >= MAX_UNSENT_TIME,
             ConnectionPhase::Serving => false,
         };
-        let first_of = |phase| self.order.range((phase, 0, 0)..).find(|it| it.0 >= phase);
+        let first_of = |phase| self.order.range((phase, 0, 0)..).next();
         let phases =
             [ConnectionPhase::Receiving, ConnectionPhase::Unsent, ConnectionPhase::Resting];
         let mut oldest = phases.into_iter().filter_map(first_of);
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -50,6 +50,9 @@
 /// Longest delay that a caller honours, as a part of its deadline.
 const MAX_RETURN_DELAY: Duration = Duration::from_millis(2_600);
 
+/// Time after which a connection without a response counts as one whose request was read.
+const MAX_UNREAD_TIME: Micros = 1_500_000;
+
 /// Nine of ten requests are streams.
 const KINDS: [CallKind; 10] = [
     CallKind::Stream,
@@ -94,10 +97,11 @@
     }
 }
 
-/// Whether the connection of a call was refused, or closed without a response, and no replica got its
-/// request. `arrived` has the ids of those that did.
+/// Whether the connection of a call was refused, or soon closed without a response, and no replica got
+/// its request. `arrived` has the ids of those that did.
 fn is_unread(call: &CallRecord, arrived: &HashSet<&str>) -> bool {
     matches!(call.outcome, CallOutcome::NotConnected | CallOutcome::NoResponse)
+        && call.ended_at - call.sent_at < MAX_UNREAD_TIME
         && !arrived.contains(call.id.as_str())
 }
 
