--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -50,9 +50,9 @@
     pub bounds: BoundSettings,
 }
 
-/// Default memory of a process, in MB.
+/// Default memory of a process, in MB: that of the smallest VMs.
 fn default_memory_mb() -> f64 {
-    256.0
+    160.0
 }
 
 /// Default number of descriptors of a process.
