Connections: the server's own stream tells what callers leave unread

A second wrapper of a caller's stream, in the relay, repeated the whole AsyncRead and AsyncWrite of the one by which the kernel observes it. That one now tells of each write, and the relay's is gone. Behaviour is as it was.

--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -244,10 +244,31 @@
 ///
 /// Returns how the connection ended, for the caller's log.
 pub async fn serve_connection<I, F, R, B, E>(
+    stream: I,
+    limits: impl Fn(Duration) -> ConnectionLimits,
+    delays: ShutdownDelays,
+    stopping: impl Future<Output = ()>,
+    handler: F,
+) -> ClosedConnection
+where
+    I: CallerStream,
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Response<B>, E>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>> + Unpin,
+    E: Into<Box<dyn Error + Send + Sync>>,
+{
+    serve_watched(stream, limits, delays, stopping, |_| {}, handler).await
+}
+
+/// Like [`serve_connection`]. `on_write` is told with each write whether the caller leaves bytes unread,
+/// so that they cannot be sent yet.
+pub async fn serve_watched<I, F, R, B, E>(
     mut stream: I,
     limits: impl Fn(Duration) -> ConnectionLimits,
     delays: ShutdownDelays,
     stopping: impl Future<Output = ()>,
+    on_write: impl Fn(bool),
     handler: F,
 ) -> ClosedConnection
 where
@@ -279,7 +300,7 @@
         sleep_awake(delays.after_signal).await;
     });
     let mut shutdown_idle = None;
-    let monitored = MonitoredStream::new(&mut stream, &uses);
+    let monitored = MonitoredStream::new(&mut stream, &uses, &on_write);
     let mut connection = builder.serve_connection(TokioIo::new(monitored), service);
     let (mut reason, served) = loop {
         tokio::select! {
--- a/crates/kernel/src/connection/monitor.rs
+++ b/crates/kernel/src/connection/monitor.rs
@@ -34,20 +34,35 @@
     }
 }
 
-/// Stream of a caller that records when bytes arrive and when all that was written has been sent.
+/// Stream of a caller that records when bytes arrive and when all that was written has been sent, and
+/// tells with each write whether the caller leaves bytes unread.
 #[derive(Debug)]
-pub(super) struct MonitoredStream<'a, I> {
+pub(super) struct MonitoredStream<'a, I, W> {
     stream: &'a mut I,
     uses: &'a UseCell,
+    on_write: &'a W,
 }
 
-impl<'a, I> MonitoredStream<'a, I> {
-    pub(super) fn new(stream: &'a mut I, uses: &'a UseCell) -> Self {
-        Self { stream, uses }
+impl<'a, I, W: Fn(bool)> MonitoredStream<'a, I, W> {
+    pub(super) fn new(stream: &'a mut I, uses: &'a UseCell, on_write: &'a W) -> Self {
+        Self { stream, uses, on_write }
+    }
+
+    fn begin_write(&mut self) -> Pin<&mut I>
+    where
+        I: Unpin,
+    {
+        self.uses.update(|current| current.is_flushed = false);
+        Pin::new(&mut *self.stream)
+    }
+
+    fn end_write(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        (self.on_write)(polled.is_pending());
+        polled
     }
 }
 
-impl<I: CallerStream> AsyncRead for MonitoredStream<'_, I> {
+impl<I: CallerStream, W> AsyncRead for MonitoredStream<'_, I, W> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -63,14 +78,14 @@
     }
 }
 
-impl<I: AsyncWrite + Unpin> AsyncWrite for MonitoredStream<'_, I> {
+impl<I: AsyncWrite + Unpin, W: Fn(bool)> AsyncWrite for MonitoredStream<'_, I, W> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.uses.update(|current| current.is_flushed = false);
-        Pin::new(&mut *self.stream).poll_write(context, bytes)
+        let polled = self.begin_write().poll_write(context, bytes);
+        self.end_write(polled)
     }
 
     fn poll_write_vectored(
@@ -78,8 +93,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.uses.update(|current| current.is_flushed = false);
-        Pin::new(&mut *self.stream).poll_write_vectored(context, slices)
+        let polled = self.begin_write().poll_write_vectored(context, slices);
+        self.end_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,13 +10,13 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`serve`], [`request`], [`admit`], [`responses`] | requests of callers, their admission and responses |
-//! | [`request_end`], [`caller_connection`], [`caller_stream`] | how requests and connections of callers end |
+//! | [`request_end`], [`caller_connection`] | how requests and connections of callers end |
 //! | [`admission`] | streams that wait for capacity at ranked services |
 //! | [`plain`] | requests to plain services |
 //! | [`stream`], [`response_head`], [`late_sends`], [`forward`], [`paths`] | streams over engines |
 //! | [`run_tracker`] | runs of requests at replicas, and evidence from lost runs |
 //! | [`pool`], [`interim`], [`engines`], [`probes`], [`reachability`] | connections, calls and probes to replicas |
-//! | [`buffers`] | memory for responses of replicas |
+//! | [`buffers`] | memory for bodies of requests and responses |
 //! | [`state`] | what a relay knows, shared by its tasks |
 //! | [`watch`], [`replicas`], [`store_calls`] | state from the store |
 //! | [`registry`], [`peers`], [`gossip`], [`messages`] | other relays, and state exchanged with them |
@@ -35,7 +35,6 @@
 pub mod admit;
 pub mod buffers;
 pub mod caller_connection;
-pub mod caller_stream;
 pub mod counts;
 pub mod engine_poll;
 pub mod engines;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -11,9 +11,7 @@
 use hyper_util::rt::TokioIo;
 use switchfold_kernel::{
     clock::now_millis,
-    connection::{
-        CloseReason, ClosedConnection, ConnectionLimits, ShutdownDelays, serve_connection,
-    },
+    connection::{CloseReason, ClosedConnection, ConnectionLimits, ShutdownDelays, serve_watched},
     http::take_queued,
 };
 use switchfold_router::{Millis, intake::MAX_STARTING};
@@ -26,7 +24,6 @@
 
 use crate::{
     caller_connection::CallerConnection,
-    caller_stream::WatchedStream,
     counts::count,
     readiness::is_ready,
     request::handle,
@@ -192,7 +189,7 @@
         after_signal: Duration::from_millis(IDLE_CLOSE_DELAY),
         idle: Duration::from_millis(LAST_USE_DELAY),
     };
-    let stream = WatchedStream::new(stream, &connection);
+    let on_write = |is_unsent| connection.record_unsent(is_unsent);
     let handler = |request| {
         drop(new_connection.take());
         // The HTTP library has room for the returned future on each connection, with a request or not.
@@ -207,7 +204,7 @@
             connection.end_evicted();
             return;
         }
-        closed = serve_connection(stream, limits, delays, stopping, handler) => closed,
+        closed = serve_watched(stream, limits, delays, stopping, on_write, handler) => closed,
     };
     let in_progress = connection.end_requests(closed.error.as_ref());
     log_closed(&relay, &connection, &closed, in_progress);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`backoff`] | which replicas asked this VM to back off |
 //! | [`bandwidth`] | how many paths may cross from one data centre to another |
 //! | [`budget`] | how many retries a service may still get |
-//! | [`buffers`] | how many bytes of responses are buffered at a time |
+//! | [`buffers`] | how many bytes of bodies are buffered at a time |
 //! | [`clocks`] | which time of the receiver a message's time stamp corresponds to |
 //! | [`connections`] | how many connections of callers stay open, and which one is closed for a new one |
 //! | [`coordinator`] | which relay hands out the grants for a replica's rate limit |
