Relay: one function discards the rest of a body

The body of a refused request and that of a replica's rejection were read to their end by two loops with the same time limit.

--- a/crates/relay/src/buffers.rs
+++ b/crates/relay/src/buffers.rs
@@ -1,12 +1,16 @@
 //! Reads bodies within the memory that all of them may use together.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use switchfold_router::buffers::{BufferLedger, FREE_BYTES, LengthKind};
+use tokio::time::timeout;
 
 /// Memory for buffered bodies, of responses or of requests. Clones share it.
 #[derive(Clone, Debug, Default)]
@@ -141,3 +145,22 @@
     }
     Ok(share.hold(bytes.freeze()))
 }
+
+/// Time for which the rest of a body that nobody needs is awaited.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Reads the rest of a body without keeping it, so that its connection can be reused. Returns whether it
+/// ended in time and within `limit` bytes.
+pub async fn discard_body(mut body: Incoming, limit: usize) -> bool {
+    let reading = async {
+        let mut len = 0;
+        while let Some(frame) = body.frame().await {
+            len += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if len > limit {
+                return None;
+            }
+        }
+        Some(())
+    };
+    matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Some(())))
+}
--- a/crates/relay/src/plain/attempt.rs
+++ b/crates/relay/src/plain/attempt.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{Response, StatusCode, response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::headers::{
@@ -20,15 +19,12 @@
     attempt::{AttemptEnd, promises_not_run},
     fleet::ReplicaEntry,
 };
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::timeout};
 
 use super::LoadGuard;
 use crate::{
     admit::Permit,
-    buffers::read_body,
+    buffers::{discard_body, read_body},
     notices::{SendGate, apply_notices},
     pool::{ActiveConnection, SendError},
     quarantine::record_result,
@@ -316,8 +312,8 @@
     (status.is_success() && !headers.is_signed).then_some(AttemptEnd::Broken)
 }
 
-/// Timeout for reading the body of a rejection.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum size of the body of a rejection, in bytes.
+const MAX_REJECTION: usize = 4_096;
 
 /// Reads the body of a rejection to its end, so that the connection can be reused; closes the
 /// connection if that takes too long.
@@ -327,14 +323,7 @@
     body: Incoming,
     headers: &ResponseHeaders,
 ) {
-    if headers.closes_connection {
-        return;
-    }
-    let is_drained = tokio::select! {
-        read = Limited::new(body, 4_096).collect() => read.is_ok(),
-        () = sleep(DRAIN_TIMEOUT) => false,
-    };
-    if is_drained {
+    if !headers.closes_connection && discard_body(body, MAX_REJECTION).await {
         connection.return_to(&relay.pool, headers.keep_alive);
     }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header, request::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use switchfold_kernel::clock::now_millis;
 use switchfold_platform::headers::{
@@ -30,7 +30,7 @@
 
 use crate::{
     admit::{AdmissionRequest, Permit, admit, is_config_fresh},
-    buffers::{BodyError, read_body},
+    buffers::{BodyError, discard_body, read_body},
     caller_connection::{CallerConnection, EndGuard},
     counts::count,
     notices::ReplicaResponse,
@@ -404,7 +404,9 @@
     let permit = match admit(relay, &admission) {
         Ok(permit) => permit,
         Err(refusal) => {
-            discard_body(body, max_body, &record).await;
+            if discard_body(body, max_body).await {
+                record.record_read();
+            }
             return Err(refusal);
         }
     };
@@ -464,27 +466,6 @@
     }
 }
 
-/// Time for which the rest of a body is awaited that belongs to a refused request.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// Reads the rest of a body without keeping it, so that the connection can be kept, unless it takes too
-/// long.
-async fn discard_body(mut body: Incoming, max_body: usize, record: &RequestRecord) {
-    let reading = async {
-        let mut len = 0;
-        while let Some(frame) = body.frame().await {
-            len += frame.ok()?.data_ref().map_or(0, Bytes::len);
-            if len > max_body {
-                return None;
-            }
-        }
-        Some(())
-    };
-    if matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Some(()))) {
-        record.record_read();
-    }
-}
-
 fn read_admission(parts: &Parts, headers: &RequestHeaders) -> AdmissionRequest {
     let header = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = parts.uri.host().or(header).unwrap_or_default();
