--- a/crates/kernel/src/http.rs
+++ b/crates/kernel/src/http.rs
@@ -301,11 +301,16 @@
     },
 }
 
-/// Returns whether a status is that of a final response (RFC 9110, section 15). The HTTP library also
+/// Checks that a status is that of a final response (RFC 9110, section 15). The HTTP library also
 /// returns a switch to another protocol, which was not asked for, and three-digit codes above those
 /// that are defined.
-pub fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
+///
+/// # Errors
+///
+/// Describes any other status.
+pub fn check_final(status: StatusCode) -> Result<(), String> {
+    let is_final = (200..600).contains(&status.as_u16());
+    is_final.then_some(()).ok_or_else(|| format!("status {status} is no final response"))
 }
 
 /// Returns whether the client reports that it did not begin to write the request.
@@ -373,11 +378,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
         match time::timeout(self.timeout, self.client.request(request)).await {
-            Ok(Ok(response)) if is_final(response.status()) => Ok(response),
-            Ok(Ok(response)) => {
-                let detail = format!("status {} is no final response", response.status());
-                Err(CallError::NoResponse { detail })
-            }
+            Ok(Ok(response)) => match check_final(response.status()) {
+                Ok(()) => Ok(response),
+                Err(detail) => Err(CallError::NoResponse { detail }),
+            },
             Ok(Err(error)) if error.is_connect() || is_unwritten(&error) => {
                 Err(CallError::NotConnected { detail: with_sources(&error) })
             }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -25,7 +25,7 @@
 use hyper_util::rt::TokioIo;
 use nix::errno::Errno;
 use socket2::SockRef;
-use switchfold_kernel::{clock::now_millis, http::is_final};
+use switchfold_kernel::{clock::now_millis, http::check_final};
 use switchfold_platform::headers::is_merged;
 use switchfold_router::Millis;
 use tokio::{
@@ -314,6 +314,16 @@
 
 type Unsent = Option<Request<Full<Bytes>>>;
 
+/// Checks that a head is that of one final response.
+fn check_response(response: &Response<Incoming>) -> Result<(), String> {
+    check_final(response.status())?;
+    // Surplus bytes of the response before, which the connection had not read in time.
+    match is_merged(response.headers(), reason(response)) {
+        true => Err("parts of two responses".to_owned()),
+        false => Ok(()),
+    }
+}
+
 async fn send_on(
     mut connection: ActiveConnection,
     mut request: Request<Full<Bytes>>,
@@ -321,16 +331,10 @@
     let sender = connection.sender.as_mut().expect("an active connection has its sender");
     connection.interim.count_of(&mut request);
     match sender.try_send_request(request).await {
-        Ok(response) if !is_final(response.status()) => {
-            let detail = format!("status {} is no final response", response.status());
-            Err((SendError::NoResponse { detail }, None))
-        }
-        // Surplus bytes of the response before, which the connection had not read in time.
-        Ok(response) if is_merged(response.headers(), reason(&response)) => {
-            let detail = "parts of two responses".to_owned();
-            Err((SendError::NoResponse { detail }, None))
-        }
-        Ok(response) => Ok((response, connection)),
+        Ok(response) => match check_response(&response) {
+            Ok(()) => Ok((response, connection)),
+            Err(detail) => Err((SendError::NoResponse { detail }, None)),
+        },
         Err(mut failure) => {
             let unsent = failure.take_message();
             let detail = failure.into_error().to_string();
