Soak: callers of all kinds make and record a call by one function

Four callers, the one of crowds among them, each built the same record from the end of a call. Callers without patience record the time of the first event as well, which no check reads; all else is as it was.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -111,45 +111,21 @@
         let is_usable =
             |connection: &CallerConnection| reuses_at_once || connection.sender.is_ready();
         let reusable = idle.take().filter(is_usable);
-        let idle_since = reusable.as_ref().and_then(|connection| connection.idle_since);
         let connected = match reusable {
             Some(connection) => Ok(connection),
             None => connect(context.choose_relay(&mut random)).await,
         };
-        let (relay, outcome) = match connected {
-            Err(relay) => (relay, CallOutcome::NotConnected),
-            Ok(mut connection) => {
-                let body = request_body(&id);
-                let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
-                let spec =
-                    CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
-                let outcome =
-                    call(&mut connection.sender, &spec, CALL_TIMEOUT, Duration::ZERO).await;
-                let relay = connection.relay;
-                let CallEnd { outcome, keep_alive, .. } = outcome;
-                if idle_since.is_none() && matches!(outcome, CallOutcome::Responded(_)) {
-                    context.record_response(relay);
-                }
-                connection.idle_since = Some(epoch_micros());
-                idle = Some(connection).filter(|_| keep_alive && !context.opens_connections());
-                (relay, outcome)
-            }
-        };
+        let body = request_body(&id);
+        let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
+        let spec = CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
+        let (record, kept) =
+            make_call(connected, &spec, sent_at, CALL_TIMEOUT, Duration::ZERO).await;
+        if record.reused_after.is_none() && matches!(record.outcome, CallOutcome::Responded(_)) {
+            context.record_response(record.relay);
+        }
+        idle = kept.filter(|_| !context.opens_connections());
         reuses_at_once = kind == CallKind::LongStream && idle.is_some();
-        let ended_at = epoch_micros();
-        let reused_after = idle_since.map(|since| sent_at.saturating_sub(since));
-        let timing = CallTiming::default();
-        calls.push(CallRecord {
-            id,
-            kind,
-            key,
-            relay,
-            sent_at,
-            ended_at,
-            outcome,
-            reused_after,
-            timing,
-        });
+        calls.push(record);
     }
     calls
 }
@@ -175,34 +151,16 @@
         let id = format!("{name}x{}", calls.len());
         let key = context.choose_key(&mut random);
         let sent_at = epoch_micros();
-        let (relay, outcome) = match connect(context.choose_relay(&mut random)).await {
-            Err(relay) => (relay, CallOutcome::NotConnected),
-            Ok(mut connection) => {
-                let is_part = crash_name.starts_with(CRASH_PART_PREFIX);
-                let (name, body, part) = match is_part {
-                    true => (&id, request_body(&id), crash_name.as_str()),
-                    false => (&crash_name, crash_name.clone(), SHARED_PART),
-                };
-                let parts = format!("{SHARED_PART}:40,{part}:100,{sent_at:x}:30");
-                let spec = CallSpec { silence: None, kind, id: &id, key: &key, name, body, parts };
-                let end = call(&mut connection.sender, &spec, CALL_TIMEOUT, Duration::ZERO).await;
-                (connection.relay, end.outcome)
-            }
+        let connected = connect(context.choose_relay(&mut random)).await;
+        let is_part = crash_name.starts_with(CRASH_PART_PREFIX);
+        let (name, body, part) = match is_part {
+            true => (&id, request_body(&id), crash_name.as_str()),
+            false => (&crash_name, crash_name.clone(), SHARED_PART),
         };
-        let ended_at = epoch_micros();
-        let reused_after = None;
-        let timing = CallTiming::default();
-        calls.push(CallRecord {
-            id,
-            kind,
-            key,
-            relay,
-            sent_at,
-            ended_at,
-            outcome,
-            reused_after,
-            timing,
-        });
+        let parts = format!("{SHARED_PART}:40,{part}:100,{sent_at:x}:30");
+        let spec = CallSpec { silence: None, kind, id: &id, key: &key, name, body, parts };
+        let (record, _) = make_call(connected, &spec, sent_at, CALL_TIMEOUT, Duration::ZERO).await;
+        calls.push(record);
     }
     calls
 }
@@ -252,9 +210,49 @@
     }
 }
 
+/// Makes a call that began at `sent_at` on a connection, which takes `sending` for the request and has
+/// the caller's `patience`. Returns its record, and the connection if it can be reused.
+pub(crate) async fn make_call(
+    connected: Result<CallerConnection, usize>,
+    spec: &CallSpec<'_>,
+    sent_at: Micros,
+    patience: Duration,
+    sending: Duration,
+) -> (CallRecord, Option<CallerConnection>) {
+    let mut reused_after = None;
+    let (relay, end, kept) = match connected {
+        Err(relay) => (relay, CallEnd::without_response(CallOutcome::NotConnected), None),
+        Ok(mut connection) => {
+            reused_after = connection.idle_since.map(|since| sent_at.saturating_sub(since));
+            let end = call(&mut connection.sender, spec, patience, sending).await;
+            connection.idle_since = Some(epoch_micros());
+            let is_kept = end.keep_alive;
+            (connection.relay, end, Some(connection).filter(|_| is_kept))
+        }
+    };
+    let timing = CallTiming {
+        sending: sending.as_micros() as Micros,
+        first_event: end.first_event_at.map(|at| at.saturating_sub(sent_at)),
+        longest_pause: end.longest_pause,
+        silence: spec.silence.map(|silence| silence.pause.as_micros() as Micros),
+    };
+    let record = CallRecord {
+        id: spec.id.to_owned(),
+        kind: spec.kind,
+        key: spec.key.to_owned(),
+        relay,
+        sent_at,
+        ended_at: epoch_micros(),
+        outcome: end.outcome,
+        reused_after,
+        timing,
+    };
+    (record, kept)
+}
+
 /// Makes one call, and leaves once nothing has come for `patience` after the request was sent, which
 /// takes `sending`.
-pub(crate) async fn call(
+async fn call(
     sender: &mut RequestSender,
     spec: &CallSpec<'_>,
     patience: Duration,
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -22,12 +22,11 @@
 use crate::{
     attendance::CONTACT_TIME,
     caller::{
-        CALL_TIMEOUT, CallEnd, CallSpec, CallerConnection, CallerContext, SHARED_PART, call,
-        connect,
+        CALL_TIMEOUT, CallSpec, CallerConnection, CallerContext, SHARED_PART, connect, make_call,
     },
     checks::{Violation, check, check_crowd},
     cluster::{ClusterConfig, SoakCluster},
-    record::{CallKind, CallOutcome, CallRecord, CallTiming, Micros, PATIENCE},
+    record::{CallKind, CallOutcome, CallRecord, Micros, PATIENCE},
     replica::request_body,
 };
 
@@ -285,7 +284,7 @@
                 None => cluster.choose_relay(&mut random),
                 Some(last) => cluster.choose_other_relay(last.relay, &mut random),
             };
-            let (record, kept) = make_call(&cluster, idle.take(), target, kind, id).await;
+            let (record, kept) = make_try(&cluster, idle.take(), target, kind, id).await;
             idle = kept;
             let is_repeated = must_repeat(&record);
             request.tries.push(record);
@@ -308,7 +307,7 @@
     }
 }
 
-async fn make_call(
+async fn make_try(
     cluster: &SoakCluster,
     reusable: Option<CallerConnection>,
     target: (usize, SocketAddr),
@@ -316,44 +315,18 @@
     id: String,
 ) -> (CallRecord, Option<CallerConnection>) {
     let key = cluster.valid_key();
-    let idle_since = reusable.as_ref().and_then(|connection| connection.idle_since);
     let sent_at = epoch_micros();
     let connected = match reusable {
         Some(connection) => Ok(connection),
         None => connect(target).await,
     };
     let patience = if kind.is_stream() { PATIENCE } else { CALL_TIMEOUT };
-    let (relay, end, kept) = match connected {
-        Err(relay) => (relay, CallEnd::without_response(CallOutcome::NotConnected), None),
-        Ok(mut connection) => {
-            let body = request_body(&id);
-            let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
-            let spec = CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
-            let end = call(&mut connection.sender, &spec, patience, Duration::ZERO).await;
-            connection.idle_since = Some(epoch_micros());
-            let relay = connection.relay;
-            if idle_since.is_none() && matches!(end.outcome, CallOutcome::Responded(_)) {
-                cluster.record_response(relay);
-            }
-            let kept = Some(connection).filter(|_| end.keep_alive);
-            (relay, end, kept)
-        }
-    };
-    let timing = CallTiming {
-        first_event: end.first_event_at.map(|at| at.saturating_sub(sent_at)),
-        longest_pause: end.longest_pause,
-        ..CallTiming::default()
-    };
-    let record = CallRecord {
-        id,
-        kind,
-        key,
-        relay,
-        sent_at,
-        ended_at: epoch_micros(),
-        outcome: end.outcome,
-        reused_after: idle_since.map(|since| sent_at.saturating_sub(since)),
-        timing,
-    };
+    let body = request_body(&id);
+    let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
+    let spec = CallSpec { silence: None, kind, id: &id, key: &key, name: &id, body, parts };
+    let (record, kept) = make_call(connected, &spec, sent_at, patience, Duration::ZERO).await;
+    if record.reused_after.is_none() && matches!(record.outcome, CallOutcome::Responded(_)) {
+        cluster.record_response(record.relay);
+    }
     (record, kept)
 }
--- a/crates/soak/src/patient.rs
+++ b/crates/soak/src/patient.rs
@@ -10,11 +10,10 @@
 
 use crate::{
     caller::{
-        CALL_TIMEOUT, CallEnd, CallSpec, CallerConnection, CallerContext, SHARED_PART, call,
-        connect,
+        CALL_TIMEOUT, CallSpec, CallerConnection, CallerContext, SHARED_PART, connect, make_call,
     },
     pausing::SendPause,
-    record::{CallKind, CallOutcome, CallRecord, CallTiming, Micros, PATIENCE},
+    record::{CallKind, CallRecord, PATIENCE},
     replica::request_body,
     silence::RequestedSilence,
 };
@@ -70,49 +69,20 @@
             pause: Duration::from_millis(random.random_range(PART_PAUSE_MS)),
         });
         let reusable = idle.take().filter(|connection| connection.sender.is_ready());
-        let idle_since = reusable.as_ref().and_then(|connection| connection.idle_since);
         let connected = match reusable {
             Some(connection) => Ok(connection),
             None => connect(context.choose_relay(&mut random)).await,
         };
         let sent_at = epoch_micros();
         let patience = if kind.is_stream() { PATIENCE } else { CALL_TIMEOUT };
-        let (relay, end) = match connected {
-            Err(relay) => (relay, CallEnd::without_response(CallOutcome::NotConnected)),
-            Ok(mut connection) => {
-                connection.next_pause.set(pause);
-                let body = request_body(&id);
-                let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
-                let spec = CallSpec { silence, kind, id: &id, key: &key, name: &id, body, parts };
-                let sending = pause.map_or(Duration::ZERO, |pause| pause.pause);
-                let end = call(&mut connection.sender, &spec, patience, sending).await;
-                let relay = connection.relay;
-                connection.idle_since = Some(epoch_micros());
-                let is_kept = end.keep_alive && !context.opens_connections();
-                idle = Some(connection).filter(|_| is_kept);
-                (relay, end)
-            }
-        };
-        let ended_at = epoch_micros();
-        let reused_after = idle_since.map(|since| sent_at.saturating_sub(since));
-        let timing = CallTiming {
-            sending: pause.map_or(0, |pause| pause.pause.as_micros() as Micros),
-            first_event: end.first_event_at.map(|at| at.saturating_sub(sent_at)),
-            longest_pause: end.longest_pause,
-            silence: silence.map(|silence| silence.pause.as_micros() as Micros),
-        };
-        let outcome = end.outcome;
-        calls.push(CallRecord {
-            id,
-            kind,
-            key,
-            relay,
-            sent_at,
-            ended_at,
-            outcome,
-            reused_after,
-            timing,
-        });
+        connected.iter().for_each(|connection| connection.next_pause.set(pause));
+        let body = request_body(&id);
+        let parts = format!("{SHARED_PART}:40,{sent_at:x}:30");
+        let spec = CallSpec { silence, kind, id: &id, key: &key, name: &id, body, parts };
+        let sending = pause.map_or(Duration::ZERO, |pause| pause.pause);
+        let (record, kept) = make_call(connected, &spec, sent_at, patience, sending).await;
+        idle = kept.filter(|_| !context.opens_connections());
+        calls.push(record);
     }
     calls
 }
