--- a/crates/relay/tests/connections.rs
+++ b/crates/relay/tests/connections.rs
@@ -4,12 +4,10 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use harness::{ROUTES, RunningRelay, WAIT_TIMEOUT, bounds, entry_of, request, run_test};
+use harness::{
+    ROUTES, RunningRelay, WAIT_TIMEOUT, bounds, call_on, entry_of, open_client, run_test,
+};
 use http::StatusCode;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
 use switchfold_platform_standin::{
@@ -33,27 +31,6 @@
     config
 }
 
-type RequestSender = http1::SendRequest<Full<Bytes>>;
-
-async fn open_client(relay: &RunningRelay) -> RequestSender {
-    let stream = TcpStream::connect(relay.address).await.expect("the relay listens");
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("a connection");
-    tokio::spawn(connection);
-    sender
-}
-
-/// Sends a request on a kept connection and reads the response; fails if the connection is closed.
-async fn call_on(sender: &mut RequestSender, id: &str) -> Result<StatusCode, hyper::Error> {
-    let exchange = async {
-        sender.ready().await?;
-        let response = sender.send_request(request("/once/a", id)).await?;
-        let status = response.status();
-        response.into_body().collect().await?;
-        Ok(status)
-    };
-    timeout(WAIT_TIMEOUT, exchange).await.expect("the call takes too long")
-}
-
 /// Guards against connections that go by the limits of the configuration at their opening: one that
 /// raises the idle limit must keep them open.
 #[test]
@@ -66,7 +43,7 @@
         store.put(REPLICA_KIND, id, entry);
         let relay = RunningRelay::start_with_store(store, bounds()).await;
         relay.wait_ready(StatusCode::OK).await;
-        let mut sender = open_client(&relay).await;
+        let mut sender = open_client(relay.address).await;
         let unknown = call_on(&mut sender, "before").await.expect("the connection is open");
         assert_eq!(unknown, StatusCode::NOT_FOUND);
         relay.store.put(CONFIG_KIND, CONFIG_NAME, config_of(2, &ROUTES, FIRST_IDLE_MS * 60));
@@ -98,7 +75,7 @@
         let mut lowered = config_of(2, &ROUTES, FIRST_IDLE_MS);
         lowered["limits"]["max_body_bytes"] = json!(1);
         relay.store.put(CONFIG_KIND, CONFIG_NAME, lowered);
-        let mut sender = open_client(&relay).await;
+        let mut sender = open_client(relay.address).await;
         let status = loop {
             match call_on(&mut sender, "change").await.expect("the connection is used") {
                 StatusCode::NOT_FOUND => sleep(Duration::from_millis(10)).await,
--- a/crates/relay/tests/descriptors.rs
+++ b/crates/relay/tests/descriptors.rs
@@ -2,15 +2,11 @@
 
 mod harness;
 
-use bytes::Bytes;
 use harness::{
-    ONCE, bounds, relay_process::RelayProcess, request, respond_healthy, run_test, try_call,
-    wait_until,
+    ONCE, bounds, call_on, open_client, relay_process::RelayProcess, request, respond_healthy,
+    run_test, try_call, wait_until,
 };
 use http::StatusCode;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use switchfold_platform::{CONFIG_KIND, CONFIG_NAME, REPLICA_KIND};
 use switchfold_platform_standin::{
     StandinReplica, StandinStore,
@@ -21,14 +17,6 @@
 /// Descriptors that the process can open.
 const MAX_OPEN: usize = 48;
 
-async fn call_kept(sender: &mut SendRequest<Full<Bytes>>, id: &str) -> StatusCode {
-    sender.ready().await.expect("the connection is kept");
-    let response = sender.send_request(request("/once/a", id)).await.expect("a response");
-    let status = response.status();
-    response.into_body().collect().await.expect("a whole response");
-    status
-}
-
 /// Guards against a relay that suspects its replicas since it has no descriptor to reach them.
 #[test]
 fn a_relay_without_descriptors_suspects_no_replica() {
@@ -38,17 +26,16 @@
         let replica = StandinReplica::start(respond_healthy).await;
         store.put(REPLICA_KIND, "i-1", desk_entry(replica.address()));
         let relay = RelayProcess::start_limited(&store, "descriptors", &bounds(), MAX_OPEN).await;
-        let stream = TcpStream::connect(relay.callers).await.expect("the relay listens");
-        let (mut kept, connection) =
-            http1::handshake(TokioIo::new(stream)).await.expect("a connection");
-        tokio::spawn(connection);
-        wait_until(async || call_kept(&mut kept, "before").await == StatusCode::OK).await;
+        let mut kept = open_client(relay.callers).await;
+        let mut call_kept =
+            async |id: &str| call_on(&mut kept, id).await.expect("the connection is kept");
+        wait_until(async || call_kept("before").await == StatusCode::OK).await;
         let mut silent = Vec::new();
         for _ in 0..MAX_OPEN * 2 {
             silent.push(TcpStream::connect(relay.callers).await.expect("the relay listens"));
         }
         wait_until(async || !relay.events("accept-failed").is_empty()).await;
-        let beside = call_kept(&mut kept, "beside").await;
+        let beside = call_kept("beside").await;
         assert!([200, 502, 503].contains(&beside.as_u16()), "{beside}");
         let suspected = relay.events("suspect");
         assert!(suspected.is_empty(), "{beside}: {suspected:?}");
--- a/crates/relay/tests/harness/mod.rs
+++ b/crates/relay/tests/harness/mod.rs
@@ -327,6 +327,32 @@
     }
 }
 
+/// A connection of a caller.
+pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+/// Opens a connection that is kept.
+pub(crate) async fn open_client(address: SocketAddr) -> RequestSender {
+    let stream = TcpStream::connect(address).await.expect("the relay listens");
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("a connection");
+    tokio::spawn(connection);
+    sender
+}
+
+/// Sends a request on a kept connection and reads the response; fails if the connection is closed.
+pub(crate) async fn call_on(
+    sender: &mut RequestSender,
+    id: &str,
+) -> Result<StatusCode, hyper::Error> {
+    let exchange = async {
+        sender.ready().await?;
+        let response = sender.send_request(request("/once/a", id)).await?;
+        let status = response.status();
+        response.into_body().collect().await?;
+        Ok(status)
+    };
+    timeout(WAIT_TIMEOUT, exchange).await.expect("the call takes too long")
+}
+
 /// Sends a request on a new connection and reads the response.
 pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> CallResult {
     try_call(address, request).await.expect("a response")
--- a/crates/relay/tests/intake.rs
+++ b/crates/relay/tests/intake.rs
@@ -4,23 +4,18 @@
 
 use std::{cell::Cell, rc::Rc, thread, time::Duration};
 
-use bytes::Bytes;
 use futures_util::future::join_all;
 use harness::{
-    ROUTES, RunningRelay, bounds, call, entry_of, read_metric, request, run_test, try_call,
-    wait_until,
+    ROUTES, RunningRelay, bounds, call, call_on, entry_of, open_client, read_metric, request,
+    run_test, try_call, wait_until,
 };
 use http::StatusCode;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use switchfold_platform_standin::{
     ReceivedRequest, Reply, StandinReplica,
     samples::{KEY, config, desk_entry},
     signed_response,
 };
 use tokio::{
-    net::TcpStream,
     task::{spawn_local, yield_now},
     time::sleep,
 };
@@ -68,17 +63,9 @@
         let is_held = Rc::new(Cell::new(false));
         let hold = hold_thread(is_held.clone());
         let relay = RunningRelay::start_beside(bounds(), config, &entries, hold).await;
-        let stream = TcpStream::connect(relay.address).await.expect("the relay listens");
-        let (mut kept, connection) =
-            http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await.expect("a connection");
-        tokio::spawn(connection);
-        let mut call_kept = async |id: &str| {
-            kept.ready().await.expect("the connection is kept");
-            let response = kept.send_request(request("/once/a", id)).await.expect("a response");
-            let status = response.status();
-            response.into_body().collect().await.expect("a whole response");
-            status
-        };
+        let mut kept = open_client(relay.address).await;
+        let mut call_kept =
+            async |id: &str| call_on(&mut kept, id).await.expect("the connection is kept");
         assert_eq!(call_kept("kept-0").await, StatusCode::OK);
         for number in 0..IN_FLIGHT {
             let request = request("/once/silent", &format!("silent-{number}"));
